Filling tasks are paced by learnt pairs of images

Readings show that a serving task's tail follows t0/(1-u), and that what fills multiplies u. Change: the factor is learnt by pairs of images; each filling task gets the share that the tightest target leaves.

--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -100,6 +100,7 @@
             self.note_answered(worker);
             self.room_changed = true;
         }
+        self.learn_press(now, worker);
         self.guard_worker(now, worker);
         self.plan_hold(now, worker);
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -25,6 +25,7 @@
 mod job;
 mod limits;
 mod place;
+mod press;
 mod progress;
 mod queues;
 mod scheduler;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -6,9 +6,11 @@
 use sandshelf_place::WorkerHealth;
 
 use crate::events::{JobNote, StartCall, WorkerCall};
+use crate::guard::room_beside;
 use crate::ids::{RunKey, TaskKey};
 use crate::job::TaskStage;
 use crate::limits::{PLACE_PER_PASS, START_VALID_MS};
+use crate::press::PressEstimate;
 use crate::scheduler::{JobScheduler, WaitKey};
 use crate::spec::StepSpec;
 use crate::worker::{RunPhase, RunRecord, WorkerState};
@@ -19,10 +21,8 @@
 const FAR_COST: f64 = 1.0;
 /// What it costs to go back to the worker that the task last failed on, in loads of a whole worker.
 const FAILED_THERE_COST: f64 = 4.0;
-/// What it costs a filling task to stand beside each serving task with a target, in loads of a whole worker.
-const BESIDE_TARGET_COST: f64 = 0.1;
-/// What it costs a filling task where filling tasks are slowed down already, in loads of a whole worker.
-const SLOWED_COST: f64 = 2.0;
+/// What the room that serving tasks leave counts for a filling task, beside the load of the whole worker.
+const SERVING_ROOM_WEIGHT: f64 = 1.0;
 
 /// What one pass found to have no room, so that like tasks are not tried again.
 #[derive(Default)]
@@ -123,7 +123,7 @@
             if !self.may_take(now, id, worker, candidate, taken) {
                 continue;
             }
-            let cost = place_cost(worker, candidate, taken);
+            let cost = place_cost(worker, &self.press, candidate, taken);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
             }
@@ -283,6 +283,9 @@
         let mut record = RunRecord::new(&step, RunPhase::Ordered, deadline);
         record.checkpoint = checkpoint.clone();
         state.add_run(run, record);
+        if step.fills {
+            state.refresh_fills(now);
+        }
         let resumed = checkpoint.is_some();
         self.call(
             &worker,
@@ -308,7 +311,12 @@
 }
 
 /// What it costs to place a task on a worker; lower is better.
-fn place_cost(worker: &WorkerState, candidate: &Candidate<'_>, taken: &[ResourceSize]) -> f64 {
+fn place_cost(
+    worker: &WorkerState,
+    press: &PressEstimate,
+    candidate: &Candidate<'_>,
+    taken: &[ResourceSize],
+) -> f64 {
     let step = candidate.step;
     let capacity = &worker.entry.capacity;
     let planned: u64 = taken.iter().map(|size| size.cpu_millis).sum();
@@ -324,9 +332,7 @@
         cost += FAILED_THERE_COST;
     }
     if step.fills {
-        let targets = worker.runs.values().filter(|record| record.target_ms > 0);
-        cost += targets.count() as f64 * BESIDE_TARGET_COST;
-        cost += SLOWED_COST * f64::from(100 - worker.pace.min(100)) / 100.0;
+        cost -= room_beside(worker, press, &step.image, step.size.cpu_millis) * SERVING_ROOM_WEIGHT;
     }
     cost
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::JobState;
 use crate::limits::{SchedulerLimits, SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS};
+use crate::press::PressEstimate;
 use crate::progress::ProgressRow;
 use crate::spec::{JobSpec, QueueRules};
 use crate::worker::WorkerState;
@@ -114,6 +115,7 @@
     pub(crate) roster_changed: bool,
     pub(crate) recovery: Option<Recovery>,
     pub(crate) quarantine: QuarantineBook,
+    pub(crate) press: PressEstimate,
     pub(crate) room_changed: bool,
     pub(crate) deposed: bool,
     pub(crate) out: Vec<JobAction>,
@@ -153,6 +155,7 @@
                 listed: false,
             }),
             quarantine: QuarantineBook::default(),
+            press: PressEstimate::default(),
             room_changed: false,
             deposed: false,
             out: Vec::new(),
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -69,6 +69,7 @@
             }
         }
         self.note_begun(&key.task);
+        self.guard_worker(now, worker);
     }
 
     /// Notes that some task of the job has begun.
@@ -173,7 +174,7 @@
 
     /// Takes in an end that a worker lists; `first` where it is the worker's first report to this owner.
     pub(crate) fn take_end(&mut self, now: Millis, worker: &WorkerId, end: EndReport, first: bool) {
-        let record = self.remove_record(worker, &end.key);
+        let record = self.remove_record(now, worker, &end.key);
         let known = record.is_some() || (first && self.may_adopt(&end.key));
         if !known {
             return;
@@ -289,7 +290,7 @@
 
     /// Gives up a run that is certainly not at work and has no end; its task goes back into the queue.
     pub(crate) fn drop_run(&mut self, now: Millis, worker: &WorkerId, key: &RunKey) {
-        let Some(record) = self.remove_record(worker, key) else {
+        let Some(record) = self.remove_record(now, worker, key) else {
             return;
         };
         let Some(job) = self.jobs.get_mut(&key.task.job) else {
@@ -361,8 +362,12 @@
         self.workers.get_mut(worker)?.runs.get_mut(key)
     }
 
-    fn remove_record(&mut self, worker: &WorkerId, key: &RunKey) -> Option<RunRecord> {
-        let record = self.workers.get_mut(worker)?.remove_run(key);
+    fn remove_record(&mut self, now: Millis, worker: &WorkerId, key: &RunKey) -> Option<RunRecord> {
+        let state = self.workers.get_mut(worker)?;
+        let record = state.remove_run(key);
+        if record.as_ref().is_some_and(|record| record.fills) {
+            state.refresh_fills(now);
+        }
         if record.is_some() {
             self.room_changed = true;
         }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,6 +7,7 @@
 use crate::events::{WorkerClock, WorkerListing};
 use crate::ids::RunKey;
 use crate::limits::{SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT};
+use crate::press::{FillLoads, FillMeter, ServingSample};
 use crate::spec::StepSpec;
 
 /// How far an order to start has come.
@@ -44,6 +45,8 @@
     pub(crate) gauge: Option<u64>,
     /// The share at which it was told to work, in percent.
     pub(crate) pace: u32,
+    /// The last reading of a serving task that was learnt from.
+    pub(crate) sample: Option<ServingSample>,
 }
 
 /// A reading of a worker's clock and when it reached us.
@@ -77,9 +80,8 @@
     pub(crate) runs: BTreeMap<RunKey, RunRecord>,
     used: ResourceSize,
     wanted_cpu: u64,
-    /// The share at which filling tasks work here, in percent.
-    pub(crate) pace: u32,
-    pub(crate) pace_changed: Millis,
+    /// What fills here.
+    pub(crate) fills: FillMeter,
 }
 
 impl WorkerState {
@@ -100,8 +102,7 @@
             runs: BTreeMap::new(),
             used: ResourceSize::default(),
             wanted_cpu: 0,
-            pace: 100,
-            pace_changed: 0,
+            fills: FillMeter::default(),
         }
     }
 
@@ -165,6 +166,27 @@
         removed
     }
 
+    /// What fills here if every filling task works at its full share.
+    pub(crate) fn full_fills(&self) -> FillLoads {
+        self.fill_loads(|_| 1.0)
+    }
+
+    /// Notes what fills from now on.
+    pub(crate) fn refresh_fills(&mut self, now: Millis) {
+        let loads = self.fill_loads(|record| f64::from(record.pace.min(100)) / 100.0);
+        self.fills.change(now, loads);
+    }
+
+    fn fill_loads(&self, share: impl Fn(&RunRecord) -> f64) -> FillLoads {
+        let capacity = self.entry.capacity.cpu_millis.max(1) as f64;
+        let mut loads = FillLoads::new();
+        for record in self.runs.values().filter(|record| record.fills) {
+            let load = record.cpu_millis as f64 / capacity * share(record);
+            *loads.entry(record.image.clone()).or_default() += load;
+        }
+        loads
+    }
+
     fn recount(&mut self) {
         let mut used = ResourceSize::default();
         let mut wanted = 0;
@@ -195,6 +217,7 @@
             percent: 0,
             gauge: None,
             pace: 100,
+            sample: None,
         }
     }
 }
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -86,7 +86,7 @@
     let caller = quiet_rocket(settings.caller_address).mount("/", job_routes(&shared));
     let (_, caller_stop) = launch(caller).await?;
     let ready = quiet_rocket(settings.ready_address).mount("/", ready_routes(&shared));
-    launch(ready).await?;
+    let _ = launch(ready).await?;
     event(
         "started",
         &[
