A new owner keeps tasks that it has not found; dead workers are noticed; few connections a worker

(3) 5,148 connections to 66 workers, 37 reset over their cap. Change: an unfound or blocked task keeps its stage at an end; no lease is prolonged after an unanswered hold; silence is judged by the wait that was asked for; three orders at a time to a worker. tests/takeover.rs failed first (old_failure, dead_worker).

--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -27,6 +27,7 @@
             }
             let call = next_hold(worker, now, lease);
             worker.hold_sent = Some(now);
+            worker.hold_wait = call.wait_ms;
             if let Some(deadline) = call.deadline {
                 worker.granted = worker.granted.max(deadline);
             }
@@ -55,6 +56,7 @@
             HoldAnswer::Fenced => self.deposed = true,
             HoldAnswer::Failed(answer) => {
                 state.hold_due = now + HOLD_RETRY_MS;
+                state.unanswered = true;
                 match answer {
                     OrderAnswer::Replaced => self.lose_worker(now, worker, LossCause::Replaced),
                     OrderAnswer::Unreachable => {
@@ -206,15 +208,16 @@
         matches!(record.phase, RunPhase::Stopping { answered, .. } if answered.is_some())
             || record.phase == RunPhase::Unsettled
     });
-    let wait_ms = if worker.noted > worker.durable || !worker.fenced {
+    let wait_ms = if worker.noted > worker.durable || !worker.fenced || worker.unanswered {
         0
     } else if watched || stopping {
         HOLD_WAIT_MS
     } else {
         IDLE_HOLD_WAIT_MS
     };
+    let clock = worker.clock(now).filter(|_| !worker.unanswered);
     HoldCall {
-        deadline: worker.clock(now).map(|clock| clock + lease),
+        deadline: clock.map(|clock| clock + lease),
         last_seen: worker.durable,
         wait_ms,
     }
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -282,6 +282,12 @@
         if !standing || remembered {
             self.mark_dirty(key.job);
         }
+        // Another worker may hold a later run of it, or its step's turn has not come: it is freed in its time.
+        let stage = self.jobs.get(&key.job).and_then(|job| job.task(&key));
+        let stage = stage.map(|task| &task.stage);
+        if matches!(stage, Some(TaskStage::Unfound | TaskStage::Blocked)) {
+            return;
+        }
         self.enqueue(now, key);
         if gang {
             self.mend_gang(now, key);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -72,9 +72,13 @@
     /// Ends up to this number are durable and may be acknowledged.
     pub(crate) durable: u64,
     pub(crate) hold_sent: Option<Millis>,
+    /// How long the worker may wait before it answers the hold that is under way.
+    pub(crate) hold_wait: Millis,
     pub(crate) hold_due: Millis,
     pub(crate) last_answer: Millis,
     pub(crate) told_silent: bool,
+    /// Whether the newest hold got no answer: the lease is not prolonged before one does, so that it runs out.
+    pub(crate) unanswered: bool,
     /// Until when it gets no new tasks.
     pub(crate) paused_until: Millis,
     pub(crate) runs: BTreeMap<RunKey, RunRecord>,
@@ -95,9 +99,11 @@
             noted: 0,
             durable: 0,
             hold_sent: None,
+            hold_wait: 0,
             hold_due: now,
             last_answer: now,
             told_silent: false,
+            unanswered: false,
             paused_until: 0,
             runs: BTreeMap::new(),
             used: ResourceSize::default(),
@@ -110,6 +116,7 @@
     pub(crate) fn note_clock(&mut self, now: Millis, clock: WorkerClock) {
         self.last_answer = now;
         self.told_silent = false;
+        self.unanswered = false;
         if self.reading.is_none_or(|known| clock >= known.clock) {
             self.reading = Some(ClockReading { clock, at: now });
         }
@@ -136,9 +143,12 @@
 
     /// Whether it has not answered for a while.
     pub(crate) fn is_silent(&self, now: Millis) -> bool {
-        let parked = self.hold_sent.map_or(0, |sent| now.saturating_sub(sent));
-        now.saturating_sub(self.last_answer) > SILENT_AFTER_MS && parked > SILENT_AFTER_MS
-            || self.told_silent
+        let waits = if self.hold_sent.is_some() {
+            self.hold_wait
+        } else {
+            0
+        };
+        self.told_silent || now.saturating_sub(self.last_answer) > SILENT_AFTER_MS + waits
     }
 
     /// Whether it may be given tasks. One that answers is there, also where a list that suffered with the store omits it.
--- /dev/null
+++ b/crates/jobs/tests/takeover.rs
@@ -0,0 +1,137 @@
+//! A new owner and what an earlier one left at work.
+
+mod support;
+
+use sandshelf_jobs::{RunKey, RunOutcome, TakeoverInfo};
+use sandshelf_model::WorkerId;
+use support::{ended, job, listing, runs, step, task, SchedulerRig};
+
+/// An owner of epoch 2, which finds two workers in the roster.
+fn successor() -> SchedulerRig {
+    let roster = ["w-1", "w-2"].map(|name| (WorkerId::from(name), listing(name).address));
+    let mut rig = SchedulerRig::new(TakeoverInfo {
+        epoch: 2,
+        claimed_at: 1_000,
+        claim_version: 100,
+        roster: roster.to_vec(),
+        ..TakeoverInfo::default()
+    });
+    rig.hand_in(7, 50, job(vec![step(1)]));
+    rig.list(&["w-1", "w-2"]);
+    rig
+}
+
+fn key(run: u64) -> RunKey {
+    RunKey {
+        task: task(7, 0, 0),
+        run,
+    }
+}
+
+/// A failed run on one worker says nothing of the next run, which another worker may hold.
+fn an_old_failure_does_not_free_a_task() {
+    let mut rig = successor();
+    rig.report("w-1", vec![], vec![ended(1, key(11), RunOutcome::Failed)]);
+    assert!(
+        rig.peek_starts().is_empty(),
+        "the other worker has not answered"
+    );
+    rig.report("w-2", vec![runs(key(12))], vec![]);
+    rig.pass(100);
+    assert!(
+        rig.peek_starts().is_empty(),
+        "the task runs on the other worker"
+    );
+}
+
+fn a_task_found_nowhere_starts_once_all_have_answered() {
+    let mut rig = successor();
+    rig.report("w-1", vec![], vec![]);
+    rig.pass(100);
+    assert!(rig.peek_starts().is_empty());
+    rig.report("w-2", vec![], vec![]);
+    rig.pass(50);
+    assert_eq!(rig.take_starts().len(), 1);
+}
+
+/// A worker that never answers holds the task up only until its lease must have run out.
+fn a_silent_worker_is_waited_for_until_its_lease_is_over() {
+    let mut rig = successor();
+    rig.report("w-1", vec![], vec![]);
+    for _ in 0..60 {
+        rig.pass(100);
+        rig.report("w-1", vec![], vec![]);
+        rig.hold_fails("w-2");
+    }
+    assert!(
+        rig.peek_starts().is_empty(),
+        "6 s have passed, the longest lease"
+    );
+    for _ in 0..20 {
+        rig.pass(100);
+        rig.report("w-1", vec![], vec![]);
+        rig.hold_fails("w-2");
+    }
+    assert_eq!(rig.take_starts().len(), 1);
+}
+
+/// An earlier owner may have started the next step before the end of the first one was durable.
+fn an_end_seen_first_does_not_free_the_next_step_too_early() {
+    let mut rig = successor();
+    rig.hand_in(
+        8,
+        60,
+        job(vec![
+            step(1),
+            sandshelf_jobs::StepSpec {
+                after: vec![0],
+                ..step(1)
+            },
+        ]),
+    );
+    let first = RunKey {
+        task: task(8, 0, 0),
+        run: 11,
+    };
+    let second = RunKey {
+        task: task(8, 1, 0),
+        run: 12,
+    };
+    rig.report("w-1", vec![], vec![ended(1, second, RunOutcome::Failed)]);
+    rig.report("w-2", vec![], vec![ended(1, first, RunOutcome::Done)]);
+    rig.pass(50);
+    let starts: Vec<_> = rig
+        .take_starts()
+        .iter()
+        .map(|(_, start)| start.key.task)
+        .collect();
+    assert!(
+        starts.contains(&second.task),
+        "the second step's turn has come: {starts:?}"
+    );
+    assert!(!starts.contains(&first.task));
+}
+
+/// A worker that is gone for good must not keep its tasks for ever.
+fn a_dead_workers_tasks_start_elsewhere_after_the_lease() {
+    let mut rig = SchedulerRig::with_workers(&["w-1", "w-2"]);
+    rig.hand_in(7, 0, job(vec![step(1)]));
+    let (dead, _) = rig.take_starts().pop().expect("a start");
+    let alive = if dead == "w-1" { "w-2" } else { "w-1" };
+    for _ in 0..75 {
+        rig.pass(100);
+        rig.report(alive, vec![], vec![]);
+        rig.hold_fails(&dead);
+    }
+    let starts = rig.take_starts();
+    assert_eq!(starts.len(), 1, "the lease of 6 s is over");
+    assert_eq!(starts[0].0, alive);
+}
+
+sandshelf_cases::cases! {
+    old_failure => an_old_failure_does_not_free_a_task();
+    found_nowhere => a_task_found_nowhere_starts_once_all_have_answered();
+    silent_worker => a_silent_worker_is_waited_for_until_its_lease_is_over();
+    next_step => an_end_seen_first_does_not_free_the_next_step_too_early();
+    dead_worker => a_dead_workers_tasks_start_elsewhere_after_the_lease();
+}
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -1,5 +1,6 @@
 //! The control thread: claims the shard where nobody owns it, and runs its scheduler while this host does.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -11,7 +12,7 @@
 };
 use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease, StoredRow};
 use sandshelf_model::{HostId, Millis, WorkerId};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Semaphore};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{interval, MissedTickBehavior};
 
@@ -36,6 +37,9 @@
 const STAGGER_MS: Millis = 60;
 /// How long a worker's answer is waited for.
 const WORKER_PATIENCE: Duration = Duration::from_millis(500);
+/// How many orders, beside a hold, are under way to one worker: it takes 64 connections from all hosts together, and
+/// those of a host that lost power stay open there for a while.
+const ORDERS_AT_ONCE: usize = 3;
 /// How long a planned stop waits for progress to become durable before the shard is given up.
 const RELEASE_WITHIN_MS: Millis = 800;
 
@@ -68,6 +72,8 @@
 struct OwnedShard {
     scheduler: JobScheduler,
     workers: WorkerClient,
+    /// Bounds the connections to each worker: orders beyond so many at once wait their turn.
+    turns: HashMap<WorkerId, Arc<Semaphore>>,
     queues_version: u64,
     followers: Vec<JoinHandle<()>>,
 }
@@ -368,6 +374,7 @@
         self.owned = Some(OwnedShard {
             scheduler: JobScheduler::new(limits, info),
             workers,
+            turns: HashMap::new(),
             queues_version: 0,
             followers,
         });
@@ -431,13 +438,24 @@
         if self.settings.worker_orders != OrderWay::Call {
             return;
         }
-        let Some(owned) = &self.owned else {
+        let Some(owned) = &mut self.owned else {
             return;
         };
+        let fresh = || Arc::new(Semaphore::new(ORDERS_AT_ONCE));
+        let turns = owned
+            .turns
+            .entry(worker.clone())
+            .or_insert_with(fresh)
+            .clone();
         let client = owned.workers.clone();
         let epoch = owned.scheduler.epoch();
         let messages = self.messages.clone();
         spawn_local(async move {
+            // A hold may wait for an end, so that it has a connection of its own.
+            let _turn = match call {
+                WorkerCall::Hold(_) => None,
+                _ => turns.acquire().await.ok(),
+            };
             let answer = match &call {
                 WorkerCall::Start(start) => JobEvent::StartAnswered(
                     worker.clone(),
