--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -21,6 +21,9 @@
 const FAR_COST: f64 = 1.0;
 /// What it costs to go back to the worker that the task last failed on, in loads of a whole worker.
 const FAILED_THERE_COST: f64 = 4.0;
+/// What it costs a serving task to stand beside each one of another image, in loads of a whole worker: what fills
+/// disturbs few images strongly, so that workers with one image each leave it places where it disturbs none.
+const MIXED_IMAGES_COST: f64 = 0.3;
 /// What the room that serving tasks leave counts for a filling task, beside the load of the whole worker.
 const SERVING_ROOM_WEIGHT: f64 = 1.0;
 
@@ -310,6 +313,12 @@
     (one.job, one.time, one.step) == (other.job, other.time, other.step)
 }
 
+/// How many serving tasks of other images stand on a worker.
+fn other_images(worker: &WorkerState, image: &str) -> usize {
+    let serving = worker.runs.values().filter(|record| record.target_ms > 0);
+    serving.filter(|record| record.image != image).count()
+}
+
 /// What it costs to place a task on a worker; lower is better.
 fn place_cost(
     worker: &WorkerState,
@@ -331,6 +340,9 @@
     if candidate.last_worker == Some(&worker.entry.worker) {
         cost += FAILED_THERE_COST;
     }
+    if step.target_ms > 0 {
+        cost += other_images(worker, &step.image) as f64 * MIXED_IMAGES_COST;
+    }
     if step.fills {
         cost -= room_beside(worker, press, &step.image, step.size.cpu_millis) * SERVING_ROOM_WEIGHT;
     }
