--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -5,7 +5,7 @@
 
 use crate::events::{JobNote, LossCause, OrderAnswer, RefusalReason, WorkerCall};
 use crate::ids::RunKey;
-use crate::press::PressEstimate;
+use crate::press::{load_of_tail, target_load, PressEstimate};
 use crate::scheduler::JobScheduler;
 use crate::worker::{RunPhase, RunRecord, WorkerState};
 
@@ -14,10 +14,14 @@
 /// A pair weaker than this doesn't matter to the pace.
 const WEAK_STRENGTH: f64 = 0.3;
 /// Paces are whole multiples of this, in percent: smaller changes are not worth a call.
-const PACE_STEP: u32 = 10;
+const PACE_STEP: u32 = 5;
 /// A reading that covers less than this, in milliseconds, says too little of what fills.
 const LEAST_READING_MS: Millis = 300;
 
+/// A serving task that has been over its target for so long has nothing filling beside it until it is under again,
+/// whatever the estimate says; a reading is half a second old and a pace takes effect after a tenth.
+const LEAVE_ALONE_MS: Millis = 1_000;
+
 /// What a serving task leaves for filling tasks.
 struct ServingRoom<'a> {
     image: &'a str,
@@ -26,12 +30,11 @@
 }
 
 /// The room that each serving task on a worker leaves.
-fn serving_rooms<'a>(worker: &'a WorkerState, press: &PressEstimate) -> Vec<ServingRoom<'a>> {
+fn serving_rooms<'a>(worker: &'a WorkerState) -> Vec<ServingRoom<'a>> {
     let watched = worker.runs.values().filter(|record| record.target_ms > 0);
     let room = |record: &'a RunRecord| {
-        let without = record.sample.as_ref()?.load_alone;
-        let target = record.target_ms as f64;
-        let most = press.target_load(&record.image, target) * LOAD_MARGIN;
+        let without = record.serving?.alone();
+        let most = target_load() * LOAD_MARGIN;
         Some(ServingRoom {
             image: &record.image,
             allowed: (most / without - 1.0).max(0.0),
@@ -40,23 +43,37 @@
     watched.filter_map(room).collect()
 }
 
-/// How much room the tightest serving task on a worker would have left with one more filling task; less than nothing
-/// where the task would be slowed down.
-pub(crate) fn room_beside(
+/// How one more filling task would fare on a worker.
+pub(crate) struct FillOutlook {
+    /// How much room the tightest serving task would have left; less than nothing where filling tasks are slowed down.
+    pub(crate) room: f64,
+    /// The share at which the tightest serving task would let filling tasks work.
+    pub(crate) share: f64,
+}
+
+/// Foresees how one more filling task would fare on a worker.
+pub(crate) fn fill_outlook(
     worker: &WorkerState,
     press: &PressEstimate,
     image: &str,
     cpu_millis: u64,
-) -> f64 {
+) -> FillOutlook {
     let capacity = worker.entry.capacity.cpu_millis.max(1) as f64;
     let load = cpu_millis as f64 / capacity;
     let full = worker.full_fills();
-    let rooms = serving_rooms(worker, press);
-    let left = rooms.iter().map(|room| {
-        let pressure = press.pressure(room.image, &full);
-        room.allowed - pressure - press.strength(room.image, image) * load
-    });
-    left.fold(1.0, f64::min)
+    let mut outlook = FillOutlook {
+        room: 1.0,
+        share: 1.0,
+    };
+    for room in serving_rooms(worker) {
+        let own = press.strength(room.image, image) * load;
+        let pressure = press.pressure(room.image, &full) + own;
+        outlook.room = outlook.room.min(room.allowed - pressure);
+        if press.strength(room.image, image) >= WEAK_STRENGTH {
+            outlook.share = outlook.share.min(room.allowed / pressure);
+        }
+    }
+    outlook
 }
 
 impl JobScheduler {
@@ -70,13 +87,14 @@
         }
         let fills = state.fills.take(now);
         for record in state.runs.values_mut() {
+            let over = record.target_ms > 0 && record.gauge.unwrap_or(0) >= record.target_ms;
+            record.over_since = over.then(|| record.over_since.unwrap_or(now));
             let at_work = record.percent >= 100;
             let tail = record.gauge.filter(|tail| *tail > 0 && at_work);
             if let (true, Some(tail)) = (record.target_ms > 0, tail) {
-                let target = record.target_ms as f64;
-                let sample = &mut record.sample;
-                self.press
-                    .learn(&record.image, tail as f64, target, &fills, sample);
+                let load = load_of_tail(tail as f64, record.target_ms as f64);
+                let known = record.serving;
+                record.serving = Some(self.press.learn(&record.image, load, &fills, known));
             }
         }
     }
@@ -90,14 +108,19 @@
             return;
         }
         let full = state.full_fills();
-        let rooms = serving_rooms(state, &self.press);
+        let rooms = serving_rooms(state);
+        let long_over = |record: &RunRecord| {
+            let since = record.over_since;
+            since.is_some_and(|since| now >= since + LEAVE_ALONE_MS)
+        };
+        let alone = state.runs.values().any(long_over);
         let mut changed = Vec::new();
         for (key, record) in &state.runs {
             let works = matches!(record.phase, RunPhase::Running(_));
             if !record.fills || !works {
                 continue;
             }
-            let mut share: f64 = 1.0;
+            let mut share: f64 = if alone { 0.0 } else { 1.0 };
             for room in &rooms {
                 if self.press.strength(room.image, &record.image) >= WEAK_STRENGTH {
                     let pressure = self.press.pressure(room.image, &full);
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -6,7 +6,7 @@
 use sandshelf_place::WorkerHealth;
 
 use crate::events::{JobNote, StartCall, WorkerCall};
-use crate::guard::room_beside;
+use crate::guard::fill_outlook;
 use crate::ids::{RunKey, TaskKey};
 use crate::job::TaskStage;
 use crate::limits::{PLACE_PER_PASS, START_VALID_MS};
@@ -24,6 +24,9 @@
 /// What it costs a serving task to stand beside each one of another image, in loads of a whole worker: what fills
 /// disturbs few images strongly, so that workers with one image each leave it places where it disturbs none.
 const MIXED_IMAGES_COST: f64 = 0.3;
+/// A filling task is not started where filling tasks would work at less than this share: in the queue it keeps nobody
+/// from ending, and the most urgent goes first.
+const LEAST_SHARE: f64 = 0.6;
 /// What the room that serving tasks leave counts for a filling task, beside the load of the whole worker.
 const SERVING_ROOM_WEIGHT: f64 = 1.0;
 
@@ -126,7 +129,9 @@
             if !self.may_take(now, id, worker, candidate, taken) {
                 continue;
             }
-            let cost = place_cost(worker, &self.press, candidate, taken);
+            let Some(cost) = place_cost(worker, &self.press, candidate, taken) else {
+                continue;
+            };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
             }
@@ -319,13 +324,13 @@
     serving.filter(|record| record.image != image).count()
 }
 
-/// What it costs to place a task on a worker; lower is better.
+/// What it costs to place a task on a worker, lower is better; none where it had better wait.
 fn place_cost(
     worker: &WorkerState,
     press: &PressEstimate,
     candidate: &Candidate<'_>,
     taken: &[ResourceSize],
-) -> f64 {
+) -> Option<f64> {
     let step = candidate.step;
     let capacity = &worker.entry.capacity;
     let planned: u64 = taken.iter().map(|size| size.cpu_millis).sum();
@@ -344,7 +349,12 @@
         cost += other_images(worker, &step.image) as f64 * MIXED_IMAGES_COST;
     }
     if step.fills {
-        cost -= room_beside(worker, press, &step.image, step.size.cpu_millis) * SERVING_ROOM_WEIGHT;
+        let outlook = fill_outlook(worker, press, &step.image, step.size.cpu_millis);
+        let crowded = worker.runs.values().any(|record| record.fills);
+        if crowded && outlook.share < LEAST_SHARE {
+            return None;
+        }
+        cost -= outlook.room * SERVING_ROOM_WEIGHT;
     }
-    cost
+    Some(cost)
 }
--- a/crates/jobs/src/press.rs
+++ b/crates/jobs/src/press.rs
@@ -9,46 +9,88 @@
 
 /// The strength that a pair is given before anything was measured: between the mild pairs (about 0) and the strong
 /// ones (4 to 5) that were seen.
-const FIRST_STRENGTH: f64 = 2.5;
+const FIRST_STRENGTH: f64 = 1.5;
+/// How uncertain that is, as a variance.
+const FIRST_VARIANCE: f64 = 2.5;
 /// No pair counts as stronger than this.
-const MOST_STRENGTH: f64 = 12.0;
-/// How much of an error one reading corrects.
-const LEARNING_RATE: f64 = 0.35;
-/// Keeps corrections small where hardly anything changed: the square of a load that is too small to see.
-const LOAD_NOISE: f64 = 0.0008;
-/// How much of the newest reading goes into the smoothed load.
-const SMOOTHING: f64 = 0.6;
-/// A tail when idle in terms of the target, before any was measured.
-const FIRST_IDLE_SHARE: f64 = 0.2;
-/// The smallest tail seen is that of a lightly loaded task: when idle it would be this share of it.
-const IDLE_OF_LEAST: f64 = 0.85;
+const MOST_STRENGTH: f64 = 10.0;
+/// By how much, as a variance, a strength grows more uncertain with each reading: the amounts change within seconds.
+const STRENGTH_DRIFT: f64 = 0.004;
+/// By how much, as a variance, the logarithm of a load without filling tasks drifts from one reading to the next:
+/// a swing of a half over 14 s moves it by about 0.1 at the steepest.
+const LOAD_DRIFT: f64 = 0.006;
+/// How uncertain the logarithm of a load is where it was never read, as a variance.
+const FIRST_LOAD_VARIANCE: f64 = 0.25;
+/// How uncertain one reading of a load's logarithm is, as a variance.
+const READING_NOISE: f64 = 0.002;
+/// The tail of an idle task in terms of its target.
+const IDLE_SHARE: f64 = 0.2;
 /// Loads are kept within these bounds, so that their ratios and logarithms stay finite.
 const LOAD_BOUNDS: (f64, f64) = (0.05, 0.995);
 
 /// The processors that filling tasks use on a worker, by image, in shares of all it has.
 pub(crate) type FillLoads = BTreeMap<String, f64>;
 
-/// What one reading of a serving task showed.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ServingSample {
-    load: f64,
-    fills: FillLoads,
-    /// The load without what fills, smoothed over readings.
-    pub(crate) load_alone: f64,
+/// What is known of a serving task's load without what fills beside it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServingLoad {
+    /// Its natural logarithm.
+    log_load: f64,
+    variance: f64,
+}
+
+impl ServingLoad {
+    /// The load without what fills.
+    pub(crate) fn alone(&self) -> f64 {
+        self.log_load.exp()
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PairStrength {
+    mean: f64,
+    variance: f64,
+}
+
+impl Default for PairStrength {
+    fn default() -> Self {
+        Self {
+            mean: FIRST_STRENGTH,
+            variance: FIRST_VARIANCE,
+        }
+    }
 }
 
 /// Learnt strengths of pairs of images.
+///
+/// Each reading corrects the task's own load and the strengths that bear on it by how uncertain each is (a Kalman
+/// filter whose covariances between them are left out).
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PressEstimate {
-    strengths: BTreeMap<(String, String), f64>,
-    least_tails: BTreeMap<String, f64>,
+    pairs: BTreeMap<(String, String), PairStrength>,
+}
+
+/// A serving task's load by its tail.
+pub(crate) fn load_of_tail(tail: f64, target: f64) -> f64 {
+    let idle = target * IDLE_SHARE;
+    let (least, most) = LOAD_BOUNDS;
+    (1.0 - idle / tail.max(idle * 0.1)).clamp(least, most)
+}
+
+/// The load at which a serving task is at its target.
+pub(crate) fn target_load() -> f64 {
+    1.0 - IDLE_SHARE
 }
 
 impl PressEstimate {
+    fn pair(&self, serving: &str, filling: &str) -> PairStrength {
+        let pair = (serving.to_owned(), filling.to_owned());
+        self.pairs.get(&pair).copied().unwrap_or_default()
+    }
+
     /// How strongly a filling image disturbs a serving one.
     pub(crate) fn strength(&self, serving: &str, filling: &str) -> f64 {
-        let pair = (serving.to_owned(), filling.to_owned());
-        self.strengths.get(&pair).copied().unwrap_or(FIRST_STRENGTH)
+        self.pair(serving, filling).mean
     }
 
     /// By how much, as a share, what fills raises a serving image's load.
@@ -59,72 +101,39 @@
             .sum()
     }
 
-    fn idle_tail(&self, serving: &str, target: f64) -> f64 {
-        let first = target * FIRST_IDLE_SHARE;
-        let least = self.least_tails.get(serving);
-        least.map_or(first, |least| {
-            (least * IDLE_OF_LEAST).min(first.max(least * 0.5))
-        })
-    }
-
-    /// A serving task's load by its tail.
-    pub(crate) fn load(&self, serving: &str, tail: f64, target: f64) -> f64 {
-        let idle = self.idle_tail(serving, target);
-        let (least, most) = LOAD_BOUNDS;
-        (1.0 - idle / tail.max(idle * 0.1)).clamp(least, most)
-    }
-
-    /// The load at which a serving task is at its target.
-    pub(crate) fn target_load(&self, serving: &str, target: f64) -> f64 {
-        self.load(serving, target, target)
-    }
-
     /// Learns from a reading; `fills` is the mean over the time that the reading covers.
     pub(crate) fn learn(
         &mut self,
         serving: &str,
-        tail: f64,
-        target: f64,
+        load: f64,
         fills: &FillLoads,
-        before: &mut Option<ServingSample>,
-    ) {
-        let least = self.least_tails.entry(serving.to_owned()).or_insert(tail);
-        *least = least.min(tail);
-        let load = self.load(serving, tail, target);
-        if let Some(old) = before {
-            self.correct(serving, load, fills, old);
-        }
-        let alone = load / (1.0 + self.pressure(serving, fills));
-        let load_alone = match before {
-            Some(old) => old.load_alone + (alone - old.load_alone) * SMOOTHING,
-            None => alone,
-        };
-        *before = Some(ServingSample {
-            load,
-            fills: fills.clone(),
-            load_alone,
+        before: Option<ServingLoad>,
+    ) -> ServingLoad {
+        let raised = 1.0 + self.pressure(serving, fills);
+        let seen = load.ln() - raised.ln();
+        let mut own = before.unwrap_or(ServingLoad {
+            log_load: seen,
+            variance: FIRST_LOAD_VARIANCE,
         });
-    }
-
-    /// Corrects the strengths of the images whose load changed, by how far the prediction was off.
-    fn correct(&mut self, serving: &str, load: f64, fills: &FillLoads, old: &ServingSample) {
-        let now = 1.0 + self.pressure(serving, fills);
-        let then = 1.0 + self.pressure(serving, &old.fills);
-        let error = (load / old.load).ln() - (now / then).ln();
-        let mut changes: BTreeMap<&str, f64> = BTreeMap::new();
+        own.variance += LOAD_DRIFT;
+        let error = seen - own.log_load;
+        let mut total = own.variance + READING_NOISE;
         for (image, share) in fills {
-            *changes.entry(image).or_default() += share / now;
-        }
-        for (image, share) in &old.fills {
-            *changes.entry(image).or_default() -= share / then;
+            let effect = share / raised;
+            total += self.pair(serving, image).variance * effect * effect;
         }
-        let size: f64 = changes.values().map(|change| change * change).sum();
-        for (image, change) in changes {
-            let step = LEARNING_RATE * error * change / (size + LOAD_NOISE);
-            let pair = (serving.to_owned(), image.to_owned());
-            let strength = self.strengths.entry(pair).or_insert(FIRST_STRENGTH);
-            *strength = (*strength + step).clamp(0.0, MOST_STRENGTH);
+        for (image, share) in fills {
+            let effect = share / raised;
+            let pair = (serving.to_owned(), image.clone());
+            let strength = self.pairs.entry(pair).or_default();
+            let gain = strength.variance * effect / total;
+            strength.mean = (strength.mean + gain * error).clamp(0.0, MOST_STRENGTH);
+            strength.variance += STRENGTH_DRIFT - gain * effect * strength.variance;
         }
+        let gain = own.variance / total;
+        own.log_load += gain * error;
+        own.variance -= gain * own.variance;
+        own
     }
 }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,7 +7,7 @@
 use crate::events::{WorkerClock, WorkerListing};
 use crate::ids::RunKey;
 use crate::limits::{SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT};
-use crate::press::{FillLoads, FillMeter, ServingSample};
+use crate::press::{FillLoads, FillMeter, ServingLoad};
 use crate::spec::StepSpec;
 
 /// How far an order to start has come.
@@ -45,8 +45,10 @@
     pub(crate) gauge: Option<u64>,
     /// The share at which it was told to work, in percent.
     pub(crate) pace: u32,
-    /// The last reading of a serving task that was learnt from.
-    pub(crate) sample: Option<ServingSample>,
+    /// What is known of a serving task's load.
+    pub(crate) serving: Option<ServingLoad>,
+    /// Since when every reading has been over its target.
+    pub(crate) over_since: Option<Millis>,
 }
 
 /// A reading of a worker's clock and when it reached us.
@@ -227,7 +229,8 @@
             percent: 0,
             gauge: None,
             pace: 100,
-            sample: None,
+            serving: None,
+            over_since: None,
         }
     }
 }
