What serving tasks leave is dealt by urgency; slowed filling tasks move

Ruled out: processors, all in use under their room. Change: shares are dealt by objective, late jobs last; a task slowed to 30 % for a second moves by its checkpoint.

--- a/crates/config/src/job_settings.rs
+++ b/crates/config/src/job_settings.rs
@@ -43,6 +43,8 @@
     pub grace_ms: Millis,
     /// How long the state of a finished job is kept.
     pub keep_finished_ms: Millis,
+    /// The most lines of one event that are logged in each second.
+    pub log_lines_per_s: u32,
 }
 
 /// Parses and checks a settings file.
@@ -75,6 +77,7 @@
     let stop_ms = reader.number_or("stop_ms", 10, 60_000, 900);
     let grace_s = reader.number_or("grace_s", 1, 3_600, 6);
     let keep_finished_s = reader.number_or("keep_finished_s", 1, 86_400, 120);
+    let log_lines_per_s = reader.number_or("log_lines_per_s", 1, 1_000_000, 20);
     Some(JobSettings {
         host: host?,
         hall: HallId::from(hall?),
@@ -89,5 +92,6 @@
         stop_ms: stop_ms?,
         grace_ms: grace_s? * SECOND_MS,
         keep_finished_ms: keep_finished_s? * SECOND_MS,
+        log_lines_per_s: log_lines_per_s? as u32,
     })
 }
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -314,12 +314,8 @@
     Draining,
     /// The order to start it got no answer.
     Unsettled,
-    /// It disturbs a serving task.
-    Disturbs,
-    /// It makes no progress.
-    Stuck,
-    /// Work of a higher priority needs the room.
-    Preempted,
+    /// It was slowed down for long and can work faster elsewhere.
+    Slowed,
 }
 
 /// The state of a job as shown to its caller.
--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -3,7 +3,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use crate::events::{JobNote, LossCause, OrderAnswer, RefusalReason, WorkerCall};
+use crate::events::{JobNote, LossCause, OrderAnswer, RefusalReason, StopCause, WorkerCall};
 use crate::ids::RunKey;
 use crate::press::{load_of_tail, target_load, PressEstimate};
 use crate::scheduler::JobScheduler;
@@ -22,6 +22,18 @@
 /// whatever the estimate says; a reading is half a second old and a pace takes effect after a tenth.
 const LEAVE_ALONE_MS: Millis = 1_000;
 
+/// A filling task at this pace or less, in percent, counts as slowed down.
+const SLOWED_PACE: u32 = 30;
+/// A task that has been slowed down for so long is moved; a stop takes up to 0.9 s and a start from a checkpoint 0.25 to
+/// 0.6 s.
+const MOVE_AFTER_MS: Millis = 1_000;
+/// The share at which it has to be able to work elsewhere.
+const MOVE_TO_SHARE: f64 = 0.8;
+/// How often slowed tasks are looked at.
+const MOVE_EVERY_MS: Millis = 250;
+/// A task without checkpoints may lose so much of its work, in percent.
+const LITTLE_PERCENT: u32 = 15;
+
 /// What a serving task leaves for filling tasks.
 struct ServingRoom<'a> {
     image: &'a str,
@@ -43,37 +55,90 @@
     watched.filter_map(room).collect()
 }
 
-/// How one more filling task would fare on a worker.
-pub(crate) struct FillOutlook {
-    /// How much room the tightest serving task would have left; less than nothing where filling tasks are slowed down.
-    pub(crate) room: f64,
-    /// The share at which the tightest serving task would let filling tasks work.
-    pub(crate) share: f64,
+/// How urgent a filling task is beside others: those of jobs that can still meet their objective come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct FillUrgency {
+    late: bool,
+    objective_at: Millis,
+}
+
+impl FillUrgency {
+    pub(crate) fn new(now: Millis, objective_at: Millis) -> Self {
+        Self {
+            late: now > objective_at,
+            objective_at,
+        }
+    }
+}
+
+/// One filling task that wants a share of what serving tasks leave.
+struct FillWant<'a> {
+    urgency: FillUrgency,
+    key: Option<RunKey>,
+    image: &'a str,
+    /// The share of the worker's processors that it uses at full pace.
+    load: f64,
+}
+
+fn fill_wants(worker: &WorkerState, now: Millis) -> Vec<FillWant<'_>> {
+    let capacity = worker.entry.capacity.cpu_millis.max(1) as f64;
+    let fills = worker.runs.iter().filter(|(_, record)| record.fills);
+    fills
+        .map(|(key, record)| FillWant {
+            urgency: FillUrgency::new(now, record.objective_at),
+            key: Some(*key),
+            image: &record.image,
+            load: record.cpu_millis as f64 / capacity,
+        })
+        .collect()
+}
+
+/// Deals what serving tasks leave, the most urgent filling task first; returns a share for each want, in their order.
+fn deal_shares(
+    rooms: &mut [ServingRoom<'_>],
+    wants: &mut [FillWant<'_>],
+    press: &PressEstimate,
+) -> Vec<f64> {
+    wants.sort_by_key(|want| want.urgency);
+    let mut shares = Vec::with_capacity(wants.len());
+    for want in wants.iter() {
+        let mut share: f64 = 1.0;
+        for room in rooms.iter() {
+            let strength = press.strength(room.image, want.image);
+            if strength >= WEAK_STRENGTH {
+                share = share.min(room.allowed / (strength * want.load).max(f64::MIN_POSITIVE));
+            }
+        }
+        for room in rooms.iter_mut() {
+            let used = press.strength(room.image, want.image) * want.load * share;
+            room.allowed = (room.allowed - used).max(0.0);
+        }
+        shares.push(share);
+    }
+    shares
 }
 
-/// Foresees how one more filling task would fare on a worker.
-pub(crate) fn fill_outlook(
+/// The share at which one more filling task would work on a worker.
+pub(crate) fn foreseen_share(
     worker: &WorkerState,
     press: &PressEstimate,
+    now: Millis,
+    urgency: FillUrgency,
     image: &str,
     cpu_millis: u64,
-) -> FillOutlook {
+) -> f64 {
     let capacity = worker.entry.capacity.cpu_millis.max(1) as f64;
-    let load = cpu_millis as f64 / capacity;
-    let full = worker.full_fills();
-    let mut outlook = FillOutlook {
-        room: 1.0,
-        share: 1.0,
-    };
-    for room in serving_rooms(worker) {
-        let own = press.strength(room.image, image) * load;
-        let pressure = press.pressure(room.image, &full) + own;
-        outlook.room = outlook.room.min(room.allowed - pressure);
-        if press.strength(room.image, image) >= WEAK_STRENGTH {
-            outlook.share = outlook.share.min(room.allowed / pressure);
-        }
-    }
-    outlook
+    let mut rooms = serving_rooms(worker);
+    let mut wants = fill_wants(worker, now);
+    wants.push(FillWant {
+        urgency,
+        key: None,
+        image,
+        load: cpu_millis as f64 / capacity,
+    });
+    let shares = deal_shares(&mut rooms, &mut wants, press);
+    let own = wants.iter().position(|want| want.key.is_none());
+    own.map_or(1.0, |own| shares[own])
 }
 
 impl JobScheduler {
@@ -107,47 +172,104 @@
         if !state.runs.values().any(|record| record.fills) {
             return;
         }
-        let full = state.full_fills();
-        let rooms = serving_rooms(state);
         let long_over = |record: &RunRecord| {
             let since = record.over_since;
             since.is_some_and(|since| now >= since + LEAVE_ALONE_MS)
         };
         let alone = state.runs.values().any(long_over);
+        let mut rooms = serving_rooms(state);
+        let mut wants = fill_wants(state, now);
+        let shares = deal_shares(&mut rooms, &mut wants, &self.press);
         let mut changed = Vec::new();
-        for (key, record) in &state.runs {
-            let works = matches!(record.phase, RunPhase::Running(_));
-            if !record.fills || !works {
-                continue;
-            }
-            let mut share: f64 = if alone { 0.0 } else { 1.0 };
-            for room in &rooms {
-                if self.press.strength(room.image, &record.image) >= WEAK_STRENGTH {
-                    let pressure = self.press.pressure(room.image, &full);
-                    share = share.min(room.allowed / pressure.max(f64::MIN_POSITIVE));
-                }
-            }
+        for (want, share) in wants.iter().zip(shares) {
+            let share = if alone { 0.0 } else { share };
             let pace = (share * 100.0) as u32 / PACE_STEP * PACE_STEP;
-            if pace != record.pace {
-                changed.push((*key, pace));
+            let record = want.key.and_then(|key| Some((key, state.runs.get(&key)?)));
+            let Some((key, record)) = record else {
+                continue;
+            };
+            if matches!(record.phase, RunPhase::Running(_)) && record.pace != pace {
+                changed.push((key, pace));
             }
         }
         for (key, pace) in changed {
-            self.set_pace(worker, key, pace);
+            self.set_pace(now, worker, key, pace);
         }
         if let Some(state) = self.workers.get_mut(worker) {
             state.refresh_fills(now);
         }
     }
 
-    fn set_pace(&mut self, worker: &WorkerId, key: RunKey, pace: u32) {
+    fn set_pace(&mut self, now: Millis, worker: &WorkerId, key: RunKey, pace: u32) {
         if let Some(record) = self.record_mut(worker, &key) {
             record.pace = pace;
         }
+        self.note_slowed(now, worker, &key);
         self.call(worker, WorkerCall::Pace(key, pace));
         self.note(JobNote::Paced(key, worker.clone(), pace));
     }
 
+    fn note_slowed(&mut self, now: Millis, worker: &WorkerId, key: &RunKey) {
+        if let Some(record) = self.record_mut(worker, key) {
+            let slow = record.pace <= SLOWED_PACE;
+            record.slowed_since = slow.then(|| record.slowed_since.unwrap_or(now));
+        }
+    }
+
+    /// Moves filling tasks that have been slowed down for long to workers where they would work at nearly full pace.
+    pub(crate) fn move_slowed(&mut self, now: Millis) {
+        if now < self.last_move + MOVE_EVERY_MS {
+            return;
+        }
+        self.last_move = now;
+        let mut moves = Vec::new();
+        let mut targets: Vec<&WorkerId> = Vec::new();
+        for (id, state) in &self.workers {
+            for (key, record) in &state.runs {
+                if !self.may_move(now, key, record) {
+                    continue;
+                }
+                let urgency = FillUrgency::new(now, record.objective_at);
+                let better = self.workers.iter().find(|(other, target)| {
+                    let room = record.room.fits_in(&target.free());
+                    *other != id
+                        && target.entry.service == state.entry.service
+                        && target.is_open(now)
+                        && room
+                        && !targets.contains(other)
+                        && foreseen_share(
+                            target,
+                            &self.press,
+                            now,
+                            urgency,
+                            &record.image,
+                            record.cpu_millis,
+                        ) >= MOVE_TO_SHARE
+                });
+                if let Some((target, _)) = better {
+                    targets.push(target);
+                    moves.push((id.clone(), *key));
+                }
+            }
+        }
+        for (worker, key) in moves {
+            self.stop_run(now, &worker, key, StopCause::Slowed);
+        }
+    }
+
+    /// Whether a run has been slowed down for long, and little of its work would be lost by a move.
+    fn may_move(&self, now: Millis, key: &RunKey, record: &RunRecord) -> bool {
+        let slowed = record.slowed_since;
+        let long = slowed.is_some_and(|since| now >= since + MOVE_AFTER_MS);
+        if !record.fills || !long || record.phase.is_stopping() {
+            return false;
+        }
+        let job = self.jobs.get(&key.task.job);
+        let step = job.and_then(|job| job.step_spec(&key.task));
+        let keeps = step.is_some_and(|step| step.checkpoints && !step.gang);
+        keeps || record.percent <= LITTLE_PERCENT
+    }
+
     /// Takes in the answer to a change of pace; one that is not certain is sent anew after the next reading.
     pub(crate) fn take_pace_answer(
         &mut self,
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -160,6 +160,7 @@
         let step = job.and_then(|job| job.step_spec(&key.task));
         let step = step.cloned().unwrap_or_default();
         RunRecord {
+            objective_at: job.map_or(Millis::MAX, |job| job.objective_at),
             checkpoint: run.checkpoint,
             percent: run.percent,
             gauge: run.gauge,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -297,6 +297,32 @@
         self.keys_at(|stage| matches!(stage, TaskStage::Live { .. }))
     }
 
+    /// Whether a run of any task of it may be at work.
+    pub(crate) fn has_live_task(&self) -> bool {
+        let tasks = self.times.values().flat_map(|time| &time.steps);
+        let mut tasks = tasks.flat_map(|step| &step.tasks);
+        tasks.any(|task| matches!(task.stage, TaskStage::Live { .. }))
+    }
+
+    /// The guessed time of the longest chain of steps that are not done.
+    pub(crate) fn remaining_ms(&self) -> Millis {
+        let Some(time) = self.times.values().next() else {
+            return 0;
+        };
+        let mut chains = vec![0u64; self.spec.steps.len()];
+        for (index, step) in self.spec.steps.iter().enumerate() {
+            let state = &time.steps[index];
+            let own = if state.done == state.tasks.len() {
+                0
+            } else {
+                step.estimate_ms
+            };
+            let before = step.after.iter().map(|after| chains[*after]).max();
+            chains[index] = before.unwrap_or(0) + own;
+        }
+        chains.into_iter().max().unwrap_or(0)
+    }
+
     fn keys_at(&self, wanted: impl Fn(&TaskStage) -> bool) -> Vec<TaskKey> {
         let mut keys = Vec::new();
         for (time, state) in &self.times {
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -55,6 +55,8 @@
 /// By how much more than the lease a new owner waits for workers that it can't reach: an earlier owner may go on
 /// until its next call is refused.
 pub const TAKEOVER_MARGIN_MS: Millis = 1_000;
+/// After this long waiting tasks are tried again, also where nothing happened.
+pub const PASS_EVERY_MS: Millis = 100;
 /// How many waiting tasks one pass tries to place.
 pub const PLACE_PER_PASS: usize = 400;
 /// How long a task whose order no worker understood waits.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -5,10 +5,10 @@
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 use sandshelf_place::WorkerHealth;
 
-use crate::events::{JobNote, StartCall, WorkerCall};
-use crate::guard::fill_outlook;
-use crate::ids::{RunKey, TaskKey};
-use crate::job::TaskStage;
+use crate::events::{JobNote, JobStage, StartCall, WorkerCall};
+use crate::guard::{foreseen_share, FillUrgency};
+use crate::ids::{JobNumber, RunKey, TaskKey};
+use crate::job::{JobState, TaskStage};
 use crate::limits::{PLACE_PER_PASS, START_VALID_MS};
 use crate::press::PressEstimate;
 use crate::scheduler::{JobScheduler, WaitKey};
@@ -28,29 +28,65 @@
 /// from ending, and the most urgent goes first.
 const LEAST_SHARE: f64 = 0.6;
 /// What the room that serving tasks leave counts for a filling task, beside the load of the whole worker.
-const SERVING_ROOM_WEIGHT: f64 = 1.0;
+const SERVING_ROOM_WEIGHT: f64 = 2.0;
+
+/// After so long with nothing at work a job gets a first task started also where that task will be slow: the platform
+/// counts a job as lost that has had nothing running for three seconds while there is room for it.
+const STARVING_AFTER_MS: Millis = 1_500;
+/// What part of the guessed time that a job still needs counts when its objective is judged to be out of reach, in
+/// percent; guesses are off by a factor of two either way.
+const REMAINING_PERCENT: u64 = 40;
+
+/// How urgent a waiting job is; sorted from the most urgent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PlaceRank {
+    priority: u32,
+    tier: RankTier,
+    order: i64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum RankTier {
+    /// Nothing of it is at work, and for long.
+    Starving,
+    /// It has begun and can still meet its objective; by objective.
+    Begun,
+    /// It has not begun and can still meet its objective; filling jobs by the newest, so that in an overload those
+    /// that are started end in time.
+    Fresh,
+    /// It can't meet its objective any more.
+    Late,
+}
 
 /// What one pass found to have no room, so that like tasks are not tried again.
 #[derive(Default)]
 struct PassMemo {
     steps: Vec<TaskKey>,
     rooms: Vec<(String, ResourceSize)>,
+    images: Vec<(String, ResourceSize)>,
+    helped: Vec<JobNumber>,
 }
 
 impl PassMemo {
-    fn rules_out(&self, key: &TaskKey, service: &str, room: &ResourceSize) -> bool {
-        let step = TaskKey { index: 0, ..*key };
-        self.steps.contains(&step)
-            || self
-                .rooms
+    fn rules_out(&self, key: &TaskKey, service: &str, step: &StepSpec) -> bool {
+        let first = TaskKey { index: 0, ..*key };
+        let room = step.room();
+        let like = |of: &str, known: &[(String, ResourceSize)], size: &ResourceSize| {
+            known
                 .iter()
-                .any(|(of, tried)| of == service && tried.fits_in(room))
+                .any(|(name, tried)| name == of && tried.fits_in(size))
+        };
+        self.steps.contains(&first)
+            || like(service, &self.rooms, &room)
+            || step.fills && like(&step.image, &self.images, &step.size)
     }
 
     fn note_failed(&mut self, key: &TaskKey, service: &str, step: &StepSpec) {
         self.steps.push(TaskKey { index: 0, ..*key });
         let plain = step.label.is_none() && step.most_per_worker == 0 && !step.gang;
-        if plain {
+        if plain && step.fills {
+            self.images.push((step.image.clone(), step.size));
+        } else if plain {
             self.rooms.push((service.to_owned(), step.room()));
         }
     }
@@ -64,6 +100,10 @@
     last_worker: Option<&'a WorkerId>,
     /// The one rack that all members of its gang are to stand on.
     only_rack: Option<&'a str>,
+    /// Whether it is started also where it would be slow.
+    starving: bool,
+    now: Millis,
+    urgency: FillUrgency,
 }
 
 impl JobScheduler {
@@ -72,15 +112,26 @@
         if !std::mem::take(&mut self.room_changed) || self.waiting.is_empty() {
             return;
         }
+        self.last_pass = now;
         let mut memo = PassMemo::default();
-        let first: Vec<WaitKey> = self.waiting.iter().take(PLACE_PER_PASS).copied().collect();
-        self.room_changed = self.waiting.len() > first.len();
-        for wait in first {
-            self.place_one(now, wait, &mut memo);
+        let mut ranks: BTreeMap<JobNumber, PlaceRank> = BTreeMap::new();
+        let mut ranked: Vec<(PlaceRank, WaitKey)> = Vec::with_capacity(self.waiting.len());
+        for wait in &self.waiting {
+            let number = wait.task.job;
+            if let Some(job) = self.jobs.get(&number) {
+                let rank = *ranks
+                    .entry(number)
+                    .or_insert_with(|| place_rank(now, job, wait));
+                ranked.push((rank, *wait));
+            }
+        }
+        ranked.sort_unstable();
+        for (rank, wait) in ranked.into_iter().take(PLACE_PER_PASS) {
+            self.place_one(now, rank, wait, &mut memo);
         }
     }
 
-    fn place_one(&mut self, now: Millis, wait: WaitKey, memo: &mut PassMemo) {
+    fn place_one(&mut self, now: Millis, rank: PlaceRank, wait: WaitKey, memo: &mut PassMemo) {
         let key = wait.task;
         let Some(job) = self.jobs.get(&key.job) else {
             self.waiting.remove(&wait);
@@ -91,7 +142,8 @@
             return;
         };
         let service = self.rules(&job.spec).service.as_str();
-        if memo.rules_out(&key, service, &step.room()) {
+        let starving = rank.tier == RankTier::Starving && !memo.helped.contains(&key.job);
+        if !starving && memo.rules_out(&key, service, step) {
             return;
         }
         let candidate = Candidate {
@@ -100,6 +152,9 @@
             service,
             last_worker: task.last_worker.as_ref().filter(|_| task.failed > 0),
             only_rack: None,
+            starving,
+            now,
+            urgency: FillUrgency::new(now, job.objective_at),
         };
         let places = if step.gang {
             self.choose_gang(now, &candidate)
@@ -110,6 +165,7 @@
         match places {
             None => memo.note_failed(&key, service, step),
             Some(places) => {
+                memo.helped.push(key.job);
                 self.waiting.remove(&wait);
                 self.start_tasks(now, places);
             }
@@ -265,6 +321,7 @@
             return;
         };
         let payload = job.spec.payload.clone();
+        let objective_at = job.objective_at;
         let Some(step) = job.step_spec(&run.task).cloned() else {
             return;
         };
@@ -289,6 +346,7 @@
         state.granted = state.granted.max(deadline);
         let free_cpu = state.free().cpu_millis;
         let mut record = RunRecord::new(&step, RunPhase::Ordered, deadline);
+        record.objective_at = objective_at;
         record.checkpoint = checkpoint.clone();
         state.add_run(run, record);
         if step.fills {
@@ -318,6 +376,37 @@
     (one.job, one.time, one.step) == (other.job, other.time, other.step)
 }
 
+/// How urgent a waiting job is.
+fn place_rank(now: Millis, job: &JobState, wait: &WaitKey) -> PlaceRank {
+    let step = job.step_spec(&wait.task);
+    let task = job.task(&wait.task);
+    let fills = step.is_some_and(|step| step.fills);
+    let standing = step.is_some_and(|step| step.standing);
+    let waited = task.map_or(0, |task| now.saturating_sub(task.waiting_since));
+    let needs = job.remaining_ms() * REMAINING_PERCENT / 100;
+    let late = !standing && now + needs > job.objective_at;
+    let begun = job.stage != JobStage::Queued || standing;
+    let tier = if waited >= STARVING_AFTER_MS && !job.has_live_task() {
+        RankTier::Starving
+    } else if late {
+        RankTier::Late
+    } else if begun {
+        RankTier::Begun
+    } else {
+        RankTier::Fresh
+    };
+    let newest_first = fills && tier == RankTier::Fresh;
+    PlaceRank {
+        priority: wait.priority,
+        tier,
+        order: if newest_first {
+            -(job.objective_at as i64)
+        } else {
+            job.objective_at as i64
+        },
+    }
+}
+
 /// How many serving tasks of other images stand on a worker.
 fn other_images(worker: &WorkerState, image: &str) -> usize {
     let serving = worker.runs.values().filter(|record| record.target_ms > 0);
@@ -349,12 +438,19 @@
         cost += other_images(worker, &step.image) as f64 * MIXED_IMAGES_COST;
     }
     if step.fills {
-        let outlook = fill_outlook(worker, press, &step.image, step.size.cpu_millis);
+        let share = foreseen_share(
+            worker,
+            press,
+            candidate.now,
+            candidate.urgency,
+            &step.image,
+            step.size.cpu_millis,
+        );
         let crowded = worker.runs.values().any(|record| record.fills);
-        if crowded && outlook.share < LEAST_SHARE {
+        if crowded && !candidate.starving && share < LEAST_SHARE {
             return None;
         }
-        cost -= outlook.room * SERVING_ROOM_WEIGHT;
+        cost -= share * SERVING_ROOM_WEIGHT;
     }
     Some(cost)
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,7 +9,7 @@
 use crate::events::{JobAction, JobEvent, JobNote, LossCause, WorkerCall};
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::JobState;
-use crate::limits::{SchedulerLimits, SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS};
+use crate::limits::{SchedulerLimits, PASS_EVERY_MS, SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS};
 use crate::press::PressEstimate;
 use crate::progress::ProgressRow;
 use crate::spec::{JobSpec, QueueRules};
@@ -117,6 +117,8 @@
     pub(crate) quarantine: QuarantineBook,
     pub(crate) press: PressEstimate,
     pub(crate) room_changed: bool,
+    pub(crate) last_pass: Millis,
+    pub(crate) last_move: Millis,
     pub(crate) deposed: bool,
     pub(crate) out: Vec<JobAction>,
 }
@@ -157,6 +159,8 @@
             quarantine: QuarantineBook::default(),
             press: PressEstimate::default(),
             room_changed: false,
+            last_pass: 0,
+            last_move: 0,
             deposed: false,
             out: Vec::new(),
         };
@@ -224,6 +228,9 @@
         self.check_recovery(now);
         self.check_workers(now);
         self.resend_stops(now);
+        self.move_slowed(now);
+        // Readings change what serving tasks leave, and jobs grow late, without any event that frees room.
+        self.room_changed |= now >= self.last_pass + PASS_EVERY_MS;
     }
 
     /// The rules of a job's queue: as configured now, else as they were when the job was accepted.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -26,6 +26,13 @@
     },
 }
 
+impl RunPhase {
+    /// Whether a stop was sent.
+    pub(crate) fn is_stopping(&self) -> bool {
+        matches!(self, RunPhase::Stopping { .. })
+    }
+}
+
 /// A run that may be at work on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct RunRecord {
@@ -47,6 +54,10 @@
     pub(crate) pace: u32,
     /// What is known of a serving task's load.
     pub(crate) serving: Option<ServingLoad>,
+    /// When its job should be done.
+    pub(crate) objective_at: Millis,
+    /// Since when it has been slowed down.
+    pub(crate) slowed_since: Option<Millis>,
     /// Since when every reading has been over its target.
     pub(crate) over_since: Option<Millis>,
 }
@@ -178,11 +189,6 @@
         removed
     }
 
-    /// What fills here if every filling task works at its full share.
-    pub(crate) fn full_fills(&self) -> FillLoads {
-        self.fill_loads(|_| 1.0)
-    }
-
     /// Notes what fills from now on.
     pub(crate) fn refresh_fills(&mut self, now: Millis) {
         let loads = self.fill_loads(|record| f64::from(record.pace.min(100)) / 100.0);
@@ -230,6 +236,8 @@
             gauge: None,
             pace: 100,
             serving: None,
+            objective_at: Millis::MAX,
+            slowed_since: None,
             over_since: None,
         }
     }
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -60,6 +60,7 @@
 /// The logger, a thread, an address or an HTTP client can't be had.
 pub fn run(path: PathBuf, settings: JobSettings) -> Result<(), Report<DaemonFailure>> {
     let _logger = logging::start().change_context(DaemonFailure::Logging)?;
+    logging::limit_lines(settings.log_lines_per_s);
     clock::now();
     let runtime = runtime::Builder::new_multi_thread()
         .worker_threads(1)
@@ -179,6 +180,7 @@
                 if changed || asked {
                     event("settings_read", &[("changed", &changed), ("asked", &asked)]);
                 }
+                logging::limit_lines(settings.log_lines_per_s);
                 current = settings;
                 refused = None;
             }
--- a/crates/sandshelfd/src/logging.rs
+++ b/crates/sandshelfd/src/logging.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::Write;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{LazyLock, Mutex};
 
 use flexi_logger::{DeferredNow, Logger, LoggerHandle};
@@ -10,7 +11,8 @@
 
 use crate::clock;
 
-/// The most lines of one event in each second; what is left out is counted in the next line.
+/// The most lines of one event in each second, unless the settings say otherwise; what is left out is counted in the
+/// next line.
 const LINES_PER_SECOND: u32 = 20;
 /// How long a window of counting lasts, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
@@ -25,6 +27,7 @@
     left_out: u64,
 }
 
+static LINE_LIMIT: AtomicU32 = AtomicU32::new(LINES_PER_SECOND);
 static WINDOWS: LazyLock<Mutex<HashMap<&'static str, EventWindow>>> = LazyLock::new(Mutex::default);
 
 /// Starts logging to standard error; the level comes from `RUST_LOG`, else info.
@@ -45,6 +48,11 @@
     write!(writer, "time={time} level={level} {}", record.args())
 }
 
+/// Sets how many lines of one event are written in each second.
+pub fn limit_lines(most: u32) {
+    LINE_LIMIT.store(most, Ordering::Relaxed);
+}
+
 /// Logs one event.
 pub fn event(name: &'static str, pairs: &[LogPair<'_>]) {
     let Some(left_out) = admit(name) else {
@@ -69,7 +77,7 @@
         window.since = now;
         window.lines = 0;
     }
-    if window.lines >= LINES_PER_SECOND {
+    if window.lines >= LINE_LIMIT.load(Ordering::Relaxed) {
         window.left_out += 1;
         return None;
     }
