--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -17,6 +17,13 @@
 const PACE_STEP: u32 = 5;
 /// A reading that covers less than this, in milliseconds, says too little of what fills.
 const LEAST_READING_MS: Millis = 300;
+/// A task that uses so much more or less of its processors than its pace says, in percent, is off its pace.
+const OFF_PACE_PERCENT: u64 = 30;
+/// After so many readings off its pace a task is told its pace anew: an order without an answer may have been carried out
+/// late, after newer ones.
+const OFF_PACE_READINGS: u32 = 3;
+/// No pace that is ever wanted, so that the next comparison sends the order again.
+const UNKNOWN_PACE: u32 = 101;
 
 /// A serving task that has been over its target for so long has nothing filling beside it until it is under again,
 /// whatever the estimate says; a reading is half a second old and a pace takes effect after a tenth.
@@ -55,6 +62,22 @@
     watched.filter_map(room).collect()
 }
 
+/// Looks whether a filling task works at the pace that it was told; processors may be short, but never at a low pace.
+fn note_off_pace(record: &mut RunRecord) {
+    let (Some(used), true) = (record.gauge, record.fills) else {
+        return;
+    };
+    let wanted = record.cpu_millis * u64::from(record.pace.min(100)) / 100;
+    let slack = record.cpu_millis * OFF_PACE_PERCENT / 100;
+    let stands_still = record.pace > 0 && used == 0;
+    let off = used > wanted + slack || stands_still;
+    record.off_pace = if off { record.off_pace + 1 } else { 0 };
+    if record.off_pace >= OFF_PACE_READINGS {
+        record.off_pace = 0;
+        record.pace = UNKNOWN_PACE;
+    }
+}
+
 /// How urgent a filling task is beside others: those of jobs that can still meet their objective come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct FillUrgency {
@@ -152,6 +175,7 @@
         }
         let fills = state.fills.take(now);
         for record in state.runs.values_mut() {
+            note_off_pace(record);
             let over = record.target_ms > 0 && record.gauge.unwrap_or(0) >= record.target_ms;
             record.over_since = over.then(|| record.over_since.unwrap_or(now));
             let at_work = record.percent >= 100;
@@ -278,8 +302,6 @@
         key: RunKey,
         answer: OrderAnswer,
     ) {
-        /// No pace that is ever wanted, so that the next comparison sends the order again.
-        const UNKNOWN_PACE: u32 = 101;
         match answer {
             OrderAnswer::Done(clock) => self.note_clock(now, worker, clock),
             OrderAnswer::Refused(_, RefusalReason::Fenced) => self.deposed = true,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -56,6 +56,8 @@
     pub(crate) serving: Option<ServingLoad>,
     /// When its job should be done.
     pub(crate) objective_at: Millis,
+    /// In how many readings on end it used much more or less than its pace says.
+    pub(crate) off_pace: u32,
     /// Since when it has been slowed down.
     pub(crate) slowed_since: Option<Millis>,
     /// Since when every reading has been over its target.
@@ -237,6 +239,7 @@
             pace: 100,
             serving: None,
             objective_at: Millis::MAX,
+            off_pace: 0,
             slowed_since: None,
             over_since: None,
         }
