Images as numbers, fewer paces, bounded moves

Change: images are interned, strengths a table; a pace changes by 20 up or 10 down; at most eight moves a look.

--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -1,11 +1,13 @@
 //! Keeps filling tasks from harming the serving tasks beside them: each works at the share that every serving task's
 //! target leaves room for.
 
+use std::cmp::Ordering;
+
 use sandshelf_model::{Millis, WorkerId};
 
 use crate::events::{JobNote, LossCause, OrderAnswer, RefusalReason, StopCause, WorkerCall};
 use crate::ids::RunKey;
-use crate::press::{load_of_tail, target_load, PressEstimate};
+use crate::press::{load_of_tail, target_load, ImageId, PressEstimate};
 use crate::scheduler::JobScheduler;
 use crate::worker::{RunPhase, RunRecord, WorkerState};
 
@@ -30,6 +32,10 @@
 /// whatever the estimate says; a reading is half a second old and a pace takes effect after a tenth.
 const LEAVE_ALONE_MS: Millis = 1_000;
 
+/// The least rise of a pace that is worth a call, in percent.
+const RAISE_STEP: u32 = 20;
+/// The least fall of a pace that is worth a call, in percent.
+const LOWER_STEP: u32 = 10;
 /// A filling task at this pace or less, in percent, counts as slowed down.
 const SLOWED_PACE: u32 = 30;
 /// A task that has been slowed down for so long is moved; a stop takes up to 0.9 s and a start from a checkpoint 0.25 to
@@ -37,32 +43,43 @@
 const MOVE_AFTER_MS: Millis = 1_000;
 /// The share at which it has to be able to work elsewhere.
 const MOVE_TO_SHARE: f64 = 0.8;
+/// How many tasks are moved at one look.
+const MOVES_AT_ONCE: usize = 8;
 /// How often slowed tasks are looked at.
 const MOVE_EVERY_MS: Millis = 250;
 /// A task without checkpoints may lose so much of its work, in percent.
 const LITTLE_PERCENT: u32 = 15;
 
 /// What a serving task leaves for filling tasks.
-struct ServingRoom<'a> {
-    image: &'a str,
+struct ServingRoom {
+    image: ImageId,
     /// By how much, as a share, its load may rise over what it is without filling tasks.
     allowed: f64,
 }
 
 /// The room that each serving task on a worker leaves.
-fn serving_rooms<'a>(worker: &'a WorkerState) -> Vec<ServingRoom<'a>> {
+fn serving_rooms(worker: &WorkerState) -> Vec<ServingRoom> {
     let watched = worker.runs.values().filter(|record| record.target_ms > 0);
-    let room = |record: &'a RunRecord| {
+    let room = |record: &RunRecord| {
         let without = record.serving?.alone();
         let most = target_load() * LOAD_MARGIN;
         Some(ServingRoom {
-            image: &record.image,
+            image: record.image,
             allowed: (most / without - 1.0).max(0.0),
         })
     };
     watched.filter_map(room).collect()
 }
 
+/// Whether a change of pace is large enough; a task is slowed by smaller steps than it is let go.
+fn is_worth_a_call(now: u32, wanted: u32) -> bool {
+    match now.cmp(&wanted) {
+        Ordering::Equal => false,
+        Ordering::Less => wanted >= now + RAISE_STEP || wanted == 100,
+        Ordering::Greater => now >= wanted + LOWER_STEP || wanted == 0 || now == UNKNOWN_PACE,
+    }
+}
+
 /// Looks whether a filling task works at the pace that it was told; processors may be short, but never at a low pace.
 fn note_off_pace(record: &mut RunRecord) {
     let (Some(used), true) = (record.gauge, record.fills) else {
@@ -96,22 +113,22 @@
 }
 
 /// One filling task that wants a share of what serving tasks leave.
-struct FillWant<'a> {
+struct FillWant {
     urgency: FillUrgency,
     key: Option<RunKey>,
-    image: &'a str,
+    image: ImageId,
     /// The share of the worker's processors that it uses at full pace.
     load: f64,
 }
 
-fn fill_wants(worker: &WorkerState, now: Millis) -> Vec<FillWant<'_>> {
+fn fill_wants(worker: &WorkerState, now: Millis) -> Vec<FillWant> {
     let capacity = worker.entry.capacity.cpu_millis.max(1) as f64;
     let fills = worker.runs.iter().filter(|(_, record)| record.fills);
     fills
         .map(|(key, record)| FillWant {
             urgency: FillUrgency::new(now, record.objective_at),
             key: Some(*key),
-            image: &record.image,
+            image: record.image,
             load: record.cpu_millis as f64 / capacity,
         })
         .collect()
@@ -119,8 +136,8 @@
 
 /// Deals what serving tasks leave, the most urgent filling task first; returns a share for each want, in their order.
 fn deal_shares(
-    rooms: &mut [ServingRoom<'_>],
-    wants: &mut [FillWant<'_>],
+    rooms: &mut [ServingRoom],
+    wants: &mut [FillWant],
     press: &PressEstimate,
 ) -> Vec<f64> {
     wants.sort_by_key(|want| want.urgency);
@@ -148,7 +165,7 @@
     press: &PressEstimate,
     now: Millis,
     urgency: FillUrgency,
-    image: &str,
+    image: ImageId,
     cpu_millis: u64,
 ) -> f64 {
     let capacity = worker.entry.capacity.cpu_millis.max(1) as f64;
@@ -184,7 +201,7 @@
             if let (true, Some(tail)) = (record.target_ms > 0, tail) {
                 let load = load_of_tail(tail as f64, record.target_ms as f64);
                 let known = record.serving;
-                record.serving = Some(self.press.learn(&record.image, load, &fills, known));
+                record.serving = Some(self.press.learn(record.image, load, &fills, known));
             }
         }
     }
@@ -213,7 +230,7 @@
             let Some((key, record)) = record else {
                 continue;
             };
-            if matches!(record.phase, RunPhase::Running(_)) && record.pace != pace {
+            if matches!(record.phase, RunPhase::Running(_)) && is_worth_a_call(record.pace, pace) {
                 changed.push((key, pace));
             }
         }
@@ -249,31 +266,22 @@
         self.last_move = now;
         let mut moves = Vec::new();
         let mut targets: Vec<&WorkerId> = Vec::new();
+        let mut hopeless: Vec<ImageId> = Vec::new();
         for (id, state) in &self.workers {
             for (key, record) in &state.runs {
+                if moves.len() >= MOVES_AT_ONCE || hopeless.contains(&record.image) {
+                    continue;
+                }
                 if !self.may_move(now, key, record) {
                     continue;
                 }
-                let urgency = FillUrgency::new(now, record.objective_at);
-                let better = self.workers.iter().find(|(other, target)| {
-                    let room = record.room.fits_in(&target.free());
-                    *other != id
-                        && target.entry.service == state.entry.service
-                        && target.is_open(now)
-                        && room
-                        && !targets.contains(other)
-                        && foreseen_share(
-                            target,
-                            &self.press,
-                            now,
-                            urgency,
-                            &record.image,
-                            record.cpu_millis,
-                        ) >= MOVE_TO_SHARE
-                });
-                if let Some((target, _)) = better {
-                    targets.push(target);
-                    moves.push((id.clone(), *key));
+                let service = state.entry.service.as_str();
+                match self.better_place(now, record, service, &targets) {
+                    Some(target) => {
+                        targets.push(target);
+                        moves.push((id.clone(), *key));
+                    }
+                    None => hopeless.push(record.image),
                 }
             }
         }
@@ -282,6 +290,26 @@
         }
     }
 
+    /// Finds a worker, not one of `taken`, where a slowed filling task would work at nearly full pace.
+    fn better_place(
+        &self,
+        now: Millis,
+        record: &RunRecord,
+        service: &str,
+        taken: &[&WorkerId],
+    ) -> Option<&WorkerId> {
+        let urgency = FillUrgency::new(now, record.objective_at);
+        let (image, cpu) = (record.image, record.cpu_millis);
+        let better = self.workers.iter().find(|(id, target)| {
+            target.entry.service == service
+                && target.is_open(now)
+                && record.room.fits_in(&target.free())
+                && !taken.contains(id)
+                && foreseen_share(target, &self.press, now, urgency, image, cpu) >= MOVE_TO_SHARE
+        });
+        better.map(|(id, _)| id)
+    }
+
     /// Whether a run has been slowed down for long, and little of its work would be lost by a move.
     fn may_move(&self, now: Millis, key: &RunKey, record: &RunRecord) -> bool {
         let slowed = record.slowed_since;
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -164,7 +164,12 @@
             checkpoint: run.checkpoint,
             percent: run.percent,
             gauge: run.gauge,
-            ..RunRecord::new(&step, RunPhase::Running(clock), 0)
+            ..RunRecord::new(
+                &step,
+                self.images.get(&step.image),
+                RunPhase::Running(clock),
+                0,
+            )
         }
     }
 
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -18,6 +18,9 @@
         if self.jobs.contains_key(&number) || self.finished.contains(&number) {
             return;
         }
+        for step in &spec.steps {
+            self.images.intern(&step.image);
+        }
         let inherited = version < self.claim_version;
         let mut job = JobState::new(number, spec, now, inherited);
         if let Some(row) = self.inherited.remove(&number) {
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -10,7 +10,7 @@
 use crate::ids::{JobNumber, RunKey, TaskKey};
 use crate::job::{JobState, TaskStage};
 use crate::limits::{PLACE_PER_PASS, START_VALID_MS};
-use crate::press::PressEstimate;
+use crate::press::{ImageId, PressEstimate};
 use crate::scheduler::{JobScheduler, WaitKey};
 use crate::spec::StepSpec;
 use crate::worker::{RunPhase, RunRecord, WorkerState};
@@ -104,6 +104,7 @@
     starving: bool,
     now: Millis,
     urgency: FillUrgency,
+    image: ImageId,
 }
 
 impl JobScheduler {
@@ -155,6 +156,7 @@
             starving,
             now,
             urgency: FillUrgency::new(now, job.objective_at),
+            image: self.images.get(&step.image),
         };
         let places = if step.gang {
             self.choose_gang(now, &candidate)
@@ -342,10 +344,11 @@
         let Some(state) = self.workers.get_mut(&worker) else {
             return;
         };
+        let image = self.images.get(&step.image);
         let deadline = state.clock(now).unwrap_or(0) + START_VALID_MS;
         state.granted = state.granted.max(deadline);
         let free_cpu = state.free().cpu_millis;
-        let mut record = RunRecord::new(&step, RunPhase::Ordered, deadline);
+        let mut record = RunRecord::new(&step, image, RunPhase::Ordered, deadline);
         record.objective_at = objective_at;
         record.checkpoint = checkpoint.clone();
         state.add_run(run, record);
@@ -408,7 +411,7 @@
 }
 
 /// How many serving tasks of other images stand on a worker.
-fn other_images(worker: &WorkerState, image: &str) -> usize {
+fn other_images(worker: &WorkerState, image: ImageId) -> usize {
     let serving = worker.runs.values().filter(|record| record.target_ms > 0);
     serving.filter(|record| record.image != image).count()
 }
@@ -435,7 +438,7 @@
         cost += FAILED_THERE_COST;
     }
     if step.target_ms > 0 {
-        cost += other_images(worker, &step.image) as f64 * MIXED_IMAGES_COST;
+        cost += other_images(worker, candidate.image) as f64 * MIXED_IMAGES_COST;
     }
     if step.fills {
         let share = foreseen_share(
@@ -443,7 +446,7 @@
             press,
             candidate.now,
             candidate.urgency,
-            &step.image,
+            candidate.image,
             step.size.cpu_millis,
         );
         let crowded = worker.runs.values().any(|record| record.fills);
--- a/crates/jobs/src/press.rs
+++ b/crates/jobs/src/press.rs
@@ -5,7 +5,7 @@
 //! times the share of the worker's processors that the task uses. This form was read off measured days: two tasks of
 //! one image at different loads rose to different tails, but their loads by the same factor.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 /// The strength that a pair is given before anything was measured: between the mild pairs (about 0) and the strong
 /// ones (4 to 5) that were seen.
@@ -28,8 +28,45 @@
 /// Loads are kept within these bounds, so that their ratios and logarithms stay finite.
 const LOAD_BOUNDS: (f64, f64) = (0.05, 0.995);
 
+/// Stands for the name of an image: strengths are looked up thousands of times a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ImageId(u16);
+
+/// The images seen so far.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ImageTable {
+    ids: HashMap<String, ImageId>,
+}
+
+impl ImageTable {
+    /// The identifier of an image, a new one where it was never seen.
+    ///
+    /// Beyond the number of identifiers, images share the last one: what is learnt of them is blurred, no more.
+    pub(crate) fn intern(&mut self, name: &str) -> ImageId {
+        let next = ImageId(u16::try_from(self.ids.len()).unwrap_or(u16::MAX));
+        *self.ids.entry(name.to_owned()).or_insert(next)
+    }
+
+    /// The identifier of an image that was seen.
+    pub(crate) fn get(&self, name: &str) -> ImageId {
+        self.ids.get(name).copied().unwrap_or_default()
+    }
+}
+
 /// The processors that filling tasks use on a worker, by image, in shares of all it has.
-pub(crate) type FillLoads = BTreeMap<String, f64>;
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FillLoads {
+    loads: Vec<(ImageId, f64)>,
+}
+
+impl FillLoads {
+    pub(crate) fn add(&mut self, image: ImageId, load: f64) {
+        match self.loads.iter_mut().find(|(known, _)| *known == image) {
+            Some((_, sum)) => *sum += load,
+            None => self.loads.push((image, load)),
+        }
+    }
+}
 
 /// What is known of a serving task's load without what fills beside it.
 #[derive(Clone, Copy, Debug)]
@@ -67,7 +104,8 @@
 /// filter whose covariances between them are left out).
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PressEstimate {
-    pairs: BTreeMap<(String, String), PairStrength>,
+    /// By serving image, then by filling image; short rows and missing ones stand for pairs never seen.
+    pairs: Vec<Vec<PairStrength>>,
 }
 
 /// A serving task's load by its tail.
@@ -83,28 +121,41 @@
 }
 
 impl PressEstimate {
-    fn pair(&self, serving: &str, filling: &str) -> PairStrength {
-        let pair = (serving.to_owned(), filling.to_owned());
-        self.pairs.get(&pair).copied().unwrap_or_default()
+    fn pair(&self, serving: ImageId, filling: ImageId) -> PairStrength {
+        let row = self.pairs.get(usize::from(serving.0));
+        let pair = row.and_then(|row| row.get(usize::from(filling.0)));
+        pair.copied().unwrap_or_default()
+    }
+
+    fn pair_mut(&mut self, serving: ImageId, filling: ImageId) -> &mut PairStrength {
+        let (row, column) = (usize::from(serving.0), usize::from(filling.0));
+        if self.pairs.len() <= row {
+            self.pairs.resize_with(row + 1, Vec::new);
+        }
+        let row = &mut self.pairs[row];
+        if row.len() <= column {
+            row.resize_with(column + 1, PairStrength::default);
+        }
+        &mut row[column]
     }
 
     /// How strongly a filling image disturbs a serving one.
-    pub(crate) fn strength(&self, serving: &str, filling: &str) -> f64 {
+    pub(crate) fn strength(&self, serving: ImageId, filling: ImageId) -> f64 {
         self.pair(serving, filling).mean
     }
 
     /// By how much, as a share, what fills raises a serving image's load.
-    pub(crate) fn pressure(&self, serving: &str, fills: &FillLoads) -> f64 {
-        let parts = fills.iter();
+    pub(crate) fn pressure(&self, serving: ImageId, fills: &FillLoads) -> f64 {
+        let parts = fills.loads.iter();
         parts
-            .map(|(image, load)| self.strength(serving, image) * load)
+            .map(|(image, load)| self.strength(serving, *image) * load)
             .sum()
     }
 
     /// Learns from a reading; `fills` is the mean over the time that the reading covers.
     pub(crate) fn learn(
         &mut self,
-        serving: &str,
+        serving: ImageId,
         load: f64,
         fills: &FillLoads,
         before: Option<ServingLoad>,
@@ -118,14 +169,13 @@
         own.variance += LOAD_DRIFT;
         let error = seen - own.log_load;
         let mut total = own.variance + READING_NOISE;
-        for (image, share) in fills {
+        for (image, share) in &fills.loads {
             let effect = share / raised;
-            total += self.pair(serving, image).variance * effect * effect;
+            total += self.pair(serving, *image).variance * effect * effect;
         }
-        for (image, share) in fills {
+        for (image, share) in &fills.loads {
             let effect = share / raised;
-            let pair = (serving.to_owned(), image.clone());
-            let strength = self.pairs.entry(pair).or_default();
+            let strength = self.pair_mut(serving, *image);
             let gain = strength.variance * effect / total;
             strength.mean = (strength.mean + gain * error).clamp(0.0, MOST_STRENGTH);
             strength.variance += STRENGTH_DRIFT - gain * effect * strength.variance;
@@ -155,8 +205,8 @@
 
     fn add_up(&mut self, now: u64) {
         let passed = now.saturating_sub(self.since) as f64;
-        for (image, load) in &self.current {
-            *self.sums.entry(image.clone()).or_default() += load * passed;
+        for (image, load) in &self.current.loads {
+            self.sums.add(*image, load * passed);
         }
         self.since = now;
     }
@@ -171,8 +221,11 @@
         self.add_up(now);
         let passed = self.running_ms(now).max(1) as f64;
         self.began = now;
-        let sums = std::mem::take(&mut self.sums);
-        let means = sums.into_iter().map(|(image, sum)| (image, sum / passed));
-        means.filter(|(_, load)| *load > 0.0).collect()
+        let mut means = std::mem::take(&mut self.sums);
+        for (_, load) in &mut means.loads {
+            *load /= passed;
+        }
+        means.loads.retain(|(_, load)| *load > 0.0);
+        means
     }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::JobState;
 use crate::limits::{SchedulerLimits, PASS_EVERY_MS, SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS};
-use crate::press::PressEstimate;
+use crate::press::{ImageTable, PressEstimate};
 use crate::progress::ProgressRow;
 use crate::spec::{JobSpec, QueueRules};
 use crate::worker::WorkerState;
@@ -115,6 +115,7 @@
     pub(crate) roster_changed: bool,
     pub(crate) recovery: Option<Recovery>,
     pub(crate) quarantine: QuarantineBook,
+    pub(crate) images: ImageTable,
     pub(crate) press: PressEstimate,
     pub(crate) room_changed: bool,
     pub(crate) last_pass: Millis,
@@ -157,6 +158,7 @@
                 listed: false,
             }),
             quarantine: QuarantineBook::default(),
+            images: ImageTable::default(),
             press: PressEstimate::default(),
             room_changed: false,
             last_pass: 0,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,7 +7,7 @@
 use crate::events::{WorkerClock, WorkerListing};
 use crate::ids::RunKey;
 use crate::limits::{SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT};
-use crate::press::{FillLoads, FillMeter, ServingLoad};
+use crate::press::{FillLoads, FillMeter, ImageId, ServingLoad};
 use crate::spec::StepSpec;
 
 /// How far an order to start has come.
@@ -46,7 +46,7 @@
     pub(crate) fills: bool,
     pub(crate) standing: bool,
     pub(crate) target_ms: Millis,
-    pub(crate) image: String,
+    pub(crate) image: ImageId,
     pub(crate) checkpoint: Option<String>,
     pub(crate) percent: u32,
     pub(crate) gauge: Option<u64>,
@@ -199,10 +199,10 @@
 
     fn fill_loads(&self, share: impl Fn(&RunRecord) -> f64) -> FillLoads {
         let capacity = self.entry.capacity.cpu_millis.max(1) as f64;
-        let mut loads = FillLoads::new();
+        let mut loads = FillLoads::default();
         for record in self.runs.values().filter(|record| record.fills) {
             let load = record.cpu_millis as f64 / capacity * share(record);
-            *loads.entry(record.image.clone()).or_default() += load;
+            loads.add(record.image, load);
         }
         loads
     }
@@ -223,7 +223,12 @@
 
 impl RunRecord {
     /// Makes the record of a run of a step's task.
-    pub(crate) fn new(step: &StepSpec, phase: RunPhase, start_deadline: WorkerClock) -> Self {
+    pub(crate) fn new(
+        step: &StepSpec,
+        image: ImageId,
+        phase: RunPhase,
+        start_deadline: WorkerClock,
+    ) -> Self {
         Self {
             phase,
             room: step.room(),
@@ -232,7 +237,7 @@
             fills: step.fills,
             standing: step.standing,
             target_ms: step.target_ms,
-            image: step.image.clone(),
+            image,
             checkpoint: None,
             percent: 0,
             gauge: None,
