Jobs newer than the takeover wait for the workers, too; failed runs are counted by their numbers

Change: such jobs wait until all workers have answered, for 1.5 s at most; progress keeps the numbers of failed runs. tests/takeover.rs: newer_job fails with the wait set to 0, failures_in_any_order on the old count.

--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -100,6 +100,7 @@
         self.drop_missing(now, worker, report.clock, &listed);
         if first {
             self.note_answered(worker);
+            self.check_recovery(now);
             self.room_changed = true;
         }
         self.learn_press(now, worker);
@@ -129,7 +130,7 @@
             }
             return;
         }
-        let adopted = self.may_adopt(&key);
+        let adopted = self.may_adopt(&key) && !self.has_ended(&key);
         let record = self.record_of(&key, run, clock);
         if adopted {
             self.adopt(worker, &key);
@@ -142,6 +143,13 @@
         }
     }
 
+    /// Whether an end of this run, or of a later one, was taken in.
+    fn has_ended(&self, key: &RunKey) -> bool {
+        let job = self.jobs.get(&key.task.job);
+        let task = job.and_then(|job| job.task(&key.task));
+        task.is_some_and(|task| key.run <= task.last_ended)
+    }
+
     /// Takes over a run that an earlier owner started.
     fn adopt(&mut self, worker: &WorkerId, key: &RunKey) {
         self.waiting.retain(|wait| wait.task != key.task);
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -21,7 +21,7 @@
         for step in &spec.steps {
             self.images.intern(&step.image);
         }
-        let inherited = version < self.claim_version;
+        let inherited = version <= self.claim_version;
         let mut job = JobState::new(number, spec, now, inherited);
         if let Some(row) = self.inherited.remove(&number) {
             if row.stage.is_final() {
@@ -51,7 +51,9 @@
 
     /// Opens the steps of a job whose turn has come, and ends the job where all is done.
     pub(crate) fn open_job_steps(&mut self, now: Millis, number: JobNumber) {
-        let unfound = self.recovery.is_some();
+        let recovery = self.recovery.as_ref();
+        let unsettled = recovery.is_some();
+        let fresh = recovery.is_some_and(|recovery| now < recovery.fresh_until);
         let wall_ms = self.wall_ms;
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
@@ -59,7 +61,7 @@
         if job.spec.repeat.is_none() || wall_ms > 0 {
             job.add_due_times(wall_ms);
         }
-        let unfound = unfound && job.inherited;
+        let unfound = unsettled && (job.inherited || fresh);
         let opened = job.open_steps(now, unfound);
         if job.drop_done_times() {
             self.finish_job(now, number, JobStage::Completed);
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -28,14 +28,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TaskState {
     pub(crate) stage: TaskStage,
-    pub(crate) failed: u32,
+    /// The runs that have failed.
+    pub(crate) failed_runs: Vec<u64>,
     pub(crate) checkpoint: Option<String>,
     pub(crate) waiting_since: Millis,
     pub(crate) not_before: Millis,
     pub(crate) last_worker: Option<WorkerId>,
     /// How many runs this owner has ordered.
     pub(crate) runs: u64,
-    /// The newest run whose end was taken in; an end that comes again is not counted again.
+    /// The newest run whose end was taken in.
     pub(crate) last_ended: u64,
 }
 
@@ -50,7 +51,7 @@
     fn new() -> Self {
         Self {
             stage: TaskStage::Blocked,
-            failed: 0,
+            failed_runs: Vec::new(),
             checkpoint: None,
             waiting_since: 0,
             not_before: 0,
@@ -61,7 +62,7 @@
     }
 
     fn is_new(&self) -> bool {
-        self.stage != TaskStage::Done && self.failed == 0 && self.checkpoint.is_none()
+        self.stage != TaskStage::Done && self.failed_runs.is_empty() && self.checkpoint.is_none()
     }
 }
 
@@ -145,9 +146,8 @@
             let Some(state) = step.tasks.get_mut(task.index as usize) else {
                 continue;
             };
-            state.failed = task.failed;
+            state.failed_runs = task.failed_runs.clone();
             state.checkpoint = task.checkpoint.clone();
-            state.last_ended = task.last_ended;
             if task.done {
                 state.stage = TaskStage::Done;
                 step.done += 1;
@@ -251,8 +251,7 @@
                         step: step as u32,
                         index: index as u32,
                         done: task.stage == TaskStage::Done,
-                        failed: task.failed,
-                        last_ended: task.last_ended,
+                        failed_runs: task.failed_runs.clone(),
                         checkpoint: task
                             .checkpoint
                             .clone()
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -57,6 +57,9 @@
 pub const TAKEOVER_MARGIN_MS: Millis = 1_000;
 /// After this long waiting tasks are tried again, also where nothing happened.
 pub const PASS_EVERY_MS: Millis = 100;
+/// How long after a takeover jobs that are newer wait for workers that have not answered: a worker that lives answers
+/// within a tenth of that.
+pub const FRESH_JOB_WAIT_MS: Millis = 1_500;
 /// How many waiting tasks one pass tries to place.
 pub const PLACE_PER_PASS: usize = 400;
 /// How long a task whose order no worker understood waits.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -151,7 +151,10 @@
             key,
             step,
             service,
-            last_worker: task.last_worker.as_ref().filter(|_| task.failed > 0),
+            last_worker: task
+                .last_worker
+                .as_ref()
+                .filter(|_| !task.failed_runs.is_empty()),
             only_rack: None,
             starving,
             now,
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -23,10 +23,6 @@
     *value == 0
 }
 
-fn is_zero_run(value: &u64) -> bool {
-    *value == 0
-}
-
 /// What is kept of one task that is not as new.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TaskProgress {
@@ -42,12 +38,9 @@
     /// Whether it is done.
     #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
-    /// How many of its runs have failed.
-    #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
-    pub failed: u32,
-    /// The newest run whose end is counted here.
-    #[serde(rename = "r", default, skip_serializing_if = "is_zero_run")]
-    pub last_ended: u64,
+    /// The runs of it that have failed; an end that is listed again is known by them.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_runs: Vec<u64>,
     /// Its newest checkpoint that was read at an end.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,7 +9,9 @@
 use crate::events::{JobAction, JobEvent, JobNote, LossCause, WorkerCall};
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::JobState;
-use crate::limits::{SchedulerLimits, PASS_EVERY_MS, SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS};
+use crate::limits::{
+    SchedulerLimits, FRESH_JOB_WAIT_MS, PASS_EVERY_MS, SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS,
+};
 use crate::press::{ImageTable, PressEstimate};
 use crate::progress::ProgressRow;
 use crate::spec::{JobSpec, QueueRules};
@@ -25,7 +27,7 @@
     pub epoch: Epoch,
     /// When the claim took effect, on the scheduler's clock.
     pub claimed_at: Millis,
-    /// The version of the claim; rows of jobs up to it may be known to an earlier owner.
+    /// The version as of which jobs were read; jobs up to it may be known to an earlier owner.
     pub claim_version: u64,
     /// What is durable of jobs.
     pub progress: BTreeMap<JobNumber, ProgressRow>,
@@ -58,6 +60,9 @@
     pub(crate) unanswered: BTreeSet<WorkerId>,
     /// From when on nothing that an earlier owner leased can be at work.
     pub(crate) until: Millis,
+    /// From when on jobs that are newer than the takeover don't wait for workers that have not answered: only an earlier
+    /// owner that still reaches such a worker could have started them there.
+    pub(crate) fresh_until: Millis,
     /// Whether the list of workers has been read since the claim.
     pub(crate) listed: bool,
 }
@@ -155,6 +160,7 @@
             recovery: Some(Recovery {
                 unanswered: BTreeSet::new(),
                 until: info.claimed_at + lease + TAKEOVER_MARGIN_MS,
+                fresh_until: info.claimed_at + FRESH_JOB_WAIT_MS,
                 listed: false,
             }),
             quarantine: QuarantineBook::default(),
@@ -321,17 +327,21 @@
     }
 
     /// Ends the takeover once every worker has answered, or none can hold an earlier owner's lease any more.
-    fn check_recovery(&mut self, now: Millis) {
+    pub(crate) fn check_recovery(&mut self, now: Millis) {
         let Some(recovery) = &self.recovery else {
             return;
         };
         let answered = recovery.listed && recovery.unanswered.is_empty();
-        if !answered && now < recovery.until {
+        let over = answered || now >= recovery.until;
+        if !over && now < recovery.fresh_until {
             return;
         }
-        self.recovery = None;
-        let unfound = |job: &JobState| job.unfound_tasks();
-        let keys: Vec<TaskKey> = self.jobs.values().flat_map(unfound).collect();
+        if over {
+            self.recovery = None;
+        }
+        let released = |job: &&JobState| over || !job.inherited;
+        let jobs = self.jobs.values().filter(released);
+        let keys: Vec<TaskKey> = jobs.flat_map(JobState::unfound_tasks).collect();
         for key in &keys {
             self.note(JobNote::Unfound(*key));
             self.enqueue(now, *key);
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -175,8 +175,12 @@
     /// Takes in an end that a worker lists; `first` where it is the worker's first report to this owner.
     pub(crate) fn take_end(&mut self, now: Millis, worker: &WorkerId, end: EndReport, first: bool) {
         let record = self.remove_record(now, worker, &end.key);
-        let known = record.is_some() || (first && self.may_adopt(&end.key));
-        if !known {
+        let adopted = first && self.may_adopt(&end.key);
+        let failed = end.outcome == RunOutcome::Failed;
+        if record.is_none() && !adopted {
+            if first && failed {
+                self.count_failure(now, end.key);
+            }
             return;
         }
         self.note(JobNote::Ended {
@@ -193,21 +197,29 @@
         let Some(task) = job.task_mut(&key) else {
             return;
         };
-        if task.stage == TaskStage::Done || end.key.run <= task.last_ended {
+        if task.stage == TaskStage::Done {
             return;
         }
-        task.last_ended = end.key.run;
-        task.last_worker = Some(worker.clone());
-        let newest = end
-            .checkpoint
-            .or(record.and_then(|record| record.checkpoint));
-        if newest.is_some() {
-            task.checkpoint = newest;
+        let newest = end.key.run > task.last_ended;
+        if newest {
+            task.last_ended = end.key.run;
+            task.last_worker = Some(worker.clone());
+            let checkpoint = end
+                .checkpoint
+                .or(record.and_then(|record| record.checkpoint));
+            if checkpoint.is_some() {
+                task.checkpoint = checkpoint;
+            }
         }
         match end.outcome {
             RunOutcome::Done if !standing => self.task_done(now, key),
-            RunOutcome::Failed => self.task_failed(now, key),
-            _ => self.task_freed(now, key),
+            RunOutcome::Failed => {
+                if !self.count_failure(now, end.key) && newest {
+                    self.task_freed(now, key);
+                }
+            }
+            _ if newest => self.task_freed(now, key),
+            _ => {}
         }
     }
 
@@ -219,7 +231,7 @@
             matches!(
                 task.stage,
                 TaskStage::Unfound | TaskStage::Waiting | TaskStage::Blocked
-            ) && key.run > task.last_ended
+            )
         })
     }
 
@@ -247,26 +259,31 @@
         self.open_job_steps(now, key.job);
     }
 
-    fn task_failed(&mut self, now: Millis, key: TaskKey) {
+    /// Counts a failed run, once; returns true where that was one too many and the job has ended.
+    fn count_failure(&mut self, now: Millis, run: RunKey) -> bool {
+        let key = run.task;
         let Some(job) = self.jobs.get(&key.job) else {
-            return;
+            return false;
         };
-        let most = self.rules(&job.spec).max_attempts.max(1);
+        let most = self.rules(&job.spec).max_attempts.max(1) as usize;
         let standing = job.step_spec(&key).is_some_and(|step| step.standing);
         let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
+            return false;
         };
         let Some(task) = job.task_mut(&key) else {
-            return;
+            return false;
         };
-        task.failed += 1;
-        let spent = !standing && task.failed >= most;
+        if standing || task.stage == TaskStage::Done || task.failed_runs.contains(&run.run) {
+            return false;
+        }
+        task.failed_runs.push(run.run);
+        let spent = task.failed_runs.len() >= most;
         self.note_begun(&key);
+        self.mark_dirty(key.job);
         if spent {
             self.finish_job(now, key.job, JobStage::Failed);
-            return;
         }
-        self.task_freed(now, key);
+        spent
     }
 
     /// A run of the task is over and the task is not done: it goes back into the queue.
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -112,6 +112,96 @@
     assert!(!starts.contains(&first.task));
 }
 
+/// Where the store is slow an earlier owner learns late that it was followed: it may start jobs newer than the claim.
+fn a_job_newer_than_the_claim_waits_for_the_workers() {
+    let mut rig = successor();
+    rig.hand_in(9, 200, job(vec![step(1)]));
+    rig.pass(100);
+    assert!(rig.peek_starts().is_empty(), "no worker has answered yet");
+    let theirs = RunKey {
+        task: task(9, 0, 0),
+        run: 12,
+    };
+    rig.report("w-2", vec![], vec![]);
+    rig.pass(100);
+    rig.report("w-1", vec![runs(theirs)], vec![]);
+    rig.pass(100);
+    let started = rig.peek_starts();
+    assert!(started
+        .iter()
+        .all(|(_, start)| start.key.task != theirs.task));
+}
+
+/// A dead worker must not hold up jobs that come after the takeover.
+fn a_new_job_does_not_wait_for_a_dead_worker() {
+    let mut rig = successor();
+    rig.hand_in(9, 200, job(vec![step(1)]));
+    for _ in 0..20 {
+        rig.report("w-1", vec![], vec![]);
+        rig.hold_fails("w-2");
+        rig.pass(100);
+    }
+    let started = rig.take_starts();
+    let tasks: Vec<_> = started.iter().map(|(_, start)| start.key.task).collect();
+    assert_eq!(tasks, vec![task(9, 0, 0)]);
+}
+
+/// Ends come from the workers in any order: each failed run counts once.
+fn failures_count_in_any_order() {
+    let mut rig = successor();
+    rig.report("w-2", vec![], vec![ended(1, key(12), RunOutcome::Failed)]);
+    rig.report(
+        "w-1",
+        vec![runs(key(13))],
+        vec![ended(1, key(11), RunOutcome::Failed)],
+    );
+    rig.report("w-1", vec![], vec![ended(2, key(13), RunOutcome::Failed)]);
+    rig.pass(100);
+    assert!(rig.peek_starts().is_empty(), "three runs have failed");
+    let states: Vec<_> = rig
+        .commit_all()
+        .into_iter()
+        .flat_map(|batch| batch.progress)
+        .map(|(_, row)| row.stage)
+        .collect();
+    assert_eq!(states.last(), Some(&sandshelf_jobs::JobStage::Failed));
+}
+
+/// A failed run whose end was durable, but not acknowledged, is listed again and not counted again.
+fn a_failure_that_is_listed_again_counts_once() {
+    let mut rig = SchedulerRig::with_workers(&["w-1"]);
+    rig.hand_in(7, 0, job(vec![step(1)]));
+    let (_, start) = rig.take_starts().pop().expect("a start");
+    rig.report("w-1", vec![], vec![ended(1, start.key, RunOutcome::Failed)]);
+    let rows: Vec<_> = rig
+        .commit_all()
+        .into_iter()
+        .flat_map(|batch| batch.progress)
+        .collect();
+    let (number, row) = rows.last().expect("a row").clone();
+    let mut next = SchedulerRig::new(TakeoverInfo {
+        epoch: 2,
+        claimed_at: 1_000,
+        claim_version: 100,
+        progress: [(number, row)].into(),
+        ..TakeoverInfo::default()
+    });
+    next.hand_in(7, 50, job(vec![step(1)]));
+    next.list(&["w-1"]);
+    let again = ended(1, start.key, RunOutcome::Failed);
+    next.report("w-1", vec![], vec![again.clone()]);
+    let rows: Vec<_> = next
+        .commit_all()
+        .into_iter()
+        .flat_map(|batch| batch.progress)
+        .collect();
+    let failed = rows
+        .iter()
+        .flat_map(|(_, row)| &row.tasks)
+        .map(|task| task.failed_runs.len());
+    assert!(failed.max().unwrap_or(1) <= 1);
+}
+
 /// A worker that is gone for good must not keep its tasks for ever.
 fn a_dead_workers_tasks_start_elsewhere_after_the_lease() {
     let mut rig = SchedulerRig::with_workers(&["w-1", "w-2"]);
@@ -133,5 +223,9 @@
     found_nowhere => a_task_found_nowhere_starts_once_all_have_answered();
     silent_worker => a_silent_worker_is_waited_for_until_its_lease_is_over();
     next_step => an_end_seen_first_does_not_free_the_next_step_too_early();
+    newer_job => a_job_newer_than_the_claim_waits_for_the_workers();
+    newer_job_dead_worker => a_new_job_does_not_wait_for_a_dead_worker();
+    failures_in_any_order => failures_count_in_any_order();
+    failure_again => a_failure_that_is_listed_again_counts_once();
     dead_worker => a_dead_workers_tasks_start_elsewhere_after_the_lease();
 }
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -93,7 +93,6 @@
     queues: QueueView,
     lease: ShardLease,
     rank: u32,
-    claim_version: u64,
     claimed_at: Millis,
     owned: Option<OwnedShard>,
     waiting_batch: Option<CommitBatch>,
@@ -133,7 +132,6 @@
         },
         queues,
         rank: draw_rank(),
-        claim_version: 0,
         claimed_at: 0,
         owned: None,
         waiting_batch: None,
@@ -307,7 +305,6 @@
                 let version = stored.version;
                 self.lease.note_committed(now, sent, version, stored.row);
                 if claimed {
-                    self.claim_version = version;
                     self.read_takeover();
                 } else if self.owned.is_some() && batch > 0 {
                     self.handle(JobEvent::Committed(batch));
@@ -361,7 +358,7 @@
         let info = TakeoverInfo {
             epoch,
             claimed_at: clock::now(),
-            claim_version: self.claim_version,
+            claim_version: data.version,
             ..data.info
         };
         let mut followers = vec![spawn_local(follow_jobs(
