--- /dev/null
+++ b/crates/jobs/tests/emulated.rs
@@ -0,0 +1,206 @@
+//! Randomised runs against the emulator of the platform, with faults that overlap.
+
+mod support;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sandshelf_jobs::{JobSpec, JobStage, RunKey, RunOutcome, StepSpec};
+use sandshelf_model::{ResourceSize, WorkerId};
+use support::emulator::{FaultPlan, PlatformEmulator};
+use support::oracle::{BrokenRule, PlatformOracle};
+use support::{job, step, task};
+
+/// How long callers hand jobs in, in seconds.
+const TRAFFIC_S: u64 = 20;
+/// How long all jobs that can end may take after the last fault, in milliseconds.
+const SETTLE_MS: u64 = 60_000;
+
+fn random_job(random: &mut ChaCha8Rng) -> JobSpec {
+    let mut steps = Vec::new();
+    for index in 0..random.random_range(1..4usize) {
+        let mut spec = StepSpec {
+            size: ResourceSize::new(random.random_range(500..4_000), 2_000, 0),
+            estimate_ms: random.random_range(100..1_500),
+            ..step(random.random_range(1..6))
+        };
+        if index > 0 {
+            spec.after = vec![index - 1];
+        }
+        steps.push(spec);
+    }
+    let mut spec = job(steps);
+    spec.rules.max_attempts = random.random_range(2..5);
+    spec
+}
+
+/// Plays one seed and returns its emulator after all has settled.
+fn play(seed: u64, plan: FaultPlan) -> PlatformEmulator {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
+    let mut platform = PlatformEmulator::new(seed, 6, plan);
+    let mut handed = 0;
+    for second in 0..TRAFFIC_S {
+        for _ in 0..random.random_range(1..5u32) {
+            let number = 1_000 + handed;
+            if platform.hand_in(number, random_job(&mut random)) {
+                handed += 1;
+            }
+        }
+        if second % 4 == 3 && handed > 2 {
+            platform.cancel(1_000 + random.random_range(0..handed));
+        }
+        platform.pass(1_000, true);
+    }
+    platform.pass(SETTLE_MS, false);
+    let finished = platform.finished() as u64;
+    if finished != handed {
+        let now = platform.now;
+        let what = format!("{} of {handed} jobs did not end", handed - finished);
+        platform.oracle.report(now, BrokenRule::Lost, what);
+    }
+    platform
+}
+
+fn holds(seeds: std::ops::Range<u64>, plan: FaultPlan) {
+    let mut starts = 0;
+    for seed in seeds {
+        let platform = play(seed, plan);
+        let broken = &platform.oracle.broken;
+        assert!(
+            broken.is_empty(),
+            "seed {seed}: {:?}",
+            &broken[..broken.len().min(5)]
+        );
+        starts += platform.oracle.starts;
+    }
+    assert!(
+        starts > 500,
+        "the runs exercised too little: {starts} starts"
+    );
+}
+
+fn calm() -> FaultPlan {
+    FaultPlan {
+        guards: true,
+        ..FaultPlan::default()
+    }
+}
+
+fn rough_calls() -> FaultPlan {
+    FaultPlan {
+        lost_calls: 20,
+        lost_answers: 20,
+        late_orders: 40,
+        failed_runs: 30,
+        ..FaultPlan::default()
+    }
+}
+
+fn rough_workers() -> FaultPlan {
+    FaultPlan {
+        crashes: 15,
+        cuts: 30,
+        drains: 10,
+        failed_runs: 20,
+        ..FaultPlan::default()
+    }
+}
+
+fn rough_owners() -> FaultPlan {
+    FaultPlan {
+        deaths: 120,
+        freezes: 80,
+        outages: 60,
+        failed_runs: 30,
+        ..FaultPlan::default()
+    }
+}
+
+fn all_at_once() -> FaultPlan {
+    FaultPlan {
+        lost_calls: 10,
+        lost_answers: 10,
+        late_orders: 30,
+        failed_runs: 30,
+        crashes: 10,
+        cuts: 20,
+        drains: 8,
+        deaths: 80,
+        freezes: 50,
+        outages: 40,
+        guards: true,
+    }
+}
+
+/// A longer run by hand: `SANDSHELF_SEEDS=1:2000` names the seeds; without it a few are played.
+fn long_run() {
+    let named = std::env::var("SANDSHELF_SEEDS").unwrap_or_else(|_| "1:10".to_owned());
+    let (first, last) = named
+        .split_once(':')
+        .expect("SANDSHELF_SEEDS is FIRST:LAST");
+    let number = |text: &str| text.parse::<u64>().expect("a seed is a number");
+    holds(number(first)..number(last) + 1, all_at_once());
+    holds(number(first)..number(last) + 1, rough_owners());
+}
+
+/// Each rule of the oracle fires on what breaks it.
+fn oracle_sees(rule: BrokenRule, play: impl Fn(&mut PlatformOracle)) {
+    let mut oracle = PlatformOracle::default();
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1)
+    };
+    oracle.accepted(sandshelf_jobs::JobNumber(1), &job(vec![step(1), second]));
+    play(&mut oracle);
+    let seen: Vec<_> = oracle.broken.iter().map(|(_, rule, _)| *rule).collect();
+    assert_eq!(seen, vec![rule]);
+}
+
+fn run(step: u32, run: u64) -> RunKey {
+    RunKey {
+        task: task(1, step, 0),
+        run,
+    }
+}
+
+fn worker(name: &str) -> WorkerId {
+    WorkerId::from(name)
+}
+
+sandshelf_cases::cases! {
+    calm_days => holds(0..6, calm());
+    calls_lost_and_late => holds(100..130, rough_calls());
+    workers_crash_leave_and_are_cut => holds(200..230, rough_workers());
+    owners_die_freeze_and_lose_the_store => holds(300..330, rough_owners());
+    everything_at_once => holds(400..430, all_at_once());
+    seeds_by_hand => long_run();
+    oracle_twice_at_once => oracle_sees(BrokenRule::Twice, |oracle| {
+        oracle.started(0, &worker("a"), run(0, 1));
+        oracle.started(1, &worker("b"), run(0, 2));
+    });
+    oracle_twice_after_the_end => oracle_sees(BrokenRule::Twice, |oracle| {
+        oracle.started(0, &worker("a"), run(0, 1));
+        oracle.ended(&worker("a"), run(0, 1), Some(RunOutcome::Done));
+        oracle.acknowledged(run(0, 1), RunOutcome::Done);
+        oracle.started(9, &worker("b"), run(0, 2));
+    });
+    oracle_order => oracle_sees(BrokenRule::Order, |oracle| {
+        oracle.started(0, &worker("a"), run(1, 1));
+    });
+    oracle_budget => oracle_sees(BrokenRule::Budget, |oracle| {
+        for number in 1..=3 {
+            oracle.acknowledged(run(0, number), RunOutcome::Failed);
+        }
+        oracle.started(0, &worker("a"), run(0, 4));
+    });
+    oracle_unasked => oracle_sees(BrokenRule::Unasked, |oracle| {
+        let key = RunKey { task: task(2, 0, 0), run: 1 };
+        oracle.started(0, &worker("a"), key);
+    });
+    oracle_unasked_after_cancelling => oracle_sees(BrokenRule::Unasked, |oracle| {
+        oracle.cancelled(0, sandshelf_jobs::JobNumber(1));
+        oracle.started(3_001, &worker("a"), run(0, 1));
+    });
+    oracle_mixed => oracle_sees(BrokenRule::Mixed, |oracle| {
+        oracle.shown(0, sandshelf_jobs::JobNumber(1), JobStage::Completed);
+    });
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod emulator;
+pub mod oracle;
+
 use sandshelf_jobs::{
     CommitBatch, EndReport, HoldAnswer, HoldReport, JobAction, JobEvent, JobNumber, JobScheduler,
     JobSpec, OrderAnswer, QueueRules, RunKey, RunOutcome, RunReport, SchedulerLimits, StartCall,
--- /dev/null
+++ b/crates/jobs/tests/support/oracle.rs
@@ -0,0 +1,158 @@
+//! Checks what workers and callers saw against what must always hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sandshelf_jobs::{JobNumber, JobSpec, JobStage, RunKey, RunOutcome, TaskKey};
+use sandshelf_model::{Millis, WorkerId};
+
+/// How long after its cancellation a job's tasks may still be started.
+const CANCEL_MS: Millis = 3_000;
+
+/// What must never happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum BrokenRule {
+    /// Two runs of a task at once, or a start after an end as done was acknowledged.
+    Twice,
+    /// A start before the steps before it were done.
+    Order,
+    /// A worker given more than it has.
+    Limit,
+    /// A start after as many failed runs as are allowed.
+    Budget,
+    /// A start of what nobody handed in, or of a job long cancelled.
+    Unasked,
+    /// A start on a worker that has long said that it leaves.
+    Drain,
+    /// A job shown as completed with a task that is not done.
+    Mixed,
+    /// A job that does not end though nothing is in its way.
+    Lost,
+}
+
+/// All that was seen.
+#[derive(Default)]
+pub struct PlatformOracle {
+    jobs: BTreeMap<JobNumber, JobSpec>,
+    cancelled: BTreeMap<JobNumber, Millis>,
+    at_work: BTreeMap<TaskKey, BTreeSet<(WorkerId, u64)>>,
+    done: BTreeSet<TaskKey>,
+    acknowledged: BTreeSet<TaskKey>,
+    failed: BTreeMap<TaskKey, BTreeSet<u64>>,
+    pub broken: Vec<(Millis, BrokenRule, String)>,
+    pub starts: usize,
+    pub ends: usize,
+}
+
+impl PlatformOracle {
+    pub fn accepted(&mut self, number: JobNumber, spec: &JobSpec) {
+        self.jobs.insert(number, spec.clone());
+    }
+
+    pub fn cancelled(&mut self, now: Millis, number: JobNumber) {
+        self.cancelled.insert(number, now);
+    }
+
+    pub fn report(&mut self, now: Millis, rule: BrokenRule, what: impl Into<String>) {
+        self.broken.push((now, rule, what.into()));
+    }
+
+    /// A worker begins a run.
+    pub fn started(&mut self, now: Millis, worker: &WorkerId, key: RunKey) {
+        self.starts += 1;
+        let task = key.task;
+        let Some(spec) = self.jobs.get(&task.job).cloned() else {
+            return self.report(now, BrokenRule::Unasked, key.to_string());
+        };
+        let late = self.cancelled.get(&task.job);
+        if late.is_some_and(|at| now > at + CANCEL_MS) {
+            self.report(
+                now,
+                BrokenRule::Unasked,
+                format!("{key} after its cancelling"),
+            );
+        }
+        if !self.at_work.entry(task).or_default().is_empty() {
+            self.report(now, BrokenRule::Twice, format!("{key} beside another run"));
+        }
+        if self.acknowledged.contains(&task) {
+            self.report(
+                now,
+                BrokenRule::Twice,
+                format!("{key} after an acknowledged end"),
+            );
+        }
+        let failed = self.failed.get(&task).map_or(0, BTreeSet::len);
+        let step = &spec.steps[task.step as usize];
+        if !step.standing && failed >= spec.rules.max_attempts as usize {
+            self.report(now, BrokenRule::Budget, key.to_string());
+        }
+        for before in &step.after {
+            let count = spec.steps[*before].count;
+            let missing = (0..count).any(|index| {
+                let step = *before as u32;
+                !self.done.contains(&TaskKey {
+                    step,
+                    index,
+                    ..task
+                })
+            });
+            if missing {
+                self.report(now, BrokenRule::Order, key.to_string());
+            }
+        }
+        self.at_work
+            .entry(task)
+            .or_default()
+            .insert((worker.clone(), key.run));
+    }
+
+    /// A run is no longer at work, however it ended.
+    pub fn ended(&mut self, worker: &WorkerId, key: RunKey, outcome: Option<RunOutcome>) {
+        self.ends += 1;
+        let at_work = self.at_work.entry(key.task).or_default();
+        at_work.remove(&(worker.clone(), key.run));
+        if outcome == Some(RunOutcome::Done) {
+            self.done.insert(key.task);
+        }
+    }
+
+    /// An end was acknowledged.
+    pub fn acknowledged(&mut self, key: RunKey, outcome: RunOutcome) {
+        match outcome {
+            RunOutcome::Done => {
+                self.acknowledged.insert(key.task);
+            }
+            RunOutcome::Failed => {
+                self.failed.entry(key.task).or_default().insert(key.run);
+            }
+            _ => {}
+        }
+    }
+
+    /// A job is shown in a state.
+    pub fn shown(&mut self, now: Millis, number: JobNumber, stage: JobStage) {
+        let Some(spec) = self.jobs.get(&number) else {
+            return self.report(
+                now,
+                BrokenRule::Mixed,
+                format!("{number} was never handed in"),
+            );
+        };
+        if stage != JobStage::Completed {
+            return;
+        }
+        let steps = spec.steps.iter().enumerate();
+        let tasks = steps.flat_map(|(step, spec)| (0..spec.count).map(move |index| (step, index)));
+        let missing = tasks
+            .map(|(step, index)| TaskKey {
+                job: number,
+                time: 0,
+                step: step as u32,
+                index,
+            })
+            .find(|task| !self.done.contains(task));
+        if let Some(task) = missing {
+            self.report(now, BrokenRule::Mixed, format!("{task} is not done"));
+        }
+    }
+}
