Runs of jobs not read yet are kept in mind; a paused owner gives up; given-up runs stay given up

Change: a pause over 1.2 s between ticks gives the ownership up; foreign.rs; the run's number tells an earlier owner's run.

--- /dev/null
+++ b/crates/jobs/src/foreign.rs
@@ -0,0 +1,46 @@
+//! Runs and ends that workers report of jobs whose rows have yet to be read.
+//!
+//! Where the store is slow, an earlier owner may learn of a job, and start it, before its successor reads the job's row.
+
+use std::collections::BTreeMap;
+
+use sandshelf_model::WorkerId;
+
+use crate::events::{EndReport, RunReport, WorkerClock};
+use crate::ids::{JobNumber, RunKey};
+
+/// What was seen of one run.
+#[derive(Clone, Debug)]
+pub(crate) enum ForeignSight {
+    /// It is at work, by a report of this time of the worker's clock.
+    AtWork(WorkerClock, RunReport),
+    /// It has ended.
+    Ended(EndReport),
+}
+
+/// Everything seen of unknown jobs, by run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ForeignRuns {
+    seen: BTreeMap<RunKey, (WorkerId, ForeignSight)>,
+}
+
+impl ForeignRuns {
+    pub(crate) fn note_run(&mut self, worker: &WorkerId, clock: WorkerClock, run: RunReport) {
+        let sight = ForeignSight::AtWork(clock, run.clone());
+        self.seen.insert(run.key, (worker.clone(), sight));
+    }
+
+    pub(crate) fn note_end(&mut self, worker: &WorkerId, end: EndReport) {
+        let sight = ForeignSight::Ended(end.clone());
+        self.seen.insert(end.key, (worker.clone(), sight));
+    }
+
+    /// Takes out what was seen of a job that has become known.
+    pub(crate) fn take(&mut self, job: JobNumber) -> Vec<(WorkerId, ForeignSight)> {
+        let of_job = |key: &RunKey| key.task.job == job;
+        let keys: Vec<RunKey> = self.seen.keys().copied().filter(of_job).collect();
+        keys.iter()
+            .filter_map(|key| self.seen.remove(key))
+            .collect()
+    }
+}
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -11,7 +11,8 @@
 use crate::ids::RunKey;
 use crate::job::TaskStage;
 use crate::limits::{
-    HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, UNACKNOWLEDGED_HOLD_MS, UNREACHABLE_PAUSE_MS,
+    FOREIGN_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, UNACKNOWLEDGED_HOLD_MS,
+    UNREACHABLE_PAUSE_MS,
 };
 use crate::scheduler::JobScheduler;
 use crate::worker::{RunPhase, RunRecord, WorkerState};
@@ -84,10 +85,16 @@
         let mut newest = noted;
         for end in report.ended {
             ended.insert(end.key);
-            if end.number > noted {
-                newest = newest.max(end.number);
-                self.take_end(now, worker, end, first);
+            if end.number <= newest {
+                continue;
+            }
+            if self.is_foreign(now, &end.key) {
+                // Not acknowledged, nor any after it: the job's row has yet to be read.
+                self.foreign.note_end(worker, end);
+                break;
             }
+            newest = end.number;
+            self.take_end(now, worker, end);
         }
         if let Some(state) = self.workers.get_mut(worker) {
             state.noted = newest;
@@ -95,6 +102,10 @@
         let mut listed = BTreeSet::new();
         for run in report.running {
             listed.insert(run.key);
+            if self.is_foreign(now, &run.key) {
+                self.foreign.note_run(worker, report.clock, run);
+                continue;
+            }
             self.take_running(now, worker, report.clock, run);
         }
         self.drop_missing(now, worker, report.clock, &listed);
@@ -116,7 +127,13 @@
         }
     }
 
-    fn take_running(&mut self, now: Millis, worker: &WorkerId, clock: u64, run: RunReport) {
+    pub(crate) fn take_running(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        clock: u64,
+        run: RunReport,
+    ) {
         let key = run.key;
         if let Some(record) = self.record_mut(worker, &key) {
             record.percent = run.percent;
@@ -147,7 +164,14 @@
     fn has_ended(&self, key: &RunKey) -> bool {
         let job = self.jobs.get(&key.task.job);
         let task = job.and_then(|job| job.task(&key.task));
-        task.is_some_and(|task| key.run <= task.last_ended)
+        task.is_some_and(|task| key.run <= task.last_ended || task.given_up.contains(&key.run))
+    }
+
+    /// Whether a run is of a job that is not known yet, but may be: one that an earlier owner began in its last moments.
+    fn is_foreign(&self, now: Millis, key: &RunKey) -> bool {
+        let job = &key.task.job;
+        let unknown = !self.jobs.contains_key(job) && !self.finished.contains(job);
+        unknown && now < self.began_at + FOREIGN_MS
     }
 
     /// Takes over a run that an earlier owner started.
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -6,6 +6,7 @@
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
 use crate::events::{JobNote, JobStage, LossCause, StopCause, WorkerListing};
+use crate::foreign::ForeignSight;
 use crate::ids::JobNumber;
 use crate::job::{JobState, TaskStage};
 use crate::scheduler::JobScheduler;
@@ -32,6 +33,12 @@
             job.restore(&row);
         }
         self.jobs.insert(number, job);
+        for (worker, sight) in self.foreign.take(number) {
+            match sight {
+                ForeignSight::AtWork(clock, run) => self.take_running(now, &worker, clock, run),
+                ForeignSight::Ended(end) => self.take_end(now, &worker, end),
+            }
+        }
         self.open_job_steps(now, number);
     }
 
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -36,6 +36,8 @@
     pub(crate) last_worker: Option<WorkerId>,
     /// How many runs this owner has ordered.
     pub(crate) runs: u64,
+    /// Runs that were given up without an end; an end that comes later says nothing.
+    pub(crate) given_up: Vec<u64>,
     /// The newest run whose end was taken in.
     pub(crate) last_ended: u64,
 }
@@ -57,6 +59,7 @@
             not_before: 0,
             last_worker: None,
             runs: 0,
+            given_up: Vec::new(),
             last_ended: 0,
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod commit;
 mod events;
+mod foreign;
 mod gang;
 mod guard;
 mod holds;
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -57,6 +57,11 @@
 pub const TAKEOVER_MARGIN_MS: Millis = 1_000;
 /// After this long waiting tasks are tried again, also where nothing happened.
 pub const PASS_EVERY_MS: Millis = 100;
+/// An owner that was paused for longer, between two ticks, gives its ownership up: it lasts 1.2 s without a renewal.
+pub const LONGEST_PAUSE_MS: Millis = 1_200;
+/// How long after a takeover runs of unknown jobs are kept in mind: the changes of the jobs are followed within that time
+/// unless the store is out for long.
+pub const FOREIGN_MS: Millis = 15_000;
 /// How long after a takeover jobs that are newer wait for workers that have not answered: a worker that lives answers
 /// within a tenth of that.
 pub const FRESH_JOB_WAIT_MS: Millis = 1_500;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -7,10 +7,12 @@
 use sandshelf_place::QuarantineBook;
 
 use crate::events::{JobAction, JobEvent, JobNote, LossCause, WorkerCall};
+use crate::foreign::ForeignRuns;
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::JobState;
 use crate::limits::{
-    SchedulerLimits, FRESH_JOB_WAIT_MS, PASS_EVERY_MS, SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS,
+    SchedulerLimits, FRESH_JOB_WAIT_MS, LONGEST_PAUSE_MS, PASS_EVERY_MS, SLOWEST_CLOCK_PERCENT,
+    TAKEOVER_MARGIN_MS,
 };
 use crate::press::{ImageTable, PressEstimate};
 use crate::progress::ProgressRow;
@@ -119,12 +121,15 @@
     pub(crate) roster: BTreeSet<WorkerId>,
     pub(crate) roster_changed: bool,
     pub(crate) recovery: Option<Recovery>,
+    pub(crate) began_at: Millis,
+    pub(crate) foreign: ForeignRuns,
     pub(crate) quarantine: QuarantineBook,
     pub(crate) images: ImageTable,
     pub(crate) press: PressEstimate,
     pub(crate) room_changed: bool,
     pub(crate) last_pass: Millis,
     pub(crate) last_move: Millis,
+    pub(crate) last_tick: Millis,
     pub(crate) deposed: bool,
     pub(crate) out: Vec<JobAction>,
 }
@@ -157,6 +162,8 @@
             pending_at: 0,
             roster: BTreeSet::new(),
             roster_changed: false,
+            began_at: info.claimed_at,
+            foreign: ForeignRuns::default(),
             recovery: Some(Recovery {
                 unanswered: BTreeSet::new(),
                 until: info.claimed_at + lease + TAKEOVER_MARGIN_MS,
@@ -169,6 +176,7 @@
             room_changed: false,
             last_pass: 0,
             last_move: 0,
+            last_tick: 0,
             deposed: false,
             out: Vec::new(),
         };
@@ -198,6 +206,11 @@
 
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: JobEvent) -> Vec<JobAction> {
+        // After a pause as long as the ownership lasts another owner may have finished what this one believes waiting.
+        if self.last_tick > 0 && now > self.last_tick + LONGEST_PAUSE_MS {
+            self.deposed = true;
+            return vec![JobAction::Deposed];
+        }
         match event {
             JobEvent::JobListed {
                 number,
@@ -231,6 +244,7 @@
 
     fn tick(&mut self, now: Millis, wall_ms: u64) {
         self.wall_ms = wall_ms;
+        self.last_tick = now;
         self.open_due_times(now);
         self.release_delayed(now);
         self.check_recovery(now);
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -172,13 +172,14 @@
         }
     }
 
-    /// Takes in an end that a worker lists; `first` where it is the worker's first report to this owner.
-    pub(crate) fn take_end(&mut self, now: Millis, worker: &WorkerId, end: EndReport, first: bool) {
+    /// Takes in an end that a worker lists.
+    pub(crate) fn take_end(&mut self, now: Millis, worker: &WorkerId, end: EndReport) {
         let record = self.remove_record(now, worker, &end.key);
-        let adopted = first && self.may_adopt(&end.key);
+        let earlier = self.is_of_earlier_owner(&end.key);
+        let adopted = earlier && self.may_adopt(&end.key);
         let failed = end.outcome == RunOutcome::Failed;
         if record.is_none() && !adopted {
-            if first && failed {
+            if earlier && failed {
                 self.count_failure(now, end.key);
             }
             return;
@@ -223,6 +224,13 @@
         }
     }
 
+    /// Whether a run was ordered by an earlier owner, and this one has not given it up.
+    fn is_of_earlier_owner(&self, key: &RunKey) -> bool {
+        let job = self.jobs.get(&key.task.job);
+        let task = job.and_then(|job| job.task(&key.task));
+        key.run < self.run_number(0) && task.is_some_and(|task| !task.given_up.contains(&key.run))
+    }
+
     /// Whether a run that this owner did not order may be taken over: nothing else of the task is at work.
     pub(crate) fn may_adopt(&self, key: &RunKey) -> bool {
         let job = self.jobs.get(&key.task.job);
@@ -322,6 +330,7 @@
         let Some(task) = job.task_mut(&key.task) else {
             return;
         };
+        task.given_up.push(key.run);
         if task.stage.is_run(key.run) {
             if record.checkpoint.is_some() {
                 task.checkpoint = record.checkpoint;
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -202,6 +202,16 @@
     assert!(failed.max().unwrap_or(1) <= 1);
 }
 
+/// An owner that wakes up from a pause may have been followed: it gives no order before it has claimed anew.
+fn a_paused_owner_gives_up() {
+    let mut rig = SchedulerRig::with_workers(&["w-1"]);
+    rig.pass(100);
+    rig.now += 4_000;
+    rig.hand_in(7, 0, job(vec![step(1)]));
+    assert!(rig.peek_starts().is_empty());
+    assert!(rig.actions.contains(&sandshelf_jobs::JobAction::Deposed));
+}
+
 /// A worker that is gone for good must not keep its tasks for ever.
 fn a_dead_workers_tasks_start_elsewhere_after_the_lease() {
     let mut rig = SchedulerRig::with_workers(&["w-1", "w-2"]);
@@ -227,5 +237,6 @@
     newer_job_dead_worker => a_new_job_does_not_wait_for_a_dead_worker();
     failures_in_any_order => failures_count_in_any_order();
     failure_again => a_failure_that_is_listed_again_counts_once();
+    paused_owner => a_paused_owner_gives_up();
     dead_worker => a_dead_workers_tasks_start_elsewhere_after_the_lease();
 }
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -418,7 +418,9 @@
     fn act(&mut self, action: JobAction) {
         match action {
             JobAction::Note(note) => log_note(&note),
-            JobAction::Deposed => self.lose("a worker has seen a newer epoch"),
+            JobAction::Deposed => {
+                self.lose("a worker has seen a newer epoch, or this host was paused")
+            }
             JobAction::Commit(batch) => {
                 self.waiting_batch = Some(batch);
                 self.write_next(clock::now());
