An end of an unknown job hides no other; mixing images costs a whole worker's load

(2) Serving tasks of other images were accepted beside each other for a third of a load. Change: (1) only the acknowledgement stops there; tests/takeover.rs end_of_unknown_job. (2) 0.3 -> 1.0.

--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -83,6 +83,7 @@
         }
         let mut ended = BTreeSet::new();
         let mut newest = noted;
+        let mut held_back = false;
         for end in report.ended {
             ended.insert(end.key);
             if end.number <= newest {
@@ -90,10 +91,13 @@
             }
             if self.is_foreign(now, &end.key) {
                 // Not acknowledged, nor any after it: the job's row has yet to be read.
+                held_back = true;
                 self.foreign.note_end(worker, end);
-                break;
+                continue;
+            }
+            if !held_back {
+                newest = end.number;
             }
-            newest = end.number;
             self.take_end(now, worker, end);
         }
         if let Some(state) = self.workers.get_mut(worker) {
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -23,7 +23,7 @@
 const FAILED_THERE_COST: f64 = 4.0;
 /// What it costs a serving task to stand beside each one of another image, in loads of a whole worker: what fills
 /// disturbs few images strongly, so that workers with one image each leave it places where it disturbs none.
-const MIXED_IMAGES_COST: f64 = 0.3;
+const MIXED_IMAGES_COST: f64 = 1.0;
 /// A filling task is not started where filling tasks would work at less than this share: in the queue it keeps nobody
 /// from ending, and the most urgent goes first.
 const LEAST_SHARE: f64 = 0.6;
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -202,6 +202,29 @@
     assert!(failed.max().unwrap_or(1) <= 1);
 }
 
+/// An end of a job whose row has yet to be read must not hide the ends behind it.
+fn an_end_of_an_unknown_job_hides_no_other() {
+    let mut rig = successor();
+    let unknown = RunKey {
+        task: task(99, 0, 0),
+        run: 10,
+    };
+    let ends = vec![
+        ended(1, unknown, RunOutcome::Done),
+        ended(2, key(11), RunOutcome::Done),
+    ];
+    rig.report("w-1", vec![], ends);
+    rig.report("w-2", vec![], vec![]);
+    rig.pass(100);
+    assert!(rig.peek_starts().is_empty(), "the known job's task is done");
+    rig.hand_in(99, 150, job(vec![step(1)]));
+    rig.pass(100);
+    assert!(
+        rig.peek_starts().is_empty(),
+        "the other job's task was done before its row was read"
+    );
+}
+
 /// An owner that wakes up from a pause may have been followed: it gives no order before it has claimed anew.
 fn a_paused_owner_gives_up() {
     let mut rig = SchedulerRig::with_workers(&["w-1"]);
@@ -237,6 +260,7 @@
     newer_job_dead_worker => a_new_job_does_not_wait_for_a_dead_worker();
     failures_in_any_order => failures_count_in_any_order();
     failure_again => a_failure_that_is_listed_again_counts_once();
+    end_of_unknown_job => an_end_of_an_unknown_job_hides_no_other();
     paused_owner => a_paused_owner_gives_up();
     dead_worker => a_dead_workers_tasks_start_elsewhere_after_the_lease();
 }
