What was seen of a job is taken in once its tasks exist

Cause: tests/takeover.rs end_of_unknown_job failed: a job's tasks were made only when its steps opened, after what workers had reported of them was looked up. Change: a job's due repetitions are added first.

--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -32,6 +32,9 @@
             }
             job.restore(&row);
         }
+        if job.spec.repeat.is_none() || self.wall_ms > 0 {
+            job.add_due_times(self.wall_ms);
+        }
         self.jobs.insert(number, job);
         for (worker, sight) in self.foreign.take(number) {
             match sight {
