--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -6,7 +6,7 @@
 
 use crate::events::{CommitBatch, JobAction, JobStage};
 use crate::ids::JobNumber;
-use crate::limits::{COMMIT_JOBS, COMMIT_PAUSE_MS, PENDING_EVERY_MS};
+use crate::limits::{COMMIT_JOBS, COMMIT_PAUSE_MS, FORGET_AT_ONCE, PENDING_EVERY_MS, ROWS_OF_JOB};
 use crate::progress::ProgressRow;
 use crate::scheduler::{JobScheduler, PendingCommit};
 
@@ -20,13 +20,18 @@
             self.acknowledge_all(now);
         }
         let pending = self.changed_pending(now);
-        let wanted = !self.dirty.is_empty() || self.roster_changed || pending.is_some();
+        let forget = self.outdated_jobs(now);
+        let wanted = !self.dirty.is_empty()
+            || self.roster_changed
+            || pending.is_some()
+            || !forget.is_empty();
         let due = self.urgent || now >= self.last_commit + COMMIT_PAUSE_MS;
         if !wanted || !due {
             return;
         }
         self.commit_count += 1;
-        let numbers: Vec<JobNumber> = self.dirty.iter().take(COMMIT_JOBS).copied().collect();
+        let room = COMMIT_JOBS - forget.len() * ROWS_OF_JOB;
+        let numbers: Vec<JobNumber> = self.dirty.iter().take(room).copied().collect();
         self.dirty.drain(..numbers.len());
         let complete = self.dirty.is_empty();
         let mut progress = Vec::with_capacity(numbers.len());
@@ -51,10 +56,26 @@
             id: self.commit_count,
             progress,
             pending,
+            forget,
             roster,
         }));
     }
 
+    /// Jobs that ended long ago, a few at a time; they stay known here until the write is asked for.
+    fn outdated_jobs(&mut self, now: Millis) -> Vec<JobNumber> {
+        let old = |at: Millis| now > at + self.limits.keep_finished_ms;
+        let count = self.finished_at.iter().take(FORGET_AT_ONCE);
+        let count = count.take_while(|(at, _)| old(*at)).count();
+        let due = now >= self.last_commit + COMMIT_PAUSE_MS;
+        if !due || count == 0 {
+            return Vec::new();
+        }
+        self.finished_at
+            .drain(..count)
+            .map(|(_, number)| number)
+            .collect()
+    }
+
     fn progress_of(&mut self, number: JobNumber) -> Option<ProgressRow> {
         match self.jobs.get(&number) {
             Some(job) => Some(job.progress()),
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -213,6 +213,8 @@
     pub progress: Vec<(JobNumber, ProgressRow)>,
     /// How many jobs of each queue wait, where that changed.
     pub pending: Option<BTreeMap<String, u64>>,
+    /// Jobs whose rows are no longer needed.
+    pub forget: Vec<JobNumber>,
     /// The workers that may hold tasks, where that changed.
     pub roster: Option<Vec<(WorkerId, SocketAddr)>>,
 }
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -12,8 +12,8 @@
     pub max_lease_ms: Millis,
     /// How long a stop may take on a worker; from the settings.
     pub stop_ms: Millis,
-    /// How many times as long work takes far from its data, in hundredths; from the settings.
-    pub far_percent: u64,
+    /// How long the state of a finished job is kept; from the settings.
+    pub keep_finished_ms: Millis,
 }
 
 impl Default for SchedulerLimits {
@@ -21,7 +21,7 @@
         Self {
             max_lease_ms: 6_000,
             stop_ms: 900,
-            far_percent: 200,
+            keep_finished_ms: 120_000,
         }
     }
 }
@@ -50,6 +50,10 @@
 pub const COMMIT_PAUSE_MS: Millis = 40;
 /// The most jobs of one commit; the store takes 100 entries, a few of which are the owner's own.
 pub const COMMIT_JOBS: usize = 90;
+/// How many jobs one commit forgets.
+pub const FORGET_AT_ONCE: usize = 10;
+/// The rows of a job: the job, its progress, its mark of cancellation.
+pub const ROWS_OF_JOB: usize = 3;
 /// The least time between two publications of the numbers of waiting jobs.
 pub const PENDING_EVERY_MS: Millis = 500;
 /// By how much more than the lease a new owner waits for workers that it can't reach: an earlier owner may go on
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -212,14 +212,10 @@
                 task.checkpoint = checkpoint;
             }
         }
+        let spent = failed && self.count_failure(now, end.key);
         match end.outcome {
             RunOutcome::Done if !standing => self.task_done(now, key),
-            RunOutcome::Failed => {
-                if !self.count_failure(now, end.key) && newest {
-                    self.task_freed(now, key);
-                }
-            }
-            _ if newest => self.task_freed(now, key),
+            _ if newest && !spent => self.task_freed(now, key),
             _ => {}
         }
     }
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -17,10 +17,13 @@
 };
 use crate::logging::event;
 
-/// How long a write that a caller waits for may take; a slow store takes about half of that.
-const WRITE_PATIENCE: Duration = Duration::from_millis(1_200);
-/// How long a read that a caller waits for may take.
-const READ_PATIENCE: Duration = Duration::from_millis(800);
+/// How long a call to the store that a caller waits for may take; a slow store takes about half of that.
+const LONGEST_PATIENCE_MS: Millis = 1_200;
+/// The shortest that is worth trying.
+const LEAST_PATIENCE_MS: Millis = 120;
+/// What part of the time that its caller has one call to the store may take, in percent: the caller has to have time left
+/// to come again.
+const PATIENCE_PERCENT: Millis = 40;
 /// When to come back while the store is out.
 const RETRY_AFTER_MS: Millis = 1_000;
 /// The largest row of a job, in bytes; the store takes 65,536.
@@ -80,6 +83,16 @@
     pub store: &'a StoreClient,
     /// What the latest calls say of it.
     pub health: &'a StoreHealth,
+    /// How long one call to the store may take.
+    pub patience: Duration,
+}
+
+/// How long one call to the store may take for a caller that waits so long for its answer.
+pub fn patience_for(deadline_ms: Option<Millis>) -> Duration {
+    let part = deadline_ms.map_or(LONGEST_PATIENCE_MS, |deadline| {
+        deadline * PATIENCE_PERCENT / 100
+    });
+    Duration::from_millis(part.clamp(LEAST_PATIENCE_MS, LONGEST_PATIENCE_MS))
 }
 
 impl JobDesk<'_> {
@@ -107,7 +120,7 @@
             puts: vec![(job_row(number), value)],
             removes: Vec::new(),
         };
-        let written = self.store.write(&write, WRITE_PATIENCE).await;
+        let written = self.store.write(&write, self.patience).await;
         self.health.note(&written);
         match written {
             Ok(WriteOutcome::Done(version)) => {
@@ -192,7 +205,7 @@
         &self,
         range: &sandshelf_adapter::RowRange,
     ) -> Result<Vec<StoredValue>, StoreFault> {
-        let page = self.store.read(range, READ_PATIENCE).await;
+        let page = self.store.read(range, self.patience).await;
         self.health.note(&page);
         Ok(page?.rows)
     }
@@ -218,7 +231,7 @@
             puts: vec![(cancel_row(number), b"{}".to_vec())],
             removes: Vec::new(),
         };
-        let written = self.store.write(&write, WRITE_PATIENCE).await;
+        let written = self.store.write(&write, self.patience).await;
         self.health.note(&written);
         match written {
             Ok(WriteOutcome::Done(version)) => {
--- a/crates/sandshelfd/src/jobs/face.rs
+++ b/crates/sandshelfd/src/jobs/face.rs
@@ -9,10 +9,11 @@
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome, Route};
 use rocket::Request;
-use sandshelf_adapter::{StoreClient, READY_PATH};
+use sandshelf_adapter::{StoreClient, DEADLINE_HEADER, READY_PATH};
 use sandshelf_jobs::{JobNumber, QueueEntry};
+use sandshelf_model::Millis;
 
-use crate::jobs::accept::{JobAnswer, JobDesk};
+use crate::jobs::accept::{patience_for, JobAnswer, JobDesk};
 use crate::jobs::health::StoreHealth;
 use crate::jobs::queues::QueueView;
 
@@ -102,6 +103,7 @@
     let desk = JobDesk {
         store: &shared.store,
         health: &shared.health,
+        patience: patience_for(deadline_ms(request)),
     };
     if rest.is_empty() {
         return match request.method() {
@@ -120,6 +122,11 @@
     }
 }
 
+/// How long the caller waits, where it says so in whole milliseconds.
+fn deadline_ms(request: &Request<'_>) -> Option<Millis> {
+    request.headers().get_one(DEADLINE_HEADER)?.parse().ok()
+}
+
 fn bad_number(method: Method) -> JobAnswer {
     match method {
         Method::Get | Method::Delete => JobAnswer::plain(Status::Gone, "no such job"),
--- a/crates/sandshelfd/src/jobs/health.rs
+++ b/crates/sandshelfd/src/jobs/health.rs
@@ -8,8 +8,9 @@
 use crate::clock;
 use crate::logging::event;
 
-/// After a call that failed, further ones that can wait are not tried for this long, in milliseconds.
-const REST_MS: Millis = 250;
+/// After so many calls that failed on end the store counts as out for callers, until one of the calls that watch it
+/// succeeds; single answers get lost also while it serves.
+const OUT_AFTER_FAILURES: u32 = 3;
 /// After this long without a good call the host takes no new connections, in milliseconds.
 const UNREADY_AFTER_MS: Millis = 1_500;
 
@@ -17,7 +18,7 @@
 struct HealthState {
     /// Since when calls have failed without a good one in between.
     failing_since: Option<Millis>,
-    last_failure: Millis,
+    failures: u32,
 }
 
 /// What the latest calls to the store say of it; shared by all that call it.
@@ -35,6 +36,7 @@
             .unwrap_or_else(|broken| broken.into_inner());
         match result {
             Ok(_) => {
+                state.failures = 0;
                 if let Some(since) = state.failing_since.take() {
                     let lasted = clock::now().saturating_sub(since);
                     event("store_regained", &[("lasted_ms", &lasted)]);
@@ -42,7 +44,7 @@
             }
             Err(fault) => {
                 let now = clock::now();
-                state.last_failure = now;
+                state.failures += 1;
                 if state.failing_since.is_none() {
                     state.failing_since = Some(now);
                     event("store_lost", &[("fault", fault)]);
@@ -51,13 +53,13 @@
         }
     }
 
-    /// Whether the newest call failed so lately that another is not worth trying.
+    /// Whether the latest calls all failed, so that another is not worth a caller's time.
     pub fn is_out(&self) -> bool {
         let state = self
             .state
             .lock()
             .unwrap_or_else(|broken| broken.into_inner());
-        state.failing_since.is_some() && clock::now() < state.last_failure + REST_MS
+        state.failures >= OUT_AFTER_FAILURES
     }
 
     /// Whether the store has failed this host for long enough to send callers elsewhere.
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -40,6 +40,8 @@
 /// How many orders, beside a hold, are under way to one worker: it takes 64 connections from all hosts together, and
 /// those of a host that lost power stay open there for a while.
 const ORDERS_AT_ONCE: usize = 3;
+/// By how much longer than asked the state of a finished job is kept: callers' and owners' clocks differ.
+const KEEP_MARGIN_MS: Millis = 10_000;
 /// How long a planned stop waits for progress to become durable before the shard is given up.
 const RELEASE_WITHIN_MS: Millis = 800;
 
@@ -344,7 +346,7 @@
         let limits = SchedulerLimits {
             max_lease_ms: self.settings.max_lease_ms,
             stop_ms: self.settings.stop_ms,
-            ..SchedulerLimits::default()
+            keep_finished_ms: self.settings.keep_finished_ms + KEEP_MARGIN_MS,
         };
         event(
             "shard_owned",
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use sandshelf_adapter::{RowCheck, RowWrite, StoreClient, StoreFault, StoredValue, WriteOutcome};
-use sandshelf_jobs::CommitBatch;
+use sandshelf_adapter::{
+    RowCheck, RowKey, RowWrite, StoreClient, StoreFault, StoredValue, WriteOutcome,
+};
+use sandshelf_jobs::{CommitBatch, JobNumber};
 use sandshelf_lease::{RowVersion, ShardRow, StoredRow};
 use sandshelf_model::Millis;
 use std::sync::Arc;
@@ -13,8 +15,8 @@
 use crate::jobs::accept::decode_row;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::records::{
-    encode, progress_row, shard_row, single, PendingRow, RosterRow, OWNER_KEY, PENDING_KEY,
-    ROSTER_KEY, SHARDS_TABLE,
+    cancel_row, encode, job_row, progress_row, shard_row, single, PendingRow, RosterRow, OWNER_KEY,
+    PENDING_KEY, ROSTER_KEY, SHARDS_TABLE,
 };
 use crate::logging::event;
 
@@ -126,6 +128,10 @@
     }
 }
 
+fn rows_of_job(number: &JobNumber) -> [RowKey; 3] {
+    [job_row(*number), cancel_row(*number), progress_row(*number)]
+}
+
 fn row_write(write: &OwnerWrite) -> RowWrite {
     let owner = shard_row(SHARDS_TABLE, OWNER_KEY);
     let mut puts = vec![(owner.clone(), encode(&write.row))];
@@ -150,6 +156,6 @@
             version: write.version,
         }],
         puts,
-        removes: Vec::new(),
+        removes: write.batch.forget.iter().flat_map(rows_of_job).collect(),
     }
 }
--- a/crates/sandshelfd/src/logging.rs
+++ b/crates/sandshelfd/src/logging.rs
@@ -30,10 +30,10 @@
 static LINE_LIMIT: AtomicU32 = AtomicU32::new(LINES_PER_SECOND);
 static WINDOWS: LazyLock<Mutex<HashMap<&'static str, EventWindow>>> = LazyLock::new(Mutex::default);
 
-/// Starts logging to standard error; the level comes from `RUST_LOG`, else info.
+/// Starts logging to standard output; the level comes from `RUST_LOG`, else info.
 pub fn start() -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
     Logger::try_with_env_or_str("info, rocket=off, hyper=off, reqwest=off")?
-        .log_to_stderr()
+        .log_to_stdout()
         .format(write_line)
         .start()
 }
