What is learnt of images is handed on to the next owner

Change: the learnt pairs are written with other commits, at most every 1.5 s, and read at a takeover (tests/guard.rs handed_on).

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -6,7 +6,10 @@
 
 use crate::events::{CommitBatch, JobAction, JobStage};
 use crate::ids::JobNumber;
-use crate::limits::{COMMIT_JOBS, COMMIT_PAUSE_MS, FORGET_AT_ONCE, PENDING_EVERY_MS, ROWS_OF_JOB};
+use crate::limits::{
+    COMMIT_JOBS, COMMIT_PAUSE_MS, FORGET_AT_ONCE, PENDING_EVERY_MS, ROWS_OF_JOB, STRENGTHS_EVERY_MS,
+};
+use crate::press::StrengthRow;
 use crate::progress::ProgressRow;
 use crate::scheduler::{JobScheduler, PendingCommit};
 
@@ -51,16 +54,27 @@
                 Vec::new()
             },
         });
+        let strengths = self.due_strengths(now);
         let roster = std::mem::take(&mut self.roster_changed).then(|| self.roster_entries());
         self.out.push(JobAction::Commit(CommitBatch {
             id: self.commit_count,
             progress,
             pending,
+            strengths,
             forget,
             roster,
         }));
     }
 
+    /// What is learnt of images, where it was last written some time ago; it goes along with other writes.
+    fn due_strengths(&mut self, now: Millis) -> Option<StrengthRow> {
+        if now < self.strengths_at + STRENGTHS_EVERY_MS {
+            return None;
+        }
+        self.strengths_at = now;
+        Some(self.press.to_row(&self.images)).filter(|row| !row.pairs.is_empty())
+    }
+
     /// Jobs that ended long ago, a few at a time; they stay known here until the write is asked for.
     fn outdated_jobs(&mut self, now: Millis) -> Vec<JobNumber> {
         let old = |at: Millis| now > at + self.limits.keep_finished_ms;
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -6,6 +6,7 @@
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
 use crate::ids::{JobNumber, RunKey, TaskKey};
+use crate::press::StrengthRow;
 use crate::progress::ProgressRow;
 use crate::spec::{JobSpec, QueueRules};
 
@@ -213,6 +214,8 @@
     pub progress: Vec<(JobNumber, ProgressRow)>,
     /// How many jobs of each queue wait, where that changed.
     pub pending: Option<BTreeMap<String, u64>>,
+    /// What is learnt of images, from time to time.
+    pub strengths: Option<StrengthRow>,
     /// Jobs whose rows are no longer needed.
     pub forget: Vec<JobNumber>,
     /// The workers that may hold tasks, where that changed.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -41,6 +41,7 @@
 };
 pub use ids::{BadIdentifier, JobNumber, RunKey, TaskKey};
 pub use limits::SchedulerLimits;
+pub use press::{LearntPair, StrengthRow};
 pub use progress::{ProgressRow, TaskProgress};
 pub use queues::{QueueEntry, QueueTable};
 pub use scheduler::{JobScheduler, SchedulerCounts, TakeoverInfo};
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -50,6 +50,8 @@
 pub const COMMIT_PAUSE_MS: Millis = 40;
 /// The most jobs of one commit; the store takes 100 entries, a few of which are the owner's own.
 pub const COMMIT_JOBS: usize = 90;
+/// How often what is learnt of images is written: a new owner without it places filling tasks as badly as the first.
+pub const STRENGTHS_EVERY_MS: Millis = 1_500;
 /// How many jobs one commit forgets.
 pub const FORGET_AT_ONCE: usize = 10;
 /// The rows of a job: the job, its progress, its mark of cancellation.
--- a/crates/jobs/src/press.rs
+++ b/crates/jobs/src/press.rs
@@ -7,6 +7,8 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 /// The strength that a pair is given before anything was measured: between the mild pairs (about 0) and the strong
 /// ones (4 to 5) that were seen.
 const FIRST_STRENGTH: f64 = 1.5;
@@ -29,7 +31,7 @@
 const LOAD_BOUNDS: (f64, f64) = (0.05, 0.995);
 
 /// Stands for the name of an image: strengths are looked up thousands of times a second.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct ImageId(u16);
 
 /// The images seen so far.
@@ -83,6 +85,30 @@
     }
 }
 
+/// Learnt strengths in their durable form.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StrengthRow {
+    /// The pairs that were measured.
+    pub pairs: Vec<LearntPair>,
+}
+
+/// One pair of images and how strongly the filling one disturbs the serving one.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LearntPair {
+    /// The serving image.
+    #[serde(rename = "s")]
+    pub serving: String,
+    /// The filling image.
+    #[serde(rename = "f")]
+    pub filling: String,
+    /// The strength: by how much the load rises for each whole worker's processors in use.
+    #[serde(rename = "m")]
+    pub mean: f64,
+    /// How uncertain that is, as a variance.
+    #[serde(rename = "v")]
+    pub variance: f64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct PairStrength {
     mean: f64,
@@ -139,6 +165,44 @@
         &mut row[column]
     }
 
+    /// What is learnt, by the names of images, to be handed to the next owner.
+    pub(crate) fn to_row(&self, images: &ImageTable) -> StrengthRow {
+        let names: HashMap<ImageId, &String> =
+            images.ids.iter().map(|(name, id)| (*id, name)).collect();
+        let name = |index: usize| {
+            let id = ImageId(u16::try_from(index).ok()?);
+            names.get(&id).map(|name| (*name).clone())
+        };
+        let mut pairs = Vec::new();
+        for (serving, row) in self.pairs.iter().enumerate() {
+            for (filling, strength) in row.iter().enumerate() {
+                let measured = strength.variance < FIRST_VARIANCE;
+                if let (true, Some(serving), Some(filling)) =
+                    (measured, name(serving), name(filling))
+                {
+                    pairs.push(LearntPair {
+                        serving,
+                        filling,
+                        mean: strength.mean,
+                        variance: strength.variance,
+                    });
+                }
+            }
+        }
+        StrengthRow { pairs }
+    }
+
+    /// Takes over what an earlier owner had learnt.
+    pub(crate) fn restore(&mut self, images: &mut ImageTable, row: &StrengthRow) {
+        for pair in &row.pairs {
+            let (serving, filling) = (images.intern(&pair.serving), images.intern(&pair.filling));
+            *self.pair_mut(serving, filling) = PairStrength {
+                mean: pair.mean.clamp(0.0, MOST_STRENGTH),
+                variance: pair.variance.clamp(0.0, FIRST_VARIANCE),
+            };
+        }
+    }
+
     /// How strongly a filling image disturbs a serving one.
     pub(crate) fn strength(&self, serving: ImageId, filling: ImageId) -> f64 {
         self.pair(serving, filling).mean
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -14,7 +14,7 @@
     SchedulerLimits, FRESH_JOB_WAIT_MS, LONGEST_PAUSE_MS, PASS_EVERY_MS, SLOWEST_CLOCK_PERCENT,
     TAKEOVER_MARGIN_MS,
 };
-use crate::press::{ImageTable, PressEstimate};
+use crate::press::{ImageTable, PressEstimate, StrengthRow};
 use crate::progress::ProgressRow;
 use crate::spec::{JobSpec, QueueRules};
 use crate::worker::WorkerState;
@@ -35,6 +35,8 @@
     pub progress: BTreeMap<JobNumber, ProgressRow>,
     /// The workers that an earlier owner gave orders to.
     pub roster: Vec<(WorkerId, SocketAddr)>,
+    /// What an earlier owner had learnt of images.
+    pub strengths: StrengthRow,
 }
 
 impl TakeoverInfo {
@@ -126,6 +128,7 @@
     pub(crate) quarantine: QuarantineBook,
     pub(crate) images: ImageTable,
     pub(crate) press: PressEstimate,
+    pub(crate) strengths_at: Millis,
     pub(crate) room_changed: bool,
     pub(crate) last_pass: Millis,
     pub(crate) last_move: Millis,
@@ -173,6 +176,7 @@
             quarantine: QuarantineBook::default(),
             images: ImageTable::default(),
             press: PressEstimate::default(),
+            strengths_at: 0,
             room_changed: false,
             last_pass: 0,
             last_move: 0,
@@ -180,6 +184,9 @@
             deposed: false,
             out: Vec::new(),
         };
+        scheduler
+            .press
+            .restore(&mut scheduler.images, &info.strengths);
         for (worker, address) in info.roster {
             scheduler.expect_worker(info.claimed_at, worker, address);
         }
--- a/crates/jobs/tests/guard.rs
+++ b/crates/jobs/tests/guard.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use sandshelf_jobs::{JobAction, RunKey, RunReport, StepSpec, WorkerCall};
+use sandshelf_jobs::{JobAction, RunKey, RunReport, StepSpec, TakeoverInfo, WorkerCall};
 use sandshelf_model::ResourceSize;
 use support::{job, step, SchedulerRig};
 
@@ -84,7 +84,56 @@
     assert!(matches!(last_pace(&rig, filling), None | Some(100)));
 }
 
+/// What one owner learnt of a pair, the next one knows from the start.
+fn a_new_owner_knows_what_was_learnt() {
+    let (mut rig, serving, filling) = pair();
+    for _ in 0..12 {
+        rig.pass(500);
+        rig.report(
+            "w-1",
+            vec![report(serving, 100, 30), report(filling, 40, 2_000)],
+            vec![],
+        );
+        rig.pass(500);
+        rig.report(
+            "w-1",
+            vec![report(serving, 100, 30), report(filling, 40, 2_000)],
+            vec![],
+        );
+    }
+    let learnt = rig
+        .commit_all()
+        .into_iter()
+        .filter_map(|batch| batch.strengths)
+        .last();
+    let learnt = learnt.expect("strengths are written");
+    assert_eq!(learnt.pairs.len(), 1);
+    let pair = &learnt.pairs[0];
+    assert_eq!(
+        (pair.serving.as_str(), pair.filling.as_str()),
+        ("web", "index")
+    );
+    let info = TakeoverInfo {
+        epoch: 2,
+        claimed_at: 1_000,
+        strengths: learnt.clone(),
+        ..TakeoverInfo::default()
+    };
+    let mut next = SchedulerRig::new(info);
+    next.hand_in(1, 0, job(vec![step(1)]));
+    next.now = 5_000;
+    next.list(&["w-1"]);
+    next.pass(25);
+    let handed_on = next
+        .commit_all()
+        .into_iter()
+        .filter_map(|batch| batch.strengths)
+        .last();
+    assert_eq!(handed_on, Some(learnt));
+}
+
 sandshelf_cases::cases! {
+    handed_on => a_new_owner_knows_what_was_learnt();
     over_target => a_task_over_its_target_is_left_alone();
     under_target => a_task_well_under_its_target_leaves_the_rest_at_full_pace();
 }
--- a/crates/jobs/tests/support/emulator.rs
+++ b/crates/jobs/tests/support/emulator.rs
@@ -521,6 +521,7 @@
             claim_version: self.jobs.len() as u64,
             progress: self.progress.clone(),
             roster: self.roster.clone(),
+            ..TakeoverInfo::default()
         };
         self.owners.push(EmulatedOwner {
             epoch: self.epoch,
--- a/crates/sandshelfd/src/jobs/takeover.rs
+++ b/crates/sandshelfd/src/jobs/takeover.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use sandshelf_adapter::StoreFault;
-use sandshelf_jobs::{JobEvent, JobNumber, JobSpec, ProgressRow, TakeoverInfo};
+use sandshelf_jobs::{JobEvent, JobNumber, JobSpec, ProgressRow, StrengthRow, TakeoverInfo};
 
 use crate::jobs::accept::decode_row;
 use crate::jobs::records::{
-    shard_range, shard_row, single, RosterRow, CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE,
-    ROSTER_KEY, SHARDS_TABLE,
+    shard_range, RosterRow, CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE, ROSTER_KEY, SHARDS_TABLE,
+    STRENGTHS_KEY,
 };
 use crate::jobs::writer::OwnerStore;
 use crate::logging::event;
@@ -37,13 +37,16 @@
     pub async fn read_takeover(&self) -> Result<TakeoverData, StoreFault> {
         let range = shard_range(PROGRESS_TABLE);
         let progress = self.client.read_all(&range, PAGE_PATIENCE).await?;
-        let roster = single(&shard_row(SHARDS_TABLE, ROSTER_KEY));
-        let roster = self.client.read(&roster, PAGE_PATIENCE).await?;
-        let roster = roster.rows.first();
-        let roster = roster.and_then(|row| decode_row::<RosterRow>(row, "roster"));
+        let range = shard_range(SHARDS_TABLE);
+        let published = self.client.read_all(&range, PAGE_PATIENCE).await?;
+        let named = |key: &str| published.rows.iter().find(|row| row.key == key);
+        let roster = named(ROSTER_KEY).and_then(|row| decode_row::<RosterRow>(row, "roster"));
+        let strengths = named(STRENGTHS_KEY);
+        let strengths = strengths.and_then(|row| decode_row::<StrengthRow>(row, "strengths"));
         let info = TakeoverInfo {
             progress: decode_all(&progress.rows),
             roster: roster.unwrap_or_default().workers,
+            strengths: strengths.unwrap_or_default(),
             ..TakeoverInfo::default()
         };
         let (events, version) = self.read_jobs().await?;
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -16,7 +16,7 @@
 use crate::jobs::health::StoreHealth;
 use crate::jobs::records::{
     cancel_row, encode, job_row, progress_row, shard_row, single, PendingRow, RosterRow, OWNER_KEY,
-    PENDING_KEY, ROSTER_KEY, SHARDS_TABLE,
+    PENDING_KEY, ROSTER_KEY, SHARDS_TABLE, STRENGTHS_KEY,
 };
 use crate::logging::event;
 
@@ -144,6 +144,9 @@
         };
         puts.push((shard_row(SHARDS_TABLE, PENDING_KEY), encode(&row)));
     }
+    if let Some(strengths) = &write.batch.strengths {
+        puts.push((shard_row(SHARDS_TABLE, STRENGTHS_KEY), encode(strengths)));
+    }
     if let Some(workers) = &write.batch.roster {
         let row = RosterRow {
             workers: workers.clone(),
