Filling tasks go where they take up little of what serving tasks leave

Cause: a worker whose serving tasks a filling task disturbs strongly looked as good as one where it hardly does, as long as nothing else filled there; one task then used up the whole room. Change: the part of the tightest room that the task takes up counts as much as a whole worker's load.

--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -159,6 +159,23 @@
     shares
 }
 
+/// What part of the room that the tightest serving task leaves one more filling task would take up on a worker; 1 where
+/// there is none.
+pub(crate) fn room_taken(
+    worker: &WorkerState,
+    press: &PressEstimate,
+    image: ImageId,
+    cpu_millis: u64,
+) -> f64 {
+    let load = cpu_millis as f64 / worker.entry.capacity.cpu_millis.max(1) as f64;
+    let rooms = serving_rooms(worker);
+    let taken = rooms.iter().map(|room| {
+        let own = press.strength(room.image, image) * load;
+        own / room.allowed.max(own).max(f64::MIN_POSITIVE)
+    });
+    taken.fold(0.0, f64::max)
+}
+
 /// The share at which one more filling task would work on a worker.
 pub(crate) fn foreseen_share(
     worker: &WorkerState,
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -6,7 +6,7 @@
 use sandshelf_place::WorkerHealth;
 
 use crate::events::{JobNote, JobStage, StartCall, WorkerCall};
-use crate::guard::{foreseen_share, FillUrgency};
+use crate::guard::{foreseen_share, room_taken, FillUrgency};
 use crate::ids::{JobNumber, RunKey, TaskKey};
 use crate::job::{JobState, TaskStage};
 use crate::limits::{PLACE_PER_PASS, START_VALID_MS};
@@ -24,6 +24,9 @@
 /// What it costs a serving task to stand beside each one of another image, in loads of a whole worker: what fills
 /// disturbs few images strongly, so that workers with one image each leave it places where it disturbs none.
 const MIXED_IMAGES_COST: f64 = 1.0;
+/// What it counts that a filling task takes up all room which serving tasks leave, beside the load of a whole worker: it
+/// had better stand where it hardly disturbs, also where processors are shorter there.
+const ROOM_TAKEN_WEIGHT: f64 = 1.0;
 /// A filling task is not started where filling tasks would work at less than this share: in the queue it keeps nobody
 /// from ending, and the most urgent goes first.
 const LEAST_SHARE: f64 = 0.6;
@@ -457,6 +460,8 @@
             return None;
         }
         cost -= share * SERVING_ROOM_WEIGHT;
+        let taken = room_taken(worker, press, candidate.image, step.size.cpu_millis);
+        cost += taken * ROOM_TAKEN_WEIGHT;
     }
     Some(cost)
 }
