--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -29,7 +29,7 @@
 const ROOM_TAKEN_WEIGHT: f64 = 1.0;
 /// A filling task is not started where filling tasks would work at less than this share: in the queue it keeps nobody
 /// from ending, and the most urgent goes first.
-const LEAST_SHARE: f64 = 0.6;
+const LEAST_SHARE: f64 = 0.85;
 /// What the room that serving tasks leave counts for a filling task, beside the load of the whole worker.
 const SERVING_ROOM_WEIGHT: f64 = 2.0;
 
