--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(scheduler.handle(0, JobEvent::Tick { wall_ms: 0 }).is_empty());
 //! ```
 
+mod answers;
 mod commit;
 mod events;
 mod foreign;
@@ -29,6 +30,8 @@
 mod press;
 mod progress;
 mod queues;
+mod rank;
+mod recovery;
 mod scheduler;
 mod settle;
 mod spec;
--- /dev/null
+++ b/crates/jobs/src/rank.rs
@@ -0,0 +1,102 @@
+//! In what order waiting tasks are tried, and what one pass need not try again.
+
+use sandshelf_model::{Millis, ResourceSize};
+
+use crate::events::JobStage;
+use crate::ids::{JobNumber, TaskKey};
+use crate::job::JobState;
+use crate::scheduler::WaitKey;
+use crate::spec::StepSpec;
+
+/// After so long with nothing at work a job gets a first task started also where that task will be slow: the platform
+/// counts a job as lost that has had nothing running for three seconds while there is room for it.
+const STARVING_AFTER_MS: Millis = 1_500;
+/// What part of the guessed time that a job still needs counts when its objective is judged to be out of reach, in
+/// percent; guesses are off by a factor of two either way.
+const REMAINING_PERCENT: u64 = 40;
+
+/// How urgent a waiting job is; sorted from the most urgent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct PlaceRank {
+    pub(crate) priority: u32,
+    pub(crate) tier: RankTier,
+    pub(crate) order: i64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum RankTier {
+    /// Nothing of it is at work, and for long.
+    Starving,
+    /// It has begun and can still meet its objective; by objective.
+    Begun,
+    /// It has not begun and can still meet its objective; filling jobs by the newest, so that in an overload those
+    /// that are started end in time.
+    Fresh,
+    /// It can't meet its objective any more.
+    Late,
+}
+
+/// What one pass found to have no room, so that like tasks are not tried again.
+#[derive(Default)]
+pub(crate) struct PassMemo {
+    pub(crate) steps: Vec<TaskKey>,
+    pub(crate) rooms: Vec<(String, ResourceSize)>,
+    pub(crate) images: Vec<(String, ResourceSize)>,
+    pub(crate) helped: Vec<JobNumber>,
+}
+
+impl PassMemo {
+    pub(crate) fn rules_out(&self, key: &TaskKey, service: &str, step: &StepSpec) -> bool {
+        let first = TaskKey { index: 0, ..*key };
+        let room = step.room();
+        let like = |of: &str, known: &[(String, ResourceSize)], size: &ResourceSize| {
+            known
+                .iter()
+                .any(|(name, tried)| name == of && tried.fits_in(size))
+        };
+        self.steps.contains(&first)
+            || like(service, &self.rooms, &room)
+            || step.fills && like(&step.image, &self.images, &step.size)
+    }
+
+    pub(crate) fn note_failed(&mut self, key: &TaskKey, service: &str, step: &StepSpec) {
+        self.steps.push(TaskKey { index: 0, ..*key });
+        let plain = step.label.is_none() && step.most_per_worker == 0 && !step.gang;
+        if plain && step.fills {
+            self.images.push((step.image.clone(), step.size));
+        } else if plain {
+            self.rooms.push((service.to_owned(), step.room()));
+        }
+    }
+}
+
+/// How urgent a waiting job is.
+pub(crate) fn place_rank(now: Millis, job: &JobState, wait: &WaitKey) -> PlaceRank {
+    let step = job.step_spec(&wait.task);
+    let task = job.task(&wait.task);
+    let fills = step.is_some_and(|step| step.fills);
+    let standing = step.is_some_and(|step| step.standing);
+    let waited = task.map_or(0, |task| now.saturating_sub(task.waiting_since));
+    let needs = job.remaining_ms() * REMAINING_PERCENT / 100;
+    let late = !standing && now + needs > job.objective_at;
+    let begun = job.stage != JobStage::Queued || standing;
+    let tier = if waited >= STARVING_AFTER_MS && !job.has_live_task() {
+        RankTier::Starving
+    } else if late {
+        RankTier::Late
+    } else if begun {
+        RankTier::Begun
+    } else {
+        RankTier::Fresh
+    };
+    let newest_first = fills && tier == RankTier::Fresh;
+    PlaceRank {
+        priority: wait.priority,
+        tier,
+        order: if newest_first {
+            -(job.objective_at as i64)
+        } else {
+            job.objective_at as i64
+        },
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/recovery.rs
@@ -0,0 +1,76 @@
+//! The end of a takeover, and workers that fall silent.
+
+use sandshelf_model::{Millis, WorkerId};
+
+use crate::events::{JobNote, LossCause};
+use crate::ids::TaskKey;
+use crate::job::JobState;
+use crate::scheduler::JobScheduler;
+
+impl JobScheduler {
+    /// Ends the takeover once every worker has answered, or none can hold an earlier owner's lease any more.
+    pub(crate) fn check_recovery(&mut self, now: Millis) {
+        let Some(recovery) = &self.recovery else {
+            return;
+        };
+        let answered = recovery.listed && recovery.unanswered.is_empty();
+        let over = answered || now >= recovery.until;
+        if !over && now < recovery.fresh_until {
+            return;
+        }
+        if over {
+            self.recovery = None;
+        }
+        let released = |job: &&JobState| over || !job.inherited;
+        let jobs = self.jobs.values().filter(released);
+        let keys: Vec<TaskKey> = jobs.flat_map(JobState::unfound_tasks).collect();
+        for key in &keys {
+            self.note(JobNote::Unfound(*key));
+            self.enqueue(now, *key);
+        }
+        for key in keys {
+            self.mend_gang(now, key);
+        }
+    }
+
+    pub(crate) fn note_answered(&mut self, worker: &WorkerId) {
+        if let Some(recovery) = &mut self.recovery {
+            recovery.unanswered.remove(worker);
+        }
+    }
+
+    /// Looks for workers that fell silent or whose leases have run out.
+    pub(crate) fn check_workers(&mut self, now: Millis) {
+        let mut over = Vec::new();
+        let mut silent = Vec::new();
+        let mut idle = Vec::new();
+        for (id, worker) in &self.workers {
+            let unanswered = self.recovery.as_ref();
+            let unanswered = unanswered.is_some_and(|recovery| recovery.unanswered.contains(id));
+            if worker.is_silent(now) && !worker.told_silent {
+                silent.push(id.clone());
+            }
+            if worker.runs.is_empty() {
+                if !worker.listed && !unanswered && worker.is_silent(now) {
+                    idle.push(id.clone());
+                }
+            } else if worker.is_silent(now) && worker.lease_is_over(now) {
+                over.push(id.clone());
+            }
+        }
+        for id in silent {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.told_silent = true;
+            }
+            self.note(JobNote::WorkerSilent(id));
+        }
+        for id in over {
+            self.lose_runs(now, &id, LossCause::LeaseOver);
+        }
+        for id in idle {
+            self.workers.remove(&id);
+            self.quarantine.forget(&id);
+            self.roster_changed |= self.roster.remove(&id);
+        }
+    }
+}
--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -6,7 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{JobSpec, JobStage, RunKey, RunOutcome, StepSpec};
 use sandshelf_model::{ResourceSize, WorkerId};
-use support::emulator::{FaultPlan, PlatformEmulator};
+use support::emulator::PlatformEmulator;
+use support::faults::FaultPlan;
 use support::oracle::{BrokenRule, PlatformOracle};
 use support::{job, step, task};
 
--- /dev/null
+++ b/crates/jobs/tests/support/emulated_worker.rs
@@ -0,0 +1,45 @@
+//! One worker of the emulated platform.
+
+use std::collections::BTreeMap;
+
+use sandshelf_jobs::{EndReport, RunOutcome, TaskKey};
+use sandshelf_model::{Millis, ResourceSize, WorkerId};
+
+pub struct EmulatedRun {
+    pub run: u64,
+    pub room: ResourceSize,
+    pub ends_at: Millis,
+    pub outcome: Option<RunOutcome>,
+    pub stopping: bool,
+}
+
+pub struct EmulatedWorker {
+    pub id: WorkerId,
+    pub place: usize,
+    pub clock_percent: u64,
+    pub fence: u64,
+    pub lease_until: u64,
+    pub runs: BTreeMap<TaskKey, EmulatedRun>,
+    pub newest: BTreeMap<TaskKey, u64>,
+    /// Ends that were not acknowledged, with when they came.
+    pub ended: Vec<(Millis, EndReport)>,
+    pub end_count: u64,
+    /// When the lease was last found to have run out.
+    pub lapsed_at: Millis,
+    pub cut_until: Millis,
+    pub leaves_at: Option<Millis>,
+    pub draining_since: Option<Millis>,
+}
+
+impl EmulatedWorker {
+    pub fn clock(&self, now: Millis) -> u64 {
+        now * self.clock_percent / 100
+    }
+
+    pub fn used(&self) -> ResourceSize {
+        let rooms = self.runs.values().map(|run| run.room);
+        rooms.fold(ResourceSize::default(), |sum, room| {
+            sum.plus(&room).expect("small sizes")
+        })
+    }
+}
--- a/crates/jobs/tests/support/emulator.rs
+++ b/crates/jobs/tests/support/emulator.rs
@@ -12,6 +12,8 @@
 };
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
+use super::emulated_worker::{EmulatedRun, EmulatedWorker};
+use super::faults::FaultPlan;
 use super::oracle::{BrokenRule, PlatformOracle};
 use super::{listing, WALL_START_MS};
 
@@ -35,72 +37,6 @@
 /// After how long a worker that says that it leaves must get nothing new.
 const DRAIN_MS: Millis = 2_000;
 
-/// What goes wrong, as chances out of a thousand.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct FaultPlan {
-    /// A call to a worker is lost on its way.
-    pub lost_calls: u32,
-    /// A worker's answer is lost.
-    pub lost_answers: u32,
-    /// An order gets no answer and is carried out seconds later.
-    pub late_orders: u32,
-    /// A run fails.
-    pub failed_runs: u32,
-    /// In each second, a worker restarts as another incarnation.
-    pub crashes: u32,
-    /// In each second, a worker is cut off for some seconds and works on.
-    pub cuts: u32,
-    /// In each second, a worker says that it leaves, and leaves some seconds later.
-    pub drains: u32,
-    /// In each second, the owner dies.
-    pub deaths: u32,
-    /// In each second, the owner freezes for some seconds and wakes up.
-    pub freezes: u32,
-    /// In each second, the store is out for some seconds.
-    pub outages: u32,
-    /// Whether workers reject what doesn't fit.
-    pub guards: bool,
-}
-
-struct EmulatedRun {
-    run: u64,
-    room: ResourceSize,
-    ends_at: Millis,
-    outcome: Option<RunOutcome>,
-    stopping: bool,
-}
-
-struct EmulatedWorker {
-    id: WorkerId,
-    place: usize,
-    clock_percent: u64,
-    fence: u64,
-    lease_until: u64,
-    runs: BTreeMap<TaskKey, EmulatedRun>,
-    newest: BTreeMap<TaskKey, u64>,
-    /// Ends that were not acknowledged, with when they came.
-    ended: Vec<(Millis, EndReport)>,
-    end_count: u64,
-    /// When the lease was last found to have run out.
-    lapsed_at: Millis,
-    cut_until: Millis,
-    leaves_at: Option<Millis>,
-    draining_since: Option<Millis>,
-}
-
-impl EmulatedWorker {
-    fn clock(&self, now: Millis) -> u64 {
-        now * self.clock_percent / 100
-    }
-
-    fn used(&self) -> ResourceSize {
-        let rooms = self.runs.values().map(|run| run.room);
-        rooms.fold(ResourceSize::default(), |sum, room| {
-            sum.plus(&room).expect("small sizes")
-        })
-    }
-}
-
 enum Message {
     Arrives(u64, WorkerId, WorkerCall, bool),
     Answered(u64, JobEvent),
--- /dev/null
+++ b/crates/jobs/tests/support/faults.rs
@@ -0,0 +1,28 @@
+//! What goes wrong on the emulated platform.
+
+/// What goes wrong, as chances out of a thousand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FaultPlan {
+    /// A call to a worker is lost on its way.
+    pub lost_calls: u32,
+    /// A worker's answer is lost.
+    pub lost_answers: u32,
+    /// An order gets no answer and is carried out seconds later.
+    pub late_orders: u32,
+    /// A run fails.
+    pub failed_runs: u32,
+    /// In each second, a worker restarts as another incarnation.
+    pub crashes: u32,
+    /// In each second, a worker is cut off for some seconds and works on.
+    pub cuts: u32,
+    /// In each second, a worker says that it leaves, and leaves some seconds later.
+    pub drains: u32,
+    /// In each second, the owner dies.
+    pub deaths: u32,
+    /// In each second, the owner freezes for some seconds and wakes up.
+    pub freezes: u32,
+    /// In each second, the store is out for some seconds.
+    pub outages: u32,
+    /// Whether workers reject what doesn't fit.
+    pub guards: bool,
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod emulated_worker;
 pub mod emulator;
+pub mod faults;
 pub mod oracle;
 
 use sandshelf_jobs::{
--- /dev/null
+++ b/crates/sandshelfd/src/jobs/calls.rs
@@ -0,0 +1,81 @@
+//! Orders on their way to workers.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sandshelf_adapter::WorkerClient;
+use sandshelf_jobs::{JobEvent, WorkerCall};
+use sandshelf_model::WorkerId;
+use tokio::sync::Semaphore;
+
+/// How many orders, beside a hold, are under way to one worker: it takes 64 connections from all hosts together, and
+/// those of a host that lost power stay open there for a while.
+const ORDERS_AT_ONCE: usize = 3;
+
+/// Sends orders; to one worker, those beyond a few at once wait their turn.
+pub struct WorkerCalls {
+    client: WorkerClient,
+    turns: HashMap<WorkerId, Arc<Semaphore>>,
+}
+
+impl WorkerCalls {
+    /// Sends through a client.
+    pub fn new(client: WorkerClient) -> Self {
+        Self {
+            client,
+            turns: HashMap::new(),
+        }
+    }
+
+    /// Sends an order; the future ends with what became of it.
+    pub fn send(
+        &mut self,
+        worker: WorkerId,
+        address: SocketAddr,
+        call: WorkerCall,
+    ) -> impl Future<Output = JobEvent> + 'static {
+        let fresh = || Arc::new(Semaphore::new(ORDERS_AT_ONCE));
+        let turns = self
+            .turns
+            .entry(worker.clone())
+            .or_insert_with(fresh)
+            .clone();
+        let client = self.client.clone();
+        async move {
+            // A hold may wait for an end, so that it has a connection of its own.
+            let _turn = match call {
+                WorkerCall::Hold(_) => None,
+                _ => turns.acquire().await.ok(),
+            };
+            answer_of(&client, worker, address, &call).await
+        }
+    }
+}
+
+async fn answer_of(
+    client: &WorkerClient,
+    worker: WorkerId,
+    address: SocketAddr,
+    call: &WorkerCall,
+) -> JobEvent {
+    match call {
+        WorkerCall::Start(start) => {
+            let answer = client.start(&worker, address, start).await;
+            JobEvent::StartAnswered(worker, start.key, answer)
+        }
+        WorkerCall::Stop(key) => {
+            let answer = client.stop(&worker, address, key).await;
+            JobEvent::StopAnswered(worker, *key, answer)
+        }
+        WorkerCall::Pace(key, percent) => {
+            let answer = client.pace(&worker, address, key, *percent).await;
+            JobEvent::PaceAnswered(worker, *key, answer)
+        }
+        WorkerCall::Hold(hold) => {
+            let answer = client.hold(&worker, address, hold).await;
+            JobEvent::HoldAnswered(worker, answer)
+        }
+    }
+}
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! Serves job queues on the users' platform: any host takes jobs in, and one of them at a time gives orders to workers.
 
 mod accept;
+mod calls;
 mod face;
 mod health;
 mod intake;
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -1,6 +1,6 @@
 //! The control thread: claims the shard where nobody owns it, and runs its scheduler while this host does.
 
-use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -12,11 +12,12 @@
 };
 use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease, StoredRow};
 use sandshelf_model::{HostId, Millis, WorkerId};
-use tokio::sync::{mpsc, oneshot, Semaphore};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{interval, MissedTickBehavior};
 
 use crate::clock;
+use crate::jobs::calls::WorkerCalls;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::intake::{follow_jobs, follow_workers};
 use crate::jobs::notes::log_note;
@@ -37,9 +38,6 @@
 const STAGGER_MS: Millis = 60;
 /// How long a worker's answer is waited for.
 const WORKER_PATIENCE: Duration = Duration::from_millis(500);
-/// How many orders, beside a hold, are under way to one worker: it takes 64 connections from all hosts together, and
-/// those of a host that lost power stay open there for a while.
-const ORDERS_AT_ONCE: usize = 3;
 /// By how much longer than asked the state of a finished job is kept: callers' and owners' clocks differ.
 const KEEP_MARGIN_MS: Millis = 10_000;
 /// How long a planned stop waits for progress to become durable before the shard is given up.
@@ -73,9 +71,7 @@
 /// The scheduler of a shard that this host owns, and the calls that go with it.
 struct OwnedShard {
     scheduler: JobScheduler,
-    workers: WorkerClient,
-    /// Bounds the connections to each worker: orders beyond so many at once wait their turn.
-    turns: HashMap<WorkerId, Arc<Semaphore>>,
+    calls: WorkerCalls,
     queues_version: u64,
     followers: Vec<JoinHandle<()>>,
 }
@@ -372,8 +368,7 @@
         followers.push(spawn_local(listing));
         self.owned = Some(OwnedShard {
             scheduler: JobScheduler::new(limits, info),
-            workers,
-            turns: HashMap::new(),
+            calls: WorkerCalls::new(workers),
             queues_version: 0,
             followers,
         });
@@ -435,50 +430,18 @@
         }
     }
 
-    fn send_call(&mut self, worker: WorkerId, address: std::net::SocketAddr, call: WorkerCall) {
+    fn send_call(&mut self, worker: WorkerId, address: SocketAddr, call: WorkerCall) {
         if self.settings.worker_orders != OrderWay::Call {
             return;
         }
         let Some(owned) = &mut self.owned else {
             return;
         };
-        let fresh = || Arc::new(Semaphore::new(ORDERS_AT_ONCE));
-        let turns = owned
-            .turns
-            .entry(worker.clone())
-            .or_insert_with(fresh)
-            .clone();
-        let client = owned.workers.clone();
         let epoch = owned.scheduler.epoch();
         let messages = self.messages.clone();
+        let answer = owned.calls.send(worker, address, call);
         spawn_local(async move {
-            // A hold may wait for an end, so that it has a connection of its own.
-            let _turn = match call {
-                WorkerCall::Hold(_) => None,
-                _ => turns.acquire().await.ok(),
-            };
-            let answer = match &call {
-                WorkerCall::Start(start) => JobEvent::StartAnswered(
-                    worker.clone(),
-                    start.key,
-                    client.start(&worker, address, start).await,
-                ),
-                WorkerCall::Stop(key) => JobEvent::StopAnswered(
-                    worker.clone(),
-                    *key,
-                    client.stop(&worker, address, key).await,
-                ),
-                WorkerCall::Pace(key, percent) => JobEvent::PaceAnswered(
-                    worker.clone(),
-                    *key,
-                    client.pace(&worker, address, key, *percent).await,
-                ),
-                WorkerCall::Hold(hold) => JobEvent::HoldAnswered(
-                    worker.clone(),
-                    client.hold(&worker, address, hold).await,
-                ),
-            };
-            let _ = messages.send(OwnerMessage::Event(epoch, answer));
+            let _ = messages.send(OwnerMessage::Event(epoch, answer.await));
         });
     }
 
