A worker that failed is tried again within seconds

Ruled out: the pass's memory of what had no room. Change: 2 to 4 s; a worker is probed where only standing tasks are at work. tests/kinds.rs quarantine failed with 30 s.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -1,6 +1,7 @@
 //! The durations and weights that decisions rest on.
 
 use sandshelf_model::Millis;
+use sandshelf_place::QuarantineRule;
 
 /// How fast a worker's clock may run behind, in hundredths: at least 98 of 100.
 pub const SLOWEST_CLOCK_PERCENT: u64 = 98;
@@ -26,6 +27,14 @@
     }
 }
 
+/// A worker that fails what it is given is tried again soon: a standing task has to be at work six seconds after its last
+/// run wherever there is room for it, and a worker that fails may be sound again after a few seconds.
+pub const QUARANTINE: QuarantineRule = QuarantineRule {
+    failures: 3,
+    jobs: 2,
+    first_ms: 2_000,
+    longest_ms: 4_000,
+};
 /// How long after its sending an order to start may still be carried out; a multiple of the usual answer time.
 pub const START_VALID_MS: Millis = 1_500;
 /// How long a worker may wait for an end before it answers a hold: a new reading of its tails is due by then.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -177,7 +177,8 @@
         }
         match self.quarantine.health(id, now) {
             WorkerHealth::Healthy => true,
-            WorkerHealth::Probation => worker.runs.is_empty(),
+            // One task at a time tries it out; standing tasks that are at work there say nothing.
+            WorkerHealth::Probation => worker.runs.values().all(|record| record.standing),
             WorkerHealth::Quarantined { .. } => false,
         }
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -11,8 +11,8 @@
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::JobState;
 use crate::limits::{
-    SchedulerLimits, FRESH_JOB_WAIT_MS, LONGEST_PAUSE_MS, PASS_EVERY_MS, SLOWEST_CLOCK_PERCENT,
-    TAKEOVER_MARGIN_MS,
+    SchedulerLimits, FRESH_JOB_WAIT_MS, LONGEST_PAUSE_MS, PASS_EVERY_MS, QUARANTINE,
+    SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS,
 };
 use crate::press::{ImageTable, PressEstimate, StrengthRow};
 use crate::progress::ProgressRow;
@@ -173,7 +173,7 @@
                 fresh_until: info.claimed_at + FRESH_JOB_WAIT_MS,
                 listed: false,
             }),
-            quarantine: QuarantineBook::default(),
+            quarantine: QuarantineBook::with_rule(QUARANTINE),
             images: ImageTable::default(),
             press: PressEstimate::default(),
             strengths_at: 0,
--- a/crates/jobs/tests/kinds.rs
+++ b/crates/jobs/tests/kinds.rs
@@ -232,6 +232,36 @@
     assert_eq!(forgotten(&mut rig), vec![task(1, 0, 0).job]);
 }
 
+/// A worker that failed what it was given is tried again within seconds, also while standing tasks are at work there.
+fn a_worker_that_failed_is_tried_again_soon() {
+    let mut rig = SchedulerRig::with_workers(&["w-1"]);
+    let standing = StepSpec {
+        standing: true,
+        ..step(1)
+    };
+    rig.hand_in(50, 0, job(vec![standing]));
+    let (_, at_work) = rig.take_starts().pop().expect("a start");
+    for number in 1..4 {
+        rig.hand_in(number, 0, job(vec![step(1)]));
+        let (_, start) = rig.take_starts().pop().expect("a start");
+        rig.pass(25);
+        let failed = ended(number, start.key, RunOutcome::Failed);
+        rig.report("w-1", vec![runs(at_work.key)], vec![failed]);
+        rig.tell(sandshelf_jobs::JobEvent::CancelAsked(start.key.task.job));
+    }
+    rig.hand_in(9, 0, job(vec![step(1)]));
+    rig.pass(1_000);
+    assert!(
+        rig.peek_starts().is_empty(),
+        "the worker is left alone for a while"
+    );
+    for _ in 0..4 {
+        rig.report("w-1", vec![runs(at_work.key)], vec![]);
+        rig.pass(500);
+    }
+    assert_eq!(rig.take_starts().len(), 1);
+}
+
 /// What a worker reports of a run twice, or of one that it was never asked for, starts nothing.
 fn an_unknown_run_is_stopped() {
     let mut rig = SchedulerRig::with_workers(&["w-1"]);
@@ -256,5 +286,6 @@
     cancelled => a_cancelled_jobs_tasks_are_stopped();
     standing => a_standing_task_starts_again_however_it_ends();
     forgotten => a_finished_job_is_forgotten_in_time();
+    quarantine => a_worker_that_failed_is_tried_again_soon();
     unknown_run => an_unknown_run_is_stopped();
 }
--- a/crates/place/src/quarantine.rs
+++ b/crates/place/src/quarantine.rs
@@ -61,6 +61,14 @@
 }
 
 impl QuarantineBook {
+    /// Starts with limits other than the usual ones.
+    pub fn with_rule(rule: QuarantineRule) -> Self {
+        Self {
+            rule,
+            runs: HashMap::new(),
+        }
+    }
+
     /// Notes that an attempt of `job` failed on `worker`; returns true where that closes the worker.
     pub fn note_failure(&mut self, worker: &WorkerId, job: &JobId, now: Millis) -> bool {
         let rule = self.rule;
