--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -22,14 +22,18 @@
         if self.dirty.is_empty() {
             self.acknowledge_all(now);
         }
+        let due = self.urgent || now >= self.last_commit + COMMIT_PAUSE_MS;
+        if !due {
+            return;
+        }
+        // What is taken out here is written in any case: there is no way back behind this line.
         let pending = self.changed_pending(now);
         let forget = self.outdated_jobs(now);
         let wanted = !self.dirty.is_empty()
             || self.roster_changed
             || pending.is_some()
             || !forget.is_empty();
-        let due = self.urgent || now >= self.last_commit + COMMIT_PAUSE_MS;
-        if !wanted || !due {
+        if !wanted {
             return;
         }
         self.commit_count += 1;
@@ -80,10 +84,6 @@
         let old = |at: Millis| now > at + self.limits.keep_finished_ms;
         let count = self.finished_at.iter().take(FORGET_AT_ONCE);
         let count = count.take_while(|(at, _)| old(*at)).count();
-        let due = now >= self.last_commit + COMMIT_PAUSE_MS;
-        if !due || count == 0 {
-            return Vec::new();
-        }
         self.finished_at
             .drain(..count)
             .map(|(_, number)| number)
--- a/crates/jobs/tests/kinds.rs
+++ b/crates/jobs/tests/kinds.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use sandshelf_jobs::{JobSpec, RepeatRule, RunKey, RunOutcome, StepSpec};
+use sandshelf_jobs::{JobSpec, RepeatRule, RunKey, RunOutcome, StepSpec, TakeoverInfo};
 use sandshelf_model::ResourceSize;
 use support::{ended, job, runs, step, task, SchedulerRig, WALL_START_MS};
 
@@ -232,6 +232,34 @@
     assert_eq!(forgotten(&mut rig), vec![task(1, 0, 0).job]);
 }
 
+/// Numbers of waiting jobs that change right after a write, when no other is due, are published by a later one.
+fn waiting_jobs_are_published_late_rather_than_never() {
+    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
+    let mut published = None;
+    let mut write = |rig: &mut SchedulerRig| {
+        while let Some(batch) = rig.take_commit() {
+            published = batch.pending.or(published.take());
+            rig.tell(sandshelf_jobs::JobEvent::Committed(batch.id));
+        }
+    };
+    rig.pass(600);
+    rig.hand_in(1, 0, job(vec![step(1)]));
+    rig.pass(600);
+    write(&mut rig);
+    // A new worker is written down at once; the next job comes before another write is due.
+    rig.list(&["w-1"]);
+    write(&mut rig);
+    rig.hand_in(2, 0, job(vec![step(1)]));
+    for _ in 0..20 {
+        rig.pass(100);
+        write(&mut rig);
+    }
+    assert_eq!(
+        published.and_then(|counts| counts.get("lots").copied()),
+        Some(2)
+    );
+}
+
 /// A worker that failed what it was given is tried again within seconds, also while standing tasks are at work there.
 fn a_worker_that_failed_is_tried_again_soon() {
     let mut rig = SchedulerRig::with_workers(&["w-1"]);
@@ -286,6 +314,7 @@
     cancelled => a_cancelled_jobs_tasks_are_stopped();
     standing => a_standing_task_starts_again_however_it_ends();
     forgotten => a_finished_job_is_forgotten_in_time();
+    waiting_published => waiting_jobs_are_published_late_rather_than_never();
     quarantine => a_worker_that_failed_is_tried_again_soon();
     unknown_run => an_unknown_run_is_stopped();
 }
