--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -162,7 +162,8 @@
             commit_count: 0,
             last_commit: 0,
             pending: BTreeMap::new(),
-            pending_at: 0,
+            // Jobs are taken in one after the other: their number is published once all are known.
+            pending_at: info.claimed_at,
             roster: BTreeSet::new(),
             roster_changed: false,
             began_at: info.claimed_at,
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -235,6 +235,20 @@
     assert!(rig.actions.contains(&sandshelf_jobs::JobAction::Deposed));
 }
 
+/// While jobs are still being read, their number says nothing: the earlier owner's stands until all are known.
+fn waiting_jobs_are_counted_once_all_are_known() {
+    let mut rig = successor();
+    let early = rig.commit_all();
+    assert!(early.iter().all(|batch| batch.pending.is_none()));
+    rig.hand_in(8, 60, job(vec![step(1)]));
+    rig.pass(600);
+    let later = rig.commit_all().into_iter().find_map(|batch| batch.pending);
+    assert_eq!(
+        later.and_then(|counts| counts.get("lots").copied()),
+        Some(2)
+    );
+}
+
 /// A worker that is gone for good must not keep its tasks for ever.
 fn a_dead_workers_tasks_start_elsewhere_after_the_lease() {
     let mut rig = SchedulerRig::with_workers(&["w-1", "w-2"]);
@@ -262,5 +276,6 @@
     failure_again => a_failure_that_is_listed_again_counts_once();
     end_of_unknown_job => an_end_of_an_unknown_job_hides_no_other();
     paused_owner => a_paused_owner_gives_up();
+    waiting_jobs => waiting_jobs_are_counted_once_all_are_known();
     dead_worker => a_dead_workers_tasks_start_elsewhere_after_the_lease();
 }
