Twins made one: settings files are read in one place, a job's row is written in one; dead settings removed

No behaviour changes: parse_object serves both kinds of settings; JobDesk::put_if serves submissions and cancellations; stop_ms was read and used nowhere, JobSpec::is_standing called nowhere.

--- a/crates/config/src/job_settings.rs
+++ b/crates/config/src/job_settings.rs
@@ -5,7 +5,7 @@
 use sandshelf_model::{HallId, Millis};
 
 use crate::fault::FaultList;
-use crate::parse::parse_text;
+use crate::parse::parse_object;
 use crate::reader::{ObjectReader, SourceFile};
 
 /// Milliseconds of a second.
@@ -37,8 +37,6 @@
     pub worker_orders: OrderWay,
     /// The longest lease that a worker grants.
     pub max_lease_ms: Millis,
-    /// How long a stop may take on a worker.
-    pub stop_ms: Millis,
     /// How long a planned stop of the daemon may take.
     pub grace_ms: Millis,
     /// How long the state of a finished job is kept.
@@ -52,18 +50,7 @@
 /// # Errors
 /// Every fault of the file, with line, column and remedy.
 pub fn parse_job_settings(file: &SourceFile) -> Result<JobSettings, FaultList> {
-    let mut faults = Vec::new();
-    let mut settings = None;
-    if let Some(value) = parse_text(file, &mut faults) {
-        if let Some(mut reader) = ObjectReader::open(file, &value, "the file", &mut faults) {
-            settings = read_settings(&mut reader);
-            reader.finish();
-        }
-    }
-    match settings {
-        Some(settings) if faults.is_empty() => Ok(settings),
-        _ => Err(FaultList { faults }),
-    }
+    parse_object(file, read_settings)
 }
 
 fn read_settings(reader: &mut ObjectReader<'_>) -> Option<JobSettings> {
@@ -74,7 +61,6 @@
     let store_address = reader.address("store_address");
     let worker_orders = reader.text_or("worker_orders", "call");
     let max_lease_ms = reader.number_or("max_lease_ms", 500, 600_000, 6_000);
-    let stop_ms = reader.number_or("stop_ms", 10, 60_000, 900);
     let grace_s = reader.number_or("grace_s", 1, 3_600, 6);
     let keep_finished_s = reader.number_or("keep_finished_s", 1, 86_400, 120);
     let log_lines_per_s = reader.number_or("log_lines_per_s", 1, 1_000_000, 20);
@@ -89,7 +75,6 @@
             way => OrderWay::Other(way),
         },
         max_lease_ms: max_lease_ms?,
-        stop_ms: stop_ms?,
         grace_ms: grace_s? * SECOND_MS,
         keep_finished_ms: keep_finished_s? * SECOND_MS,
         log_lines_per_s: log_lines_per_s? as u32,
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -269,3 +269,22 @@
         connections: connections? as u32,
     })
 }
+
+/// Parses a file that holds one object and reads it, or collects every fault.
+pub(crate) fn parse_object<T>(
+    file: &SourceFile,
+    read: impl FnOnce(&mut ObjectReader<'_>) -> Option<T>,
+) -> Result<T, FaultList> {
+    let mut faults = Vec::new();
+    let mut object = None;
+    if let Some(value) = parse_text(file, &mut faults) {
+        if let Some(mut reader) = ObjectReader::open(file, &value, "the file", &mut faults) {
+            object = read(&mut reader);
+            reader.finish();
+        }
+    }
+    match object {
+        Some(object) if faults.is_empty() => Ok(object),
+        _ => Err(FaultList { faults }),
+    }
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -5,7 +5,7 @@
 use sandshelf_model::{HallId, HostId, Millis};
 
 use crate::fault::FaultList;
-use crate::parse::parse_text;
+use crate::parse::parse_object;
 use crate::reader::{ObjectReader, SourceFile};
 
 /// A task's lease has to outlast its owner's death and the takeover by so many shard leases.
@@ -58,18 +58,7 @@
 /// # Errors
 /// Every fault of the file, with line, column and remedy.
 pub fn parse_settings(file: &SourceFile) -> Result<DaemonSettings, FaultList> {
-    let mut faults = Vec::new();
-    let mut settings = None;
-    if let Some(value) = parse_text(file, &mut faults) {
-        if let Some(mut reader) = ObjectReader::open(file, &value, "the file", &mut faults) {
-            settings = read_settings(&mut reader);
-            reader.finish();
-        }
-    }
-    match settings {
-        Some(settings) if faults.is_empty() => Ok(settings),
-        _ => Err(FaultList { faults }),
-    }
+    parse_object(file, read_settings)
 }
 
 fn read_settings(reader: &mut ObjectReader<'_>) -> Option<DaemonSettings> {
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -7,7 +7,7 @@
 
 use crate::events::{JobNote, JobStage, LossCause, StopCause, WorkerListing};
 use crate::foreign::ForeignSight;
-use crate::ids::JobNumber;
+use crate::ids::{JobNumber, RunKey};
 use crate::job::{JobState, TaskStage};
 use crate::scheduler::JobScheduler;
 use crate::spec::JobSpec;
@@ -102,7 +102,7 @@
         self.delayed.retain(|(_, key)| key.job != number);
         for key in job.live_tasks() {
             if let Some(TaskStage::Live { worker, run }) = job.task(&key).map(|task| &task.stage) {
-                let run = crate::ids::RunKey {
+                let run = RunKey {
                     task: key,
                     run: *run,
                 };
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -11,8 +11,6 @@
 pub struct SchedulerLimits {
     /// The longest lease that a worker grants; from the settings.
     pub max_lease_ms: Millis,
-    /// How long a stop may take on a worker; from the settings.
-    pub stop_ms: Millis,
     /// How long the state of a finished job is kept; from the settings.
     pub keep_finished_ms: Millis,
 }
@@ -21,7 +19,6 @@
     fn default() -> Self {
         Self {
             max_lease_ms: 6_000,
-            stop_ms: 900,
             keep_finished_ms: 120_000,
         }
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,7 +9,7 @@
 use crate::events::{JobAction, JobEvent, JobNote, WorkerCall};
 use crate::foreign::ForeignRuns;
 use crate::ids::{JobNumber, TaskKey};
-use crate::job::JobState;
+use crate::job::{JobState, TaskStage};
 use crate::limits::{
     SchedulerLimits, FRESH_JOB_WAIT_MS, LONGEST_PAUSE_MS, PASS_EVERY_MS, QUARANTINE,
     SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS,
@@ -302,7 +302,7 @@
         let Some(task) = job.task_mut(&key) else {
             return;
         };
-        task.stage = crate::job::TaskStage::Waiting;
+        task.stage = TaskStage::Waiting;
         task.waiting_since = now;
         let not_before = task.not_before;
         let task = if gang {
@@ -333,7 +333,7 @@
             self.delayed.pop_first();
             let waits = |job: &JobState| {
                 job.task(&key)
-                    .is_some_and(|task| task.stage == crate::job::TaskStage::Waiting)
+                    .is_some_and(|task| task.stage == TaskStage::Waiting)
             };
             if self.jobs.get(&key.job).is_some_and(waits) {
                 self.enqueue(now, key);
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -216,9 +216,4 @@
         }
         Ok(())
     }
-
-    /// Whether any of its steps runs until the job is cancelled.
-    pub fn is_standing(&self) -> bool {
-        self.steps.iter().any(|step| step.standing)
-    }
 }
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -4,8 +4,8 @@
 
 use rocket::http::Status;
 use sandshelf_adapter::{
-    decode_submission, pending_body, stage_body, RowCheck, RowWrite, StoreClient, StoreFault,
-    StoredValue, WriteOutcome,
+    decode_submission, pending_body, stage_body, RowCheck, RowKey, RowWrite, StoreClient,
+    StoreFault, StoredValue, WriteOutcome,
 };
 use sandshelf_jobs::{JobNumber, JobStage, ProgressRow, QueueEntry};
 use sandshelf_model::Millis;
@@ -112,17 +112,7 @@
             event("job_refused", &[("job", &number), ("cause", &"store_out")]);
             return answer;
         }
-        let write = RowWrite {
-            checks: vec![RowCheck {
-                row: job_row(number),
-                version: 0,
-            }],
-            puts: vec![(job_row(number), value)],
-            removes: Vec::new(),
-        };
-        let written = self.store.write(&write, self.patience).await;
-        self.health.note(&written);
-        match written {
+        match self.put_if(number, 0, job_row(number), value).await {
             Ok(WriteOutcome::Done(version)) => {
                 event(
                     "job_accepted",
@@ -152,6 +142,27 @@
         }
     }
 
+    /// Writes one row on condition that the job's row has a version; 0 stands for a job that isn't there.
+    async fn put_if(
+        &self,
+        number: JobNumber,
+        version: u64,
+        row: RowKey,
+        value: Vec<u8>,
+    ) -> Result<WriteOutcome, StoreFault> {
+        let write = RowWrite {
+            checks: vec![RowCheck {
+                row: job_row(number),
+                version,
+            }],
+            puts: vec![(row, value)],
+            removes: Vec::new(),
+        };
+        let written = self.store.write(&write, self.patience).await;
+        self.health.note(&written);
+        written
+    }
+
     fn refuse(&self, number: JobNumber, status: Status, reason: &str) -> JobAnswer {
         event(
             "job_refused",
@@ -223,17 +234,11 @@
         if rows.len() > 1 {
             return JobAnswer::plain(Status::Ok, "{}");
         }
-        let write = RowWrite {
-            checks: vec![RowCheck {
-                row: job_row(number),
-                version: job.version,
-            }],
-            puts: vec![(cancel_row(number), b"{}".to_vec())],
-            removes: Vec::new(),
-        };
-        let written = self.store.write(&write, self.patience).await;
-        self.health.note(&written);
-        match written {
+        let mark = b"{}".to_vec();
+        match self
+            .put_if(number, job.version, cancel_row(number), mark)
+            .await
+        {
             Ok(WriteOutcome::Done(version)) => {
                 event(
                     "job_cancel_taken",
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -341,7 +341,6 @@
         self.lease.note_recovered();
         let limits = SchedulerLimits {
             max_lease_ms: self.settings.max_lease_ms,
-            stop_ms: self.settings.stop_ms,
             keep_finished_ms: self.settings.keep_finished_ms + KEEP_MARGIN_MS,
         };
         event(
