A freeze is tested once the shards have settled

Change: the test waits until the hosts' statuses add up to the number of shards before it freezes one; what it checks is as before. A failed test prints the processes' logs rather than aborting on a poisoned lock.

--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -47,6 +47,13 @@
     more: Condvar,
 }
 
+impl LineLog {
+    /// The lines so far; also after a test has failed while it held them, so that its log can still be printed.
+    fn read(&self) -> MutexGuard<'_, Vec<String>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// A process of the local system.
 pub struct LocalProcess {
     child: Child,
@@ -94,7 +101,7 @@
     /// The line does not come.
     pub fn wait_for(&self, part: &str) -> String {
         let began = Instant::now();
-        let mut lines = self.log.lines.lock().expect("no reader panics");
+        let mut lines = self.log.read();
         loop {
             if let Some(line) = lines.iter().find(|line| line.contains(part)) {
                 return line.clone();
@@ -106,13 +113,13 @@
                 lines.join("\n")
             );
             let waited = self.log.more.wait_timeout(lines, LOOK_EVERY);
-            lines = waited.expect("no reader panics").0;
+            lines = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 
     /// The lines printed so far that hold `part`.
     pub fn lines(&self, part: &str) -> Vec<String> {
-        let lines = self.log.lines.lock().expect("no reader panics");
+        let lines = self.log.read();
         let found = lines.iter().filter(|line| line.contains(part));
         found.cloned().collect()
     }
@@ -167,7 +174,7 @@
 fn follow(stream: Box<dyn Read + Send>, log: &LineLog) {
     for line in BufReader::new(stream).lines() {
         let Ok(line) = line else { return };
-        log.lines.lock().expect("no reader panics").push(line);
+        log.read().push(line);
         log.more.notify_all();
     }
 }
--- a/crates/standin/tests/process_failures.rs
+++ b/crates/standin/tests/process_failures.rs
@@ -18,6 +18,9 @@
 use serde_json::Value;
 use support::{applied_system, block_on, header, SET};
 
+/// How many shards the small system has: one a hall.
+const SHARDS: usize = 2;
+
 /// A set with one long job beside the usual ones.
 fn set_with_long_job(run_ms: u64) -> String {
     let long = format!(
@@ -99,6 +102,20 @@
     wait_until("an entry host owns what runs", owner).await
 }
 
+/// Waits until the entry hosts tell of as many owned shards as there are: none is between two owners, and no status is
+/// older than the last change of owners.
+async fn wait_shards_settled(system: &LocalSystem) {
+    let settled = || async {
+        let mut owned = 0;
+        for host in system.hosts.values() {
+            let status = system.get(host.operator, "/status").await?;
+            owned += status["shards"].as_array()?.len();
+        }
+        (owned == SHARDS).then_some(())
+    };
+    wait_until("each shard has one owner", settled).await;
+}
+
 /// Waits until the tasks of `job` have finished, as the remaining entry hosts tell it.
 async fn wait_finished(system: &LocalSystem, job: &str, tasks: u64) {
     let finished = || async {
@@ -154,6 +171,7 @@
     let system = applied_system().await;
     apply(&system, "second", &set_with_long_job(6_000));
     wait_running(&system, "long", 3).await;
+    wait_shards_settled(&system).await;
     let owner = owner_name(&system).await;
     let frozen = &system.hosts[&owner];
     frozen.process.signal("STOP");
@@ -161,7 +179,7 @@
     let (_, other) = other.expect("there is another host");
     let owns_all = || async {
         let status = system.get(other.operator, "/status").await?;
-        (status["shards"].as_array()?.len() == 2).then_some(())
+        (status["shards"].as_array()?.len() == SHARDS).then_some(())
     };
     wait_until("the other host owns every shard", owns_all).await;
     frozen.process.signal("CONT");
