An owner logs its figures each second

What an owner has to do and how busy its workers are (jobs, waiting and running tasks, serving tasks over their target, filling tasks, what they want, are told and use) is one log line a second; the figures' code has a file of its own.

--- /dev/null
+++ b/crates/jobs/src/gauges.rs
@@ -0,0 +1,76 @@
+//! Figures of a scheduler, for gauges and the log.
+
+use sandshelf_model::Millis;
+
+use crate::scheduler::JobScheduler;
+use crate::worker::RunRecord;
+
+/// Figures for gauges.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SchedulerCounts {
+    /// Jobs that have not come to their end.
+    pub jobs: usize,
+    /// Tasks and gangs that wait for a worker.
+    pub waiting: usize,
+    /// Runs that may be at work.
+    pub runs: usize,
+    /// Workers that may be given tasks.
+    pub open_workers: usize,
+    /// All workers known.
+    pub workers: usize,
+    /// Jobs whose progress is not durable yet.
+    pub dirty: usize,
+    /// Serving tasks at work.
+    pub serving: usize,
+    /// Serving tasks that were over their target at the last reading.
+    pub over_target: usize,
+    /// Filling tasks at work.
+    pub filling: usize,
+    /// Filling tasks told to work at less than their full pace.
+    pub slowed: usize,
+    /// What the filling tasks would use at full pace, in thousandths of a core.
+    pub fill_wanted: u64,
+    /// What they would use at the pace that they were told, in thousandths of a core.
+    pub fill_paced: u64,
+    /// What they used at the last reading, in thousandths of a core.
+    pub fill_used: u64,
+}
+
+impl JobScheduler {
+    /// Figures for gauges.
+    pub fn counts(&self, now: Millis) -> SchedulerCounts {
+        let open = self.workers.values().filter(|worker| worker.is_open(now));
+        let mut counts = SchedulerCounts {
+            jobs: self.jobs.len(),
+            waiting: self.waiting.len(),
+            runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
+            open_workers: open.count(),
+            workers: self.workers.len(),
+            dirty: self.dirty.len(),
+            ..SchedulerCounts::default()
+        };
+        let runs = self.workers.values().flat_map(|worker| worker.runs.values());
+        for record in runs {
+            counts.add_run(record);
+        }
+        counts
+    }
+}
+
+impl SchedulerCounts {
+    fn add_run(&mut self, record: &RunRecord) {
+        let gauge = record.gauge.unwrap_or(0);
+        if record.target_ms > 0 {
+            self.serving += 1;
+            self.over_target += usize::from(gauge > record.target_ms);
+        }
+        if record.fills {
+            let pace = u64::from(record.pace.min(100));
+            self.filling += 1;
+            self.slowed += usize::from(pace < 100);
+            self.fill_wanted += record.cpu_millis;
+            self.fill_paced += record.cpu_millis * pace / 100;
+            self.fill_used += gauge;
+        }
+    }
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -20,6 +20,7 @@
 mod events;
 mod foreign;
 mod gang;
+mod gauges;
 mod guard;
 mod holds;
 mod ids;
@@ -42,10 +43,11 @@
     JobStage, LossCause, OrderAnswer, RefusalReason, RunOutcome, RunReport, StartCall, StopCause,
     WorkerCall, WorkerClock, WorkerListing,
 };
+pub use gauges::SchedulerCounts;
 pub use ids::{BadIdentifier, JobNumber, RunKey, TaskKey};
 pub use limits::SchedulerLimits;
 pub use press::{LearntPair, StrengthRow};
 pub use progress::{ProgressRow, TaskProgress};
 pub use queues::{QueueEntry, QueueTable};
-pub use scheduler::{JobScheduler, SchedulerCounts, TakeoverInfo};
+pub use scheduler::{JobScheduler, TakeoverInfo};
 pub use spec::{JobSpec, QueueRules, RepeatRule, SpecFault, StepSpec, MAX_PAYLOAD_BYTES};
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -79,23 +79,6 @@
     pub(crate) noted: Vec<(WorkerId, u64)>,
 }
 
-/// Figures for gauges.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct SchedulerCounts {
-    /// Jobs that have not come to their end.
-    pub jobs: usize,
-    /// Tasks and gangs that wait for a worker.
-    pub waiting: usize,
-    /// Runs that may be at work.
-    pub runs: usize,
-    /// Workers that may be given tasks.
-    pub open_workers: usize,
-    /// All workers known.
-    pub workers: usize,
-    /// Jobs whose progress is not durable yet.
-    pub dirty: usize,
-}
-
 /// The owner's view of all jobs and workers of a shard.
 #[derive(Clone, Debug)]
 pub struct JobScheduler {
@@ -199,19 +182,6 @@
         self.epoch
     }
 
-    /// Figures for gauges.
-    pub fn counts(&self, now: Millis) -> SchedulerCounts {
-        let open = self.workers.values().filter(|worker| worker.is_open(now));
-        SchedulerCounts {
-            jobs: self.jobs.len(),
-            waiting: self.waiting.len(),
-            runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
-            open_workers: open.count(),
-            workers: self.workers.len(),
-            dirty: self.dirty.len(),
-        }
-    }
-
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: JobEvent) -> Vec<JobAction> {
         // After a pause as long as the ownership lasts another owner may have finished what this one believes waiting.
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -2,7 +2,8 @@
 
 use std::fmt::Debug;
 
-use sandshelf_jobs::JobNote;
+use sandshelf_jobs::{JobNote, SchedulerCounts};
+use sandshelf_model::Epoch;
 
 use crate::logging::event;
 
@@ -97,3 +98,26 @@
         ),
     }
 }
+
+/// Logs an owner's figures: how much it has to do and how busy its workers are.
+pub fn log_load(epoch: Epoch, counts: &SchedulerCounts) {
+    event(
+        "owner_load",
+        &[
+            ("epoch", &epoch),
+            ("jobs", &counts.jobs),
+            ("waiting", &counts.waiting),
+            ("runs", &counts.runs),
+            ("open_workers", &counts.open_workers),
+            ("workers", &counts.workers),
+            ("unwritten", &counts.dirty),
+            ("serving", &counts.serving),
+            ("over_target", &counts.over_target),
+            ("filling", &counts.filling),
+            ("slowed", &counts.slowed),
+            ("fill_wanted", &counts.fill_wanted),
+            ("fill_paced", &counts.fill_paced),
+            ("fill_used", &counts.fill_used),
+        ],
+    );
+}
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -20,7 +20,7 @@
 use crate::jobs::calls::WorkerCalls;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::intake::{follow_jobs, follow_workers};
-use crate::jobs::notes::log_note;
+use crate::jobs::notes::{log_load, log_note};
 use crate::jobs::queues::QueueView;
 use crate::jobs::takeover::TakeoverData;
 use crate::jobs::writer::{OwnerStore, OwnerWrite, WriteEnd};
@@ -43,6 +43,9 @@
 /// How long a planned stop waits for progress to become durable before the shard is given up.
 const RELEASE_WITHIN_MS: Millis = 800;
 
+/// How often an owner logs its figures.
+const LOAD_EVERY_MS: Millis = 1_000;
+
 /// What the control thread is made of.
 pub struct OwnerParts {
     /// This incarnation.
@@ -97,6 +100,7 @@
     writing: bool,
     reading: bool,
     next_read: Millis,
+    next_load: Millis,
     stop_by: Option<Millis>,
     released: bool,
     messages: mpsc::UnboundedSender<OwnerMessage>,
@@ -136,6 +140,7 @@
         writing: false,
         reading: false,
         next_read: 0,
+        next_load: 0,
         stop_by: None,
         released: false,
         messages,
@@ -190,6 +195,7 @@
         if self.owned.is_some() {
             self.refresh_queues();
             self.handle(JobEvent::Tick { wall_ms: wall_ms() });
+            self.show_load(now);
         }
         self.write_next(now);
         if *self.lease.stage() == LeaseStage::Watching {
@@ -198,6 +204,17 @@
         self.check_stop(now);
     }
 
+    /// Logs the shard's figures from time to time.
+    fn show_load(&mut self, now: Millis) {
+        if now < self.next_load {
+            return;
+        }
+        self.next_load = now + LOAD_EVERY_MS;
+        if let Some(owned) = &self.owned {
+            log_load(owned.scheduler.epoch(), &owned.scheduler.counts(now));
+        }
+    }
+
     /// Reads the owner's row from time to time, and claims the shard where its owner is gone.
     fn watch(&mut self, now: Millis) {
         if !self.writing && self.stop_by.is_none() && self.lease.may_claim(now, self.rank) {
