--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -49,7 +49,10 @@
             dirty: self.dirty.len(),
             ..SchedulerCounts::default()
         };
-        let runs = self.workers.values().flat_map(|worker| worker.runs.values());
+        let runs = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values());
         for record in runs {
             counts.add_run(record);
         }
--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -140,7 +140,15 @@
     wants: &mut [FillWant],
     press: &PressEstimate,
 ) -> Vec<f64> {
-    wants.sort_by_key(|want| want.urgency);
+    wants.sort_by(|one, other| {
+        let cost = |want: &FillWant| {
+            let strengths = rooms.iter().map(|room| press.strength(room.image, want.image));
+            strengths.fold(WEAK_STRENGTH, f64::max)
+        };
+        let late = one.urgency.late.cmp(&other.urgency.late);
+        late.then(cost(one).total_cmp(&cost(other)))
+            .then(one.urgency.cmp(&other.urgency))
+    });
     let mut shares = Vec::with_capacity(wants.len());
     for want in wants.iter() {
         let mut share: f64 = 1.0;
@@ -176,7 +184,8 @@
     taken.fold(0.0, f64::max)
 }
 
-/// The share at which one more filling task would work on a worker.
+/// The share at which one more filling task would work on a worker, by what serving tasks leave and by the processors
+/// that no ordinary task holds.
 pub(crate) fn foreseen_share(
     worker: &WorkerState,
     press: &PressEstimate,
@@ -196,7 +205,19 @@
     });
     let shares = deal_shares(&mut rooms, &mut wants, press);
     let own = wants.iter().position(|want| want.key.is_none());
-    own.map_or(1.0, |own| shares[own])
+    let share = own.map_or(1.0, |own| shares[own]);
+    share.min(processor_share(worker, cpu_millis))
+}
+
+/// The share of their processors that filling tasks would get on a worker with one more.
+///
+/// Standing tasks don't count: measured days show filling tasks that use nearly all of a worker's processors beside
+/// standing ones that were declared to need nine tenths.
+fn processor_share(worker: &WorkerState, cpu_millis: u64) -> f64 {
+    let ordinary = worker.ordinary_cpu();
+    let left = worker.entry.capacity.cpu_millis.saturating_sub(ordinary);
+    let wanted = worker.filling_cpu() + cpu_millis;
+    (left as f64 / wanted.max(1) as f64).min(1.0)
 }
 
 impl JobScheduler {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -98,7 +98,8 @@
     pub(crate) paused_until: Millis,
     pub(crate) runs: BTreeMap<RunKey, RunRecord>,
     used: ResourceSize,
-    wanted_cpu: u64,
+    ordinary_cpu: u64,
+    filling_cpu: u64,
     /// What fills here.
     pub(crate) fills: FillMeter,
 }
@@ -122,7 +123,8 @@
             paused_until: 0,
             runs: BTreeMap::new(),
             used: ResourceSize::default(),
-            wanted_cpu: 0,
+            ordinary_cpu: 0,
+            filling_cpu: 0,
             fills: FillMeter::default(),
         }
     }
@@ -175,9 +177,14 @@
         self.entry.capacity.saturating_minus(&self.used)
     }
 
-    /// The processors that all tasks there want, filling ones included, in thousandths of a core.
-    pub(crate) fn wanted_cpu(&self) -> u64 {
-        self.wanted_cpu
+    /// The processors that tasks hold which neither stand nor fill, in thousandths of a core.
+    pub(crate) fn ordinary_cpu(&self) -> u64 {
+        self.ordinary_cpu
+    }
+
+    /// The processors that filling tasks would use at full pace, in thousandths of a core.
+    pub(crate) fn filling_cpu(&self) -> u64 {
+        self.filling_cpu
     }
 
     pub(crate) fn add_run(&mut self, key: RunKey, record: RunRecord) {
@@ -209,15 +216,20 @@
 
     fn recount(&mut self) {
         let mut used = ResourceSize::default();
-        let mut wanted = 0;
+        let (mut ordinary, mut filling) = (0, 0);
         for record in self.runs.values() {
             used.cpu_millis += record.room.cpu_millis;
             used.memory_mib += record.room.memory_mib;
             used.accelerators += record.room.accelerators;
-            wanted += record.cpu_millis;
+            if record.fills {
+                filling += record.cpu_millis;
+            } else if !record.standing {
+                ordinary += record.cpu_millis;
+            }
         }
         self.used = used;
-        self.wanted_cpu = wanted;
+        self.ordinary_cpu = ordinary;
+        self.filling_cpu = filling;
     }
 }
 
