Standing tasks wait behind ordinary ones that can still end in time

A second of an ordinary task's processors is worth four times one of a standing task's, and comes back within a second or two.

--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -32,6 +32,8 @@
     /// It has not begun and can still meet its objective; filling jobs by the newest, so that in an overload those
     /// that are started end in time.
     Fresh,
+    /// It stands: what ends soon goes first, since it is worth more for its room and gives it back.
+    Standing,
     /// It can't meet its objective any more.
     Late,
 }
@@ -78,10 +80,12 @@
     let standing = step.is_some_and(|step| step.standing);
     let waited = task.map_or(0, |task| now.saturating_sub(task.waiting_since));
     let needs = job.remaining_ms() * REMAINING_PERCENT / 100;
-    let late = !standing && now + needs > job.objective_at;
-    let begun = job.stage != JobStage::Queued || standing;
+    let late = now + needs > job.objective_at;
+    let begun = job.stage != JobStage::Queued;
     let tier = if waited >= STARVING_AFTER_MS && !job.has_live_task() {
         RankTier::Starving
+    } else if standing {
+        RankTier::Standing
     } else if late {
         RankTier::Late
     } else if begun {
