What a job's end is still worth orders it: on time, late, of no use

Jobs earn up to three times their objective, so that an end after that is worth nothing to its caller; such jobs' tasks wait and fill last.

--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -7,6 +7,7 @@
 
 use crate::events::{JobNote, LossCause, OrderAnswer, RefusalReason, StopCause, WorkerCall};
 use crate::ids::RunKey;
+use crate::job::{DueTimes, EndWorth};
 use crate::press::{load_of_tail, target_load, ImageId, PressEstimate};
 use crate::scheduler::JobScheduler;
 use crate::worker::{RunPhase, RunRecord, WorkerState};
@@ -96,18 +97,18 @@
     }
 }
 
-/// How urgent a filling task is beside others: those of jobs that can still meet their objective come first.
+/// How urgent a filling task is beside others: those of jobs whose end is still worth something come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct FillUrgency {
-    late: bool,
-    objective_at: Millis,
+    worth: EndWorth,
+    due: DueTimes,
 }
 
 impl FillUrgency {
-    pub(crate) fn new(now: Millis, objective_at: Millis) -> Self {
+    pub(crate) fn new(now: Millis, due: DueTimes) -> Self {
         Self {
-            late: now > objective_at,
-            objective_at,
+            worth: due.worth_at(now),
+            due,
         }
     }
 }
@@ -126,7 +127,7 @@
     let fills = worker.runs.iter().filter(|(_, record)| record.fills);
     fills
         .map(|(key, record)| FillWant {
-            urgency: FillUrgency::new(now, record.objective_at),
+            urgency: FillUrgency::new(now, record.due),
             key: Some(*key),
             image: record.image,
             load: record.cpu_millis as f64 / capacity,
@@ -142,11 +143,14 @@
 ) -> Vec<f64> {
     wants.sort_by(|one, other| {
         let cost = |want: &FillWant| {
-            let strengths = rooms.iter().map(|room| press.strength(room.image, want.image));
+            let strengths = rooms
+                .iter()
+                .map(|room| press.strength(room.image, want.image));
             strengths.fold(WEAK_STRENGTH, f64::max)
         };
-        let late = one.urgency.late.cmp(&other.urgency.late);
-        late.then(cost(one).total_cmp(&cost(other)))
+        let worth = one.urgency.worth.cmp(&other.urgency.worth);
+        worth
+            .then(cost(one).total_cmp(&cost(other)))
             .then(one.urgency.cmp(&other.urgency))
     });
     let mut shares = Vec::with_capacity(wants.len());
@@ -336,7 +340,7 @@
         service: &str,
         taken: &[&WorkerId],
     ) -> Option<&WorkerId> {
-        let urgency = FillUrgency::new(now, record.objective_at);
+        let urgency = FillUrgency::new(now, record.due);
         let (image, cpu) = (record.image, record.cpu_millis);
         let better = self.workers.iter().find(|(id, target)| {
             target.entry.service == service
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -9,7 +9,7 @@
     WorkerCall,
 };
 use crate::ids::RunKey;
-use crate::job::TaskStage;
+use crate::job::{DueTimes, TaskStage};
 use crate::limits::{
     FOREIGN_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, UNACKNOWLEDGED_HOLD_MS,
     UNREACHABLE_PAUSE_MS,
@@ -196,7 +196,7 @@
         let step = job.and_then(|job| job.step_spec(&key.task));
         let step = step.cloned().unwrap_or_default();
         RunRecord {
-            objective_at: job.map_or(Millis::MAX, |job| job.objective_at),
+            due: job.map_or(DueTimes::never(), |job| job.due),
             checkpoint: run.checkpoint,
             percent: run.percent,
             gauge: run.gauge,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -105,14 +105,66 @@
     }
 }
 
+/// A job earns something until so many times its objective have passed.
+const USEFUL_OBJECTIVES: u64 = 3;
+
+/// By when a job should be done, on the scheduler's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct DueTimes {
+    /// Its objective.
+    pub(crate) objective_at: Millis,
+    /// From then on its end is of no use to its caller any more.
+    pub(crate) useless_at: Millis,
+}
+
+impl DueTimes {
+    /// Of a job that was handed in at a time.
+    pub(crate) fn new(handed_in: Millis, objective_ms: Millis) -> Self {
+        Self {
+            objective_at: handed_in + objective_ms,
+            useless_at: handed_in + objective_ms * USEFUL_OBJECTIVES,
+        }
+    }
+
+    /// Of what has no objective.
+    pub(crate) fn never() -> Self {
+        Self {
+            objective_at: Millis::MAX,
+            useless_at: Millis::MAX,
+        }
+    }
+
+    /// What an end at a time is worth to the caller.
+    pub(crate) fn worth_at(&self, end: Millis) -> EndWorth {
+        if end <= self.objective_at {
+            EndWorth::Whole
+        } else if end <= self.useless_at {
+            EndWorth::Little
+        } else {
+            EndWorth::Nothing
+        }
+    }
+}
+
+/// What the end of a job is worth to its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum EndWorth {
+    /// It meets its objective.
+    Whole,
+    /// It is late.
+    Little,
+    /// Nobody waits for it any more.
+    Nothing,
+}
+
 /// One job that has not come to its end.
 #[derive(Clone, Debug)]
 pub(crate) struct JobState {
     pub(crate) number: JobNumber,
     pub(crate) spec: JobSpec,
     pub(crate) stage: JobStage,
-    /// When the job should be done, on the scheduler's clock.
-    pub(crate) objective_at: Millis,
+    /// When the job should be done, and when its end is of no use any more.
+    pub(crate) due: DueTimes,
     pub(crate) times: BTreeMap<u32, TimeState>,
     pub(crate) times_done: u32,
     pub(crate) next_time: u32,
@@ -122,12 +174,12 @@
 
 impl JobState {
     pub(crate) fn new(number: JobNumber, spec: JobSpec, now: Millis, inherited: bool) -> Self {
-        let objective_at = now + objective_ms(&spec);
+        let due = DueTimes::new(now, objective_ms(&spec));
         Self {
             number,
             spec,
             stage: JobStage::Queued,
-            objective_at,
+            due,
             times: BTreeMap::new(),
             times_done: 0,
             next_time: 0,
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -112,7 +112,7 @@
             only_rack: None,
             starving,
             now,
-            urgency: FillUrgency::new(now, job.objective_at),
+            urgency: FillUrgency::new(now, job.due),
             image: self.images.get(&step.image),
         };
         let places = if step.gang {
@@ -281,7 +281,7 @@
             return;
         };
         let payload = job.spec.payload.clone();
-        let objective_at = job.objective_at;
+        let due = job.due;
         let Some(step) = job.step_spec(&run.task).cloned() else {
             return;
         };
@@ -307,7 +307,7 @@
         state.granted = state.granted.max(deadline);
         let free_cpu = state.free().cpu_millis;
         let mut record = RunRecord::new(&step, image, RunPhase::Ordered, deadline);
-        record.objective_at = objective_at;
+        record.due = due;
         record.checkpoint = checkpoint.clone();
         state.add_run(run, record);
         if step.fills {
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -4,7 +4,7 @@
 
 use crate::events::JobStage;
 use crate::ids::{JobNumber, TaskKey};
-use crate::job::JobState;
+use crate::job::{EndWorth, JobState};
 use crate::scheduler::WaitKey;
 use crate::spec::StepSpec;
 
@@ -36,6 +36,8 @@
     Standing,
     /// It can't meet its objective any more.
     Late,
+    /// Its end is of no use any more.
+    Useless,
 }
 
 /// What one pass found to have no room, so that like tasks are not tried again.
@@ -80,13 +82,15 @@
     let standing = step.is_some_and(|step| step.standing);
     let waited = task.map_or(0, |task| now.saturating_sub(task.waiting_since));
     let needs = job.remaining_ms() * REMAINING_PERCENT / 100;
-    let late = now + needs > job.objective_at;
+    let worth = job.due.worth_at(now + needs);
     let begun = job.stage != JobStage::Queued;
     let tier = if waited >= STARVING_AFTER_MS && !job.has_live_task() {
         RankTier::Starving
     } else if standing {
         RankTier::Standing
-    } else if late {
+    } else if worth == EndWorth::Nothing {
+        RankTier::Useless
+    } else if worth == EndWorth::Little {
         RankTier::Late
     } else if begun {
         RankTier::Begun
@@ -98,9 +102,9 @@
         priority: wait.priority,
         tier,
         order: if newest_first {
-            -(job.objective_at as i64)
+            -(job.due.objective_at as i64)
         } else {
-            job.objective_at as i64
+            job.due.objective_at as i64
         },
     }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -264,7 +264,7 @@
             return;
         };
         let priority = self.rules(&job.spec).priority;
-        let objective_at = job.objective_at;
+        let objective_at = job.due.objective_at;
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -6,6 +6,7 @@
 
 use crate::events::{WorkerClock, WorkerListing};
 use crate::ids::RunKey;
+use crate::job::DueTimes;
 use crate::limits::{SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT};
 use crate::press::{FillLoads, FillMeter, ImageId, ServingLoad};
 use crate::spec::StepSpec;
@@ -55,7 +56,7 @@
     /// What is known of a serving task's load.
     pub(crate) serving: Option<ServingLoad>,
     /// When its job should be done.
-    pub(crate) objective_at: Millis,
+    pub(crate) due: DueTimes,
     /// In how many readings on end it used much more or less than its pace says.
     pub(crate) off_pace: u32,
     /// Since when it has been slowed down.
@@ -255,7 +256,7 @@
             gauge: None,
             pace: 100,
             serving: None,
-            objective_at: Millis::MAX,
+            due: DueTimes::never(),
             off_pace: 0,
             slowed_since: None,
             over_since: None,
