What takes up least of the serving tasks' room until its end goes first

Among filling tasks of equal worth the order is by strength times processors times the work left, so that tasks that have nearly ended no longer stand still.

--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -48,6 +48,8 @@
 const MOVES_AT_ONCE: usize = 8;
 /// How often slowed tasks are looked at.
 const MOVE_EVERY_MS: Millis = 250;
+/// A filling task counts as having at least so much of its work left.
+const LEAST_LEFT: f64 = 0.05;
 /// A task without checkpoints may lose so much of its work, in percent.
 const LITTLE_PERCENT: u32 = 15;
 
@@ -120,6 +122,8 @@
     image: ImageId,
     /// The share of the worker's processors that it uses at full pace.
     load: f64,
+    /// The part of its work that is left.
+    left: f64,
 }
 
 fn fill_wants(worker: &WorkerState, now: Millis) -> Vec<FillWant> {
@@ -131,6 +135,7 @@
             key: Some(*key),
             image: record.image,
             load: record.cpu_millis as f64 / capacity,
+            left: LEAST_LEFT.max(1.0 - f64::from(record.percent) / 100.0),
         })
         .collect()
 }
@@ -146,7 +151,7 @@
             let strengths = rooms
                 .iter()
                 .map(|room| press.strength(room.image, want.image));
-            strengths.fold(WEAK_STRENGTH, f64::max)
+            strengths.fold(WEAK_STRENGTH, f64::max) * want.load * want.left
         };
         let worth = one.urgency.worth.cmp(&other.urgency.worth);
         worth
@@ -206,6 +211,7 @@
         key: None,
         image,
         load: cpu_millis as f64 / capacity,
+        left: 1.0,
     });
     let shares = deal_shares(&mut rooms, &mut wants, press);
     let own = wants.iter().position(|want| want.key.is_none());
