--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -13,6 +13,9 @@
 use crate::spec::JobSpec;
 use crate::worker::WorkerState;
 
+/// No job counts as older: hosts' clocks may be wrong.
+const OLDEST_JOB_MS: Millis = 600_000;
+
 impl JobScheduler {
     /// Takes in a job; one that is known or has ended is passed over.
     pub(crate) fn take_job(&mut self, now: Millis, number: JobNumber, version: u64, spec: JobSpec) {
@@ -23,7 +26,8 @@
             self.images.intern(&step.image);
         }
         let inherited = version <= self.claim_version;
-        let mut job = JobState::new(number, spec, now, inherited);
+        let age = if inherited { self.age_of(&spec) } else { 0 };
+        let mut job = JobState::new(number, spec, now, age, inherited);
         if let Some(row) = self.inherited.remove(&number) {
             if row.stage.is_final() {
                 self.finished.insert(number);
@@ -45,6 +49,14 @@
         self.open_job_steps(now, number);
     }
 
+    /// How long ago a job was handed in, by the time of day; 0 where that is not known.
+    fn age_of(&self, spec: &JobSpec) -> Millis {
+        match spec.handed_in_ms {
+            0 => 0,
+            handed_in => self.wall_ms.saturating_sub(handed_in).min(OLDEST_JOB_MS),
+        }
+    }
+
     /// Adds the repetitions that are due.
     pub(crate) fn open_due_times(&mut self, now: Millis) {
         let timed = |job: &&JobState| job.next_time < job.time_count();
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -118,11 +118,12 @@
 }
 
 impl DueTimes {
-    /// Of a job that was handed in at a time.
-    pub(crate) fn new(handed_in: Millis, objective_ms: Millis) -> Self {
+    /// Of a job of an age by now; times before the clock's start count as its start.
+    pub(crate) fn new(now: Millis, age: Millis, objective_ms: Millis) -> Self {
+        let useful_ms = objective_ms * USEFUL_OBJECTIVES;
         Self {
-            objective_at: handed_in + objective_ms,
-            useless_at: handed_in + objective_ms * USEFUL_OBJECTIVES,
+            objective_at: (now + objective_ms).saturating_sub(age),
+            useless_at: (now + useful_ms).saturating_sub(age),
         }
     }
 
@@ -173,8 +174,14 @@
 }
 
 impl JobState {
-    pub(crate) fn new(number: JobNumber, spec: JobSpec, now: Millis, inherited: bool) -> Self {
-        let due = DueTimes::new(now, objective_ms(&spec));
+    pub(crate) fn new(
+        number: JobNumber,
+        spec: JobSpec,
+        now: Millis,
+        age: Millis,
+        inherited: bool,
+    ) -> Self {
+        let due = DueTimes::new(now, age, objective_ms(&spec));
         Self {
             number,
             spec,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -31,6 +31,8 @@
     pub claimed_at: Millis,
     /// The version as of which jobs were read; jobs up to it may be known to an earlier owner.
     pub claim_version: u64,
+    /// The time of day at the claim, in milliseconds since 1970; 0 where it is not known.
+    pub wall_ms: u64,
     /// What is durable of jobs.
     pub progress: BTreeMap<JobNumber, ProgressRow>,
     /// The workers that an earlier owner gave orders to.
@@ -128,7 +130,7 @@
             limits,
             epoch: info.epoch,
             claim_version: info.claim_version,
-            wall_ms: 0,
+            wall_ms: info.wall_ms,
             jobs: BTreeMap::new(),
             inherited: info.progress,
             finished: HashSet::new(),
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -29,6 +29,9 @@
     pub payload: String,
     /// The steps.
     pub steps: Vec<StepSpec>,
+    /// When the job was handed in, in milliseconds since 1970 by the accepting host's clock; 0 where it is not known.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub handed_in_ms: u64,
     /// When the steps run, where they run at given times.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub repeat: Option<RepeatRule>,
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -149,6 +149,18 @@
         stops.collect()
     }
 
+    /// The changes of pace since the last look.
+    pub fn paces(&self) -> Vec<(RunKey, u32)> {
+        let paces = self.actions.iter().filter_map(|action| match action {
+            JobAction::Call {
+                call: WorkerCall::Pace(key, percent),
+                ..
+            } => Some((*key, *percent)),
+            _ => None,
+        });
+        paces.collect()
+    }
+
     /// Takes the newest write that was asked for.
     pub fn take_commit(&mut self) -> Option<CommitBatch> {
         let mut commits = Vec::new();
@@ -216,6 +228,7 @@
         rules: rules(),
         payload: "text".to_owned(),
         steps,
+        handed_in_ms: 0,
         repeat: None,
     }
 }
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -10,6 +10,7 @@
 use sandshelf_jobs::{JobNumber, JobStage, ProgressRow, QueueEntry};
 use sandshelf_model::Millis;
 
+use crate::clock;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::records::{
     cancel_row, encode, job_range, job_row, progress_row, shard_row, single, PendingRow,
@@ -98,10 +99,11 @@
 impl JobDesk<'_> {
     /// Takes a job in; it is accepted once its row is durable.
     pub async fn submit(&self, queue: &QueueEntry, number: JobNumber, body: &[u8]) -> JobAnswer {
-        let spec = match decode_submission(queue, body) {
+        let mut spec = match decode_submission(queue, body) {
             Ok(spec) => spec,
             Err(fault) => return self.refuse(number, Status::BadRequest, &fault.to_string()),
         };
+        spec.handed_in_ms = clock::wall_ms();
         let value = encode(&spec);
         if value.len() > MAX_JOB_BYTES {
             let reason = format!("a job of {} bytes; {MAX_JOB_BYTES} at most", value.len());
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use rand::RngExt;
 use sandshelf_adapter::{StoreClient, StoreFault, WorkerClient};
@@ -163,12 +163,6 @@
     rand::rng().random_range(0..RANKS)
 }
 
-/// The time of day, in milliseconds since 1970.
-fn wall_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 impl OwnerLoop {
     fn take_message(&mut self, message: OwnerMessage) {
         match message {
@@ -194,7 +188,9 @@
         let now = clock::now();
         if self.owned.is_some() {
             self.refresh_queues();
-            self.handle(JobEvent::Tick { wall_ms: wall_ms() });
+            self.handle(JobEvent::Tick {
+                wall_ms: clock::wall_ms(),
+            });
             self.show_load(now);
         }
         self.write_next(now);
@@ -373,6 +369,7 @@
             epoch,
             claimed_at: clock::now(),
             claim_version: data.version,
+            wall_ms: clock::wall_ms(),
             ..data.info
         };
         let mut followers = vec![spawn_local(follow_jobs(
