--- a/crates/sandshelf/src/cli.rs
+++ b/crates/sandshelf/src/cli.rs
@@ -13,6 +13,7 @@
 use crate::failure::{CommandFailure, FailureKind};
 use crate::files;
 use crate::show;
+use crate::trace;
 
 /// Where the platform's address is taken from when no flag names it.
 const PLATFORM_VARIABLE: &str = "SANDSHELF_PLATFORM";
@@ -33,6 +34,7 @@
   cancel JOB...      take jobs out of the set in force; what of them runs is stopped
   drain NAME...      empty workers or entry hosts
   watch              show the state again and again
+  trace ID FILE...   tell the story of a job, task or worker from the hosts' logs; needs no platform
 
 Options:
       --platform IP:PORT  the platform's service; else from SANDSHELF_PLATFORM
@@ -58,6 +60,7 @@
     Cancel(Vec<String>),
     Drain(Vec<String>),
     Watch,
+    Trace(String, Vec<PathBuf>),
 }
 
 /// The whole command line, checked.
@@ -80,6 +83,9 @@
     if let Command::Check(paths) = &options.command {
         return files::check(paths, options.json);
     }
+    if let Command::Trace(subject, files) = &options.command {
+        return trace::trace(subject, files);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -99,7 +105,7 @@
         json: options.json,
     };
     match &options.command {
-        Command::Check(_) => Ok(()),
+        Command::Check(_) | Command::Trace(..) => Ok(()),
         Command::Diff(directory) => apply::diff(&platform, directory, options.json).await,
         Command::Apply(directory) => apply::apply(&platform, directory, &wish).await,
         Command::Cancel(jobs) => apply::cancel(&platform, jobs, &wish).await,
@@ -174,11 +180,17 @@
         ("explain", [subject]) => Ok(Command::Explain(subject.clone())),
         ("cancel", jobs) if !jobs.is_empty() => Ok(Command::Cancel(jobs.to_vec())),
         ("drain", names) if !names.is_empty() => Ok(Command::Drain(names.to_vec())),
-        ("check" | "diff" | "apply" | "explain" | "cancel" | "drain" | "show" | "watch", _) => {
-            Err(usage(&format!(
-                "'{name}' has too few or too many words after it; see sandshelf --help"
-            )))
-        }
+        ("trace", [subject, files @ ..]) if !files.is_empty() => Ok(Command::Trace(
+            subject.clone(),
+            files.iter().map(PathBuf::from).collect(),
+        )),
+        (
+            "check" | "diff" | "apply" | "explain" | "cancel" | "drain" | "show" | "watch"
+            | "trace",
+            _,
+        ) => Err(usage(&format!(
+            "'{name}' has too few or too many words after it; see sandshelf --help"
+        ))),
         _ => Err(usage(&format!(
             "there is no command '{name}'; see sandshelf --help"
         ))),
--- a/crates/sandshelf/src/main.rs
+++ b/crates/sandshelf/src/main.rs
@@ -6,6 +6,7 @@
 mod failure;
 mod files;
 mod show;
+mod trace;
 
 use std::process::ExitCode;
 
