--- a/crates/config/src/job_settings.rs
+++ b/crates/config/src/job_settings.rs
@@ -31,6 +31,8 @@
     pub caller_address: SocketAddr,
     /// Where the balancer asks whether the host takes connections.
     pub ready_address: SocketAddr,
+    /// Where the metrics are served; none for nowhere.
+    pub metrics_address: Option<SocketAddr>,
     /// The platform's store.
     pub store_address: SocketAddr,
     /// How workers are told what to do.
@@ -58,6 +60,7 @@
     let hall = reader.name("hall");
     let caller_address = reader.address("caller_address");
     let ready_address = reader.address("ready_address");
+    let metrics_address = reader.address_or_none("metrics_address");
     let store_address = reader.address("store_address");
     let worker_orders = reader.text_or("worker_orders", "call");
     let max_lease_ms = reader.number_or("max_lease_ms", 500, 600_000, 6_000);
@@ -69,6 +72,7 @@
         hall: HallId::from(hall?),
         caller_address: caller_address?,
         ready_address: ready_address?,
+        metrics_address: metrics_address?,
         store_address: store_address?,
         worker_orders: match worker_orders? {
             way if way == "call" => OrderWay::Call,
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -203,6 +203,14 @@
         self.address_of(field, value)
     }
 
+    /// Reads an optional socket address; the outer none stands for one with a fault.
+    pub(crate) fn address_or_none(&mut self, field: &'static str) -> Option<Option<SocketAddr>> {
+        match self.find(field) {
+            None => Some(None),
+            Some(value) => self.address_of(field, value).map(Some),
+        }
+    }
+
     fn address_of(&mut self, field: &str, value: &Value<'_>) -> Option<SocketAddr> {
         let text = self.text_of(field, value)?;
         let address = text.parse().ok();
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -231,6 +231,8 @@
         key: RunKey,
         /// Where.
         worker: WorkerId,
+        /// The job's queue.
+        queue: String,
         /// How long the task had waited.
         waited_ms: Millis,
         /// Free processors there before, in thousandths of a core.
@@ -280,6 +282,12 @@
         job: JobNumber,
         /// Its final state.
         state: JobStage,
+        /// Its queue.
+        queue: String,
+        /// How long it took since it was handed in.
+        took_ms: Millis,
+        /// How long it was to take.
+        objective_ms: Millis,
     },
     /// A task was put back into the queue by a new owner, which found it nowhere.
     Unfound(TaskKey),
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -8,7 +8,7 @@
 use crate::events::{JobNote, JobStage, LossCause, StopCause, WorkerListing};
 use crate::foreign::ForeignSight;
 use crate::ids::{JobNumber, RunKey};
-use crate::job::{JobState, TaskStage};
+use crate::job::{objective_ms, JobState, TaskStage};
 use crate::scheduler::JobScheduler;
 use crate::spec::JobSpec;
 use crate::worker::WorkerState;
@@ -123,9 +123,13 @@
         }
         self.mark_dirty(number);
         self.urgent = true;
+        let objective_ms = objective_ms(&job.spec);
         self.note(JobNote::JobFinished {
             job: number,
             state: stage,
+            took_ms: (now + objective_ms).saturating_sub(job.due.objective_at),
+            objective_ms,
+            queue: job.spec.queue,
         });
     }
 
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -332,7 +332,7 @@
 }
 
 /// How long a job may take by its queue's rules: a multiple of its longest chain of work, and a latency.
-fn objective_ms(spec: &JobSpec) -> Millis {
+pub(crate) fn objective_ms(spec: &JobSpec) -> Millis {
     let mut chains = vec![0u64; spec.steps.len()];
     for (index, step) in spec.steps.iter().enumerate() {
         let before = step.after.iter().map(|after| chains[*after]).max();
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -281,6 +281,7 @@
             return;
         };
         let payload = job.spec.payload.clone();
+        let queue = job.spec.queue.clone();
         let due = job.due;
         let Some(step) = job.step_spec(&run.task).cloned() else {
             return;
@@ -326,6 +327,7 @@
         self.note(JobNote::Placed {
             key: run,
             worker,
+            queue,
             waited_ms,
             free_cpu,
             resumed,
--- a/crates/lease/src/ownership.rs
+++ b/crates/lease/src/ownership.rs
@@ -76,6 +76,12 @@
         self.stage == LeaseStage::Holding && now < self.last_good + self.times.renewal_grace_ms
     }
 
+    /// When the newest write that took effect was sent; none while the shard isn't held.
+    pub fn last_renewal(&self) -> Option<Millis> {
+        let held = matches!(self.stage, LeaseStage::Holding | LeaseStage::Recovering);
+        held.then_some(self.last_good)
+    }
+
     /// Whether the lease should be renewed by now.
     pub fn wants_renewal(&self, now: Millis) -> bool {
         let held = matches!(self.stage, LeaseStage::Holding | LeaseStage::Recovering);
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -12,6 +12,7 @@
 
 use crate::clock;
 use crate::jobs::health::StoreHealth;
+use crate::jobs::meters::StoreCall;
 use crate::jobs::records::{
     cancel_row, encode, job_range, job_row, progress_row, shard_row, single, PendingRow,
     CANCEL_SUFFIX, PENDING_KEY, SHARDS_TABLE,
@@ -160,9 +161,8 @@
             puts: vec![(row, value)],
             removes: Vec::new(),
         };
-        let written = self.store.write(&write, self.patience).await;
-        self.health.note(&written);
-        written
+        let written = self.store.write(&write, self.patience);
+        self.health.watch(StoreCall::WriteJob, written).await
     }
 
     fn refuse(&self, number: JobNumber, status: Status, reason: &str) -> JobAnswer {
@@ -218,9 +218,8 @@
         &self,
         range: &sandshelf_adapter::RowRange,
     ) -> Result<Vec<StoredValue>, StoreFault> {
-        let page = self.store.read(range, self.patience).await;
-        self.health.note(&page);
-        Ok(page?.rows)
+        let read = self.store.read(range, self.patience);
+        Ok(self.health.watch(StoreCall::ReadJob, read).await?.rows)
     }
 
     /// Marks a job as cancelled; its owner stops what is at work of it.
--- a/crates/sandshelfd/src/jobs/calls.rs
+++ b/crates/sandshelfd/src/jobs/calls.rs
@@ -4,12 +4,15 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use sandshelf_adapter::WorkerClient;
 use sandshelf_jobs::{JobEvent, WorkerCall};
 use sandshelf_model::WorkerId;
 use tokio::sync::Semaphore;
 
+use crate::jobs::meters;
+
 /// How many orders, beside a hold, are under way to one worker: it takes 64 connections from all hosts together, and
 /// those of a host that lost power stay open there for a while.
 const ORDERS_AT_ONCE: usize = 3;
@@ -49,7 +52,10 @@
                 WorkerCall::Hold(_) => None,
                 _ => turns.acquire().await.ok(),
             };
-            answer_of(&client, worker, address, &call).await
+            let began = Instant::now();
+            let answered = answer_of(&client, worker, address, &call).await;
+            meters::note_order(&answered, began.elapsed());
+            answered
         }
     }
 }
--- a/crates/sandshelfd/src/jobs/face.rs
+++ b/crates/sandshelfd/src/jobs/face.rs
@@ -2,19 +2,21 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use metrics_exporter_prometheus::PrometheusHandle;
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::{ContentType, Header, Method, Status};
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome, Route};
-use rocket::Request;
+use rocket::{Request, State};
 use sandshelf_adapter::{StoreClient, DEADLINE_HEADER, READY_PATH};
 use sandshelf_jobs::{JobNumber, QueueEntry};
 use sandshelf_model::Millis;
 
 use crate::jobs::accept::{patience_for, JobAnswer, JobDesk};
 use crate::jobs::health::StoreHealth;
+use crate::jobs::meters;
 use crate::jobs::queues::QueueView;
 
 /// How long a caller may take to send a body.
@@ -72,7 +74,9 @@
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let shared = &self.0;
         let _open = OpenRequest::new(&shared.open_requests);
+        let began = Instant::now();
         let answer = answer_call(shared, request, data).await;
+        meters::note_answer(request.method(), answer.status, began.elapsed());
         let mut response = Response::new();
         response.set_status(answer.status);
         if answer.status == Status::Ok {
@@ -153,6 +157,17 @@
     }
 }
 
+/// Serves the figures of this process as text.
+#[rocket::get("/metrics")]
+fn metrics_text(handle: &State<PrometheusHandle>) -> String {
+    handle.render()
+}
+
+/// The routes of the face with the metrics.
+pub fn metrics_routes() -> Vec<Route> {
+    rocket::routes![metrics_text]
+}
+
 #[derive(Clone)]
 struct ReadyFace(Arc<JobShared>);
 
--- a/crates/sandshelfd/src/jobs/health.rs
+++ b/crates/sandshelfd/src/jobs/health.rs
@@ -1,11 +1,14 @@
 //! Whether the store answers this host.
 
+use std::future::Future;
 use std::sync::Mutex;
+use std::time::Instant;
 
 use sandshelf_adapter::StoreFault;
 use sandshelf_model::Millis;
 
 use crate::clock;
+use crate::jobs::meters::{self, StoreCall};
 use crate::logging::event;
 
 /// After so many calls that failed on end the store counts as out for callers, until one of the calls that watch it
@@ -28,8 +31,21 @@
 }
 
 impl StoreHealth {
-    /// Notes how a call ended; the first failure and the first success after one are logged.
-    pub fn note<T>(&self, result: &Result<T, StoreFault>) {
+    /// Waits for a call to the store, and notes how it ended and how long it took.
+    pub async fn watch<T>(
+        &self,
+        kind: StoreCall,
+        call: impl Future<Output = Result<T, StoreFault>>,
+    ) -> Result<T, StoreFault> {
+        let began = Instant::now();
+        let result = call.await;
+        meters::note_store(kind, result.as_ref().err().copied(), began.elapsed());
+        self.note(&result);
+        result
+    }
+
+    /// The first failure and the first success after one are logged.
+    fn note<T>(&self, result: &Result<T, StoreFault>) {
         let mut state = self
             .state
             .lock()
--- a/crates/sandshelfd/src/jobs/intake.rs
+++ b/crates/sandshelfd/src/jobs/intake.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
+use crate::jobs::meters::StoreCall;
 use crate::jobs::records::JOBS_TABLE;
 use crate::jobs::takeover::decode_jobs;
 use crate::jobs::writer::OwnerStore;
@@ -29,11 +30,10 @@
     sender: UnboundedSender<Vec<JobEvent>>,
 ) {
     loop {
-        let page = store
+        let follow = store
             .client
-            .follow(JOBS_TABLE, after, JOBS_WAIT_MS, PATIENCE)
-            .await;
-        store.health.note(&page);
+            .follow(JOBS_TABLE, after, JOBS_WAIT_MS, PATIENCE);
+        let page = store.health.watch(StoreCall::Follow, follow).await;
         let events = match page {
             Ok(FeedPage::Changes(rows, version)) => {
                 after = after.max(version);
@@ -69,8 +69,8 @@
         to: None,
     };
     loop {
-        let page = store.client.read_all(&range, PATIENCE).await;
-        store.health.note(&page);
+        let read = store.client.read_all(&range, PATIENCE);
+        let page = store.health.watch(StoreCall::ListWorkers, read).await;
         match page {
             Ok(page) => {
                 let mut list: Vec<WorkerListing> = Vec::with_capacity(page.rows.len());
--- /dev/null
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -0,0 +1,178 @@
+//! Metrics of the daemon that serves jobs on the users' platform.
+//!
+//! Every label comes from a closed set, or is a queue of the configuration.
+
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
+use rocket::http::{Method, Status};
+use sandshelf_adapter::StoreFault;
+use sandshelf_jobs::{JobEvent, JobNote, JobStage, OrderAnswer, SchedulerCounts};
+
+use crate::jobs::notes::label;
+
+/// Answers to callers, by call and status.
+const ANSWERS: &str = "sandshelf_job_answers_total";
+/// Seconds from a caller's request to its answer, by call.
+const ANSWER_SECONDS: &str = "sandshelf_job_answer_seconds";
+/// Calls to the store, by kind and outcome.
+const STORE_CALLS: &str = "sandshelf_store_calls_total";
+/// Seconds that calls to the store took, by kind.
+const STORE_SECONDS: &str = "sandshelf_store_call_seconds";
+/// Orders to workers, by kind and outcome.
+const ORDERS: &str = "sandshelf_orders_total";
+/// Seconds that orders to workers took, by kind; a hold's include the wait that it asked for.
+const ORDER_SECONDS: &str = "sandshelf_order_seconds";
+/// Seconds that tasks waited for a worker, by queue and by whether their step is the job's first.
+const START_SECONDS: &str = "sandshelf_task_wait_seconds";
+/// Runs that ended, by outcome.
+const ENDS: &str = "sandshelf_task_ends_total";
+/// Runs that were ordered to stop, by cause.
+const STOPS: &str = "sandshelf_task_stops_total";
+/// Runs that were given up without an end, by cause.
+const LOSSES: &str = "sandshelf_runs_lost_total";
+/// Workers that were believed silent, gone or failing, by belief.
+const BELIEFS: &str = "sandshelf_worker_beliefs_total";
+/// Jobs that came to their end, by queue and state.
+const JOBS: &str = "sandshelf_jobs_finished_total";
+/// Seconds from a job's acceptance to its end, by queue.
+const JOB_SECONDS: &str = "sandshelf_job_seconds";
+/// Jobs that ended later than their objective, by queue.
+const LATE_JOBS: &str = "sandshelf_jobs_late_total";
+
+/// What a call to the store is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// A job or a mark of cancellation is written for a caller.
+    WriteJob,
+    /// A caller asks for a job or a queue.
+    ReadJob,
+    /// The owner writes progress, or renews its ownership.
+    Commit,
+    /// The owner's row is read.
+    ReadOwner,
+    /// All rows of the shard are read by a new owner.
+    TakeOver,
+    /// Changes are waited for.
+    Follow,
+    /// The list of workers is read.
+    ListWorkers,
+    /// The configuration is read.
+    ReadConfig,
+}
+
+/// Counts a call to the store.
+pub fn note_store(kind: StoreCall, fault: Option<StoreFault>, took: Duration) {
+    let outcome = fault.map_or("answered".to_owned(), |fault| fault.to_string());
+    counter!(STORE_CALLS, "kind" => label(&kind), "outcome" => outcome).increment(1);
+    histogram!(STORE_SECONDS, "kind" => label(&kind)).record(took.as_secs_f64());
+}
+
+/// Counts an answer to a caller.
+pub fn note_answer(method: Method, status: Status, took: Duration) {
+    let call = method.as_str();
+    counter!(ANSWERS, "call" => call, "status" => status.code.to_string()).increment(1);
+    histogram!(ANSWER_SECONDS, "call" => call).record(took.as_secs_f64());
+}
+
+/// Counts an order to a worker by its answer.
+pub fn note_order(answered: &JobEvent, took: Duration) {
+    let (kind, outcome) = match answered {
+        JobEvent::StartAnswered(_, _, answer) => ("start", outcome_of(answer)),
+        JobEvent::StopAnswered(_, _, answer) => ("stop", outcome_of(answer)),
+        JobEvent::PaceAnswered(_, _, answer) => ("pace", outcome_of(answer)),
+        JobEvent::HoldAnswered(_, answer) => ("hold", hold_outcome(answer)),
+        _ => return,
+    };
+    counter!(ORDERS, "kind" => kind, "outcome" => outcome).increment(1);
+    histogram!(ORDER_SECONDS, "kind" => kind).record(took.as_secs_f64());
+}
+
+fn outcome_of(answer: &OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Done(_) => "done",
+        OrderAnswer::Refused(..) => "refused",
+        OrderAnswer::Unhealthy => "unhealthy",
+        OrderAnswer::Invalid => "invalid",
+        OrderAnswer::Replaced => "replaced",
+        OrderAnswer::Unreachable => "unreachable",
+        OrderAnswer::Unknown => "unknown",
+    }
+}
+
+fn hold_outcome(answer: &sandshelf_jobs::HoldAnswer) -> &'static str {
+    match answer {
+        sandshelf_jobs::HoldAnswer::Report(_) => "done",
+        sandshelf_jobs::HoldAnswer::Fenced => "refused",
+        sandshelf_jobs::HoldAnswer::Failed(answer) => outcome_of(answer),
+    }
+}
+
+/// Counts what a scheduler decided or learnt.
+pub fn note_decision(note: &JobNote) {
+    match note {
+        JobNote::Placed {
+            key,
+            queue,
+            waited_ms,
+            ..
+        } => {
+            let step = if key.task.step == 0 { "first" } else { "later" };
+            let waited = Duration::from_millis(*waited_ms).as_secs_f64();
+            histogram!(START_SECONDS, "queue" => queue.clone(), "step" => step).record(waited);
+        }
+        JobNote::Ended { outcome, .. } => {
+            counter!(ENDS, "outcome" => label(outcome)).increment(1);
+        }
+        JobNote::Stopped { cause, .. } => counter!(STOPS, "cause" => label(cause)).increment(1),
+        JobNote::RunLost { cause, .. } => counter!(LOSSES, "cause" => label(cause)).increment(1),
+        JobNote::WorkerSilent(_) => counter!(BELIEFS, "belief" => "silent").increment(1),
+        JobNote::WorkerGone(..) => counter!(BELIEFS, "belief" => "gone").increment(1),
+        JobNote::WorkerQuarantined(_) => counter!(BELIEFS, "belief" => "failing").increment(1),
+        JobNote::JobFinished {
+            state,
+            queue,
+            took_ms,
+            objective_ms,
+            ..
+        } => note_finished(*state, queue, *took_ms, *objective_ms),
+        JobNote::StartRefused { .. }
+        | JobNote::Unfound(_)
+        | JobNote::Fenced(_)
+        | JobNote::Paced(..) => {}
+    }
+}
+
+fn note_finished(state: JobStage, queue: &str, took_ms: u64, objective_ms: u64) {
+    let queue = queue.to_owned();
+    counter!(JOBS, "queue" => queue.clone(), "state" => label(&state)).increment(1);
+    if state != JobStage::Completed {
+        return;
+    }
+    let took = Duration::from_millis(took_ms).as_secs_f64();
+    histogram!(JOB_SECONDS, "queue" => queue.clone()).record(took);
+    if took_ms > objective_ms {
+        counter!(LATE_JOBS, "queue" => queue).increment(1);
+    }
+}
+
+/// Shows an owner's figures.
+pub fn show_load(counts: &SchedulerCounts) {
+    gauge!("sandshelf_jobs_open").set(counts.jobs as f64);
+    gauge!("sandshelf_tasks_waiting").set(counts.waiting as f64);
+    gauge!("sandshelf_tasks_running").set(counts.runs as f64);
+    gauge!("sandshelf_workers_known").set(counts.workers as f64);
+    gauge!("sandshelf_workers_open").set(counts.open_workers as f64);
+    gauge!("sandshelf_jobs_unwritten").set(counts.dirty as f64);
+    gauge!("sandshelf_serving_tasks").set(counts.serving as f64);
+    gauge!("sandshelf_serving_tasks_over_target").set(counts.over_target as f64);
+    gauge!("sandshelf_filling_tasks").set(counts.filling as f64);
+    gauge!("sandshelf_filling_tasks_slowed").set(counts.slowed as f64);
+}
+
+/// Shows whether this host owns the shard, how old the newest durable write is, and the configuration in force.
+pub fn show_host(owns: bool, write_age: Option<Duration>, config: Option<u64>) {
+    gauge!("sandshelf_shards_held").set(f64::from(u8::from(owns)));
+    gauge!("sandshelf_write_age_seconds").set(write_age.map_or(0.0, |age| age.as_secs_f64()));
+    gauge!("sandshelf_config_revision").set(config.unwrap_or(0) as f64);
+}
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod face;
 mod health;
 mod intake;
+mod meters;
 mod notes;
 mod owner;
 mod queues;
@@ -13,6 +14,7 @@
 mod writer;
 
 use std::fs;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -29,12 +31,12 @@
 use tokio::time::sleep;
 
 use crate::daemon::{launch, quiet_rocket, wait_for_signal, DaemonFailure};
-use crate::jobs::face::{job_routes, ready_routes, JobShared};
+use crate::jobs::face::{job_routes, metrics_routes, ready_routes, JobShared};
 use crate::jobs::health::StoreHealth;
 use crate::jobs::owner::{run_owner, OwnerParts};
 use crate::jobs::queues::{watch_queues, QueueView};
 use crate::logging::event;
-use crate::{clock, logging};
+use crate::{clock, logging, meters as process_meters};
 
 /// How long a planned stop goes on serving at least: the balancer needs two missed questions, a second apart, to turn
 /// new connections elsewhere.
@@ -44,6 +46,9 @@
 /// How often a planned stop looks whether requests are still under way.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
+/// How often samples of histograms are put into their buckets: between two readings they take up memory.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
@@ -89,6 +94,8 @@
     let (_, caller_stop) = launch(caller).await?;
     let ready = quiet_rocket(settings.ready_address).mount("/", ready_routes(&shared));
     let _ = launch(ready).await?;
+    let metrics_at = open_metrics(settings.metrics_address).await?;
+    let metrics_at = metrics_at.map_or("none".to_owned(), |address| address.to_string());
     event(
         "started",
         &[
@@ -96,6 +103,7 @@
             ("hall", &settings.hall),
             ("caller", &settings.caller_address),
             ("ready", &settings.ready_address),
+            ("metrics", &metrics_at),
             ("store", &settings.store_address),
         ],
     );
@@ -137,6 +145,32 @@
     Ok(())
 }
 
+/// Installs the metrics, and serves them where the settings name an address; returns where that is.
+async fn open_metrics(
+    address: Option<SocketAddr>,
+) -> Result<Option<SocketAddr>, Report<DaemonFailure>> {
+    let Some(handle) = process_meters::install() else {
+        event(
+            "metrics_failed",
+            &[("cause", &"the recorder can't be installed")],
+        );
+        return Ok(None);
+    };
+    let upkeep = handle.clone();
+    tokio::spawn(async move {
+        loop {
+            sleep(METRICS_UPKEEP).await;
+            upkeep.run_upkeep();
+        }
+    });
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let face = quiet_rocket(address).mount("/", metrics_routes());
+    let (bound, _) = launch(face.manage(handle)).await?;
+    Ok(Some(bound))
+}
+
 /// Starts the one thread that holds all control state.
 fn start_owner(parts: OwnerParts) -> Result<(), Report<DaemonFailure>> {
     let run = move || {
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -5,15 +5,17 @@
 use sandshelf_jobs::{JobNote, SchedulerCounts};
 use sandshelf_model::Epoch;
 
+use crate::jobs::meters;
 use crate::logging::event;
 
 /// Writes the variants of a closed set as they are named, in lower case.
-fn label<T: Debug>(value: &T) -> String {
+pub(super) fn label<T: Debug>(value: &T) -> String {
     format!("{value:?}").to_ascii_lowercase()
 }
 
 /// Logs what a scheduler decided or learnt.
 pub fn log_note(note: &JobNote) {
+    meters::note_decision(note);
     match note {
         JobNote::Placed {
             key,
@@ -21,6 +23,7 @@
             waited_ms,
             free_cpu,
             resumed,
+            ..
         } => event(
             "task_placed",
             &[
@@ -76,9 +79,22 @@
                 ("answer", &label(answer)),
             ],
         ),
-        JobNote::JobFinished { job, state } => {
-            event("job_finished", &[("job", job), ("state", &label(state))]);
-        }
+        JobNote::JobFinished {
+            job,
+            state,
+            queue,
+            took_ms,
+            objective_ms,
+        } => event(
+            "job_finished",
+            &[
+                ("job", job),
+                ("state", &label(state)),
+                ("queue", queue),
+                ("took_ms", took_ms),
+                ("objective_ms", objective_ms),
+            ],
+        ),
         JobNote::Unfound(task) => event("task_unfound", &[("task", task)]),
         JobNote::Fenced(worker) => event("worker_fenced", &[("worker", worker)]),
         JobNote::WorkerSilent(worker) => event("worker_silent", &[("worker", worker)]),
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -20,6 +20,7 @@
 use crate::jobs::calls::WorkerCalls;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::intake::{follow_jobs, follow_workers};
+use crate::jobs::meters::{self, StoreCall};
 use crate::jobs::notes::{log_load, log_note};
 use crate::jobs::queues::QueueView;
 use crate::jobs::takeover::TakeoverData;
@@ -191,8 +192,8 @@
             self.handle(JobEvent::Tick {
                 wall_ms: clock::wall_ms(),
             });
-            self.show_load(now);
         }
+        self.show_load(now);
         self.write_next(now);
         if *self.lease.stage() == LeaseStage::Watching {
             self.watch(now);
@@ -200,14 +201,20 @@
         self.check_stop(now);
     }
 
-    /// Logs the shard's figures from time to time.
+    /// Shows this host's figures from time to time, and the shard's where it owns that.
     fn show_load(&mut self, now: Millis) {
         if now < self.next_load {
             return;
         }
         self.next_load = now + LOAD_EVERY_MS;
+        let renewed = self.lease.last_renewal();
+        let write_age = renewed.map(|at| Duration::from_millis(now.saturating_sub(at)));
+        let config = self.queues.get().map(|table| table.version);
+        meters::show_host(self.owned.is_some(), write_age, config);
         if let Some(owned) = &self.owned {
-            log_load(owned.scheduler.epoch(), &owned.scheduler.counts(now));
+            let counts = owned.scheduler.counts(now);
+            log_load(owned.scheduler.epoch(), &counts);
+            meters::show_load(&counts);
         }
     }
 
@@ -329,8 +336,8 @@
         let store = self.store.clone();
         let messages = self.messages.clone();
         spawn_local(async move {
-            let read = store.read_takeover().await;
-            store.health.note(&read);
+            let takeover = store.read_takeover();
+            let read = store.health.watch(StoreCall::TakeOver, takeover).await;
             let _ = messages.send(OwnerMessage::TakenOver(read.map(Box::new)));
         });
     }
--- a/crates/sandshelfd/src/jobs/queues.rs
+++ b/crates/sandshelfd/src/jobs/queues.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::jobs::health::StoreHealth;
+use crate::jobs::meters::StoreCall;
 use crate::logging::event;
 
 /// How long a question for changes waits for one; a connection that has fallen silent is noticed soon after.
@@ -66,10 +67,8 @@
             }
         };
         loop {
-            let page = store
-                .follow(CONFIG_TABLE, after, WATCH_WAIT_MS, PATIENCE)
-                .await;
-            health.note(&page);
+            let follow = store.follow(CONFIG_TABLE, after, WATCH_WAIT_MS, PATIENCE);
+            let page = health.watch(StoreCall::Follow, follow).await;
             match page {
                 Ok(FeedPage::Changes(rows, version)) => {
                     after = after.max(version);
@@ -99,9 +98,8 @@
         from: CONFIG_KEY.to_owned(),
         to: Some(format!("{CONFIG_KEY}\u{0}")),
     };
-    let page = store.read(&range, PATIENCE).await;
-    health.note(&page);
-    let page = page?;
+    let read = store.read(&range, PATIENCE);
+    let page = health.watch(StoreCall::ReadConfig, read).await?;
     take_rows(view, &page.rows);
     Ok(page.version)
 }
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::jobs::accept::decode_row;
 use crate::jobs::health::StoreHealth;
+use crate::jobs::meters::StoreCall;
 use crate::jobs::records::{
     cancel_row, encode, job_row, progress_row, shard_row, single, PendingRow, RosterRow, OWNER_KEY,
     PENDING_KEY, ROSTER_KEY, SHARDS_TABLE, STRENGTHS_KEY,
@@ -70,9 +71,9 @@
     /// The store did not answer.
     pub async fn read_owner(&self) -> Result<StoredRow, StoreFault> {
         let range = single(&shard_row(SHARDS_TABLE, OWNER_KEY));
-        let page = self.client.read(&range, READ_PATIENCE).await;
-        self.health.note(&page);
-        Ok(decode_owner(&page?.rows))
+        let read = self.client.read(&range, READ_PATIENCE);
+        let page = self.health.watch(StoreCall::ReadOwner, read).await?;
+        Ok(decode_owner(&page.rows))
     }
 
     /// Writes until it is certain that the write took effect or never will.
@@ -80,8 +81,8 @@
         let request = row_write(&write);
         let sent = clock::now();
         loop {
-            let outcome = self.client.write(&request, WRITE_PATIENCE).await;
-            self.health.note(&outcome);
+            let attempt = self.client.write(&request, WRITE_PATIENCE);
+            let outcome = self.health.watch(StoreCall::Commit, attempt).await;
             let current = match outcome {
                 Ok(WriteOutcome::Done(version)) => return committed(write, sent, version),
                 Ok(WriteOutcome::Conflict(rows)) => decode_owner(&rows),
