--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -6,17 +6,12 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use crate::events::{JobNote, LossCause, OrderAnswer, RefusalReason, StopCause, WorkerCall};
+use crate::fill::{FillAsk, FillBoard, FillUrgency};
 use crate::ids::RunKey;
-use crate::job::{DueTimes, EndWorth};
-use crate::press::{load_of_tail, target_load, ImageId, PressEstimate};
+use crate::press::{load_of_tail, ImageId};
 use crate::scheduler::JobScheduler;
 use crate::worker::{RunPhase, RunRecord, WorkerState};
 
-/// The share of its target load up to which a serving task may be loaded. Lower values were measured to starve filling
-/// tasks (0.87: their worth halves on calm days, 0.8: next to nothing), higher ones to cost serving more than they gain.
-const LOAD_MARGIN: f64 = 1.0;
-/// A pair weaker than this doesn't matter to the pace.
-const WEAK_STRENGTH: f64 = 0.3;
 /// Paces are whole multiples of this, in percent: smaller changes are not worth a call.
 const PACE_STEP: u32 = 5;
 /// A reading that covers less than this, in milliseconds, says too little of what fills.
@@ -48,32 +43,9 @@
 const MOVES_AT_ONCE: usize = 8;
 /// How often slowed tasks are looked at.
 const MOVE_EVERY_MS: Millis = 250;
-/// A filling task counts as having at least so much of its work left.
-const LEAST_LEFT: f64 = 0.05;
 /// A task without checkpoints may lose so much of its work, in percent.
 const LITTLE_PERCENT: u32 = 15;
 
-/// What a serving task leaves for filling tasks.
-struct ServingRoom {
-    image: ImageId,
-    /// By how much, as a share, its load may rise over what it is without filling tasks.
-    allowed: f64,
-}
-
-/// The room that each serving task on a worker leaves.
-fn serving_rooms(worker: &WorkerState) -> Vec<ServingRoom> {
-    let watched = worker.runs.values().filter(|record| record.target_ms > 0);
-    let room = |record: &RunRecord| {
-        let without = record.serving?.alone();
-        let most = target_load() * LOAD_MARGIN;
-        Some(ServingRoom {
-            image: record.image,
-            allowed: (most / without - 1.0).max(0.0),
-        })
-    };
-    watched.filter_map(room).collect()
-}
-
 /// Whether a change of pace is large enough; a task is slowed by smaller steps than it is let go.
 fn is_worth_a_call(now: u32, wanted: u32) -> bool {
     match now.cmp(&wanted) {
@@ -99,137 +71,6 @@
     }
 }
 
-/// How urgent a filling task is beside others: those of jobs whose end is still worth something come first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct FillUrgency {
-    worth: EndWorth,
-    due: DueTimes,
-}
-
-impl FillUrgency {
-    pub(crate) fn new(now: Millis, due: DueTimes) -> Self {
-        Self {
-            worth: due.worth_at(now),
-            due,
-        }
-    }
-}
-
-/// One filling task that wants a share of what serving tasks leave.
-struct FillWant {
-    urgency: FillUrgency,
-    key: Option<RunKey>,
-    image: ImageId,
-    /// The share of the worker's processors that it uses at full pace.
-    load: f64,
-    /// The part of its work that is left.
-    left: f64,
-}
-
-fn fill_wants(worker: &WorkerState, now: Millis) -> Vec<FillWant> {
-    let capacity = worker.entry.capacity.cpu_millis.max(1) as f64;
-    let fills = worker.runs.iter().filter(|(_, record)| record.fills);
-    fills
-        .map(|(key, record)| FillWant {
-            urgency: FillUrgency::new(now, record.due),
-            key: Some(*key),
-            image: record.image,
-            load: record.cpu_millis as f64 / capacity,
-            left: LEAST_LEFT.max(1.0 - f64::from(record.percent) / 100.0),
-        })
-        .collect()
-}
-
-/// Deals what serving tasks leave, the most urgent filling task first; returns a share for each want, in their order.
-fn deal_shares(
-    rooms: &mut [ServingRoom],
-    wants: &mut [FillWant],
-    press: &PressEstimate,
-) -> Vec<f64> {
-    wants.sort_by(|one, other| {
-        let cost = |want: &FillWant| {
-            let strengths = rooms
-                .iter()
-                .map(|room| press.strength(room.image, want.image));
-            strengths.fold(WEAK_STRENGTH, f64::max) * want.load * want.left
-        };
-        let worth = one.urgency.worth.cmp(&other.urgency.worth);
-        worth
-            .then(cost(one).total_cmp(&cost(other)))
-            .then(one.urgency.cmp(&other.urgency))
-    });
-    let mut shares = Vec::with_capacity(wants.len());
-    for want in wants.iter() {
-        let mut share: f64 = 1.0;
-        for room in rooms.iter() {
-            let strength = press.strength(room.image, want.image);
-            if strength >= WEAK_STRENGTH {
-                share = share.min(room.allowed / (strength * want.load).max(f64::MIN_POSITIVE));
-            }
-        }
-        for room in rooms.iter_mut() {
-            let used = press.strength(room.image, want.image) * want.load * share;
-            room.allowed = (room.allowed - used).max(0.0);
-        }
-        shares.push(share);
-    }
-    shares
-}
-
-/// What part of the room that the tightest serving task leaves one more filling task would take up on a worker; 1 where
-/// there is none.
-pub(crate) fn room_taken(
-    worker: &WorkerState,
-    press: &PressEstimate,
-    image: ImageId,
-    cpu_millis: u64,
-) -> f64 {
-    let load = cpu_millis as f64 / worker.entry.capacity.cpu_millis.max(1) as f64;
-    let rooms = serving_rooms(worker);
-    let taken = rooms.iter().map(|room| {
-        let own = press.strength(room.image, image) * load;
-        own / room.allowed.max(own).max(f64::MIN_POSITIVE)
-    });
-    taken.fold(0.0, f64::max)
-}
-
-/// The share at which one more filling task would work on a worker, by what serving tasks leave and by the processors
-/// that no ordinary task holds.
-pub(crate) fn foreseen_share(
-    worker: &WorkerState,
-    press: &PressEstimate,
-    now: Millis,
-    urgency: FillUrgency,
-    image: ImageId,
-    cpu_millis: u64,
-) -> f64 {
-    let capacity = worker.entry.capacity.cpu_millis.max(1) as f64;
-    let mut rooms = serving_rooms(worker);
-    let mut wants = fill_wants(worker, now);
-    wants.push(FillWant {
-        urgency,
-        key: None,
-        image,
-        load: cpu_millis as f64 / capacity,
-        left: 1.0,
-    });
-    let shares = deal_shares(&mut rooms, &mut wants, press);
-    let own = wants.iter().position(|want| want.key.is_none());
-    let share = own.map_or(1.0, |own| shares[own]);
-    share.min(processor_share(worker, cpu_millis))
-}
-
-/// The share of their processors that filling tasks would get on a worker with one more.
-///
-/// Standing tasks don't count: measured days show filling tasks that use nearly all of a worker's processors beside
-/// standing ones that were declared to need nine tenths.
-fn processor_share(worker: &WorkerState, cpu_millis: u64) -> f64 {
-    let ordinary = worker.ordinary_cpu();
-    let left = worker.entry.capacity.cpu_millis.saturating_sub(ordinary);
-    let wanted = worker.filling_cpu() + cpu_millis;
-    (left as f64 / wanted.max(1) as f64).min(1.0)
-}
-
 impl JobScheduler {
     /// Learns from a worker's newest readings.
     pub(crate) fn learn_press(&mut self, now: Millis, worker: &WorkerId) {
@@ -267,15 +108,12 @@
             since.is_some_and(|since| now >= since + LEAVE_ALONE_MS)
         };
         let alone = state.runs.values().any(long_over);
-        let mut rooms = serving_rooms(state);
-        let mut wants = fill_wants(state, now);
-        let shares = deal_shares(&mut rooms, &mut wants, &self.press);
+        let shares = FillBoard::new(state, &self.press, now).deal(&self.press);
         let mut changed = Vec::new();
-        for (want, share) in wants.iter().zip(shares) {
+        for (key, share) in shares {
             let share = if alone { 0.0 } else { share };
             let pace = (share * 100.0) as u32 / PACE_STEP * PACE_STEP;
-            let record = want.key.and_then(|key| Some((key, state.runs.get(&key)?)));
-            let Some((key, record)) = record else {
+            let Some(record) = state.runs.get(&key) else {
                 continue;
             };
             if matches!(record.phase, RunPhase::Running(_)) && is_worth_a_call(record.pace, pace) {
@@ -346,14 +184,20 @@
         service: &str,
         taken: &[&WorkerId],
     ) -> Option<&WorkerId> {
-        let urgency = FillUrgency::new(now, record.due);
-        let (image, cpu) = (record.image, record.cpu_millis);
+        let asked = FillAsk {
+            urgency: FillUrgency::new(now, record.due),
+            image: record.image,
+            cpu_millis: record.cpu_millis,
+        };
+        let share_at = |target: &WorkerState| {
+            FillBoard::new(target, &self.press, now).foreseen_share(&self.press, &asked)
+        };
         let better = self.workers.iter().find(|(id, target)| {
             target.entry.service == service
                 && target.is_open(now)
                 && record.room.fits_in(&target.free())
                 && !taken.contains(id)
-                && foreseen_share(target, &self.press, now, urgency, image, cpu) >= MOVE_TO_SHARE
+                && share_at(target) >= MOVE_TO_SHARE
         });
         better.map(|(id, _)| id)
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -18,6 +18,7 @@
 mod answers;
 mod commit;
 mod events;
+mod fill;
 mod foreign;
 mod gang;
 mod gauges;
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -77,6 +77,9 @@
 /// How long after a takeover jobs that are newer wait for workers that have not answered: a worker that lives answers
 /// within a tenth of that.
 pub const FRESH_JOB_WAIT_MS: Millis = 1_500;
+/// The least time between two passes while tasks are left waiting: every end frees some room, and a pass over hundreds of
+/// waiting tasks costs a millisecond of the processor.
+pub const PASS_PAUSE_MS: Millis = 10;
 /// How many waiting tasks one pass tries to place.
 pub const PLACE_PER_PASS: usize = 400;
 /// How long a task whose order no worker understood waits.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -6,11 +6,11 @@
 use sandshelf_place::WorkerHealth;
 
 use crate::events::{JobNote, StartCall, WorkerCall};
-use crate::guard::{foreseen_share, room_taken, FillUrgency};
+use crate::fill::{FillAsk, FillBoard, FillUrgency};
 use crate::ids::{JobNumber, RunKey, TaskKey};
 use crate::job::TaskStage;
-use crate::limits::{PLACE_PER_PASS, START_VALID_MS};
-use crate::press::{ImageId, PressEstimate};
+use crate::limits::{PASS_PAUSE_MS, PLACE_PER_PASS, START_VALID_MS};
+use crate::press::PressEstimate;
 use crate::rank::{place_rank, PassMemo, PlaceRank, RankTier};
 use crate::scheduler::{JobScheduler, WaitKey};
 use crate::spec::StepSpec;
@@ -56,15 +56,14 @@
     only_rack: Option<&'a str>,
     /// Whether it is started also where it would be slow.
     starving: bool,
-    now: Millis,
-    urgency: FillUrgency,
-    image: ImageId,
+    fill: FillAsk,
 }
 
 impl JobScheduler {
     /// Starts waiting tasks on workers that have room, the most urgent first.
     pub(crate) fn place_waiting(&mut self, now: Millis) {
-        if !std::mem::take(&mut self.room_changed) || self.waiting.is_empty() {
+        let paused = self.pass_left_some && now < self.last_pass + PASS_PAUSE_MS;
+        if paused || !std::mem::take(&mut self.room_changed) || self.waiting.is_empty() {
             return;
         }
         self.last_pass = now;
@@ -84,6 +83,7 @@
         for (rank, wait) in ranked.into_iter().take(PLACE_PER_PASS) {
             self.place_one(now, rank, wait, &mut memo);
         }
+        self.pass_left_some = !self.waiting.is_empty();
     }
 
     fn place_one(&mut self, now: Millis, rank: PlaceRank, wait: WaitKey, memo: &mut PassMemo) {
@@ -111,20 +111,28 @@
                 .filter(|_| !task.failed_runs.is_empty()),
             only_rack: None,
             starving,
-            now,
-            urgency: FillUrgency::new(now, job.due),
-            image: self.images.get(&step.image),
+            fill: FillAsk {
+                urgency: FillUrgency::new(now, job.due),
+                image: self.images.get(&step.image),
+                cpu_millis: step.size.cpu_millis,
+            },
         };
         let places = if step.gang {
-            self.choose_gang(now, &candidate)
+            self.choose_gang(now, &candidate, memo)
         } else {
-            let chosen = self.choose(now, &candidate, &BTreeMap::new());
+            let chosen = self.choose(now, &candidate, &BTreeMap::new(), memo);
             chosen.map(|worker| vec![(key, worker)])
         };
         match places {
             None => memo.note_failed(&key, service, step),
             Some(places) => {
                 memo.helped.push(key.job);
+                let boards = self.workers.keys().zip(&mut memo.boards);
+                for (worker, board) in boards {
+                    if places.iter().any(|(_, place)| place == worker) {
+                        *board = None;
+                    }
+                }
                 self.waiting.remove(&wait);
                 self.start_tasks(now, places);
             }
@@ -137,16 +145,23 @@
         now: Millis,
         candidate: &Candidate<'_>,
         planned: &BTreeMap<WorkerId, Vec<ResourceSize>>,
+        memo: &mut PassMemo,
     ) -> Option<WorkerId> {
         let mut best: Option<(f64, &WorkerId)> = None;
-        for (id, worker) in &self.workers {
+        memo.boards.resize_with(self.workers.len(), || None);
+        for ((id, worker), known) in self.workers.iter().zip(&mut memo.boards) {
             let taken = planned.get(id).map_or(&[][..], Vec::as_slice);
             if !self.may_take(now, id, worker, candidate, taken) {
                 continue;
             }
-            let Some(cost) = place_cost(worker, &self.press, candidate, taken) else {
-                continue;
-            };
+            let mut cost = place_cost(worker, candidate, taken);
+            if candidate.step.fills {
+                let board = known.get_or_insert_with(|| FillBoard::new(worker, &self.press, now));
+                let Some(filling) = fill_cost(board, &self.press, candidate) else {
+                    continue;
+                };
+                cost += filling;
+            }
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
             }
@@ -200,6 +215,7 @@
         &self,
         now: Millis,
         candidate: &Candidate<'_>,
+        memo: &mut PassMemo,
     ) -> Option<Vec<(TaskKey, WorkerId)>> {
         if candidate.step.same_rack {
             let mut racks: Vec<&String> = Vec::new();
@@ -212,12 +228,13 @@
             }
             let near = candidate.step.rack.as_ref();
             racks.sort_by_key(|rack| Some(*rack) != near);
-            let within = |rack: &String| self.choose_members(now, candidate, Some(rack));
-            if let Some(places) = racks.into_iter().find_map(within) {
-                return Some(places);
+            for rack in racks {
+                if let Some(places) = self.choose_members(now, candidate, Some(rack), memo) {
+                    return Some(places);
+                }
             }
         }
-        self.choose_members(now, candidate, None)
+        self.choose_members(now, candidate, None, memo)
     }
 
     fn choose_members(
@@ -225,6 +242,7 @@
         now: Millis,
         candidate: &Candidate<'_>,
         rack: Option<&String>,
+        memo: &mut PassMemo,
     ) -> Option<Vec<(TaskKey, WorkerId)>> {
         let mut planned: BTreeMap<WorkerId, Vec<ResourceSize>> = BTreeMap::new();
         let mut places = Vec::new();
@@ -238,7 +256,7 @@
                 only_rack: rack.map(String::as_str),
                 ..*candidate
             };
-            let worker = self.choose(now, &member, &planned)?;
+            let worker = self.choose(now, &member, &planned, memo)?;
             let taken = planned.entry(worker.clone()).or_default();
             taken.push(candidate.step.room());
             places.push((key, worker));
@@ -346,7 +364,7 @@
     let serving = worker.runs.iter();
     for (run, record) in serving.filter(|(_, record)| record.target_ms > 0) {
         held += record.cpu_millis;
-        if record.image != candidate.image {
+        if record.image != candidate.fill.image {
             cost += MIXED_IMAGES_COST;
         } else if run.task.job != candidate.key.job {
             cost += MIXED_JOBS_COST;
@@ -358,21 +376,17 @@
     cost - held as f64 / worker.entry.capacity.cpu_millis.max(1) as f64 * PACKED_GAIN
 }
 
-/// What it costs to place a task on a worker, lower is better; none where it had better wait.
-fn place_cost(
-    worker: &WorkerState,
-    press: &PressEstimate,
-    candidate: &Candidate<'_>,
-    taken: &[ResourceSize],
-) -> Option<f64> {
+/// What it costs to place a task on a worker, lower is better.
+fn place_cost(worker: &WorkerState, candidate: &Candidate<'_>, taken: &[ResourceSize]) -> f64 {
     let step = candidate.step;
     let capacity = &worker.entry.capacity;
     let planned: u64 = taken.iter().map(|size| size.cpu_millis).sum();
     let held = capacity.memory_mib - worker.free().memory_mib + step.size.memory_mib;
     let share = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
-    let serves = step.target_ms > 0;
     let mut cost = share(held, capacity.memory_mib) * MEMORY_WEIGHT;
-    if !serves {
+    if step.target_ms > 0 {
+        cost += serving_cost(worker, candidate);
+    } else {
         let wanted = worker.ordinary_cpu() + worker.filling_cpu() + planned + step.size.cpu_millis;
         cost += share(wanted, capacity.cpu_millis);
     }
@@ -382,28 +396,19 @@
     if candidate.last_worker == Some(&worker.entry.worker) {
         cost += FAILED_THERE_COST;
     }
-    if serves {
-        cost += serving_cost(worker, candidate);
+    cost
+}
+
+/// What it costs beside that to place a filling task on a worker; none where it had better wait.
+fn fill_cost(board: &FillBoard, press: &PressEstimate, candidate: &Candidate<'_>) -> Option<f64> {
+    let share = board.foreseen_share(press, &candidate.fill);
+    if board.has_filling() && !candidate.starving && share < LEAST_SHARE {
+        return None;
     }
-    if step.fills {
-        let share = foreseen_share(
-            worker,
-            press,
-            candidate.now,
-            candidate.urgency,
-            candidate.image,
-            step.size.cpu_millis,
-        );
-        let crowded = worker.runs.values().any(|record| record.fills);
-        if crowded && !candidate.starving && share < LEAST_SHARE {
-            return None;
-        }
-        cost -= share * SERVING_ROOM_WEIGHT;
-        let taken = room_taken(worker, press, candidate.image, step.size.cpu_millis);
-        cost += taken * ROOM_TAKEN_WEIGHT;
-        if !worker.runs.values().any(|record| record.target_ms > 0) {
-            cost += UNDISTURBED_COST;
-        }
+    let mut cost = board.room_taken(press, &candidate.fill) * ROOM_TAKEN_WEIGHT;
+    cost -= share * SERVING_ROOM_WEIGHT;
+    if !board.has_serving() {
+        cost += UNDISTURBED_COST;
     }
     Some(cost)
 }
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -3,6 +3,7 @@
 use sandshelf_model::{Millis, ResourceSize};
 
 use crate::events::JobStage;
+use crate::fill::FillBoard;
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::{EndWorth, JobState};
 use crate::scheduler::WaitKey;
@@ -47,6 +48,8 @@
     pub(crate) rooms: Vec<(String, ResourceSize)>,
     pub(crate) images: Vec<(String, ResourceSize)>,
     pub(crate) helped: Vec<JobNumber>,
+    /// What the workers' tasks look like, in the workers' order, as far as it was asked for since the last start.
+    pub(crate) boards: Vec<Option<FillBoard>>,
 }
 
 impl PassMemo {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -116,6 +116,8 @@
     pub(crate) strengths_at: Millis,
     pub(crate) room_changed: bool,
     pub(crate) last_pass: Millis,
+    /// Whether the last pass left tasks waiting.
+    pub(crate) pass_left_some: bool,
     pub(crate) last_move: Millis,
     pub(crate) last_tick: Millis,
     pub(crate) deposed: bool,
@@ -165,6 +167,7 @@
             strengths_at: 0,
             room_changed: false,
             last_pass: 0,
+            pass_left_some: false,
             last_move: 0,
             last_tick: 0,
             deposed: false,
@@ -295,6 +298,8 @@
             task,
         });
         self.room_changed = true;
+        // What has just come is tried at once.
+        self.pass_left_some = false;
     }
 
     fn release_delayed(&mut self, now: Millis) {
--- a/crates/jobs/tests/order.rs
+++ b/crates/jobs/tests/order.rs
@@ -67,6 +67,8 @@
     rig.pass(200);
     let end = support::ended(1, held, sandshelf_jobs::RunOutcome::Done);
     rig.report("w-1", vec![], vec![end]);
+    // While tasks are left waiting, passes are a few milliseconds apart.
+    rig.pass(25);
     let next = rig.take_starts().pop().expect("a start").1.key;
     assert_eq!(next.task.job.0, 3);
 }
