Costs of places, claims and releases in files of their own

Moves only: what it costs to place a task out of place.rs, the watching and claiming of the shard and its release out of the control thread's file. The test of events reads folders, too.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod answers;
 mod commit;
+mod cost;
 mod events;
 mod fill;
 mod foreign;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -5,60 +5,16 @@
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 use sandshelf_place::WorkerHealth;
 
+use crate::cost::{fill_cost, place_cost, Candidate};
 use crate::events::{JobNote, StartCall, WorkerCall};
 use crate::fill::{FillAsk, FillBoard, FillUrgency};
 use crate::ids::{JobNumber, RunKey, TaskKey};
 use crate::job::TaskStage;
 use crate::limits::{PASS_PAUSE_MS, PLACE_PER_PASS, START_VALID_MS};
-use crate::press::PressEstimate;
 use crate::rank::{place_rank, PassMemo, PlaceRank, RankTier};
 use crate::scheduler::{JobScheduler, WaitKey};
-use crate::spec::StepSpec;
 use crate::worker::{RunPhase, RunRecord, WorkerState};
 
-/// What memory counts beside processors when the load of workers is compared.
-const MEMORY_WEIGHT: f64 = 0.3;
-/// What it costs to work far from the data, in loads of a whole worker.
-const FAR_COST: f64 = 1.0;
-/// What it costs to go back to the worker that the task last failed on, in loads of a whole worker.
-const FAILED_THERE_COST: f64 = 4.0;
-/// What it costs a serving task to stand beside each one of another image, in loads of a whole worker: what fills
-/// disturbs few images strongly, so that workers with one image each leave it places where it disturbs none.
-const MIXED_IMAGES_COST: f64 = 1.0;
-/// What it costs a serving task to stand beside each one of another job, in loads of a whole worker: the tasks of a job
-/// are loaded alike, so that a worker with one job leaves room for filling tasks most of the time.
-const MIXED_JOBS_COST: f64 = 0.1;
-/// What it costs a serving task to go to a worker without serving tasks, in loads of a whole worker: a worker without any
-/// is one where filling tasks disturb nobody.
-const UNSHARED_WORKER_COST: f64 = 0.8;
-/// What a serving task gains by the part of the worker's processors that serving tasks hold already, in loads of a whole
-/// worker.
-const PACKED_GAIN: f64 = 1.0;
-/// What it counts that a filling task takes up all room which serving tasks leave, beside the load of a whole worker: it
-/// had better stand where it hardly disturbs, also where processors are shorter there.
-const ROOM_TAKEN_WEIGHT: f64 = 1.0;
-/// What it costs a filling task to take up a worker without serving tasks, in loads of a whole worker: those that hardly
-/// disturb anything elsewhere leave such a worker to those that do.
-const UNDISTURBED_COST: f64 = 0.3;
-/// A filling task is not started where filling tasks would work at less than this share: in the queue it keeps nobody
-/// from ending, and the most urgent goes first.
-const LEAST_SHARE: f64 = 0.85;
-/// What the room that serving tasks leave counts for a filling task, beside the load of the whole worker.
-const SERVING_ROOM_WEIGHT: f64 = 2.0;
-
-/// A task with what its choice of worker depends on.
-struct Candidate<'a> {
-    key: TaskKey,
-    step: &'a StepSpec,
-    service: &'a str,
-    last_worker: Option<&'a WorkerId>,
-    /// The one rack that all members of its gang are to stand on.
-    only_rack: Option<&'a str>,
-    /// Whether it is started also where it would be slow.
-    starving: bool,
-    fill: FillAsk,
-}
-
 impl JobScheduler {
     /// Starts waiting tasks on workers that have room, the most urgent first.
     pub(crate) fn place_waiting(&mut self, now: Millis) {
@@ -356,59 +312,3 @@
 fn same_step(one: &TaskKey, other: &TaskKey) -> bool {
     (one.job, one.time, one.step) == (other.job, other.time, other.step)
 }
-
-/// What it costs to add a serving task to the serving tasks of a worker: they are packed, first by image, then by job.
-fn serving_cost(worker: &WorkerState, candidate: &Candidate<'_>) -> f64 {
-    let mut cost = 0.0;
-    let mut held = 0;
-    let serving = worker.runs.iter();
-    for (run, record) in serving.filter(|(_, record)| record.target_ms > 0) {
-        held += record.cpu_millis;
-        if record.image != candidate.fill.image {
-            cost += MIXED_IMAGES_COST;
-        } else if run.task.job != candidate.key.job {
-            cost += MIXED_JOBS_COST;
-        }
-    }
-    if held == 0 {
-        return UNSHARED_WORKER_COST;
-    }
-    cost - held as f64 / worker.entry.capacity.cpu_millis.max(1) as f64 * PACKED_GAIN
-}
-
-/// What it costs to place a task on a worker, lower is better.
-fn place_cost(worker: &WorkerState, candidate: &Candidate<'_>, taken: &[ResourceSize]) -> f64 {
-    let step = candidate.step;
-    let capacity = &worker.entry.capacity;
-    let planned: u64 = taken.iter().map(|size| size.cpu_millis).sum();
-    let held = capacity.memory_mib - worker.free().memory_mib + step.size.memory_mib;
-    let share = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
-    let mut cost = share(held, capacity.memory_mib) * MEMORY_WEIGHT;
-    if step.target_ms > 0 {
-        cost += serving_cost(worker, candidate);
-    } else {
-        let wanted = worker.ordinary_cpu() + worker.filling_cpu() + planned + step.size.cpu_millis;
-        cost += share(wanted, capacity.cpu_millis);
-    }
-    if step.rack.is_some() && step.rack != worker.entry.rack {
-        cost += FAR_COST;
-    }
-    if candidate.last_worker == Some(&worker.entry.worker) {
-        cost += FAILED_THERE_COST;
-    }
-    cost
-}
-
-/// What it costs beside that to place a filling task on a worker; none where it had better wait.
-fn fill_cost(board: &FillBoard, press: &PressEstimate, candidate: &Candidate<'_>) -> Option<f64> {
-    let share = board.foreseen_share(press, &candidate.fill);
-    if board.has_filling() && !candidate.starving && share < LEAST_SHARE {
-        return None;
-    }
-    let mut cost = board.room_taken(press, &candidate.fill) * ROOM_TAKEN_WEIGHT;
-    cost -= share * SERVING_ROOM_WEIGHT;
-    if !board.has_serving() {
-        cost += UNDISTURBED_COST;
-    }
-    Some(cost)
-}
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -1,5 +1,8 @@
 //! The control thread: claims the shard where nobody owns it, and runs its scheduler while this host does.
 
+mod claim;
+mod release;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,8 +34,6 @@
 const SHARD_LEASE_MS: Millis = 1_200;
 /// How often the control thread acts without any event.
 const TICK: Duration = Duration::from_millis(25);
-/// How often a host that is not the owner reads the owner's row.
-const WATCH_EVERY_MS: Millis = 400;
 /// Hosts that find the shard free claim it one after the other: so many ranks, drawn at random.
 const RANKS: u32 = 8;
 /// From one rank to the next.
@@ -41,8 +42,6 @@
 const WORKER_PATIENCE: Duration = Duration::from_millis(500);
 /// By how much longer than asked the state of a finished job is kept: callers' and owners' clocks differ.
 const KEEP_MARGIN_MS: Millis = 10_000;
-/// How long a planned stop waits for progress to become durable before the shard is given up.
-const RELEASE_WITHIN_MS: Millis = 800;
 
 /// How often an owner logs its figures.
 const LOAD_EVERY_MS: Millis = 1_000;
@@ -218,60 +217,6 @@
         }
     }
 
-    /// Reads the owner's row from time to time, and claims the shard where its owner is gone.
-    fn watch(&mut self, now: Millis) {
-        if !self.writing && self.stop_by.is_none() && self.lease.may_claim(now, self.rank) {
-            self.claim(now);
-            return;
-        }
-        if !self.reading && now >= self.next_read && self.queues.get().is_some() {
-            self.reading = true;
-            let store = self.store.clone();
-            let messages = self.messages.clone();
-            spawn_local(async move {
-                let read = store.read_owner().await;
-                let _ = messages.send(OwnerMessage::RowRead(read));
-            });
-        }
-    }
-
-    fn take_row(&mut self, read: Result<StoredRow, StoreFault>) {
-        let now = clock::now();
-        self.reading = false;
-        self.next_read = now + WATCH_EVERY_MS;
-        match read {
-            Ok(row) => {
-                self.lease.note_read(now, row);
-            }
-            // While the store is out nobody can renew: what was seen before says nothing about the owner.
-            Err(_) if *self.lease.stage() == LeaseStage::Watching => self.lease.fall_back(),
-            Err(_) => {}
-        }
-    }
-
-    fn claim(&mut self, now: Millis) {
-        let (version, row) = self.lease.begin_claim(self.token());
-        event(
-            "shard_claimed",
-            &[
-                ("epoch", &row.epoch),
-                ("rank", &self.rank),
-                ("version", &version),
-            ],
-        );
-        self.claimed_at = now;
-        self.write(OwnerWrite {
-            version,
-            row,
-            batch: CommitBatch::default(),
-        });
-    }
-
-    fn token(&self) -> String {
-        let number: u64 = rand::rng().random();
-        format!("{number:016x}")
-    }
-
     fn write(&mut self, write: OwnerWrite) {
         self.writing = true;
         let store = self.store.clone();
@@ -409,19 +354,6 @@
         }
     }
 
-    /// Stops owning the shard at once, without a word to the store.
-    fn lose(&mut self, cause: &str) {
-        let epoch = self.lease.row().map_or(0, |row| row.row.epoch);
-        event("shard_lost", &[("epoch", &epoch), ("cause", &cause)]);
-        self.owned = None;
-        self.waiting_batch = None;
-        self.rank = draw_rank();
-        self.lease.fall_back();
-        if self.stop_by.is_some() {
-            self.released = true;
-        }
-    }
-
     fn handle(&mut self, job_event: JobEvent) {
         let Some(owned) = &mut self.owned else {
             return;
@@ -464,43 +396,4 @@
             let _ = messages.send(OwnerMessage::Event(epoch, answer.await));
         });
     }
-
-    fn begin_stop(&mut self) {
-        let now = clock::now();
-        self.stop_by = Some(now + RELEASE_WITHIN_MS);
-        if self.owned.is_none() && !self.writing {
-            self.released = true;
-        }
-    }
-
-    /// Gives the shard up once progress is durable, or the time for that is over.
-    fn check_stop(&mut self, now: Millis) {
-        let Some(stop_by) = self.stop_by else {
-            return;
-        };
-        if self.writing || self.released {
-            return;
-        }
-        if self.owned.is_none() {
-            self.released = true;
-            return;
-        }
-        let counts = self.owned.as_ref().map(|owned| owned.scheduler.counts(now));
-        let settled = counts.is_some_and(|counts| counts.dirty == 0);
-        if !settled && now < stop_by {
-            return;
-        }
-        let (version, mut row) = self.lease.next_row(self.token());
-        row.owner = None;
-        self.owned = None;
-        event(
-            "shard_releasing",
-            &[("epoch", &row.epoch), ("host", &self.host)],
-        );
-        self.write(OwnerWrite {
-            version,
-            row,
-            batch: CommitBatch::default(),
-        });
-    }
 }
--- /dev/null
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -0,0 +1,72 @@
+//! Watches the shard's owner and claims the shard where that is gone.
+
+use rand::RngExt;
+use sandshelf_adapter::StoreFault;
+use sandshelf_jobs::CommitBatch;
+use sandshelf_lease::{LeaseStage, StoredRow};
+use sandshelf_model::Millis;
+use tokio::task::spawn_local;
+
+use super::{OwnerLoop, OwnerMessage};
+use crate::clock;
+use crate::jobs::writer::OwnerWrite;
+use crate::logging::event;
+
+/// How often a host that is not the owner reads the owner's row.
+const WATCH_EVERY_MS: Millis = 400;
+
+impl OwnerLoop {
+    /// Reads the owner's row from time to time, and claims the shard where its owner is gone.
+    pub(super) fn watch(&mut self, now: Millis) {
+        if !self.writing && self.stop_by.is_none() && self.lease.may_claim(now, self.rank) {
+            self.claim(now);
+            return;
+        }
+        if !self.reading && now >= self.next_read && self.queues.get().is_some() {
+            self.reading = true;
+            let store = self.store.clone();
+            let messages = self.messages.clone();
+            spawn_local(async move {
+                let read = store.read_owner().await;
+                let _ = messages.send(OwnerMessage::RowRead(read));
+            });
+        }
+    }
+
+    pub(super) fn take_row(&mut self, read: Result<StoredRow, StoreFault>) {
+        let now = clock::now();
+        self.reading = false;
+        self.next_read = now + WATCH_EVERY_MS;
+        match read {
+            Ok(row) => {
+                self.lease.note_read(now, row);
+            }
+            // While the store is out nobody can renew: what was seen before says nothing about the owner.
+            Err(_) if *self.lease.stage() == LeaseStage::Watching => self.lease.fall_back(),
+            Err(_) => {}
+        }
+    }
+
+    pub(super) fn claim(&mut self, now: Millis) {
+        let (version, row) = self.lease.begin_claim(self.token());
+        event(
+            "shard_claimed",
+            &[
+                ("epoch", &row.epoch),
+                ("rank", &self.rank),
+                ("version", &version),
+            ],
+        );
+        self.claimed_at = now;
+        self.write(OwnerWrite {
+            version,
+            row,
+            batch: CommitBatch::default(),
+        });
+    }
+
+    pub(super) fn token(&self) -> String {
+        let number: u64 = rand::rng().random();
+        format!("{number:016x}")
+    }
+}
--- /dev/null
+++ b/crates/sandshelfd/src/jobs/owner/release.rs
@@ -0,0 +1,66 @@
+//! Gives the shard up: as planned, or at once where another host owns it.
+
+use sandshelf_jobs::CommitBatch;
+use sandshelf_model::Millis;
+
+use super::{draw_rank, OwnerLoop};
+use crate::clock;
+use crate::jobs::writer::OwnerWrite;
+use crate::logging::event;
+
+/// How long a planned stop waits for progress to become durable before the shard is given up.
+const RELEASE_WITHIN_MS: Millis = 800;
+
+impl OwnerLoop {
+    /// Stops owning the shard at once, without a word to the store.
+    pub(super) fn lose(&mut self, cause: &str) {
+        let epoch = self.lease.row().map_or(0, |row| row.row.epoch);
+        event("shard_lost", &[("epoch", &epoch), ("cause", &cause)]);
+        self.owned = None;
+        self.waiting_batch = None;
+        self.rank = draw_rank();
+        self.lease.fall_back();
+        if self.stop_by.is_some() {
+            self.released = true;
+        }
+    }
+
+    pub(super) fn begin_stop(&mut self) {
+        let now = clock::now();
+        self.stop_by = Some(now + RELEASE_WITHIN_MS);
+        if self.owned.is_none() && !self.writing {
+            self.released = true;
+        }
+    }
+
+    /// Gives the shard up once progress is durable, or the time for that is over.
+    pub(super) fn check_stop(&mut self, now: Millis) {
+        let Some(stop_by) = self.stop_by else {
+            return;
+        };
+        if self.writing || self.released {
+            return;
+        }
+        if self.owned.is_none() {
+            self.released = true;
+            return;
+        }
+        let counts = self.owned.as_ref().map(|owned| owned.scheduler.counts(now));
+        let settled = counts.is_some_and(|counts| counts.dirty == 0);
+        if !settled && now < stop_by {
+            return;
+        }
+        let (version, mut row) = self.lease.next_row(self.token());
+        row.owner = None;
+        self.owned = None;
+        event(
+            "shard_releasing",
+            &[("epoch", &row.epoch), ("host", &self.host)],
+        );
+        self.write(OwnerWrite {
+            version,
+            row,
+            batch: CommitBatch::default(),
+        });
+    }
+}
--- a/crates/sandshelfd/tests/events.rs
+++ b/crates/sandshelfd/tests/events.rs
@@ -24,12 +24,20 @@
 }
 
 fn sources() -> Vec<String> {
-    let folder =
-        fs::read_dir(root().join("crates/sandshelfd/src/jobs")).expect("a readable folder");
-    let paths = folder.map(|entry| entry.expect("an entry").path());
-    paths
-        .map(|path| fs::read_to_string(path).expect("a readable file"))
-        .collect()
+    let mut texts = Vec::new();
+    read_folder(&root().join("crates/sandshelfd/src/jobs"), &mut texts);
+    texts
+}
+
+fn read_folder(folder: &Path, texts: &mut Vec<String>) {
+    for entry in fs::read_dir(folder).expect("a readable folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            read_folder(&path, texts);
+        } else {
+            texts.push(fs::read_to_string(path).expect("a readable file"));
+        }
+    }
 }
 
 /// The first quoted word of a text, where nothing but space stands before it.
