--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -91,9 +91,9 @@
         open_requests: Default::default(),
     });
     let caller = quiet_rocket(settings.caller_address).mount("/", job_routes(&shared));
-    let (_, caller_stop) = launch(caller).await?;
+    let (caller_at, caller_stop) = launch(caller).await?;
     let ready = quiet_rocket(settings.ready_address).mount("/", ready_routes(&shared));
-    let _ = launch(ready).await?;
+    let (ready_at, _) = launch(ready).await?;
     let metrics_at = open_metrics(settings.metrics_address).await?;
     let metrics_at = metrics_at.map_or("none".to_owned(), |address| address.to_string());
     event(
@@ -101,8 +101,8 @@
         &[
             ("host", &host),
             ("hall", &settings.hall),
-            ("caller", &settings.caller_address),
-            ("ready", &settings.ready_address),
+            ("caller", &caller_at),
+            ("ready", &ready_at),
             ("metrics", &metrics_at),
             ("store", &settings.store_address),
         ],
