What fits nowhere holds up nobody

Change: a task that is like one tried in vain doesn't count; a starving one is tried once a step, too. tests/kinds.rs fits_nowhere failed first.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -80,7 +80,7 @@
 /// The least time between two passes while tasks are left waiting: every end frees some room, and a pass over hundreds of
 /// waiting tasks costs a millisecond of the processor.
 pub const PASS_PAUSE_MS: Millis = 10;
-/// How many waiting tasks one pass tries to place.
+/// For how many waiting tasks one pass looks at the workers; those like others that were tried in vain don't count.
 pub const PLACE_PER_PASS: usize = 400;
 /// How long a task whose order no worker understood waits.
 pub const INVALID_PAUSE_MS: Millis = 2_000;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -36,26 +36,37 @@
             }
         }
         ranked.sort_unstable();
-        for (rank, wait) in ranked.into_iter().take(PLACE_PER_PASS) {
-            self.place_one(now, rank, wait, &mut memo);
+        let mut tries = 0;
+        for (rank, wait) in ranked {
+            tries += usize::from(self.place_one(now, rank, wait, &mut memo));
+            if tries >= PLACE_PER_PASS {
+                break;
+            }
         }
         self.pass_left_some = !self.waiting.is_empty();
     }
 
-    fn place_one(&mut self, now: Millis, rank: PlaceRank, wait: WaitKey, memo: &mut PassMemo) {
+    /// Tries to start a task, or a gang; returns whether workers had to be looked at.
+    fn place_one(
+        &mut self,
+        now: Millis,
+        rank: PlaceRank,
+        wait: WaitKey,
+        memo: &mut PassMemo,
+    ) -> bool {
         let key = wait.task;
         let Some(job) = self.jobs.get(&key.job) else {
             self.waiting.remove(&wait);
-            return;
+            return false;
         };
         let (Some(step), Some(task)) = (job.step_spec(&key), job.task(&key)) else {
             self.waiting.remove(&wait);
-            return;
+            return false;
         };
         let service = self.rules(&job.spec).service.as_str();
         let starving = rank.tier == RankTier::Starving && !memo.helped.contains(&key.job);
-        if !starving && memo.rules_out(&key, service, step) {
-            return;
+        if memo.rules_out(&key, service, step, starving) {
+            return false;
         }
         let candidate = Candidate {
             key,
@@ -80,7 +91,7 @@
             chosen.map(|worker| vec![(key, worker)])
         };
         match places {
-            None => memo.note_failed(&key, service, step),
+            None => memo.note_failed(&key, service, step, starving),
             Some(places) => {
                 memo.helped.push(key.job);
                 let boards = self.workers.keys().zip(&mut memo.boards);
@@ -93,6 +104,7 @@
                 self.start_tasks(now, places);
             }
         }
+        true
     }
 
     /// Chooses the least loaded worker with room; `planned` is what the members of a gang before this one take.
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -1,5 +1,7 @@
 //! In what order waiting tasks are tried, and what one pass need not try again.
 
+use std::collections::HashSet;
+
 use sandshelf_model::{Millis, ResourceSize};
 
 use crate::events::JobStage;
@@ -44,7 +46,7 @@
 /// What one pass found to have no room, so that like tasks are not tried again.
 #[derive(Default)]
 pub(crate) struct PassMemo {
-    pub(crate) steps: Vec<TaskKey>,
+    pub(crate) steps: HashSet<TaskKey>,
     pub(crate) rooms: Vec<(String, ResourceSize)>,
     pub(crate) images: Vec<(String, ResourceSize)>,
     pub(crate) helped: Vec<JobNumber>,
@@ -53,7 +55,14 @@
 }
 
 impl PassMemo {
-    pub(crate) fn rules_out(&self, key: &TaskKey, service: &str, step: &StepSpec) -> bool {
+    /// Whether a task like this one was tried in vain; a starving one is started also where it would be slow.
+    pub(crate) fn rules_out(
+        &self,
+        key: &TaskKey,
+        service: &str,
+        step: &StepSpec,
+        starving: bool,
+    ) -> bool {
         let first = TaskKey { index: 0, ..*key };
         let room = step.room();
         let like = |of: &str, known: &[(String, ResourceSize)], size: &ResourceSize| {
@@ -63,13 +72,19 @@
         };
         self.steps.contains(&first)
             || like(service, &self.rooms, &room)
-            || step.fills && like(&step.image, &self.images, &step.size)
+            || step.fills && !starving && like(&step.image, &self.images, &step.size)
     }
 
-    pub(crate) fn note_failed(&mut self, key: &TaskKey, service: &str, step: &StepSpec) {
-        self.steps.push(TaskKey { index: 0, ..*key });
+    pub(crate) fn note_failed(
+        &mut self,
+        key: &TaskKey,
+        service: &str,
+        step: &StepSpec,
+        starving: bool,
+    ) {
+        self.steps.insert(TaskKey { index: 0, ..*key });
         let plain = step.label.is_none() && step.most_per_worker == 0 && !step.gang;
-        if plain && step.fills {
+        if plain && step.fills && !starving {
             self.images.push((step.image.clone(), step.size));
         } else if plain {
             self.rooms.push((service.to_owned(), step.room()));
--- a/crates/jobs/tests/kinds.rs
+++ b/crates/jobs/tests/kinds.rs
@@ -302,7 +302,28 @@
     assert_eq!(rig.stops(), vec![("w-1".to_owned(), unknown)]);
 }
 
+/// Tasks that fit no worker, however many and however long they have waited, hold up nobody.
+fn what_fits_nowhere_holds_up_nobody() {
+    let mut rig = SchedulerRig::with_workers(&["w-1"]);
+    let nowhere = StepSpec {
+        label: Some("nowhere".to_owned()),
+        ..step(50)
+    };
+    for number in 0..20 {
+        rig.hand_in(100 + number, 0, job(vec![nowhere.clone()]));
+    }
+    for _ in 0..20 {
+        rig.pass(100);
+        rig.report("w-1", vec![], vec![]);
+    }
+    assert!(rig.take_starts().is_empty());
+    rig.hand_in(7, 0, job(vec![step(1)]));
+    let starts = rig.take_starts();
+    assert_eq!(starts.len(), 1, "the job that fits starts at once");
+}
+
 sandshelf_cases::cases! {
+    fits_nowhere => what_fits_nowhere_holds_up_nobody();
     gang_whole => a_gang_starts_together_or_not_at_all();
     gang_again => a_gang_that_loses_a_member_starts_again_whole();
     gang_done => one_end_of_a_gang_stands_for_all();
