--- a/crates/sandshelfd/src/control.rs
+++ b/crates/sandshelfd/src/control.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod fleet;
 mod intake;
+mod owners;
 mod publish;
 mod quota;
 mod view;
@@ -19,13 +20,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt;
 use sandshelf_config::DaemonSettings;
 use sandshelf_lease::{
-    ConfigView, HeadRow, LeaseTimes, MemberTable, ShardAction, ShardEvent, ShardNote, ShardOwner,
-    ShardRoom, SliceKeeper,
+    ConfigView, HeadRow, MemberTable, ShardEvent, ShardOwner, ShardRoom, SliceKeeper,
 };
-use sandshelf_model::{AttemptId, HostId, Millis, ServiceId, ShardId, WorkerId};
+use sandshelf_model::{HostId, Millis, ServiceId, ShardId, WorkerId};
 use sandshelf_peer::{serve_peers, HostNews, PeerHandler};
 use sandshelf_place::{LatencyWindow, SlowdownMeter};
 use sandshelf_platform::{EntryRow, HostList, PlatformClient, ShardMap};
@@ -37,10 +36,8 @@
 
 use crate::clock;
 use crate::logging::event;
-use crate::meters;
 use crate::operator::{ExplainQuestion, OperatorShared};
 use crate::peers::PeerLinks;
-use crate::shards::{carry_out, read_rows};
 use crate::traffic::{LatencySeen, TrafficShared};
 
 /// How often the head of the configuration is read.
@@ -392,97 +389,6 @@
         }
     }
 
-    fn tick_owners(&mut self, now: Millis) {
-        let shards: Vec<ShardId> = self.owners.keys().cloned().collect();
-        for shard in shards {
-            let row = self.owners[&shard].row();
-            let holder = row.and_then(|seen| seen.row.owner.as_ref());
-            let rank = self.members.rank(now, &shard, holder);
-            self.feed(now, &shard, ShardEvent::Ranked(rank));
-        }
-    }
-
-    /// Reads all rows that owners asked for since the last tick, in one call.
-    fn read_wanted_rows(&mut self) {
-        let shards = std::mem::take(&mut self.wanted_rows);
-        if shards.is_empty() {
-            return;
-        }
-        let platform = self.platform.clone();
-        self.spawn(async move {
-            let rows = read_rows(&platform, &shards).await;
-            Some(ControlEvent::ShardRows(rows))
-        });
-    }
-
-    /// Hands an event to a shard's owner and has its actions carried out.
-    fn feed(&mut self, now: Millis, shard: &ShardId, event: ShardEvent) {
-        let Some(owner) = self.owners.get_mut(shard) else {
-            return;
-        };
-        let actions = owner.handle(now, event);
-        for action in actions {
-            match action {
-                ShardAction::Note(note) => self.log_note(shard, &note),
-                ShardAction::ReadRow => {
-                    self.wanted_rows.insert(shard.clone());
-                }
-                action => self.start(shard, action),
-            }
-        }
-    }
-
-    fn start(&self, shard: &ShardId, action: ShardAction) {
-        let platform = self.platform.clone();
-        let workers = self.worker_addresses.clone();
-        let shard = shard.clone();
-        self.spawn(async move {
-            let event = carry_out(&platform, &shard, action, &workers).await?;
-            Some(ControlEvent::Shard(shard, event))
-        });
-    }
-
-    fn log_note(&self, shard: &ShardId, note: &ShardNote) {
-        match note {
-            ShardNote::Claimed(epoch) => {
-                event("shard_claimed", &[("shard", shard), ("epoch", epoch)])
-            }
-            ShardNote::Recovered { placed } => {
-                event("shard_recovered", &[("shard", shard), ("placed", placed)])
-            }
-            ShardNote::Lost => event("shard_lost", &[("shard", shard)]),
-            ShardNote::Released => event("shard_released", &[("shard", shard)]),
-            ShardNote::Placed(attempt, worker, waited) => {
-                self.meter_start(shard, attempt, *waited);
-                event(
-                    "task_placed",
-                    &[
-                        ("attempt", attempt),
-                        ("worker", worker),
-                        ("waited_ms", waited),
-                    ],
-                );
-            }
-            ShardNote::Finished(attempt) => event("task_finished", &[("attempt", attempt)]),
-            ShardNote::Evicted(attempt) => event("task_evicted", &[("attempt", attempt)]),
-            ShardNote::GaveUp(task, reason) => {
-                event("task_given_up", &[("task", task), ("reason", reason)])
-            }
-            ShardNote::Quarantined(worker) => event("worker_quarantined", &[("worker", worker)]),
-            ShardNote::Broken(problem) => event(
-                "invariant_broken",
-                &[("shard", shard), ("problem", problem)],
-            ),
-        }
-    }
-
-    fn meter_start(&self, shard: &ShardId, attempt: &AttemptId, waited: Millis) {
-        let owner = self.owners.get(shard);
-        if let Some(spec) = owner.and_then(|owner| owner.book().spec(&attempt.task.job)) {
-            meters::note_start(&spec.team, waited as f64 / 1_000.0);
-        }
-    }
-
     fn begin_stop(&mut self, now: Millis) {
         if self.stopping_since.is_some() {
             return;
@@ -511,51 +417,4 @@
         let idle = self.traffic.router.open_requests() == 0;
         drained && idle && (!owned || now >= since + patience)
     }
-
-    /// Releases a shard where this host has more than its part and another host is to have it.
-    ///
-    /// Only one at a time, and only while the hosts have been the same for a while.
-    fn spread_shards(&mut self, now: Millis) {
-        let hosts = self.members.candidates(now).len();
-        if hosts != self.known_candidates {
-            self.known_candidates = hosts;
-            self.quiet_since = now;
-        }
-        if hosts < 2 || now < self.quiet_since + SPREAD_AFTER_MS || self.stopping_since.is_some() {
-            return;
-        }
-        let owned = self.owners.values().filter(|owner| owner.is_owner(now));
-        if owned.count() <= self.owners.len().div_ceil(hosts) {
-            return;
-        }
-        let better = self.owners.values().find(|owner| {
-            let rank = self.members.rank(now, owner.shard(), None);
-            owner.is_owner(now) && rank.is_some_and(|rank| rank > 0)
-        });
-        if let Some(shard) = better.map(|owner| owner.shard().clone()) {
-            self.quiet_since = now;
-            self.feed(now, &shard, ShardEvent::Release);
-        }
-    }
-
-    fn lease_times(&self) -> LeaseTimes {
-        let limits = &self.settings.limits;
-        LeaseTimes::derive(
-            limits.shard_lease_ms,
-            limits.task_lease_ms,
-            limits.renewal_grace_ms,
-        )
-    }
-
-    /// Makes an owner for each shard of the map.
-    fn make_owners(&mut self, map: &ShardMap) {
-        let times = self.lease_times();
-        for place in &map.shards {
-            let seed = rand::rng().random();
-            let host = self.entry.host.clone();
-            self.owners
-                .entry(place.shard.clone())
-                .or_insert_with(|| ShardOwner::new(place.shard.clone(), host, times, seed));
-        }
-    }
 }
