--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -94,7 +94,7 @@
     let (caller_at, caller_stop) = launch(caller).await?;
     let ready = quiet_rocket(settings.ready_address).mount("/", ready_routes(&shared));
     let (ready_at, _) = launch(ready).await?;
-    let metrics_at = open_metrics(settings.metrics_address).await?;
+    let metrics_at = open_metrics(settings.metrics_address).await;
     let metrics_at = metrics_at.map_or("none".to_owned(), |address| address.to_string());
     event(
         "started",
@@ -146,15 +146,15 @@
 }
 
 /// Installs the metrics, and serves them where the settings name an address; returns where that is.
-async fn open_metrics(
-    address: Option<SocketAddr>,
-) -> Result<Option<SocketAddr>, Report<DaemonFailure>> {
+///
+/// Jobs are served also where metrics can't be.
+async fn open_metrics(address: Option<SocketAddr>) -> Option<SocketAddr> {
     let Some(handle) = process_meters::install() else {
         event(
             "metrics_failed",
             &[("cause", &"the recorder can't be installed")],
         );
-        return Ok(None);
+        return None;
     };
     let upkeep = handle.clone();
     tokio::spawn(async move {
@@ -163,12 +163,15 @@
             upkeep.run_upkeep();
         }
     });
-    let Some(address) = address else {
-        return Ok(None);
-    };
+    let address = address?;
     let face = quiet_rocket(address).mount("/", metrics_routes());
-    let (bound, _) = launch(face.manage(handle)).await?;
-    Ok(Some(bound))
+    match launch(face.manage(handle)).await {
+        Ok((bound, _)) => Some(bound),
+        Err(_) => {
+            event("metrics_failed", &[("cause", &"the address can't be had")]);
+            None
+        }
+    }
 }
 
 /// Starts the one thread that holds all control state.
