--- a/crates/jobs/src/cost.rs
+++ b/crates/jobs/src/cost.rs
@@ -1,4 +1,4 @@
-//! What it costs to place a task on a worker.
+//! What it costs to place a task on a worker. The weights were found by measured rounds; docs/POLICY.md has their figures.
 
 use sandshelf_model::{ResourceSize, WorkerId};
 
