Strong hosts claim the shard first

Change: hosts know their share of a core and their link from the settings; strong ones claim a free shard within 0.2 s, middling ones after 0.2 to 0.5 s, weak ones after 0.7 s; at the very first claim five times as late.

--- a/crates/config/src/job_settings.rs
+++ b/crates/config/src/job_settings.rs
@@ -11,6 +11,11 @@
 /// Milliseconds of a second.
 const SECOND_MS: u64 = 1_000;
 
+/// What a host is taken to have of a core where the settings don't say: the users' hosts of today.
+const DEFAULT_PROCESSOR_MILLIS: u64 = 250;
+/// What its link is taken to carry then.
+const DEFAULT_LINK_KBIT_PER_S: u64 = 1_000_000;
+
 /// How workers are told what to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderWay {
@@ -35,6 +40,10 @@
     pub metrics_address: Option<SocketAddr>,
     /// The platform's store.
     pub store_address: SocketAddr,
+    /// What the host has of a processor core, in thousandths.
+    pub processor_millis: u64,
+    /// What its link carries, in thousandths of a megabit a second.
+    pub link_kbit_per_s: u64,
     /// How workers are told what to do.
     pub worker_orders: OrderWay,
     /// The longest lease that a worker grants.
@@ -62,6 +71,8 @@
     let ready_address = reader.address("ready_address");
     let metrics_address = reader.address_or_none("metrics_address");
     let store_address = reader.address("store_address");
+    let processor_millis = reader.thousandths_or("processor_share", DEFAULT_PROCESSOR_MILLIS);
+    let link_kbit_per_s = reader.thousandths_or("link_mbit_per_s", DEFAULT_LINK_KBIT_PER_S);
     let worker_orders = reader.text_or("worker_orders", "call");
     let max_lease_ms = reader.number_or("max_lease_ms", 500, 600_000, 6_000);
     let grace_s = reader.number_or("grace_s", 1, 3_600, 6);
@@ -74,6 +85,8 @@
         ready_address: ready_address?,
         metrics_address: metrics_address?,
         store_address: store_address?,
+        processor_millis: processor_millis?,
+        link_kbit_per_s: link_kbit_per_s?,
         worker_orders: match worker_orders? {
             way if way == "call" => OrderWay::Call,
             way => OrderWay::Other(way),
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -178,6 +178,25 @@
         in_range
     }
 
+    /// Reads an optional number from 0 to a million, with or without a fraction, in thousandths.
+    pub(crate) fn thousandths_or(&mut self, field: &'static str, default: u64) -> Option<u64> {
+        let Some(value) = self.find(field) else {
+            return Some(default);
+        };
+        let written = value.as_number_lit().map_or("", |literal| literal.value);
+        let number = written.parse::<f64>().ok();
+        let in_range = number.filter(|number| (0.0..=1e6).contains(number));
+        if in_range.is_none() {
+            let problem = format!("the value does not fit '{field}'");
+            self.note(
+                value.range().start,
+                problem,
+                "write a number from 0 to 1000000",
+            );
+        }
+        in_range.map(|number| (number * 1_000.0).round() as u64)
+    }
+
     /// Reads an optional true or false.
     pub(crate) fn flag_or(&mut self, field: &'static str, default: bool) -> Option<bool> {
         let Some(value) = self.find(field) else {
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -2,12 +2,12 @@
 
 mod claim;
 mod release;
+mod strength;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt;
 use sandshelf_adapter::{StoreClient, StoreFault, WorkerClient};
 use sandshelf_config::{JobSettings, OrderWay};
 use sandshelf_jobs::{
@@ -25,6 +25,7 @@
 use crate::jobs::intake::{follow_jobs, follow_workers};
 use crate::jobs::meters::{self, StoreCall};
 use crate::jobs::notes::{log_load, log_note};
+use crate::jobs::owner::strength::HostStrength;
 use crate::jobs::queues::QueueView;
 use crate::jobs::takeover::TakeoverData;
 use crate::jobs::writer::{OwnerStore, OwnerWrite, WriteEnd};
@@ -34,8 +35,6 @@
 const SHARD_LEASE_MS: Millis = 1_200;
 /// How often the control thread acts without any event.
 const TICK: Duration = Duration::from_millis(25);
-/// Hosts that find the shard free claim it one after the other: so many ranks, drawn at random.
-const RANKS: u32 = 8;
 /// From one rank to the next.
 const STAGGER_MS: Millis = 60;
 /// How long a worker's answer is waited for.
@@ -124,6 +123,7 @@
         stagger_ms: STAGGER_MS,
         ..LeaseTimes::derive(SHARD_LEASE_MS, settings.max_lease_ms, Millis::MAX / 4)
     };
+    let rank = HostStrength::of(&settings).draw_rank();
     let mut owner = OwnerLoop {
         lease: ShardLease::new(host.clone(), times),
         host,
@@ -133,7 +133,7 @@
             health,
         },
         queues,
-        rank: draw_rank(),
+        rank,
         claimed_at: 0,
         owned: None,
         waiting_batch: None,
@@ -159,10 +159,6 @@
     let _ = stopped.send(());
 }
 
-fn draw_rank() -> u32 {
-    rand::rng().random_range(0..RANKS)
-}
-
 impl OwnerLoop {
     fn take_message(&mut self, message: OwnerMessage) {
         match message {
--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -15,10 +15,24 @@
 /// How often a host that is not the owner reads the owner's row.
 const WATCH_EVERY_MS: Millis = 400;
 
+/// By how much longer hosts wait for one another at the very first claim: they start within 0.3 s, some of them slowly,
+/// and nobody waits for an owner yet.
+const FIRST_CLAIM_FACTOR: u32 = 5;
+
 impl OwnerLoop {
+    /// This host's place among those that would claim the shard.
+    fn claim_rank(&self) -> u32 {
+        let owned_before = self.lease.row().is_some_and(|seen| seen.row.epoch > 0);
+        if owned_before {
+            self.rank
+        } else {
+            self.rank * FIRST_CLAIM_FACTOR
+        }
+    }
+
     /// Reads the owner's row from time to time, and claims the shard where its owner is gone.
     pub(super) fn watch(&mut self, now: Millis) {
-        if !self.writing && self.stop_by.is_none() && self.lease.may_claim(now, self.rank) {
+        if !self.writing && self.stop_by.is_none() && self.lease.may_claim(now, self.claim_rank()) {
             self.claim(now);
             return;
         }
--- a/crates/sandshelfd/src/jobs/owner/release.rs
+++ b/crates/sandshelfd/src/jobs/owner/release.rs
@@ -3,7 +3,8 @@
 use sandshelf_jobs::CommitBatch;
 use sandshelf_model::Millis;
 
-use super::{draw_rank, OwnerLoop};
+use super::strength::HostStrength;
+use super::OwnerLoop;
 use crate::clock;
 use crate::jobs::writer::OwnerWrite;
 use crate::logging::event;
@@ -18,7 +19,7 @@
         event("shard_lost", &[("epoch", &epoch), ("cause", &cause)]);
         self.owned = None;
         self.waiting_batch = None;
-        self.rank = draw_rank();
+        self.rank = HostStrength::of(&self.settings).draw_rank();
         self.lease.fall_back();
         if self.stop_by.is_some() {
             self.released = true;
