--- a/crates/jobs/src/fill.rs
+++ b/crates/jobs/src/fill.rs
@@ -1,5 +1,7 @@
 //! How what serving tasks leave on a worker is dealt to the filling tasks there.
 
+use std::cmp::Ordering;
+
 use sandshelf_model::Millis;
 
 use crate::ids::RunKey;
@@ -73,12 +75,12 @@
 }
 
 impl FillWant {
-    fn goes_before(&self, other: &Self) -> bool {
+    /// The order in which filling tasks get their share.
+    fn order(&self, other: &Self) -> Ordering {
         let worth = self.urgency.worth.cmp(&other.urgency.worth);
-        let order = worth
+        worth
             .then(self.cost.total_cmp(&other.cost))
-            .then(self.urgency.cmp(&other.urgency));
-        order.is_lt()
+            .then(self.urgency.cmp(&other.urgency))
     }
 }
 
@@ -123,12 +125,8 @@
                 ..want
             });
         }
-        let order = |one: &FillWant, other: &FillWant| match one.goes_before(other) {
-            true => std::cmp::Ordering::Less,
-            false if other.goes_before(one) => std::cmp::Ordering::Greater,
-            false => one.key.cmp(&other.key),
-        };
-        board.wants.sort_by(order);
+        let wants = &mut board.wants;
+        wants.sort_by(|one, other| one.order(other).then(one.key.cmp(&other.key)));
         board
     }
 
@@ -166,7 +164,7 @@
         let mut rooms = self.rooms.clone();
         for want in &self.wants {
             // Of equal ones, such as tasks of the same step, those that are there go first.
-            if asked.goes_before(want) {
+            if asked.order(want).is_lt() {
                 break;
             }
             take_share(&mut rooms, want, press);
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -37,6 +37,11 @@
 }
 
 impl JobScheduler {
+    /// Whether the progress of every job is durable.
+    pub fn is_written(&self) -> bool {
+        self.dirty.is_empty()
+    }
+
     /// Figures for gauges.
     pub fn counts(&self, now: Millis) -> SchedulerCounts {
         let open = self.workers.values().filter(|worker| worker.is_open(now));
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -7,7 +7,7 @@
 use metrics::{counter, gauge, histogram};
 use rocket::http::{Method, Status};
 use sandshelf_adapter::StoreFault;
-use sandshelf_jobs::{JobEvent, JobNote, JobStage, OrderAnswer, SchedulerCounts};
+use sandshelf_jobs::{HoldAnswer, JobEvent, JobNote, JobStage, OrderAnswer, SchedulerCounts};
 
 use crate::jobs::notes::label;
 
@@ -100,11 +100,11 @@
     }
 }
 
-fn hold_outcome(answer: &sandshelf_jobs::HoldAnswer) -> &'static str {
+fn hold_outcome(answer: &HoldAnswer) -> &'static str {
     match answer {
-        sandshelf_jobs::HoldAnswer::Report(_) => "done",
-        sandshelf_jobs::HoldAnswer::Fenced => "refused",
-        sandshelf_jobs::HoldAnswer::Failed(answer) => outcome_of(answer),
+        HoldAnswer::Report(_) => "done",
+        HoldAnswer::Fenced => "refused",
+        HoldAnswer::Failed(answer) => outcome_of(answer),
     }
 }
 
--- a/crates/sandshelfd/src/jobs/owner/release.rs
+++ b/crates/sandshelfd/src/jobs/owner/release.rs
@@ -42,13 +42,11 @@
         if self.writing || self.released {
             return;
         }
-        if self.owned.is_none() {
+        let Some(owned) = &self.owned else {
             self.released = true;
             return;
-        }
-        let counts = self.owned.as_ref().map(|owned| owned.scheduler.counts(now));
-        let settled = counts.is_some_and(|counts| counts.dirty == 0);
-        if !settled && now < stop_by {
+        };
+        if !owned.scheduler.is_written() && now < stop_by {
             return;
         }
         let (version, mut row) = self.lease.next_row(self.token());
