--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -84,3 +84,7 @@
 pub const PLACE_PER_PASS: usize = 400;
 /// How long a task whose order no worker understood waits.
 pub const INVALID_PAUSE_MS: Millis = 2_000;
+/// How many orders to start may be without an answer before waiting tasks are left in the queue: an answer takes some 5 ms,
+/// so that this is ten times what 1,000 starts a second need; beyond it orders would only wait for the owner's processor,
+/// and come to the worker too late.
+pub const STARTS_AT_ONCE: usize = 64;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -10,7 +10,7 @@
 use crate::fill::{FillAsk, FillBoard, FillUrgency};
 use crate::ids::{JobNumber, RunKey, TaskKey};
 use crate::job::TaskStage;
-use crate::limits::{PASS_PAUSE_MS, PLACE_PER_PASS, START_VALID_MS};
+use crate::limits::{PASS_PAUSE_MS, PLACE_PER_PASS, STARTS_AT_ONCE, START_VALID_MS};
 use crate::rank::{place_rank, PassMemo, PlaceRank, RankTier};
 use crate::scheduler::{JobScheduler, WaitKey};
 use crate::worker::{RunPhase, RunRecord, WorkerState};
@@ -19,7 +19,10 @@
     /// Starts waiting tasks on workers that have room, the most urgent first.
     pub(crate) fn place_waiting(&mut self, now: Millis) {
         let paused = self.pass_left_some && now < self.last_pass + PASS_PAUSE_MS;
-        if paused || !std::mem::take(&mut self.room_changed) || self.waiting.is_empty() {
+        if paused || self.starts_under_way >= STARTS_AT_ONCE {
+            return;
+        }
+        if !std::mem::take(&mut self.room_changed) || self.waiting.is_empty() {
             return;
         }
         self.last_pass = now;
@@ -39,7 +42,9 @@
         let mut tries = 0;
         for (rank, wait) in ranked {
             tries += usize::from(self.place_one(now, rank, wait, &mut memo));
-            if tries >= PLACE_PER_PASS {
+            if tries >= PLACE_PER_PASS || self.starts_under_way >= STARTS_AT_ONCE {
+                // What is left is tried as soon as answers have come in.
+                self.room_changed = true;
                 break;
             }
         }
@@ -301,6 +306,7 @@
             state.refresh_fills(now);
         }
         let resumed = checkpoint.is_some();
+        self.starts_under_way += 1;
         self.call(
             &worker,
             WorkerCall::Start(StartCall {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -119,6 +119,8 @@
     /// Whether the last pass left tasks waiting.
     pub(crate) pass_left_some: bool,
     pub(crate) last_move: Millis,
+    /// Orders to start that were sent and have no answer yet.
+    pub(crate) starts_under_way: usize,
     pub(crate) last_tick: Millis,
     pub(crate) deposed: bool,
     pub(crate) out: Vec<JobAction>,
@@ -169,6 +171,7 @@
             last_pass: 0,
             pass_left_some: false,
             last_move: 0,
+            starts_under_way: 0,
             last_tick: 0,
             deposed: false,
             out: Vec::new(),
@@ -189,11 +192,36 @@
 
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: JobEvent) -> Vec<JobAction> {
+        self.handle_all(now, [event])
+    }
+
+    /// Takes in events in their order and returns what is to be done; places, holds and writes are looked at once for all
+    /// of them, so that an owner under load spends less on each.
+    pub fn handle_all(
+        &mut self,
+        now: Millis,
+        events: impl IntoIterator<Item = JobEvent>,
+    ) -> Vec<JobAction> {
         // After a pause as long as the ownership lasts another owner may have finished what this one believes waiting.
         if self.last_tick > 0 && now > self.last_tick + LONGEST_PAUSE_MS {
             self.deposed = true;
+        }
+        for event in events {
+            if self.deposed {
+                break;
+            }
+            self.take_event(now, event);
+        }
+        if self.deposed {
             return vec![JobAction::Deposed];
         }
+        self.place_waiting(now);
+        self.send_holds(now);
+        self.begin_commit(now);
+        std::mem::take(&mut self.out)
+    }
+
+    fn take_event(&mut self, now: Millis, event: JobEvent) {
         match event {
             JobEvent::JobListed {
                 number,
@@ -204,6 +232,7 @@
             JobEvent::WorkersListed(list) => self.take_list(now, list),
             JobEvent::QueuesChanged(queues) => self.queues = queues,
             JobEvent::StartAnswered(worker, key, answer) => {
+                self.starts_under_way = self.starts_under_way.saturating_sub(1);
                 self.take_start_answer(now, &worker, key, answer);
             }
             JobEvent::StopAnswered(worker, key, answer) => {
@@ -216,13 +245,6 @@
             JobEvent::Committed(id) => self.take_commit(now, id),
             JobEvent::Tick { wall_ms } => self.tick(now, wall_ms),
         }
-        if self.deposed {
-            return vec![JobAction::Deposed];
-        }
-        self.place_waiting(now);
-        self.send_holds(now);
-        self.begin_commit(now);
-        std::mem::take(&mut self.out)
     }
 
     fn tick(&mut self, now: Millis, wall_ms: u64) {
--- a/crates/jobs/tests/order.rs
+++ b/crates/jobs/tests/order.rs
@@ -150,7 +150,26 @@
     assert!(paces.iter().all(|(key, _)| *key != soft), "{paces:?}");
 }
 
+/// An order that waits for the owner's processor comes to the worker too late: what is not answered bounds what is sent.
+fn starts_without_an_answer_are_bounded() {
+    let names: Vec<String> = (1..=100).map(|number| format!("w-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut rig = SchedulerRig::with_workers(&names);
+    rig.hand_in(1, 0, job(vec![step(100)]));
+    rig.pass(200);
+    let first = rig.peek_starts().len();
+    assert!(
+        (32..100).contains(&first),
+        "{first} orders were sent at once"
+    );
+    rig.take_starts();
+    rig.pass(200);
+    let second = rig.take_starts().len();
+    assert_eq!(first + second, 100, "the others follow the answers");
+}
+
 sandshelf_cases::cases! {
+    starts_bounded => starts_without_an_answer_are_bounded();
     packed_by_job => serving_tasks_of_one_job_stand_together();
     packed_by_image => images_are_not_mixed_while_there_is_room();
     workers_left_free => serving_tasks_leave_workers_to_filling_ones();
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -42,6 +42,8 @@
 /// By how much longer than asked the state of a finished job is kept: callers' and owners' clocks differ.
 const KEEP_MARGIN_MS: Millis = 10_000;
 
+/// How many events of workers are taken in at once, before ticks and changes of the jobs get their turn.
+const EVENTS_AT_ONCE: usize = 256;
 /// How often an owner logs its figures.
 const LOAD_EVERY_MS: Millis = 1_000;
 
@@ -67,6 +69,7 @@
     RowRead(Result<StoredRow, StoreFault>),
     Written(WriteEnd),
     TakenOver(Result<Box<TakeoverData>, StoreFault>),
+    /// What a worker answered to the owner of an epoch.
     Event(u64, JobEvent),
 }
 
@@ -150,7 +153,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while !owner.released {
         tokio::select! {
-            Some(message) = inbox.recv() => owner.take_message(message),
+            Some(message) = inbox.recv() => owner.take_messages(message, &mut inbox),
             Some(events) = intake_in.recv() => owner.take_events(events),
             _ = ticks.tick() => owner.tick(),
             Some(()) = stop.recv() => owner.begin_stop(),
@@ -160,23 +163,55 @@
 }
 
 impl OwnerLoop {
-    fn take_message(&mut self, message: OwnerMessage) {
+    /// Takes a message in, and with it those that have come meanwhile: under load many events share one look at all
+    /// workers.
+    fn take_messages(
+        &mut self,
+        first: OwnerMessage,
+        inbox: &mut mpsc::UnboundedReceiver<OwnerMessage>,
+    ) {
+        let mut events = Vec::new();
+        let mut next = Some(first);
+        while let Some(message) = next {
+            match message {
+                OwnerMessage::Event(epoch, job_event) => {
+                    let current = self.owned.as_ref().map(|owned| owned.scheduler.epoch());
+                    if current == Some(epoch) {
+                        events.push(job_event);
+                    }
+                }
+                other => {
+                    self.take_events(std::mem::take(&mut events));
+                    self.take_store_message(other);
+                }
+            }
+            if events.len() >= EVENTS_AT_ONCE {
+                break;
+            }
+            next = inbox.try_recv().ok();
+        }
+        self.take_events(events);
+    }
+
+    fn take_store_message(&mut self, message: OwnerMessage) {
         match message {
             OwnerMessage::RowRead(read) => self.take_row(read),
             OwnerMessage::Written(end) => self.take_write(end),
             OwnerMessage::TakenOver(read) => self.take_over(read),
-            OwnerMessage::Event(epoch, job_event) => {
-                let current = self.owned.as_ref().map(|owned| owned.scheduler.epoch());
-                if current == Some(epoch) {
-                    self.handle(job_event);
-                }
-            }
+            OwnerMessage::Event(..) => {}
         }
     }
 
     fn take_events(&mut self, events: Vec<JobEvent>) {
-        for job_event in events {
-            self.handle(job_event);
+        if events.is_empty() {
+            return;
+        }
+        let Some(owned) = &mut self.owned else {
+            return;
+        };
+        let actions = owned.scheduler.handle_all(clock::now(), events);
+        for action in actions {
+            self.act(action);
         }
     }
 
@@ -351,13 +386,7 @@
     }
 
     fn handle(&mut self, job_event: JobEvent) {
-        let Some(owned) = &mut self.owned else {
-            return;
-        };
-        let actions = owned.scheduler.handle(clock::now(), job_event);
-        for action in actions {
-            self.act(action);
-        }
+        self.take_events(vec![job_event]);
     }
 
     fn act(&mut self, action: JobAction) {
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -4,11 +4,15 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use rocket::config::{Config, Ident, LogLevel, Shutdown};
+use rocket::data::{Limits, ToByteUnit};
 use rocket::fairing::AdHoc;
 use rocket::shield::Shield;
 use rocket::{Build, Rocket};
 use tokio::sync::oneshot;
 
+/// The largest body that a stand-in takes, as much as one write to the platform's store may hold.
+const LARGEST_BODY_KIB: u64 = 1_024;
+
 /// Makes a quiet server on the loopback address; port 0 lets the system choose.
 pub fn quiet_rocket(port: u16) -> Rocket<Build> {
     rocket::custom(Config {
@@ -16,6 +20,7 @@
         port,
         log_level: LogLevel::Off,
         cli_colors: false,
+        limits: Limits::default().limit("string", LARGEST_BODY_KIB.kibibytes()),
         ident: Ident::try_new("standin").unwrap_or_default(),
         shutdown: Shutdown {
             ctrlc: false,
