A pass remembers what a step's tasks cost on each worker, and shares are dealt on a kept board

Cause: with filling work most of the owner's processor time went into placing: each of a step's twenty tasks looked at all 490 workers anew, and each pass built the board of serving and filling tasks of every worker (sandshelf-load, 50 jobs of 20 tasks a second, 2,240 standing tasks: foreseen_share alone 18 % of the samples). Change: the costs of the step tried last are kept over a pass and only the worker that got a task is looked at again; a worker keeps its board until a run comes, goes or is read. Considered and not needed now: several shards, or orders relayed by other hosts. Behaviour is unchanged but for boards that are up to a reading old; the tests of order and guard hold it.

--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -6,7 +6,7 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use crate::events::{JobNote, LossCause, OrderAnswer, RefusalReason, StopCause, WorkerCall};
-use crate::fill::{FillAsk, FillBoard, FillUrgency};
+use crate::fill::{FillAsk, FillUrgency};
 use crate::ids::RunKey;
 use crate::press::{load_of_tail, ImageId};
 use crate::scheduler::JobScheduler;
@@ -77,6 +77,7 @@
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
+        state.forget_board();
         if state.fills.running_ms(now) < LEAST_READING_MS {
             return;
         }
@@ -108,7 +109,7 @@
             since.is_some_and(|since| now >= since + LEAVE_ALONE_MS)
         };
         let alone = state.runs.values().any(long_over);
-        let shares = FillBoard::new(state, &self.press, now).deal(&self.press);
+        let shares = state.board(&self.press, now).deal(&self.press);
         let mut changed = Vec::new();
         for (key, share) in shares {
             let share = if alone { 0.0 } else { share };
@@ -190,7 +191,8 @@
             cpu_millis: record.cpu_millis,
         };
         let share_at = |target: &WorkerState| {
-            FillBoard::new(target, &self.press, now).foreseen_share(&self.press, &asked)
+            let board = target.board(&self.press, now);
+            board.foreseen_share(&self.press, &asked)
         };
         let better = self.workers.iter().find(|(id, target)| {
             target.entry.service == service
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -7,11 +7,11 @@
 
 use crate::cost::{fill_cost, place_cost, Candidate};
 use crate::events::{JobNote, StartCall, WorkerCall};
-use crate::fill::{FillAsk, FillBoard, FillUrgency};
+use crate::fill::{FillAsk, FillUrgency};
 use crate::ids::{JobNumber, RunKey, TaskKey};
 use crate::job::TaskStage;
 use crate::limits::{PASS_PAUSE_MS, PLACE_PER_PASS, STARTS_AT_ONCE, START_VALID_MS};
-use crate::rank::{place_rank, PassMemo, PlaceRank, RankTier};
+use crate::rank::{place_rank, PassMemo, PlaceCost, PlaceRank, RankTier};
 use crate::scheduler::{JobScheduler, WaitKey};
 use crate::worker::{RunPhase, RunRecord, WorkerState};
 
@@ -99,10 +99,9 @@
             None => memo.note_failed(&key, service, step, starving),
             Some(places) => {
                 memo.helped.push(key.job);
-                let boards = self.workers.keys().zip(&mut memo.boards);
-                for (worker, board) in boards {
+                for (index, worker) in self.workers.keys().enumerate() {
                     if places.iter().any(|(_, place)| place == worker) {
-                        *board = None;
+                        memo.costs.forget(index);
                     }
                 }
                 self.waiting.remove(&wait);
@@ -121,27 +120,54 @@
         memo: &mut PassMemo,
     ) -> Option<WorkerId> {
         let mut best: Option<(f64, &WorkerId)> = None;
-        memo.boards.resize_with(self.workers.len(), || None);
-        for ((id, worker), known) in self.workers.iter().zip(&mut memo.boards) {
-            let taken = planned.get(id).map_or(&[][..], Vec::as_slice);
-            if !self.may_take(now, id, worker, candidate, taken) {
-                continue;
-            }
-            let mut cost = place_cost(worker, candidate, taken);
-            if candidate.step.fills {
-                let board = known.get_or_insert_with(|| FillBoard::new(worker, &self.press, now));
-                let Some(filling) = fill_cost(board, &self.press, candidate) else {
-                    continue;
-                };
-                cost += filling;
+        let alike = candidate.last_worker.is_none() && !candidate.step.gang;
+        let mut known = alike.then(|| {
+            memo.costs
+                .of(&candidate.key, candidate.starving, self.workers.len())
+        });
+        for (index, (id, worker)) in self.workers.iter().enumerate() {
+            let remembered = known.as_deref().map(|costs| costs[index]);
+            let cost = match remembered {
+                Some(cost) if cost != PlaceCost::Unknown => cost,
+                _ => {
+                    let taken = planned.get(id).map_or(&[][..], Vec::as_slice);
+                    self.cost_at(now, (id, worker), candidate, taken)
+                }
+            };
+            if let Some(costs) = known.as_deref_mut() {
+                costs[index] = cost;
             }
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, id));
+            if let PlaceCost::Cost(cost) = cost {
+                if best.is_none_or(|(least, _)| cost < least) {
+                    best = Some((cost, id));
+                }
             }
         }
         best.map(|(_, id)| id.clone())
     }
 
+    /// What it costs to place a task on a worker, where it may go there.
+    fn cost_at(
+        &self,
+        now: Millis,
+        (id, worker): (&WorkerId, &WorkerState),
+        candidate: &Candidate<'_>,
+        taken: &[ResourceSize],
+    ) -> PlaceCost {
+        if !self.may_take(now, id, worker, candidate, taken) {
+            return PlaceCost::NoPlace;
+        }
+        let mut cost = place_cost(worker, candidate, taken);
+        if candidate.step.fills {
+            let board = worker.board(&self.press, now);
+            match fill_cost(board, &self.press, candidate) {
+                Some(filling) => cost += filling,
+                None => return PlaceCost::NoPlace,
+            }
+        }
+        PlaceCost::Cost(cost)
+    }
+
     fn may_take(
         &self,
         now: Millis,
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -5,7 +5,6 @@
 use sandshelf_model::{Millis, ResourceSize};
 
 use crate::events::JobStage;
-use crate::fill::FillBoard;
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::{EndWorth, JobState};
 use crate::scheduler::WaitKey;
@@ -43,6 +42,45 @@
     Useless,
 }
 
+/// What a pass knows of placing a task of one step on a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum PlaceCost {
+    /// It was not looked at since something was started there.
+    Unknown,
+    /// It can't go there.
+    NoPlace,
+    /// It would cost this much.
+    Cost(f64),
+}
+
+/// The costs of all workers, in their order, for the step that was tried last: its tasks are alike, and only the worker
+/// that got one has to be looked at again.
+#[derive(Default)]
+pub(crate) struct StepCosts {
+    step: Option<(TaskKey, bool)>,
+    costs: Vec<PlaceCost>,
+}
+
+impl StepCosts {
+    /// The costs for a step's tasks; all unknown where another step was tried before.
+    pub(crate) fn of(&mut self, key: &TaskKey, starving: bool, workers: usize) -> &mut [PlaceCost] {
+        let step = Some((TaskKey { index: 0, ..*key }, starving));
+        if self.step != step || self.costs.len() != workers {
+            self.step = step;
+            self.costs.clear();
+            self.costs.resize(workers, PlaceCost::Unknown);
+        }
+        &mut self.costs
+    }
+
+    /// Something was started on the worker at this place of the order.
+    pub(crate) fn forget(&mut self, place: usize) {
+        if let Some(cost) = self.costs.get_mut(place) {
+            *cost = PlaceCost::Unknown;
+        }
+    }
+}
+
 /// What one pass found to have no room, so that like tasks are not tried again.
 #[derive(Default)]
 pub(crate) struct PassMemo {
@@ -50,8 +88,7 @@
     pub(crate) rooms: Vec<(String, ResourceSize)>,
     pub(crate) images: Vec<(String, ResourceSize)>,
     pub(crate) helped: Vec<JobNumber>,
-    /// What the workers' tasks look like, in the workers' order, as far as it was asked for since the last start.
-    pub(crate) boards: Vec<Option<FillBoard>>,
+    pub(crate) costs: StepCosts,
 }
 
 impl PassMemo {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,14 +1,16 @@
 //! What is known of one worker: its clock, its lease, and the runs that may be at work there.
 
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 
 use sandshelf_model::{Millis, ResourceSize};
 
 use crate::events::{WorkerClock, WorkerListing};
+use crate::fill::FillBoard;
 use crate::ids::RunKey;
 use crate::job::DueTimes;
 use crate::limits::{SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT};
-use crate::press::{FillLoads, FillMeter, ImageId, ServingLoad};
+use crate::press::{FillLoads, FillMeter, ImageId, PressEstimate, ServingLoad};
 use crate::spec::StepSpec;
 
 /// How far an order to start has come.
@@ -103,6 +105,8 @@
     filling_cpu: u64,
     /// What fills here.
     pub(crate) fills: FillMeter,
+    /// The tasks here as the dealing of shares sees them, from when they were first asked for after a change.
+    board: OnceCell<FillBoard>,
 }
 
 impl WorkerState {
@@ -127,9 +131,20 @@
             ordinary_cpu: 0,
             filling_cpu: 0,
             fills: FillMeter::default(),
+            board: OnceCell::new(),
         }
     }
 
+    /// The tasks here as the dealing of shares sees them.
+    pub(crate) fn board(&self, press: &PressEstimate, now: Millis) -> &FillBoard {
+        self.board.get_or_init(|| FillBoard::new(self, press, now))
+    }
+
+    /// Notes that the tasks here, or what is read of them, have changed.
+    pub(crate) fn forget_board(&mut self) {
+        self.board.take();
+    }
+
     /// Notes a reading of its clock; an older one than is known changes nothing.
     pub(crate) fn note_clock(&mut self, now: Millis, clock: WorkerClock) {
         self.last_answer = now;
@@ -216,6 +231,7 @@
     }
 
     fn recount(&mut self) {
+        self.forget_board();
         let mut used = ResourceSize::default();
         let (mut ordinary, mut filling) = (0, 0);
         for record in self.runs.values() {
