--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -139,6 +139,15 @@
         );
     }
 
+    /// Whether the process has ended.
+    ///
+    /// # Panics
+    /// The system doesn't tell.
+    pub fn has_ended(&mut self) -> bool {
+        let status = self.child.try_wait();
+        status.expect("a child can be asked for").is_some()
+    }
+
     /// Waits until the process has ended; returns its exit code.
     ///
     /// # Panics
