Jobs are spread over 32 parts of their table

Cause: all rows lay in one part, and a part takes its writes in turn. Change: a job's row and its mark lie in one of 32 parts by its number; the owner's rows keep their one part. A new owner reads the parts eight at a time and follows changes from the oldest of these reads. A job that is forgotten loses its row first and its progress after, and what an owner left behind in between is removed by the next.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -7,7 +7,7 @@
 use crate::events::{CommitBatch, JobAction, JobStage};
 use crate::ids::JobNumber;
 use crate::limits::{
-    COMMIT_JOBS, COMMIT_PAUSE_MS, FORGET_AT_ONCE, PENDING_EVERY_MS, ROWS_OF_JOB, STRENGTHS_EVERY_MS,
+    COMMIT_JOBS, COMMIT_PAUSE_MS, FORGET_AT_ONCE, PENDING_EVERY_MS, STRENGTHS_EVERY_MS,
 };
 use crate::press::StrengthRow;
 use crate::progress::ProgressRow;
@@ -37,7 +37,7 @@
             return;
         }
         self.commit_count += 1;
-        let room = COMMIT_JOBS - forget.len() * ROWS_OF_JOB;
+        let room = COMMIT_JOBS - forget.len();
         let numbers: Vec<JobNumber> = self.dirty.iter().take(room).copied().collect();
         self.dirty.drain(..numbers.len());
         let complete = self.dirty.is_empty();
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -60,8 +60,6 @@
 pub const STRENGTHS_EVERY_MS: Millis = 1_500;
 /// How many jobs one commit forgets.
 pub const FORGET_AT_ONCE: usize = 10;
-/// The rows of a job: the job, its progress, its mark of cancellation.
-pub const ROWS_OF_JOB: usize = 3;
 /// The least time between two publications of the numbers of waiting jobs.
 pub const PENDING_EVERY_MS: Millis = 500;
 /// By how much more than the lease a new owner waits for workers that it can't reach: an earlier owner may go on
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -3,7 +3,7 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use crate::events::{JobNote, LossCause};
-use crate::ids::TaskKey;
+use crate::ids::{JobNumber, TaskKey};
 use crate::job::JobState;
 use crate::scheduler::JobScheduler;
 
@@ -20,6 +20,7 @@
         }
         if over {
             self.recovery = None;
+            self.forget_leftovers(now);
         }
         let released = |job: &&JobState| over || !job.inherited;
         let jobs = self.jobs.values().filter(released);
@@ -33,6 +34,18 @@
         }
     }
 
+    /// An earlier owner may have ended between the removal of a job and that of its progress: what is left is removed in time.
+    fn forget_leftovers(&mut self, now: Millis) {
+        let inherited = self.inherited.iter();
+        let over = inherited.filter(|(_, row)| row.stage.is_final());
+        let over: Vec<JobNumber> = over.map(|(number, _)| *number).collect();
+        for number in over {
+            self.inherited.remove(&number);
+            self.finished.insert(number);
+            self.finished_at.push_back((now, number));
+        }
+    }
+
     pub(crate) fn note_answered(&mut self, worker: &WorkerId) {
         if let Some(recovery) = &mut self.recovery {
             recovery.unanswered.remove(worker);
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use sandshelf_jobs::{RunKey, RunOutcome, TakeoverInfo};
+use sandshelf_jobs::{JobNumber, JobStage, ProgressRow, RunKey, RunOutcome, TakeoverInfo};
 use sandshelf_model::WorkerId;
 use support::{ended, job, listing, runs, step, task, SchedulerRig};
 
@@ -265,7 +265,27 @@
     assert_eq!(starts[0].0, alive);
 }
 
+/// An owner that ends between the removal of a job's row and that of its progress leaves the progress behind.
+fn progress_without_a_job_is_removed_in_time() {
+    let over = ProgressRow {
+        stage: JobStage::Completed,
+        ..ProgressRow::default()
+    };
+    let mut rig = SchedulerRig::new(TakeoverInfo {
+        progress: [(JobNumber(9), over)].into(),
+        ..TakeoverInfo::first(2, 1_000)
+    });
+    rig.list(&["w-1"]);
+    rig.report("w-1", vec![], vec![]);
+    rig.commit_all();
+    rig.pass(121_000);
+    let batches = rig.commit_all().into_iter();
+    let forgotten: Vec<JobNumber> = batches.flat_map(|batch| batch.forget).collect();
+    assert_eq!(forgotten, [JobNumber(9)]);
+}
+
 sandshelf_cases::cases! {
+    progress_without_job => progress_without_a_job_is_removed_in_time();
     old_failure => an_old_failure_does_not_free_a_task();
     found_nowhere => a_task_found_nowhere_starts_once_all_have_answered();
     silent_worker => a_silent_worker_is_waited_for_until_its_lease_is_over();
--- a/crates/sandshelfd/src/jobs/intake.rs
+++ b/crates/sandshelfd/src/jobs/intake.rs
@@ -42,9 +42,9 @@
             Ok(FeedPage::HistoryGone) => {
                 event("history_gone", &[("table", &JOBS_TABLE)]);
                 match store.read_jobs().await {
-                    Ok((events, version)) => {
-                        after = version;
-                        events
+                    Ok(jobs) => {
+                        after = jobs.follow_from;
+                        jobs.events
                     }
                     Err(_) => Vec::new(),
                 }
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -351,13 +351,12 @@
         let info = TakeoverInfo {
             epoch,
             claimed_at: clock::now(),
-            claim_version: data.version,
             wall_ms: clock::wall_ms(),
             ..data.info
         };
         let mut followers = vec![spawn_local(follow_jobs(
             self.store.clone(),
-            data.version,
+            data.follow_from,
             self.intake.clone(),
         ))];
         let listing = follow_workers(self.store.clone(), self.intake.clone());
--- a/crates/sandshelfd/src/jobs/records.rs
+++ b/crates/sandshelfd/src/jobs/records.rs
@@ -14,8 +14,11 @@
 pub const PROGRESS_TABLE: &str = "progress";
 /// Who owns a shard, and what its owner publishes.
 pub const SHARDS_TABLE: &str = "shards";
-/// The one shard that serves all queues; all rows of a transaction have to share a part.
+/// The one shard that serves all queues; the rows that its owner writes share a part, as all rows of a transaction have to.
 pub const SHARD_PART: &str = "s0";
+/// Into how many parts the jobs are spread: a part takes its writes in turn, and a store that is sixty times slower than
+/// usual takes three a second in each, where the grown deployments hand in 35 jobs a second.
+const JOB_PARTS: u64 = 32;
 /// The key of the row that says who owns the shard.
 pub const OWNER_KEY: &str = "owner";
 /// The key of the numbers of waiting jobs.
@@ -52,14 +55,36 @@
     }
 }
 
+/// The part that a job's row and its cancellation mark are in.
+fn job_part(number: JobNumber) -> String {
+    format!("j{}", number.0 % JOB_PARTS)
+}
+
 /// The row of a job.
 pub fn job_row(number: JobNumber) -> RowKey {
-    shard_row(JOBS_TABLE, &number.to_string())
+    RowKey {
+        table: JOBS_TABLE,
+        part: job_part(number),
+        key: number.to_string(),
+    }
 }
 
 /// The row that marks a job as cancelled.
 pub fn cancel_row(number: JobNumber) -> RowKey {
-    shard_row(JOBS_TABLE, &format!("{number}{CANCEL_SUFFIX}"))
+    RowKey {
+        key: format!("{number}{CANCEL_SUFFIX}"),
+        ..job_row(number)
+    }
+}
+
+/// All jobs and cancellation marks, part by part.
+pub fn job_ranges() -> impl Iterator<Item = RowRange> {
+    (0..JOB_PARTS).map(|part| RowRange {
+        table: JOBS_TABLE,
+        part: format!("j{part}"),
+        from: String::new(),
+        to: None,
+    })
 }
 
 /// The row of a job's progress.
--- a/crates/sandshelfd/src/jobs/takeover.rs
+++ b/crates/sandshelfd/src/jobs/takeover.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sandshelf_adapter::StoreFault;
+use futures::{stream, StreamExt, TryStreamExt};
+use sandshelf_adapter::{RowPage, StoreFault};
 use sandshelf_jobs::{JobEvent, JobNumber, JobSpec, ProgressRow, StrengthRow, TakeoverInfo};
 
 use crate::jobs::accept::decode_row;
 use crate::jobs::records::{
-    shard_range, RosterRow, CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE, ROSTER_KEY, SHARDS_TABLE,
+    job_ranges, shard_range, RosterRow, CANCEL_SUFFIX, PROGRESS_TABLE, ROSTER_KEY, SHARDS_TABLE,
     STRENGTHS_KEY,
 };
 use crate::jobs::writer::OwnerStore;
@@ -18,6 +19,9 @@
 /// How long one page of rows is waited for.
 const PAGE_PATIENCE: Duration = Duration::from_millis(1_500);
 
+/// How many parts of the jobs are read at once.
+const PARTS_AT_ONCE: usize = 8;
+
 /// What was read.
 #[derive(Clone, Debug)]
 pub struct TakeoverData {
@@ -26,7 +30,18 @@
     /// The jobs and cancellations.
     pub events: Vec<JobEvent>,
     /// The version from which changes of the jobs are to be followed.
-    pub version: u64,
+    pub follow_from: u64,
+}
+
+/// All jobs and cancellations; their parts are read one after the other.
+#[derive(Clone, Debug)]
+pub struct ListedJobs {
+    /// The jobs and cancellations.
+    pub events: Vec<JobEvent>,
+    /// The version as of which the first part was read: later changes may not be among the events.
+    pub follow_from: u64,
+    /// The version as of which the last part was read: no event is newer.
+    pub newest: u64,
 }
 
 impl OwnerStore {
@@ -49,22 +64,37 @@
             strengths: strengths.unwrap_or_default(),
             ..TakeoverInfo::default()
         };
-        let (events, version) = self.read_jobs().await?;
+        let jobs = self.read_jobs().await?;
         Ok(TakeoverData {
-            info,
-            events,
-            version,
+            info: TakeoverInfo {
+                claim_version: jobs.newest,
+                ..info
+            },
+            events: jobs.events,
+            follow_from: jobs.follow_from,
         })
     }
 
-    /// Reads all jobs and cancellations, and the version as of which they were read.
+    /// Reads all jobs and cancellations, a few parts at a time.
     ///
     /// # Errors
     /// The store did not answer.
-    pub async fn read_jobs(&self) -> Result<(Vec<JobEvent>, u64), StoreFault> {
-        let range = shard_range(JOBS_TABLE);
-        let jobs = self.client.read_all(&range, PAGE_PATIENCE).await?;
-        Ok((decode_jobs(&jobs.rows), jobs.version))
+    pub async fn read_jobs(&self) -> Result<ListedJobs, StoreFault> {
+        let reads = job_ranges().map(|range| async move {
+            let read = self.client.read_all(&range, PAGE_PATIENCE);
+            read.await
+        });
+        let pages = stream::iter(reads).buffered(PARTS_AT_ONCE);
+        let pages: Vec<RowPage> = pages.try_collect().await?;
+        let versions = || pages.iter().map(|page| page.version);
+        Ok(ListedJobs {
+            follow_from: versions().min().unwrap_or(0),
+            newest: versions().max().unwrap_or(0),
+            events: pages
+                .iter()
+                .flat_map(|page| decode_jobs(&page.rows))
+                .collect(),
+        })
     }
 }
 
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use sandshelf_adapter::{
-    RowCheck, RowKey, RowWrite, StoreClient, StoreFault, StoredValue, WriteOutcome,
-};
+use futures::future::join_all;
+use sandshelf_adapter::{RowCheck, RowWrite, StoreClient, StoreFault, StoredValue, WriteOutcome};
 use sandshelf_jobs::{CommitBatch, JobNumber};
 use sandshelf_lease::{RowVersion, ShardRow, StoredRow};
 use sandshelf_model::Millis;
@@ -76,8 +75,25 @@
         Ok(decode_owner(&page.rows))
     }
 
+    /// Removes the rows of jobs that are to be forgotten; those that could not be removed are left to a later owner, which
+    /// finds their progress.
+    async fn remove_jobs(&self, forget: &mut Vec<JobNumber>) {
+        let removals = forget.drain(..).map(|number| async move {
+            let removal = job_removal(&number);
+            let write = self.client.write(&removal, WRITE_PATIENCE);
+            let removed = self.health.watch(StoreCall::Commit, write).await;
+            if let Err(fault) = &removed {
+                event("forget_failed", &[("job", &number), ("fault", fault)]);
+            }
+            removed.is_ok().then_some(number)
+        });
+        let removed = join_all(removals).await;
+        *forget = removed.into_iter().flatten().collect();
+    }
+
     /// Writes until it is certain that the write took effect or never will.
-    pub async fn write(&self, write: OwnerWrite) -> WriteEnd {
+    pub async fn write(&self, mut write: OwnerWrite) -> WriteEnd {
+        self.remove_jobs(&mut write.batch.forget).await;
         let request = row_write(&write);
         let sent = clock::now();
         loop {
@@ -129,8 +145,12 @@
     }
 }
 
-fn rows_of_job(number: &JobNumber) -> [RowKey; 3] {
-    [job_row(*number), cancel_row(*number), progress_row(*number)]
+/// Removes the row and the mark of a job whose state is no longer kept; its progress says until the end that it is over.
+fn job_removal(number: &JobNumber) -> RowWrite {
+    RowWrite {
+        removes: vec![job_row(*number), cancel_row(*number)],
+        ..RowWrite::default()
+    }
 }
 
 fn row_write(write: &OwnerWrite) -> RowWrite {
@@ -160,6 +180,12 @@
             version: write.version,
         }],
         puts,
-        removes: write.batch.forget.iter().flat_map(rows_of_job).collect(),
+        removes: write
+            .batch
+            .forget
+            .iter()
+            .copied()
+            .map(progress_row)
+            .collect(),
     }
 }
