An owner that was killed and is started again follows itself at once

Change: a host that finds an earlier life of itself as owner claims the shard at once, unless it is a weak one.

--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -7,6 +7,7 @@
 use sandshelf_model::Millis;
 use tokio::task::spawn_local;
 
+use super::strength::HostStrength;
 use super::{OwnerLoop, OwnerMessage};
 use crate::clock;
 use crate::jobs::writer::OwnerWrite;
@@ -30,9 +31,21 @@
         }
     }
 
+    /// Whether the shard's owner is an earlier life of this host: that is certainly over, and nobody has to wait for it.
+    fn follows_itself(&self) -> bool {
+        let watching = *self.lease.stage() == LeaseStage::Watching;
+        let owner = self.lease.row().and_then(|seen| seen.row.owner.as_ref());
+        let earlier = owner.is_some_and(|owner| {
+            let (name, _) = owner.as_str().rsplit_once('.').unwrap_or_default();
+            *owner != self.host && name == self.settings.host.as_str()
+        });
+        watching && earlier && HostStrength::of(&self.settings) != HostStrength::Weak
+    }
+
     /// Reads the owner's row from time to time, and claims the shard where its owner is gone.
     pub(super) fn watch(&mut self, now: Millis) {
-        if !self.writing && self.stop_by.is_none() && self.lease.may_claim(now, self.claim_rank()) {
+        let free = self.lease.may_claim(now, self.claim_rank()) || self.follows_itself();
+        if free && !self.writing && self.stop_by.is_none() {
             self.claim(now);
             return;
         }
@@ -62,12 +75,14 @@
     }
 
     pub(super) fn claim(&mut self, now: Millis) {
+        let follows_itself = self.follows_itself();
         let (version, row) = self.lease.begin_claim(self.token());
         event(
             "shard_claimed",
             &[
                 ("epoch", &row.epoch),
                 ("rank", &self.rank),
+                ("own_earlier_life", &follows_itself),
                 ("version", &version),
             ],
         );
