256 starts may be without an answer

Cause: orders to workers that hang are without an answer for half a second and used up the bound of 64.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -82,10 +82,11 @@
 pub const PLACE_PER_PASS: usize = 400;
 /// How long a task whose order no worker understood waits.
 pub const INVALID_PAUSE_MS: Millis = 2_000;
-/// How many orders to start may be without an answer before waiting tasks are left in the queue: an answer takes some 5 ms,
-/// so that this is ten times what 1,000 starts a second need; beyond it orders would only wait for the owner's processor,
-/// and come to the worker too late.
-pub const STARTS_AT_ONCE: usize = 64;
+/// How many orders to start may be without an answer before waiting tasks are left in the queue. An answer takes some 5 ms,
+/// but half a second where a worker hangs: with a fifth of the workers hanging 1,000 starts a second need 100. An order
+/// costs up to 1.3 ms of a weak host's processor, so that 256 wait for 0.3 s at most; beyond that they would come to the
+/// worker too late.
+pub const STARTS_AT_ONCE: usize = 256;
 /// Lists of workers that are further apart say that the store was away in between: they are read every 0.7 s, and an
 /// answer is waited for as long.
 pub const LIST_GAP_MS: Millis = 1_800;
