An owner looks at its takeover and its planned stop between two writes

Cause: where much changes one write follows the other without a pause, and both were looked at only when no write was under way. A batch that waits to be written at a release is of an epoch that ends, and goes with it.

The process tests of the stand-in pass (planned_stop, takeover_stalled among them).

--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -316,6 +316,9 @@
                 }
             }
         }
+        // Between two writes, which follow one another without a pause where much changes.
+        self.check_takeover(now);
+        self.check_stop(now);
         self.write_next(now);
     }
 
--- a/crates/sandshelfd/src/jobs/owner/release.rs
+++ b/crates/sandshelfd/src/jobs/owner/release.rs
@@ -54,8 +54,9 @@
         self.release("stop");
     }
 
-    /// Writes that nobody owns the shard.
+    /// Writes that nobody owns the shard; what waits to be written is of an epoch that ends here.
     pub(super) fn release(&mut self, cause: &str) {
+        self.waiting_batch = None;
         let (version, mut row) = self.lease.next_row(self.token());
         row.owner = None;
         event(
