Other hosts carry the owner's orders to workers

The other 96 hosts did next to nothing. Change: hosts connect to the owner, whose row says where, and offer themselves. An owner that has more workers than it calls alone (60 for each tenth of a core) tells its orders to as few of them as have room, in the worker's hall where that can be. A relay keeps nothing that lasts: a lost one's orders got no answer, which any order may. The part is sans-I/O (jobs::relay).

--- a/crates/config/src/job_settings.rs
+++ b/crates/config/src/job_settings.rs
@@ -38,6 +38,8 @@
     pub ready_address: SocketAddr,
     /// Where the metrics are served; none for nowhere.
     pub metrics_address: Option<SocketAddr>,
+    /// Where other hosts connect that carry orders while this one owns the shard; none where it calls all workers itself.
+    pub relay_address: Option<SocketAddr>,
     /// The platform's store.
     pub store_address: SocketAddr,
     /// What the host has of a processor core, in thousandths.
@@ -70,6 +72,7 @@
     let caller_address = reader.address("caller_address");
     let ready_address = reader.address("ready_address");
     let metrics_address = reader.address_or_none("metrics_address");
+    let relay_address = reader.address_or_none("relay_address");
     let store_address = reader.address("store_address");
     let processor_millis = reader.thousandths_or("processor_share", DEFAULT_PROCESSOR_MILLIS);
     let link_kbit_per_s = reader.thousandths_or("link_mbit_per_s", DEFAULT_LINK_KBIT_PER_S);
@@ -84,6 +87,7 @@
         caller_address: caller_address?,
         ready_address: ready_address?,
         metrics_address: metrics_address?,
+        relay_address: relay_address?,
         store_address: store_address?,
         processor_millis: processor_millis?,
         link_kbit_per_s: link_kbit_per_s?,
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -38,7 +38,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunOutcome {
     /// It finished its work.
     Done,
@@ -55,7 +55,7 @@
 }
 
 /// One run that a worker reports at work.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunReport {
     /// The run.
     pub key: RunKey,
@@ -68,7 +68,7 @@
 }
 
 /// One end that a worker lists until it is acknowledged.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndReport {
     /// Rises with each end on the worker.
     pub number: u64,
@@ -81,7 +81,7 @@
 }
 
 /// What a worker answers to a hold.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HoldReport {
     /// The worker's clock.
     pub clock: WorkerClock,
@@ -92,7 +92,7 @@
 }
 
 /// Why a worker refused an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusalReason {
     /// It has seen a newer epoch.
     Fenced,
@@ -109,7 +109,7 @@
 }
 
 /// What became of an order to a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderAnswer {
     /// It was carried out.
     Done(WorkerClock),
@@ -128,7 +128,7 @@
 }
 
 /// What became of a hold.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum HoldAnswer {
     /// The worker's state.
     Report(HoldReport),
@@ -190,7 +190,7 @@
 }
 
 /// An order to start a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StartCall {
     /// The run.
     pub key: RunKey,
@@ -203,7 +203,7 @@
 }
 
 /// A call that prolongs the lease and reads a worker's state.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HoldCall {
     /// The lease's end on the worker's clock; none before that clock is known.
     pub deadline: Option<WorkerClock>,
@@ -214,7 +214,7 @@
 }
 
 /// An order for a worker.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum WorkerCall {
     /// Start a run.
     Start(StartCall),
@@ -371,7 +371,7 @@
 }
 
 /// The state of a job as shown to its caller.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum JobStage {
     /// No task has begun.
--- a/crates/jobs/src/ids.rs
+++ b/crates/jobs/src/ids.rs
@@ -46,7 +46,7 @@
 }
 
 /// Names one task of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskKey {
     /// The job.
     pub job: JobNumber,
@@ -101,7 +101,7 @@
 }
 
 /// Names one run of a task; runs of a task are numbered upwards across all owners.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RunKey {
     /// The task.
     pub task: TaskKey,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -37,6 +37,7 @@
 mod rank;
 mod readings;
 mod recovery;
+pub mod relay;
 mod roster;
 mod scheduler;
 mod settle;
--- /dev/null
+++ b/crates/jobs/src/relay/station.rs
@@ -0,0 +1,68 @@
+//! A relay's side: orders that it carries for an owner of one epoch.
+
+use std::collections::HashSet;
+
+use sandshelf_model::Epoch;
+
+use super::messages::{RelayFault, RelayMessage, RelayedAnswer, RelayedOrder};
+
+/// The orders that a host carries for the owner of one epoch; it ends with the connection to that owner.
+#[derive(Clone, Debug)]
+pub struct RelayStation {
+    epoch: Epoch,
+    open: HashSet<u64>,
+    answers: Vec<(u64, RelayedAnswer)>,
+}
+
+impl RelayStation {
+    /// Begins to serve the owner of an epoch.
+    pub fn new(epoch: Epoch) -> Self {
+        Self {
+            epoch,
+            open: HashSet::new(),
+            answers: Vec::new(),
+        }
+    }
+
+    /// Takes a message in; returns the orders to carry out. One that was taken before isn't carried out again.
+    ///
+    /// # Errors
+    /// The message is of another epoch, or not for a relay; nothing of it is carried out.
+    pub fn take(&mut self, message: RelayMessage) -> Result<Vec<RelayedOrder>, RelayFault> {
+        let (epoch, mut orders) = match message {
+            RelayMessage::Orders(epoch, orders) => (epoch, orders),
+            RelayMessage::Answers(..) => return Err(RelayFault::Misdirected),
+        };
+        if epoch != self.epoch {
+            return Err(RelayFault::OtherEpoch(epoch));
+        }
+        orders.retain(|order| self.open.insert(order.number));
+        Ok(orders)
+    }
+
+    /// Notes what became of an order.
+    pub fn finish(&mut self, number: u64, answer: RelayedAnswer) {
+        if self.open.remove(&number) {
+            self.answers.push((number, answer));
+        }
+    }
+
+    /// The answers that have come since the last call, as one message.
+    pub fn take_answers(&mut self) -> Option<RelayMessage> {
+        if self.answers.is_empty() {
+            return None;
+        }
+        let answers = std::mem::take(&mut self.answers);
+        Some(RelayMessage::Answers(self.epoch, answers))
+    }
+
+    /// A message that says only that this host lives.
+    pub fn beat(&self) -> RelayMessage {
+        RelayMessage::Answers(self.epoch, Vec::new())
+    }
+
+    /// How many orders are under way.
+    pub fn open_orders(&self) -> usize {
+        self.open.len()
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/relay.rs
@@ -0,0 +1,391 @@
+//! An owner's orders through other hosts: who carries what, and what becomes of it when hosts come, go or say nonsense.
+
+use proptest::prelude::*;
+use sandshelf_jobs::relay::{
+    decode_greeting, decode_message, encode_greeting, encode_message, OrderRoute, RelayDesk,
+    RelayFault, RelayGreeting, RelayMessage, RelayNumber, RelayStation, RelayedAnswer,
+};
+use sandshelf_jobs::{
+    HoldAnswer, HoldCall, HoldReport, JobEvent, JobNumber, OrderAnswer, RunKey, StartCall, TaskKey,
+    WorkerCall,
+};
+use sandshelf_model::{HallId, HostId, Millis, WorkerId};
+
+const EPOCH: u64 = 7;
+/// A host of 0.12 of a core.
+const WEAK: u64 = 120;
+/// A host of half a core.
+const STRONG: u64 = 500;
+
+fn worker(number: usize) -> WorkerId {
+    WorkerId::from(format!("w-{number}"))
+}
+
+fn hall(number: usize) -> HallId {
+    HallId::from(["north", "south"][number % 2])
+}
+
+/// An owner of so many workers in two halls.
+fn desk(processor_millis: u64, workers: usize) -> RelayDesk {
+    let mut desk = RelayDesk::new(EPOCH, processor_millis);
+    desk.note_workers((0..workers).map(|number| (worker(number), hall(number))));
+    desk
+}
+
+fn greeting(host: &str, hall_number: usize, processor_millis: u64) -> RelayGreeting {
+    RelayGreeting::new(HostId::from(host), hall(hall_number), processor_millis)
+}
+
+fn join(
+    desk: &mut RelayDesk,
+    host: &str,
+    hall_number: usize,
+    processor_millis: u64,
+) -> RelayNumber {
+    let greeting = greeting(host, hall_number, processor_millis);
+    desk.join(0, greeting).expect("the same version")
+}
+
+fn hold() -> WorkerCall {
+    WorkerCall::Hold(HoldCall {
+        deadline: Some(4_000),
+        last_seen: 3,
+        wait_ms: 500,
+    })
+}
+
+fn key(index: u32) -> RunKey {
+    RunKey {
+        task: TaskKey {
+            job: JobNumber(9),
+            time: 0,
+            step: 0,
+            index,
+        },
+        run: 1,
+    }
+}
+
+fn start(index: u32) -> WorkerCall {
+    WorkerCall::Start(StartCall {
+        key: key(index),
+        payload: "text".to_owned(),
+        deadline: 1_500,
+        checkpoint: None,
+    })
+}
+
+fn route(
+    desk: &mut RelayDesk,
+    now: Millis,
+    number: usize,
+    call: WorkerCall,
+) -> Option<RelayNumber> {
+    let address = ([10, 0, 0, 1], 80).into();
+    match desk.route(now, &worker(number), address, call) {
+        OrderRoute::Direct(_) => None,
+        OrderRoute::Relayed(relay) => Some(relay),
+    }
+}
+
+fn report() -> RelayedAnswer {
+    HoldAnswer::Report(HoldReport {
+        clock: 10,
+        running: Vec::new(),
+        ended: Vec::new(),
+    })
+    .into()
+}
+
+fn answers(entries: Vec<(u64, RelayedAnswer)>) -> RelayMessage {
+    RelayMessage::Answers(EPOCH, entries)
+}
+
+/// A small deployment pays nothing for relays: its owner calls its workers itself, however many hosts offer help.
+fn a_small_deployment_is_called_directly() {
+    let mut desk = desk(250, 66);
+    for host in 0..8 {
+        join(&mut desk, &format!("h-{host}"), host, 250);
+    }
+    let relayed = (0..66).filter_map(|number| route(&mut desk, 0, number, hold()));
+    assert_eq!(relayed.count(), 0);
+    assert_eq!(desk.figures().in_use, 0);
+}
+
+fn without_relays_all_is_called_directly() {
+    let mut desk = desk(STRONG, 890);
+    assert_eq!(route(&mut desk, 0, 1, hold()), None);
+}
+
+/// Orders stay in the worker's hall: bytes between halls are dear.
+fn each_hall_is_served_by_its_own_hosts() {
+    let mut desk = desk(STRONG, 400);
+    let north = join(&mut desk, "a", 0, STRONG);
+    let south = join(&mut desk, "b", 1, STRONG);
+    for number in 0..400 {
+        let expected = [north, south][number % 2];
+        assert_eq!(route(&mut desk, 0, number, hold()), Some(expected));
+    }
+}
+
+/// As few relays as have room: 200 workers a hall need one strong host, or four weak ones.
+fn as_few_relays_as_have_room() {
+    let in_use = |processor_millis| {
+        let mut desk = desk(STRONG, 400);
+        for host in 0..20 {
+            join(&mut desk, &format!("h-{host:02}"), host, processor_millis);
+        }
+        route(&mut desk, 0, 0, hold());
+        desk.figures().in_use
+    };
+    assert_eq!((in_use(STRONG), in_use(WEAK)), (2, 8));
+}
+
+/// Of a hall without hosts the workers are served from elsewhere.
+fn a_hall_without_hosts_is_served_from_elsewhere() {
+    let mut desk = desk(STRONG, 400);
+    let north = join(&mut desk, "a", 0, STRONG);
+    assert_eq!(route(&mut desk, 0, 1, hold()), Some(north));
+}
+
+/// When a relay goes, only its workers get another.
+fn only_the_workers_of_a_lost_relay_move() {
+    let mut desk = desk(STRONG, 400);
+    for host in 0..4 {
+        join(&mut desk, &format!("h-{host}"), 0, WEAK);
+    }
+    let before: Vec<_> = (0..400)
+        .map(|number| route(&mut desk, 0, number, hold()))
+        .collect();
+    let lost = before[0].expect("a relay");
+    desk.leave(lost);
+    for (number, relay) in before.iter().enumerate() {
+        let now = route(&mut desk, 0, number, hold());
+        assert_eq!(now != *relay, *relay == Some(lost), "worker {number}");
+    }
+}
+
+/// What a lost relay had under way gets no answer, each order once, and what it says later changes nothing.
+fn a_lost_relay_answers_nothing() {
+    let mut desk = desk(STRONG, 400);
+    let relay = join(&mut desk, "a", 0, STRONG);
+    route(&mut desk, 0, 0, hold());
+    route(&mut desk, 0, 2, start(1));
+    let unanswered = desk.leave(relay);
+    let expected = [
+        JobEvent::HoldAnswered(worker(0), HoldAnswer::Failed(OrderAnswer::Unknown)),
+        JobEvent::StartAnswered(worker(2), key(1), OrderAnswer::Unknown),
+    ];
+    assert_eq!(unanswered, expected);
+    assert_eq!(desk.leave(relay), []);
+    let late = desk.take(5, relay, answers(vec![(1, report())]));
+    assert_eq!(
+        (late.events.len(), late.faults),
+        (0, vec![RelayFault::UnknownRelay])
+    );
+}
+
+/// A relay that leaves an order without an answer is given up with all that it has under way; the bound counts from the end of the
+/// wait that was asked for.
+fn a_relay_that_is_behind_is_given_up() {
+    let mut desk = desk(STRONG, 400);
+    let relay = join(&mut desk, "a", 0, STRONG);
+    route(&mut desk, 0, 0, hold());
+    route(&mut desk, 1_400, 2, hold());
+    assert_eq!(desk.tick(1_500).lost, []);
+    let given_up = desk.tick(1_601);
+    assert_eq!((given_up.lost, given_up.events.len()), (vec![relay], 2));
+    assert_eq!(route(&mut desk, 1_602, 0, hold()), None);
+}
+
+/// One whose connection fell silent may come back at once; one that is lost again soon is left alone for a while.
+fn a_relay_that_is_lost_twice_is_left_alone() {
+    let mut desk = desk(STRONG, 400);
+    for (began, carries) in [(0, true), (3_000, true), (6_000, false), (12_000, true)] {
+        desk.tick(began);
+        let relay = join(&mut desk, "a", 0, STRONG);
+        let routed = route(&mut desk, began, 0, hold());
+        assert_eq!(routed == Some(relay), carries, "at {began}");
+        if carries {
+            assert_eq!(desk.tick(began + 1_700).lost, [relay]);
+        } else {
+            desk.leave(relay);
+        }
+    }
+}
+
+/// A relay that says nothing is lost also without an order; it is asked for a word before.
+fn a_silent_relay_is_lost() {
+    let mut desk = desk(STRONG, 400);
+    let relay = join(&mut desk, "a", 0, STRONG);
+    let asked = desk.take_beats(2_000);
+    assert_eq!(asked, [(relay, RelayMessage::Orders(EPOCH, Vec::new()))]);
+    desk.take(5_900, relay, answers(Vec::new()));
+    assert_eq!(desk.tick(6_100).lost, []);
+    assert_eq!(desk.tick(12_000).lost, [relay]);
+}
+
+/// A host that comes again while its old connection is not known to be over.
+fn a_host_that_comes_again_gets_new_orders() {
+    let mut desk = desk(STRONG, 400);
+    let before = join(&mut desk, "a", 0, STRONG);
+    route(&mut desk, 0, 0, hold());
+    let after = join(&mut desk, "a", 0, STRONG);
+    assert_eq!(desk.leave(before).len(), 1);
+    assert_eq!(route(&mut desk, 0, 0, hold()), Some(after));
+}
+
+/// Answers to orders that the sender doesn't carry, of another epoch or of another kind change nothing.
+fn foreign_answers_change_nothing() {
+    let mut desk = desk(STRONG, 400);
+    let north = join(&mut desk, "a", 0, STRONG);
+    let south = join(&mut desk, "b", 1, STRONG);
+    route(&mut desk, 0, 0, start(1));
+    let cases = [
+        (
+            south,
+            answers(vec![(1, OrderAnswer::Done(1).into())]),
+            RelayFault::UnknownOrder(1),
+        ),
+        (
+            north,
+            answers(vec![(2, OrderAnswer::Done(1).into())]),
+            RelayFault::UnknownOrder(2),
+        ),
+        (
+            north,
+            answers(vec![(1, report())]),
+            RelayFault::WrongAnswer(1),
+        ),
+        (
+            north,
+            RelayMessage::Answers(EPOCH - 1, vec![(1, OrderAnswer::Done(1).into())]),
+            RelayFault::OtherEpoch(EPOCH - 1),
+        ),
+        (
+            north,
+            RelayMessage::Orders(EPOCH, Vec::new()),
+            RelayFault::Misdirected,
+        ),
+    ];
+    for (relay, message, fault) in cases {
+        let intake = desk.take(1, relay, message);
+        assert_eq!((intake.events, intake.faults), (vec![], vec![fault]));
+    }
+    let good = desk.take(2, north, answers(vec![(1, OrderAnswer::Done(1).into())]));
+    let done = JobEvent::StartAnswered(worker(0), key(1), OrderAnswer::Done(1));
+    assert_eq!(good.events, [done]);
+}
+
+fn an_answer_counts_once() {
+    let mut desk = desk(STRONG, 400);
+    let relay = join(&mut desk, "a", 0, STRONG);
+    route(&mut desk, 0, 0, start(1));
+    let twice = vec![
+        (1, OrderAnswer::Done(1).into()),
+        (1, OrderAnswer::Done(1).into()),
+    ];
+    let intake = desk.take(1, relay, answers(twice));
+    assert_eq!(
+        (intake.events.len(), intake.faults),
+        (1, vec![RelayFault::UnknownOrder(1)])
+    );
+}
+
+/// Orders of an epoch that is over are not carried out, whoever sends them.
+fn a_station_refuses_other_epochs() {
+    let mut station = RelayStation::new(EPOCH);
+    for epoch in [EPOCH - 1, EPOCH + 1] {
+        let refused = station.take(RelayMessage::Orders(epoch, Vec::new()));
+        assert_eq!(refused, Err(RelayFault::OtherEpoch(epoch)));
+    }
+    let refused = station.take(answers(Vec::new()));
+    assert_eq!(refused, Err(RelayFault::Misdirected));
+}
+
+/// An order that comes twice is carried out once, and answered once.
+fn a_station_carries_an_order_once() {
+    let mut desk = desk(STRONG, 400);
+    join(&mut desk, "a", 0, STRONG);
+    route(&mut desk, 0, 0, start(1));
+    let (_, message) = desk.take_messages(0).pop().expect("orders");
+    let mut station = RelayStation::new(EPOCH);
+    assert_eq!(
+        station.take(message.clone()).map(|orders| orders.len()),
+        Ok(1)
+    );
+    assert_eq!(station.take(message).map(|orders| orders.len()), Ok(0));
+    station.finish(1, OrderAnswer::Done(1).into());
+    station.finish(1, OrderAnswer::Done(2).into());
+    let told = station.take_answers();
+    assert_eq!(told, Some(answers(vec![(1, OrderAnswer::Done(1).into())])));
+    assert_eq!((station.take_answers(), station.open_orders()), (None, 0));
+}
+
+fn other_versions_are_told_apart() {
+    let mut other = greeting("a", 0, STRONG);
+    other.version += 1;
+    let bytes = encode_greeting(&other);
+    let refused = Err(RelayFault::OtherVersion(other.version));
+    assert_eq!(decode_greeting(&bytes), refused);
+    let mut desk = desk(STRONG, 400);
+    assert_eq!(
+        desk.join(0, other.clone()),
+        Err(RelayFault::OtherVersion(other.version))
+    );
+}
+
+/// A new owner with an eighth of a core waits for help before its first calls to 890 workers, a strong one doesn't.
+fn a_weak_owner_waits_for_relays() {
+    assert!(!desk(STRONG, 890).waits_for_relays());
+    let mut weak = desk(WEAK, 890);
+    assert!(weak.waits_for_relays());
+    for host in 0..8 {
+        join(&mut weak, &format!("h-{host}"), host, WEAK);
+    }
+    assert!(!weak.waits_for_relays());
+}
+
+sandshelf_cases::cases! {
+    small_deployment => a_small_deployment_is_called_directly();
+    no_relays => without_relays_all_is_called_directly();
+    halls => each_hall_is_served_by_its_own_hosts();
+    few_relays => as_few_relays_as_have_room();
+    empty_hall => a_hall_without_hosts_is_served_from_elsewhere();
+    moved_workers => only_the_workers_of_a_lost_relay_move();
+    lost_relay => a_lost_relay_answers_nothing();
+    relay_behind => a_relay_that_is_behind_is_given_up();
+    lost_twice => a_relay_that_is_lost_twice_is_left_alone();
+    silent_relay => a_silent_relay_is_lost();
+    came_again => a_host_that_comes_again_gets_new_orders();
+    foreign_answers => foreign_answers_change_nothing();
+    answered_once => an_answer_counts_once();
+    other_epochs => a_station_refuses_other_epochs();
+    carried_once => a_station_carries_an_order_once();
+    other_versions => other_versions_are_told_apart();
+    weak_owner => a_weak_owner_waits_for_relays();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: prop::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_bytes_make_a_decoder_panic(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        let _ = decode_greeting(&bytes);
+        if let Ok(message) = decode_message(&bytes) {
+            prop_assert_eq!(decode_message(&encode_message(&message)), Ok(message));
+        }
+    }
+
+    #[test]
+    fn a_cut_message_is_refused(cut in 1_usize..40, index in any::<u32>(), deadline in any::<u64>()) {
+        let mut desk = desk(STRONG, 400);
+        join(&mut desk, "a", 0, STRONG);
+        let call = StartCall { key: key(index), payload: "a text of some length".to_owned(), deadline, checkpoint: None };
+        route(&mut desk, 0, 0, WorkerCall::Start(call));
+        let (_, message) = desk.take_messages(0).pop().expect("orders");
+        let bytes = encode_message(&message);
+        prop_assert_eq!(decode_message(&bytes), Ok(message));
+        prop_assert_eq!(decode_message(&bytes[..bytes.len() - cut]), Err(RelayFault::Unreadable));
+    }
+}
--- a/crates/lease/src/row.rs
+++ b/crates/lease/src/row.rs
@@ -1,5 +1,7 @@
 //! The shard's row in the platform's table.
 
+use std::net::SocketAddr;
+
 use sandshelf_model::{Epoch, HostId, Millis, Sequence};
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +31,9 @@
     /// doesn't know this field and drops it.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub rules_since: Epoch,
+    /// Where the owner takes connections of other hosts; none where it takes none, or is of a version that doesn't know of it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relay_address: Option<SocketAddr>,
 }
 
 fn is_zero(epoch: &Epoch) -> bool {
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -7,6 +7,7 @@
 use metrics::{counter, gauge, histogram};
 use rocket::http::{Method, Status};
 use sandshelf_adapter::StoreFault;
+use sandshelf_jobs::relay::{DeskFigures, RelayFault};
 use sandshelf_jobs::{HoldAnswer, JobEvent, JobNote, JobStage, OrderAnswer, SchedulerCounts};
 
 use crate::jobs::notes::label;
@@ -42,6 +43,9 @@
 /// Jobs that ended later than their objective, by queue.
 const LATE_JOBS: &str = "sandshelf_jobs_late_total";
 
+/// Messages between hosts, or answers in them, that changed nothing, by fault.
+const RELAY_FAULTS: &str = "sandshelf_relay_faults_total";
+
 /// What a call to the store is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreCall {
@@ -191,6 +195,27 @@
     gauge!("sandshelf_filling_tasks_slowed").set(counts.slowed as f64);
 }
 
+/// Shows how many hosts offer to carry an owner's orders, how many carry some, and how many orders are under way there.
+pub fn show_relays(figures: &DeskFigures) {
+    gauge!("sandshelf_relays_offered").set(figures.offered as f64);
+    gauge!("sandshelf_relays_in_use").set(figures.in_use as f64);
+    gauge!("sandshelf_relayed_orders_open").set(figures.open as f64);
+}
+
+/// Counts what of a relay's message was passed over.
+pub fn note_relay_fault(fault: RelayFault) {
+    let kind = match fault {
+        RelayFault::Unreadable => "unreadable",
+        RelayFault::OtherVersion(_) => "version",
+        RelayFault::OtherEpoch(_) => "epoch",
+        RelayFault::Misdirected => "misdirected",
+        RelayFault::UnknownOrder(_) => "unknown_order",
+        RelayFault::WrongAnswer(_) => "wrong_answer",
+        RelayFault::UnknownRelay => "unknown_relay",
+    };
+    counter!(RELAY_FAULTS, "fault" => kind).increment(1);
+}
+
 /// Shows whether this host owns the shard, how old the newest durable write is, and the configuration in force.
 pub fn show_host(owns: bool, write_age: Option<Duration>, config: Option<u64>) {
     gauge!("sandshelf_shards_held").set(f64::from(u8::from(owns)));
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -11,6 +11,8 @@
 mod pages;
 mod queues;
 mod records;
+mod relays;
+mod station;
 mod takeover;
 mod writer;
 
@@ -97,6 +99,8 @@
     let (ready_at, _) = launch(ready).await?;
     let metrics_at = open_metrics(settings.metrics_address).await;
     let metrics_at = metrics_at.map_or("none".to_owned(), |address| address.to_string());
+    let relays_at = settings.relay_address;
+    let relays_at = relays_at.map_or("none".to_owned(), |address| address.to_string());
     event(
         "started",
         &[
@@ -105,6 +109,7 @@
             ("caller", &caller_at),
             ("ready", &ready_at),
             ("metrics", &metrics_at),
+            ("relays", &relays_at),
             ("store", &settings.store_address),
         ],
     );
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -2,8 +2,9 @@
 
 use std::fmt::Debug;
 
+use sandshelf_jobs::relay::DeskFigures;
 use sandshelf_jobs::{JobNote, SchedulerCounts};
-use sandshelf_model::{Epoch, WorkerId};
+use sandshelf_model::{Epoch, HostId, WorkerId};
 
 use crate::jobs::meters;
 use crate::logging::event;
@@ -27,7 +28,7 @@
 }
 
 /// Logs what a scheduler decided or learnt.
-pub fn log_note(note: &JobNote) {
+pub fn log_note(note: &JobNote, carrier: Option<&HostId>) {
     meters::note_decision(note);
     match note {
         JobNote::Placed {
@@ -46,6 +47,7 @@
                 ("waited_ms", waited_ms),
                 ("free_cpu", free_cpu),
                 ("resumed", resumed),
+                ("carrier", &carrier.map_or("none", HostId::as_str)),
             ],
         ),
         JobNote::Ended {
@@ -146,7 +148,7 @@
 }
 
 /// Logs an owner's figures: how much it has to do and how busy its workers are.
-pub fn log_load(epoch: Epoch, counts: &SchedulerCounts) {
+pub fn log_load(epoch: Epoch, counts: &SchedulerCounts, relays: &DeskFigures) {
     event(
         "owner_load",
         &[
@@ -165,6 +167,9 @@
             ("fill_wanted", &counts.fill_wanted),
             ("fill_paced", &counts.fill_paced),
             ("fill_used", &counts.fill_used),
+            ("relays_offered", &relays.offered),
+            ("relays", &relays.in_use),
+            ("relayed", &relays.open),
         ],
     );
 }
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -1,5 +1,6 @@
 //! The control thread: claims the shard where nobody owns it, and runs its scheduler while this host does.
 
+mod carry;
 mod claim;
 mod recover;
 mod release;
@@ -9,12 +10,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sandshelf_adapter::{StoreClient, StoreFault};
+use sandshelf_adapter::{StoreClient, StoreFault, WorkerClient};
 use sandshelf_config::{JobSettings, OrderWay};
 use sandshelf_jobs::{CommitBatch, JobAction, JobEvent, JobScheduler, WorkerCall};
 use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease, StoredRow};
 use sandshelf_model::{Epoch, HostId, Millis, WorkerId};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{interval, MissedTickBehavior};
 
@@ -22,10 +23,13 @@
 use crate::jobs::calls::WorkerCalls;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters;
-use crate::jobs::notes::{log_load, log_note};
+use crate::jobs::notes::log_load;
+use crate::jobs::owner::carry::{RelayOffers, RelayPool};
 use crate::jobs::owner::recover::RunningTakeover;
 use crate::jobs::owner::strength::HostStrength;
 use crate::jobs::queues::QueueView;
+use crate::jobs::relays::serve_relays;
+use crate::jobs::station::{run_station, OwnerPlace};
 use crate::jobs::takeover::{PublishedState, RecordedState};
 use crate::jobs::writer::{OwnerStore, OwnerWrite, WriteEnd};
 use crate::logging::event;
@@ -77,6 +81,7 @@
 struct OwnedShard {
     scheduler: JobScheduler,
     calls: WorkerCalls,
+    relays: RelayPool,
     queues_version: u64,
     followers: Vec<JoinHandle<()>>,
 }
@@ -100,6 +105,14 @@
     /// Since which epoch the owners before this one keep to what they publish of leases; 0 where that is not known.
     rules_since: Epoch,
     takeover: Option<RunningTakeover>,
+    /// What was published, while relays are waited for.
+    published: Option<(Epoch, PublishedState)>,
+    /// The jobs, where they were read before that wait was over.
+    recorded: Option<(Epoch, RecordedState)>,
+    /// Hosts that have come before there is anything to carry.
+    offers: RelayOffers,
+    /// Whom this host carries orders for.
+    serves: watch::Sender<Option<OwnerPlace>>,
     /// Until when other hosts go before this one, in milliseconds on its clock.
     gives_way_until: Millis,
     owned: Option<OwnedShard>,
@@ -132,6 +145,17 @@
         ..LeaseTimes::derive(SHARD_LEASE_MS, settings.max_lease_ms, Millis::MAX / 4)
     };
     let rank = HostStrength::of(&settings).draw_rank();
+    let (relay_news, mut relay_inbox) = mpsc::unbounded_channel();
+    let (serves, served) = watch::channel(None);
+    match WorkerClient::new(0, WORKER_PATIENCE) {
+        Ok(client) => {
+            spawn_local(run_station(settings.clone(), client, served));
+        }
+        Err(error) => event("client_failed", &[("error", &error)]),
+    }
+    if let Some(address) = settings.relay_address {
+        spawn_local(serve_relays(address, relay_news.clone()));
+    }
     let mut owner = OwnerLoop {
         lease: ShardLease::new(host.clone(), times),
         host,
@@ -145,6 +169,10 @@
         claimed_at: 0,
         rules_since: 0,
         takeover: None,
+        published: None,
+        recorded: None,
+        offers: RelayOffers::default(),
+        serves,
         gives_way_until: 0,
         owned: None,
         waiting_batch: None,
@@ -162,7 +190,8 @@
     while !owner.released {
         tokio::select! {
             Some(message) = inbox.recv() => owner.take_messages(message, &mut inbox),
-            Some(events) = intake_in.recv() => owner.take_events(events),
+            Some(events) = intake_in.recv() => owner.take_intake(events),
+            Some(news) = relay_inbox.recv() => owner.take_relay_news(news, &mut relay_inbox),
             _ = ticks.tick() => owner.tick(),
             Some(()) = stop.recv() => owner.begin_stop(),
         }
@@ -222,6 +251,15 @@
         for action in actions {
             self.act(action);
         }
+        self.tell_relays();
+    }
+
+    /// Takes in what is followed in the store.
+    fn take_intake(&mut self, events: Vec<JobEvent>) {
+        if let Some(owned) = &mut self.owned {
+            owned.relays.note_lists(&events);
+        }
+        self.take_events(events);
     }
 
     fn tick(&mut self) {
@@ -232,6 +270,7 @@
                 wall_ms: clock::wall_ms(),
             });
         }
+        self.tick_relays(now);
         self.show_load(now);
         self.write_next(now);
         if *self.lease.stage() == LeaseStage::Watching {
@@ -253,8 +292,10 @@
         meters::show_host(self.owned.is_some(), write_age, config);
         if let Some(owned) = &self.owned {
             let counts = owned.scheduler.counts(now);
-            log_load(owned.scheduler.epoch(), &counts);
+            let relays = owned.relays.figures();
+            log_load(owned.scheduler.epoch(), &counts, &relays);
             meters::show_load(&counts);
+            meters::show_relays(&relays);
         }
     }
 
@@ -341,7 +382,7 @@
 
     fn act(&mut self, action: JobAction) {
         match action {
-            JobAction::Note(note) => log_note(&note),
+            JobAction::Note(note) => self.log_note(&note),
             JobAction::Deposed => {
                 self.lose("a worker has seen a newer epoch, or this host was paused")
             }
@@ -365,6 +406,9 @@
             return;
         };
         let epoch = owned.scheduler.epoch();
+        let Some(call) = owned.relays.carry(clock::now(), &worker, address, call) else {
+            return;
+        };
         let messages = self.messages.clone();
         let answer = owned.calls.send(worker, address, call);
         spawn_local(async move {
--- /dev/null
+++ b/crates/sandshelfd/src/jobs/owner/carry.rs
@@ -0,0 +1,254 @@
+//! What the owner's thread does with the hosts that carry its orders.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use sandshelf_config::JobSettings;
+use sandshelf_jobs::relay::{
+    DeskFigures, OrderRoute, RelayDesk, RelayGreeting, RelayIntake, RelayMessage,
+};
+use sandshelf_jobs::{JobEvent, JobNote, WorkerCall, WorkerRoster};
+use sandshelf_lease::LeaseStage;
+use sandshelf_model::{Epoch, HallId, Millis, WorkerId};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+
+use super::{OwnerLoop, EVENTS_AT_ONCE};
+use crate::clock;
+use crate::jobs::meters;
+use crate::jobs::notes::log_note;
+use crate::jobs::relays::{LinkNumber, RelayLinks, RelayNews};
+use crate::jobs::station::OwnerPlace;
+use crate::logging::event;
+
+/// Hosts that offer to carry orders, by connection.
+pub(super) type RelayOffers = BTreeMap<LinkNumber, (RelayGreeting, UnboundedSender<Bytes>)>;
+
+/// The relays of a shard that this host owns.
+pub(super) struct RelayPool {
+    desk: RelayDesk,
+    links: RelayLinks,
+    offers: RelayOffers,
+}
+
+impl RelayPool {
+    /// Takes in the hosts that have come, for workers that an earlier owner may have given orders to.
+    pub(super) fn new(
+        now: Millis,
+        epoch: Epoch,
+        settings: &JobSettings,
+        roster: &WorkerRoster,
+        offers: &mut RelayOffers,
+    ) -> Self {
+        let mut pool = Self {
+            desk: RelayDesk::new(epoch, settings.processor_millis),
+            links: RelayLinks::default(),
+            offers: RelayOffers::new(),
+        };
+        let known = roster.workers.iter();
+        let known = known.map(|(worker, _)| (worker.clone(), HallId::from("")));
+        pool.desk.note_workers(known);
+        for (link, (greeting, outbox)) in std::mem::take(offers) {
+            pool.join(now, link, greeting, outbox);
+        }
+        pool
+    }
+
+    /// Gives the hosts back that have come.
+    pub(super) fn into_offers(self) -> RelayOffers {
+        self.offers
+    }
+
+    pub(super) fn waits_for_relays(&self) -> bool {
+        self.desk.waits_for_relays()
+    }
+
+    pub(super) fn figures(&self) -> DeskFigures {
+        self.desk.figures()
+    }
+
+    /// Notes the workers of lists among these events.
+    pub(super) fn note_lists(&mut self, events: &[JobEvent]) {
+        for event in events {
+            if let JobEvent::WorkersListed(list) = event {
+                let places = list.iter();
+                let places = places.map(|entry| (entry.worker.clone(), entry.hall.clone()));
+                self.desk.note_workers(places);
+            }
+        }
+    }
+
+    /// Puts an order among those that a relay is told next; gives it back where this host calls the worker itself.
+    pub(super) fn carry(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        address: SocketAddr,
+        call: WorkerCall,
+    ) -> Option<WorkerCall> {
+        match self.desk.route(now, worker, address, call) {
+            OrderRoute::Direct(call) => Some(call),
+            OrderRoute::Relayed(_) => None,
+        }
+    }
+
+    fn join(
+        &mut self,
+        now: Millis,
+        link: LinkNumber,
+        greeting: RelayGreeting,
+        outbox: UnboundedSender<Bytes>,
+    ) -> Vec<JobEvent> {
+        let host = greeting.host.clone();
+        let hall = greeting.hall.clone();
+        let relay = match self.desk.join(now, greeting.clone()) {
+            Ok(relay) => relay,
+            Err(fault) => {
+                event("relay_refused", &[("link", &link), ("fault", &fault)]);
+                return Vec::new();
+            }
+        };
+        event("relay_came", &[("host", &host), ("hall", &hall)]);
+        self.offers.insert(link, (greeting, outbox.clone()));
+        let replaced = self.links.add(link, relay, host, outbox);
+        replaced.map_or(Vec::new(), |earlier| self.desk.leave(earlier))
+    }
+
+    fn leave(&mut self, link: LinkNumber) -> Vec<JobEvent> {
+        self.offers.remove(&link);
+        let Some(relay) = self.links.remove(link) else {
+            return Vec::new();
+        };
+        let events = self.desk.leave(relay);
+        event(
+            "relay_left",
+            &[("link", &link), ("unanswered", &events.len())],
+        );
+        events
+    }
+
+    fn take(&mut self, now: Millis, link: LinkNumber, message: RelayMessage) -> Vec<JobEvent> {
+        let Some(relay) = self.links.relay(link) else {
+            return Vec::new();
+        };
+        let intake = self.desk.take(now, relay, message);
+        self.finish_intake(intake)
+    }
+
+    fn tick(&mut self, now: Millis) -> Vec<JobEvent> {
+        let intake = self.desk.tick(now);
+        for (relay, beat) in self.desk.take_beats(now) {
+            self.links.send(relay, &beat);
+        }
+        self.finish_intake(intake)
+    }
+
+    fn finish_intake(&mut self, intake: RelayIntake) -> Vec<JobEvent> {
+        for fault in &intake.faults {
+            meters::note_relay_fault(*fault);
+            event("relay_answer_refused", &[("fault", fault)]);
+        }
+        for relay in &intake.lost {
+            let lost = self.links.close(*relay);
+            self.offers.retain(|link, _| Some(*link) != lost);
+            event("relay_lost", &[("unanswered", &intake.events.len())]);
+        }
+        intake.events
+    }
+
+    fn tell(&mut self, now: Millis) {
+        for (relay, message) in self.desk.take_messages(now) {
+            self.links.send(relay, &message);
+        }
+    }
+}
+
+impl OwnerLoop {
+    /// Takes in what relays say, and with it what has come meanwhile.
+    pub(super) fn take_relay_news(
+        &mut self,
+        first: RelayNews,
+        inbox: &mut UnboundedReceiver<RelayNews>,
+    ) {
+        let mut events = Vec::new();
+        let mut next = Some(first);
+        while let Some(news) = next {
+            events.extend(self.take_one_relay_news(news));
+            if events.len() >= EVENTS_AT_ONCE {
+                break;
+            }
+            next = inbox.try_recv().ok();
+        }
+        self.take_events(events);
+    }
+
+    fn take_one_relay_news(&mut self, news: RelayNews) -> Vec<JobEvent> {
+        let now = clock::now();
+        match (&mut self.owned, news) {
+            (Some(owned), RelayNews::Came(link, greeting, outbox)) => {
+                owned.relays.join(now, link, greeting, outbox)
+            }
+            (Some(owned), RelayNews::Said(link, message)) => owned.relays.take(now, link, message),
+            (Some(owned), RelayNews::Left(link)) => owned.relays.leave(link),
+            (None, RelayNews::Came(link, greeting, outbox)) => {
+                // Without the shard there is nothing to carry, and the connection ends with its outbox.
+                if *self.lease.stage() != LeaseStage::Watching {
+                    self.offers.insert(link, (greeting, outbox));
+                }
+                Vec::new()
+            }
+            (None, RelayNews::Said(..)) => Vec::new(),
+            (None, RelayNews::Left(link)) => {
+                self.offers.remove(&link);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Tells relays the orders that wait.
+    pub(super) fn tell_relays(&mut self) {
+        if let Some(owned) = &mut self.owned {
+            owned.relays.tell(clock::now());
+        }
+    }
+
+    /// Looks after relays, and after whom this host is one for.
+    pub(super) fn tick_relays(&mut self, now: Millis) {
+        if let Some((epoch, published)) = self.published.take() {
+            self.take_published(epoch, published);
+        }
+        if *self.lease.stage() == LeaseStage::Watching {
+            self.offers.clear();
+        }
+        if let Some(owned) = &mut self.owned {
+            let events = owned.relays.tick(now);
+            self.take_events(events);
+        }
+        let place = self.owner_place();
+        self.serves.send_if_modified(|current| {
+            let changed = *current != place;
+            *current = place;
+            changed
+        });
+    }
+
+    /// Where another host that owns the shard takes connections.
+    fn owner_place(&self) -> Option<OwnerPlace> {
+        let row = &self.lease.row()?.row;
+        let owner = row.owner.clone().filter(|owner| *owner != self.host)?;
+        Some(OwnerPlace {
+            owner,
+            epoch: row.epoch,
+            address: row.relay_address?,
+        })
+    }
+
+    /// Logs what the scheduler decided, with the host that carries the order.
+    pub(super) fn log_note(&self, note: &JobNote) {
+        let carrier = match (note, &self.owned) {
+            (JobNote::Placed { worker, .. }, Some(owned)) => owned.relays.desk.carrier(worker),
+            _ => None,
+        };
+        log_note(note, carrier);
+    }
+}
--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -82,6 +82,7 @@
         if row.rules_since == 0 {
             row.rules_since = row.epoch;
         }
+        row.relay_address = self.settings.relay_address;
         event(
             "shard_claimed",
             &[
--- a/crates/sandshelfd/src/jobs/owner/recover.rs
+++ b/crates/sandshelfd/src/jobs/owner/recover.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::jobs::calls::WorkerCalls;
 use crate::jobs::intake::{follow_jobs, follow_workers};
+use crate::jobs::owner::carry::RelayPool;
 use crate::jobs::pages::PageReads;
 use crate::jobs::takeover::{takeover_reads, PublishedState, RecordedState};
 use crate::logging::event;
@@ -23,6 +24,8 @@
 /// For how long it doesn't claim the shard then: the last of the other hosts claims 1.1 s after it has seen the row, which it
 /// reads every 0.4 s.
 const GIVE_WAY_MS: Millis = 2_000;
+/// For how long after its claim a new owner waits for relays where it needs them: hosts look at the owner's row every 0.4 s.
+const RELAYS_WITHIN_MS: Millis = 600;
 
 /// The reading of the shard's state, ended with its value.
 pub(super) struct RunningTakeover {
@@ -67,6 +70,7 @@
             return;
         }
         self.takeover = None;
+        self.published = None;
         self.owned = None;
         self.gives_way_until = now + GIVE_WAY_MS;
         self.release("the takeover gets nowhere");
@@ -80,6 +84,19 @@
         if *self.lease.stage() != LeaseStage::Recovering || !self.is_epoch(epoch) {
             return;
         }
+        let now = clock::now();
+        let relays = RelayPool::new(
+            now,
+            epoch,
+            &self.settings,
+            &published.roster,
+            &mut self.offers,
+        );
+        if relays.waits_for_relays() && now < self.claimed_at + RELAYS_WITHIN_MS {
+            self.offers = relays.into_offers();
+            self.published = Some((epoch, published));
+            return;
+        }
         let workers = match WorkerClient::new(epoch, WORKER_PATIENCE) {
             Ok(workers) => workers,
             Err(error) => {
@@ -116,6 +133,7 @@
         self.owned = Some(OwnedShard {
             scheduler: JobScheduler::new(limits, info),
             calls: WorkerCalls::new(workers),
+            relays,
             queues_version: 0,
             followers: vec![spawn_local(listing)],
         });
@@ -124,11 +142,18 @@
         self.handle(JobEvent::Tick {
             wall_ms: clock::wall_ms(),
         });
+        if let Some((epoch, recorded)) = self.recorded.take() {
+            self.take_recorded(epoch, recorded);
+        }
     }
 
     /// Takes in the jobs, and gives orders from now on.
     pub(super) fn take_recorded(&mut self, epoch: u64, recorded: RecordedState) {
         self.takeover = None;
+        if self.published.is_some() {
+            self.recorded = Some((epoch, recorded));
+            return;
+        }
         let Some(owned) = self.owned.as_mut() else {
             return;
         };
--- a/crates/sandshelfd/src/jobs/owner/release.rs
+++ b/crates/sandshelfd/src/jobs/owner/release.rs
@@ -18,6 +18,7 @@
         let epoch = self.lease.row().map_or(0, |row| row.row.epoch);
         event("shard_lost", &[("epoch", &epoch), ("cause", &cause)]);
         self.takeover = None;
+        self.published = None;
         self.owned = None;
         self.waiting_batch = None;
         self.rank = HostStrength::of(&self.settings).draw_rank();
--- /dev/null
+++ b/crates/sandshelfd/src/jobs/station.rs
@@ -0,0 +1,189 @@
+//! Carries orders for the host that owns the shard.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use sandshelf_adapter::WorkerClient;
+use sandshelf_config::JobSettings;
+use sandshelf_jobs::relay::{
+    decode_message, encode_greeting, encode_message, RelayGreeting, RelayStation, RelayedAnswer,
+    RelayedOrder,
+};
+use sandshelf_model::{Epoch, HostId};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::{watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use crate::jobs::calls::WorkerCalls;
+use crate::jobs::relays::{framing, write_frames};
+use crate::logging::event;
+
+/// How long a connection to the owner may take.
+const CONNECT_WITHIN: Duration = Duration::from_millis(700);
+/// The pause before an owner is tried again: it may not have read its state yet.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// How long an owner that has given orders may say nothing; it says twice a second that it lives.
+const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+/// How long one may that has given none; it says so every two seconds.
+const IDLE_SILENT_AFTER: Duration = Duration::from_millis(6_000);
+/// For how long answers are gathered into one message: it takes 40 us to send and to take in however many there are, and an
+/// owner looks at what has come only every few milliseconds.
+const GATHER: Duration = Duration::from_millis(4);
+
+/// Where the owner of an epoch takes connections.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerPlace {
+    /// The owner.
+    pub owner: HostId,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Serves whoever owns the shard, for as long as the process lives; has to run within a `LocalSet`.
+pub async fn run_station(
+    settings: JobSettings,
+    client: WorkerClient,
+    mut place: watch::Receiver<Option<OwnerPlace>>,
+) {
+    loop {
+        let current = place.borrow_and_update().clone();
+        let serve = async {
+            match &current {
+                Some(owner) => {
+                    serve_owner(&settings, owner, client.for_epoch(owner.epoch)).await;
+                    sleep(RETRY_PAUSE).await;
+                    true
+                }
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            _ = serve => {}
+            changed = place.changed() => if changed.is_err() {
+                return;
+            },
+        }
+    }
+}
+
+/// Carries orders of one owner until the connection ends.
+async fn serve_owner(settings: &JobSettings, owner: &OwnerPlace, client: WorkerClient) {
+    let connected = timeout(CONNECT_WITHIN, TcpStream::connect(owner.address)).await;
+    let Ok(Ok(stream)) = connected else {
+        return;
+    };
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    let mut frames = FramedRead::new(read, framing());
+    let mut greeter = FramedWrite::new(write, framing());
+    let greeting = RelayGreeting::new(
+        HostId::from(settings.host.as_str()),
+        settings.hall.clone(),
+        settings.processor_millis,
+    );
+    let greeted = greeter.send(Bytes::from(encode_greeting(&greeting)));
+    if greeted.await.is_err() {
+        return;
+    }
+    let (outbox, waiting) = unbounded_channel();
+    let desk = OrderDesk {
+        station: Rc::new(RefCell::new(RelayStation::new(owner.epoch))),
+        calls: RefCell::new(WorkerCalls::new(client)),
+        answered: Rc::new(Notify::new()),
+    };
+    event(
+        "relay_serves",
+        &[("owner", &owner.owner), ("epoch", &owner.epoch)],
+    );
+    let cause = tokio::select! {
+        cause = desk.read_orders(&mut frames, &outbox) => cause,
+        () = desk.tell_answers(&outbox) => "stopped",
+        () = write_frames(greeter.into_inner(), waiting) => "the connection broke",
+    };
+    event(
+        "relay_ended",
+        &[
+            ("owner", &owner.owner),
+            ("epoch", &owner.epoch),
+            ("cause", &cause),
+        ],
+    );
+}
+
+/// The orders of one owner that are under way from here.
+struct OrderDesk {
+    station: Rc<RefCell<RelayStation>>,
+    calls: RefCell<WorkerCalls>,
+    answered: Rc<Notify>,
+}
+
+impl OrderDesk {
+    /// Carries out what the owner says, until it says nothing any more; returns why.
+    async fn read_orders(
+        &self,
+        frames: &mut FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+        outbox: &UnboundedSender<Bytes>,
+    ) -> &'static str {
+        let mut patience = IDLE_SILENT_AFTER;
+        loop {
+            let frame = match timeout(patience, frames.next()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(_) => return "the connection ended",
+                Err(_) => return "the owner is silent",
+            };
+            let taken = decode_message(&frame);
+            let taken = taken.and_then(|message| self.station.borrow_mut().take(message));
+            match taken {
+                Ok(orders) if orders.is_empty() => {
+                    let beat = self.station.borrow().beat();
+                    let _ = outbox.send(encode_message(&beat).into());
+                }
+                Ok(orders) => {
+                    patience = SILENT_AFTER;
+                    orders.into_iter().for_each(|order| self.carry(order));
+                }
+                Err(fault) => {
+                    event("relay_refused", &[("link", &"owner"), ("fault", &fault)]);
+                    return "a message was refused";
+                }
+            }
+        }
+    }
+
+    fn carry(&self, order: RelayedOrder) {
+        let sent = self
+            .calls
+            .borrow_mut()
+            .send(order.worker, order.address, order.call);
+        let station = self.station.clone();
+        let answered = self.answered.clone();
+        spawn_local(async move {
+            if let Some(answer) = RelayedAnswer::of(sent.await) {
+                station.borrow_mut().finish(order.number, answer);
+                answered.notify_one();
+            }
+        });
+    }
+
+    /// Tells the owner what has come, a little later than the first of it.
+    async fn tell_answers(&self, outbox: &UnboundedSender<Bytes>) {
+        loop {
+            self.answered.notified().await;
+            sleep(GATHER).await;
+            let answers = self.station.borrow_mut().take_answers();
+            if let Some(answers) = answers {
+                let _ = outbox.send(encode_message(&answers).into());
+            }
+        }
+    }
+}
