What an owner publishes is cut into as many rows as it needs

Cause: the workers that may hold tasks stand in one row, 37 bytes each; a row holds 65,536 bytes, so that from some 1,700 workers on each write of the roster is refused, and with it all that is written beside it. Change: a value longer than 60,000 bytes is written in pieces, in the same transaction, and read back only where all pieces are of one transaction. The same for marks, numbers of waiting jobs and strengths.

--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -4,8 +4,8 @@
 
 use rocket::http::Status;
 use sandshelf_adapter::{
-    decode_submission, pending_body, stage_body, CallPatience, RowCheck, RowKey, RowWrite,
-    StoreClient, StoreFault, StoredValue, WriteOutcome,
+    decode_submission, join_value, pending_body, stage_body, value_range, CallPatience, RowCheck,
+    RowKey, RowWrite, StoreClient, StoreFault, StoredValue, WriteOutcome,
 };
 use sandshelf_jobs::{JobNumber, JobStage, ProgressRow, QueueEntry};
 use sandshelf_model::Millis;
@@ -273,9 +273,10 @@
             return answer;
         }
         let row = shard_row(SHARDS_TABLE, PENDING_KEY);
-        match self.read(&single(&row)).await {
+        match self.read(&value_range(&row)).await {
             Ok(rows) => {
-                let counts = rows.first().and_then(decode_pending).unwrap_or_default();
+                let counts = join_value(&rows, &row.key);
+                let counts = counts.as_ref().and_then(decode_pending).unwrap_or_default();
                 let count = counts.counts.get(&queue.name).copied().unwrap_or(0);
                 JobAnswer::plain(Status::Ok, pending_body(count))
             }
--- a/crates/sandshelfd/src/jobs/takeover.rs
+++ b/crates/sandshelfd/src/jobs/takeover.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures::{stream, StreamExt};
-use sandshelf_adapter::{CallPatience, StoredValue};
+use sandshelf_adapter::{join_value, CallPatience, StoredValue};
 use sandshelf_jobs::{
     JobEvent, JobNumber, JobSpec, ProgressRow, SilentWorkers, StrengthRow, WorkerRoster,
 };
@@ -66,10 +66,10 @@
     /// Reads what an earlier owner published, for as long as that takes.
     pub async fn read_published(&self, reads: &PageReads) -> PublishedState {
         let published = reads.read_part(self, &shard_range(SHARDS_TABLE)).await;
-        let named = |key: &str| published.rows.iter().find(|row| row.key == key);
-        let roster = named(ROSTER_KEY).and_then(|row| decode_row(row, "roster"));
-        let silent = named(SILENT_KEY).and_then(|row| decode_row(row, "silent"));
-        let strengths = named(STRENGTHS_KEY).and_then(|row| decode_row(row, "strengths"));
+        let named = |key: &str| join_value(&published.rows, key);
+        let roster = named(ROSTER_KEY).and_then(|row| decode_row(&row, "roster"));
+        let silent = named(SILENT_KEY).and_then(|row| decode_row(&row, "silent"));
+        let strengths = named(STRENGTHS_KEY).and_then(|row| decode_row(&row, "strengths"));
         PublishedState {
             roster: roster.unwrap_or_default(),
             silent: silent.unwrap_or_default(),
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -4,11 +4,13 @@
 
 use futures::future::join_all;
 use sandshelf_adapter::{
-    CallPatience, RowCheck, RowWrite, StoreClient, StoreFault, StoredValue, WriteOutcome,
+    split_value, CallPatience, RowCheck, RowKey, RowWrite, StoreClient, StoreFault, StoredValue,
+    WriteOutcome,
 };
 use sandshelf_jobs::{CommitBatch, JobNumber};
 use sandshelf_lease::{RowVersion, ShardRow, StoredRow};
 use sandshelf_model::Millis;
+use serde::Serialize;
 use std::sync::Arc;
 use tokio::time::sleep;
 
@@ -156,6 +158,11 @@
     }
 }
 
+/// The rows of what an owner publishes, which grows with the workers, the queues and the images.
+fn long_row<T: Serialize>(key: &str, value: &T) -> Vec<(RowKey, Vec<u8>)> {
+    split_value(shard_row(SHARDS_TABLE, key), encode(value))
+}
+
 fn row_write(write: &OwnerWrite) -> RowWrite {
     let owner = shard_row(SHARDS_TABLE, OWNER_KEY);
     let mut puts = vec![(owner.clone(), encode(&write.row))];
@@ -166,16 +173,16 @@
         let row = PendingRow {
             counts: counts.clone(),
         };
-        puts.push((shard_row(SHARDS_TABLE, PENDING_KEY), encode(&row)));
+        puts.extend(long_row(PENDING_KEY, &row));
     }
     if let Some(strengths) = &write.batch.strengths {
-        puts.push((shard_row(SHARDS_TABLE, STRENGTHS_KEY), encode(strengths)));
+        puts.extend(long_row(STRENGTHS_KEY, strengths));
     }
     if let Some(roster) = &write.batch.roster {
-        puts.push((shard_row(SHARDS_TABLE, ROSTER_KEY), encode(roster)));
+        puts.extend(long_row(ROSTER_KEY, roster));
     }
     if let Some(marks) = &write.batch.silent {
-        puts.push((shard_row(SHARDS_TABLE, SILENT_KEY), encode(marks)));
+        puts.extend(long_row(SILENT_KEY, marks));
     }
     RowWrite {
         checks: vec![RowCheck {
