A job's end tells what happened to each of its steps, and is never left out

Change: the owner counts, for each step of a job, runs and how they ended, first and last start, longest wait, last end and its worker, and writes them with `job_finished`, one line a job of at most 5 KB, which no limit drops. Tests: three of the part; the check of the page now also reads calls of the unbounded kind.

--- /dev/null
+++ b/crates/jobs/tests/story.rs
@@ -0,0 +1,111 @@
+//! A job's story in a few figures a step.
+
+use sandshelf_jobs::{
+    JobNote, JobNumber, JobStage, JobStories, LossCause, RunKey, RunOutcome, TaskKey,
+};
+use sandshelf_model::{Millis, WorkerId};
+
+const JOB: JobNumber = JobNumber(7);
+
+fn key(step: u32, index: u32, run: u64) -> RunKey {
+    let task = TaskKey {
+        job: JOB,
+        time: 0,
+        step,
+        index,
+    };
+    RunKey { task, run }
+}
+
+fn placed(key: RunKey, waited_ms: Millis) -> JobNote {
+    JobNote::Placed {
+        key,
+        worker: WorkerId::from("w-1"),
+        queue: "lots".to_owned(),
+        waited_ms,
+        free_cpu: 0,
+        resumed: false,
+    }
+}
+
+fn ended(key: RunKey, worker: &str, outcome: RunOutcome) -> JobNote {
+    JobNote::Ended {
+        key,
+        worker: WorkerId::from(worker),
+        outcome,
+    }
+}
+
+fn finished(took_ms: Millis) -> JobNote {
+    JobNote::JobFinished {
+        job: JOB,
+        state: JobStage::Completed,
+        queue: "lots".to_owned(),
+        took_ms,
+        objective_ms: 500,
+    }
+}
+
+/// A job of two steps that lost time to a failed run, and then to a wait for room.
+fn tells_each_step() {
+    let mut stories = JobStories::default();
+    let events = [
+        (1_010, placed(key(0, 0, 1), 10)),
+        (1_020, placed(key(0, 1, 1), 20)),
+        (1_200, ended(key(0, 0, 1), "w-1", RunOutcome::Failed)),
+        (1_210, placed(key(0, 0, 2), 0)),
+        (1_300, ended(key(0, 1, 1), "w-2", RunOutcome::Done)),
+        (1_400, ended(key(0, 0, 2), "w-3", RunOutcome::Done)),
+        (2_000, placed(key(1, 0, 1), 600)),
+    ];
+    for (now, note) in &events {
+        assert_eq!(stories.note(*now, note), None);
+    }
+    stories.note(
+        2_500,
+        &JobNote::RunLost {
+            key: key(1, 0, 1),
+            worker: WorkerId::from("w-4"),
+            cause: LossCause::LeaseOver,
+        },
+    );
+    let story = stories.note(3_000, &finished(2_000));
+    let expected = "0.0:runs=3,done=2,failed=1,stopped=0,lost=0,start=10..210ms,wait=20ms,end=400ms,last=w-3 \
+                    0.1:runs=1,done=0,failed=0,stopped=0,lost=1,start=1000..1000ms,wait=600ms,end=0ms";
+    assert_eq!(story.as_deref(), Some(expected));
+    assert_eq!(stories.open_jobs(), 0);
+}
+
+/// A job that was cancelled before anything began has a story without steps.
+fn tells_a_job_that_never_began() {
+    let mut stories = JobStories::default();
+    assert_eq!(stories.note(9, &finished(5)).as_deref(), Some(""));
+}
+
+/// However many steps and repetitions a job has, and however wide they are, its story stays short.
+fn stays_short() {
+    let mut stories = JobStories::default();
+    for step in 0..2_000 {
+        for index in 0..20 {
+            stories.note(1_000_000, &placed(key(step, index, 1), 1_000_000));
+            stories.note(
+                1_000_000,
+                &ended(key(step, index, 1), "i-0123456789", RunOutcome::Done),
+            );
+        }
+    }
+    let story = stories
+        .note(1_000_000, &finished(1_000_000))
+        .expect("a story");
+    assert!(story.len() < 32 * 150, "{} bytes", story.len());
+    assert!(
+        story.contains("runs=39380"),
+        "what comes behind counts with the last"
+    );
+}
+
+sandshelf_cases::cases! {
+    each_step => tells_each_step();
+    never_began => tells_a_job_that_never_began();
+    short => stays_short();
+}
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -7,7 +7,7 @@
 use sandshelf_model::{Epoch, HostId, WorkerId};
 
 use crate::jobs::meters;
-use crate::logging::event;
+use crate::logging::{event, event_always};
 
 /// Writes the variants of a closed set as they are named, in lower case.
 pub(super) fn label<T: Debug>(value: &T) -> String {
@@ -28,7 +28,7 @@
 }
 
 /// Logs what a scheduler decided or learnt.
-pub fn log_note(note: &JobNote, carrier: Option<&HostId>) {
+pub fn log_note(note: &JobNote, carrier: Option<&HostId>, story: Option<&str>) {
     meters::note_decision(note);
     match note {
         JobNote::Placed {
@@ -100,7 +100,7 @@
             queue,
             took_ms,
             objective_ms,
-        } => event(
+        } => event_always(
             "job_finished",
             &[
                 ("job", job),
@@ -108,6 +108,7 @@
                 ("queue", queue),
                 ("took_ms", took_ms),
                 ("objective_ms", objective_ms),
+                ("steps", &story.unwrap_or_default()),
             ],
         ),
         JobNote::TakeoverOver {
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -12,7 +12,7 @@
 
 use sandshelf_adapter::{StoreClient, StoreFault, WorkerClient};
 use sandshelf_config::{JobSettings, OrderWay};
-use sandshelf_jobs::{CommitBatch, JobAction, JobEvent, JobScheduler, WorkerCall};
+use sandshelf_jobs::{CommitBatch, JobAction, JobEvent, JobScheduler, JobStories, WorkerCall};
 use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease, StoredRow};
 use sandshelf_model::{Epoch, HostId, Millis, WorkerId};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -82,6 +82,7 @@
     scheduler: JobScheduler,
     calls: WorkerCalls,
     relays: RelayPool,
+    stories: JobStories,
     queues_version: u64,
     followers: Vec<JoinHandle<()>>,
 }
--- a/crates/sandshelfd/src/jobs/owner/carry.rs
+++ b/crates/sandshelfd/src/jobs/owner/carry.rs
@@ -229,12 +229,16 @@
         })
     }
 
-    /// Logs what the scheduler decided, with the host that carries the order.
-    pub(super) fn log_note(&self, note: &JobNote) {
-        let carrier = match (note, &self.owned) {
-            (JobNote::Placed { worker, .. }, Some(owned)) => owned.relays.desk.carrier(worker),
+    /// Logs what the scheduler decided, with the host that carries the order, and with a job's end what happened to it.
+    pub(super) fn log_note(&mut self, note: &JobNote) {
+        let Some(owned) = &mut self.owned else {
+            return log_note(note, None, None);
+        };
+        let story = owned.stories.note(clock::now(), note);
+        let carrier = match note {
+            JobNote::Placed { worker, .. } => owned.relays.desk.carrier(worker),
             _ => None,
         };
-        log_note(note, carrier);
+        log_note(note, carrier, story.as_deref());
     }
 }
--- a/crates/sandshelfd/src/jobs/owner/recover.rs
+++ b/crates/sandshelfd/src/jobs/owner/recover.rs
@@ -4,7 +4,7 @@
 
 use sandshelf_adapter::WorkerClient;
 use sandshelf_jobs::relay::waits_for_relays;
-use sandshelf_jobs::{JobEvent, JobScheduler, SchedulerLimits, TakeoverInfo};
+use sandshelf_jobs::{JobEvent, JobScheduler, JobStories, SchedulerLimits, TakeoverInfo};
 use sandshelf_lease::LeaseStage;
 use sandshelf_model::Millis;
 use tokio::task::{spawn_local, JoinHandle};
@@ -132,6 +132,7 @@
             scheduler: JobScheduler::new(limits, info),
             calls: WorkerCalls::new(workers),
             relays,
+            stories: JobStories::default(),
             queues_version: 0,
             followers: vec![spawn_local(listing)],
         });
--- a/crates/sandshelfd/src/logging.rs
+++ b/crates/sandshelfd/src/logging.rs
@@ -55,9 +55,17 @@
 
 /// Logs one event.
 pub fn event(name: &'static str, pairs: &[LogPair<'_>]) {
-    let Some(left_out) = admit(name) else {
-        return;
-    };
+    if let Some(left_out) = admit(name) {
+        write_event(name, pairs, left_out);
+    }
+}
+
+/// Logs one event of a kind of which none may be left out; whatever it tells of bounds how many there are.
+pub fn event_always(name: &'static str, pairs: &[LogPair<'_>]) {
+    write_event(name, pairs, 0);
+}
+
+fn write_event(name: &'static str, pairs: &[LogPair<'_>], left_out: u64) {
     let mut line = format!("event={name}");
     for (key, value) in pairs {
         let _ = write!(line, " {key}={}", quoted(&value.to_string()));
--- a/crates/sandshelfd/tests/events.rs
+++ b/crates/sandshelfd/tests/events.rs
@@ -6,8 +6,8 @@
 
 /// The part of the page that describes this daemon begins with this heading.
 const JOBS_HEADING: &str = "## Serving jobs on the users' platform";
-/// The start of a call that logs an event, its name following on this line or the next.
-const EVENT_CALL: &str = "event(";
+/// The starts of calls that log an event, its name following on this line or the next.
+const EVENT_CALLS: [&str; 2] = ["event(", "event_always("];
 /// What every metric's name begins with.
 const METRIC_START: &str = "sandshelf_";
 
@@ -49,8 +49,10 @@
 fn logged_events() -> BTreeSet<String> {
     let mut events = BTreeSet::new();
     for source in sources() {
-        let calls = source.split(EVENT_CALL).skip(1);
-        events.extend(calls.filter_map(leading_word).map(str::to_owned));
+        for start in EVENT_CALLS {
+            let calls = source.split(start).skip(1);
+            events.extend(calls.filter_map(leading_word).map(str::to_owned));
+        }
     }
     events
 }
