A host that stops as planned ends the orders it carries

Cause: a host that was stopped dropped its connection to the owner at once, and every order under way through it, one hold a worker at least, counted as unanswered. Change: it says that it leaves, gets nothing new, and answers what it has within 2.2 s, while callers are served anyway.

--- a/crates/jobs/src/relay/desk.rs
+++ b/crates/jobs/src/relay/desk.rs
@@ -69,6 +69,8 @@
     last_heard: Millis,
     last_told: Millis,
     outbox: Vec<RelayedOrder>,
+    /// Whether it is about to stop and takes no more.
+    leaves: bool,
 }
 
 /// What an order was, to make its event.
@@ -160,6 +162,7 @@
             last_heard: now,
             last_told: now,
             outbox: Vec::new(),
+            leaves: false,
         };
         self.relays.insert(number, state);
         self.forget_plan();
@@ -241,21 +244,29 @@
     /// was given the order.
     pub fn take(&mut self, now: Millis, relay: RelayNumber, message: RelayMessage) -> RelayIntake {
         let mut intake = RelayIntake::default();
-        let Some(state) = self.relays.get_mut(&relay) else {
-            intake.faults.push(RelayFault::UnknownRelay);
-            return intake;
-        };
-        let answers = match message {
-            RelayMessage::Answers(epoch, answers) if epoch == self.epoch => answers,
-            RelayMessage::Answers(epoch, _) => {
-                intake.faults.push(RelayFault::OtherEpoch(epoch));
-                return intake;
-            }
+        let (epoch, answers, leaves) = match message {
+            RelayMessage::Answers(epoch, answers) => (epoch, answers, false),
+            RelayMessage::Leaves(epoch) => (epoch, Vec::new(), true),
             RelayMessage::Orders(..) => {
                 intake.faults.push(RelayFault::Misdirected);
                 return intake;
             }
         };
+        let Some(state) = self.relays.get_mut(&relay) else {
+            intake.faults.push(RelayFault::UnknownRelay);
+            return intake;
+        };
+        if epoch != self.epoch {
+            intake.faults.push(RelayFault::OtherEpoch(epoch));
+            return intake;
+        }
+        if leaves && !state.leaves {
+            state.leaves = true;
+            self.forget_plan();
+        }
+        let Some(state) = self.relays.get_mut(&relay) else {
+            return intake;
+        };
         state.last_heard = now;
         for (number, answer) in answers {
             match self.answer(relay, number, answer) {
@@ -363,7 +374,8 @@
                 for hall in self.halls.values() {
                     *by_hall.entry(hall.clone()).or_default() += 1;
                 }
-                let relays = self.relays.values().map(|relay| relay.share.clone());
+                let stay = self.relays.values().filter(|relay| !relay.leaves);
+                let relays = stay.map(|relay| relay.share.clone());
                 let fit = relays.filter(|relay| {
                     let shunned = self.shunned.get(&relay.host);
                     shunned.is_none_or(|until| now >= *until)
--- a/crates/jobs/src/relay/messages.rs
+++ b/crates/jobs/src/relay/messages.rs
@@ -102,6 +102,8 @@
     Orders(Epoch, Vec<RelayedOrder>),
     /// The answers to orders of an epoch, each with the order's number.
     Answers(Epoch, Vec<(u64, RelayedAnswer)>),
+    /// A relay is about to stop: it carries out what it was given, and is to be given no more.
+    Leaves(Epoch),
 }
 
 /// Why a message changes nothing.
--- a/crates/jobs/src/relay/station.rs
+++ b/crates/jobs/src/relay/station.rs
@@ -31,7 +31,9 @@
     pub fn take(&mut self, message: RelayMessage) -> Result<Vec<RelayedOrder>, RelayFault> {
         let (epoch, mut orders) = match message {
             RelayMessage::Orders(epoch, orders) => (epoch, orders),
-            RelayMessage::Answers(..) => return Err(RelayFault::Misdirected),
+            RelayMessage::Answers(..) | RelayMessage::Leaves(_) => {
+                return Err(RelayFault::Misdirected)
+            }
         };
         if epoch != self.epoch {
             return Err(RelayFault::OtherEpoch(epoch));
@@ -61,8 +63,13 @@
         RelayMessage::Answers(self.epoch, Vec::new())
     }
 
-    /// How many orders are under way.
+    /// A message that says that this host is about to stop.
+    pub fn leave(&self) -> RelayMessage {
+        RelayMessage::Leaves(self.epoch)
+    }
+
+    /// How many orders are under way, or have answers that were not told.
     pub fn open_orders(&self) -> usize {
-        self.open.len()
+        self.open.len() + self.answers.len()
     }
 }
--- a/crates/jobs/tests/relay.rs
+++ b/crates/jobs/tests/relay.rs
@@ -226,6 +226,20 @@
     assert_eq!(desk.tick(12_000).lost, [relay]);
 }
 
+/// A host that is about to stop gets nothing new, and what it answers counts until it is gone.
+fn a_leaving_relay_ends_what_it_has() {
+    let mut desk = desk(STRONG, 400);
+    let leaving = join(&mut desk, "a", 0, STRONG);
+    let staying = join(&mut desk, "b", 1, STRONG);
+    assert_eq!(route(&mut desk, 0, 0, start(1)), Some(leaving));
+    desk.take(1, leaving, RelayMessage::Leaves(EPOCH));
+    assert_eq!(route(&mut desk, 2, 0, hold()), Some(staying));
+    let told = answers(vec![(1, OrderAnswer::Done(1).into())]);
+    assert_eq!(desk.take(3, leaving, told).events.len(), 1);
+    assert_eq!(desk.leave(leaving), []);
+    assert_eq!(route(&mut desk, 4, 0, hold()), Some(staying));
+}
+
 /// A host that comes again while its old connection is not known to be over.
 fn a_host_that_comes_again_gets_new_orders() {
     let mut desk = desk(STRONG, 400);
@@ -359,6 +373,7 @@
     relay_behind => a_relay_that_is_behind_is_given_up();
     lost_twice => a_relay_that_is_lost_twice_is_left_alone();
     silent_relay => a_silent_relay_is_lost();
+    leaving => a_leaving_relay_ends_what_it_has();
     came_again => a_host_that_comes_again_gets_new_orders();
     foreign_answers => foreign_answers_change_nothing();
     answered_once => an_answer_counts_once();
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -17,7 +17,7 @@
 use sandshelf_model::{Epoch, HostId, Millis, WorkerId};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, JoinHandle};
-use tokio::time::{interval, MissedTickBehavior};
+use tokio::time::{interval, timeout, MissedTickBehavior};
 
 use crate::clock;
 use crate::jobs::calls::WorkerCalls;
@@ -43,6 +43,10 @@
 /// How long a worker's answer is waited for.
 const WORKER_PATIENCE: Duration = Duration::from_millis(500);
 
+/// How long a planned stop waits for orders that this host carries: the longest wait of a hold, and its answer's way. Requests of
+/// callers are served for 2.5 s meanwhile.
+const STATION_ENDS_WITHIN: Duration = Duration::from_millis(2_200);
+
 /// How many events of workers are taken in at once, before ticks and changes of the jobs get their turn.
 const EVENTS_AT_ONCE: usize = 256;
 /// How often an owner logs its figures.
@@ -148,12 +152,19 @@
     let rank = HostStrength::of(&settings).draw_rank();
     let (relay_news, mut relay_inbox) = mpsc::unbounded_channel();
     let (serves, served) = watch::channel(None);
-    match WorkerClient::new(0, WORKER_PATIENCE) {
-        Ok(client) => {
-            spawn_local(run_station(settings.clone(), client, served));
+    let (stopping, stops) = watch::channel(false);
+    let station = match WorkerClient::new(0, WORKER_PATIENCE) {
+        Ok(client) => Some(spawn_local(run_station(
+            settings.clone(),
+            client,
+            served,
+            stops,
+        ))),
+        Err(error) => {
+            event("client_failed", &[("error", &error)]);
+            None
         }
-        Err(error) => event("client_failed", &[("error", &error)]),
-    }
+    };
     if let Some(address) = settings.relay_address {
         spawn_local(serve_relays(address, relay_news.clone()));
     }
@@ -197,6 +208,10 @@
             Some(()) = stop.recv() => owner.begin_stop(),
         }
     }
+    let _ = stopping.send(true);
+    if let Some(station) = station {
+        let _ = timeout(STATION_ENDS_WITHIN, station).await;
+    }
     let _ = stopped.send(());
 }
 
--- a/crates/sandshelfd/src/jobs/station.rs
+++ b/crates/sandshelfd/src/jobs/station.rs
@@ -36,6 +36,8 @@
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 /// How long one may that has given none; it says so every two seconds.
 const IDLE_SILENT_AFTER: Duration = Duration::from_millis(6_000);
+/// How long orders may still come after the owner was told to give no more: two ways between halls and its turn.
+const LAST_ORDERS: Duration = Duration::from_millis(50);
 /// For how long answers are gathered into one message: it takes 40 us to send and to take in however many there are, and an
 /// owner looks at what has come only every few milliseconds.
 const GATHER: Duration = Duration::from_millis(4);
@@ -56,13 +58,15 @@
     settings: JobSettings,
     client: WorkerClient,
     mut place: watch::Receiver<Option<OwnerPlace>>,
+    stopping: watch::Receiver<bool>,
 ) {
-    loop {
+    while !*stopping.borrow() {
         let current = place.borrow_and_update().clone();
         let serve = async {
             match &current {
                 Some(owner) => {
-                    serve_owner(&settings, owner, client.for_epoch(owner.epoch)).await;
+                    let client = client.for_epoch(owner.epoch);
+                    serve_owner(&settings, owner, client, stopping.clone()).await;
                     sleep(RETRY_PAUSE).await;
                     true
                 }
@@ -74,12 +78,18 @@
             changed = place.changed() => if changed.is_err() {
                 return;
             },
+            () = has_come(stopping.clone()), if current.is_none() => {}
         }
     }
 }
 
 /// Carries orders of one owner until the connection ends.
-async fn serve_owner(settings: &JobSettings, owner: &OwnerPlace, client: WorkerClient) {
+async fn serve_owner(
+    settings: &JobSettings,
+    owner: &OwnerPlace,
+    client: WorkerClient,
+    stopping: watch::Receiver<bool>,
+) {
     let connected = timeout(CONNECT_WITHIN, TcpStream::connect(owner.address)).await;
     let Ok(Ok(stream)) = connected else {
         return;
@@ -109,7 +119,8 @@
     );
     let cause = tokio::select! {
         cause = desk.read_orders(&mut frames, &outbox) => cause,
-        () = desk.tell_answers(&outbox) => "stopped",
+        () = desk.tell_answers(&outbox) => "nothing more to tell",
+        () = desk.leave(&outbox, stopping) => "stop",
         () = write_frames(greeter.into_inner(), waiting) => "the connection broke",
     };
     event(
@@ -122,6 +133,12 @@
     );
 }
 
+/// Waits for a planned stop.
+async fn has_come(mut stopping: watch::Receiver<bool>) {
+    // Where nobody can tell of a stop any more, the process is about to end.
+    let _ = stopping.wait_for(|stops| *stops).await;
+}
+
 /// The orders of one owner that are under way from here.
 struct OrderDesk {
     station: Rc<RefCell<RelayStation>>,
@@ -182,6 +199,18 @@
         });
     }
 
+    /// With a planned stop, tells the owner to give no more orders, and ends what there is.
+    async fn leave(&self, outbox: &UnboundedSender<Bytes>, stopping: watch::Receiver<bool>) {
+        has_come(stopping).await;
+        let leave = self.station.borrow().leave();
+        let _ = outbox.send(encode_message(&leave).into());
+        sleep(LAST_ORDERS).await;
+        while self.station.borrow().open_orders() > 0 {
+            sleep(GATHER).await;
+        }
+        sleep(GATHER).await;
+    }
+
     /// Tells the owner what has come, a little later than the first of it.
     async fn tell_answers(&self, outbox: &UnboundedSender<Bytes>) {
         loop {
