Orders through relays explored; an order that comes again after its end is not carried again

No connection of today doubles a message, and workers refuse such a start; the part shouldn't rest on either. It keeps the newest number instead: owners number orders upwards.

--- a/crates/jobs/src/relay/station.rs
+++ b/crates/jobs/src/relay/station.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug)]
 pub struct RelayStation {
     epoch: Epoch,
+    /// The newest order that was taken: an owner numbers them upwards.
+    newest: u64,
     open: HashSet<u64>,
     answers: Vec<(u64, RelayedAnswer)>,
 }
@@ -19,12 +21,14 @@
     pub fn new(epoch: Epoch) -> Self {
         Self {
             epoch,
+            newest: 0,
             open: HashSet::new(),
             answers: Vec::new(),
         }
     }
 
-    /// Takes a message in; returns the orders to carry out. One that was taken before isn't carried out again.
+    /// Takes a message in; returns the orders to carry out. One that was taken before isn't carried out again, also where it has
+    /// ended since.
     ///
     /// # Errors
     /// The message is of another epoch, or not for a relay; nothing of it is carried out.
@@ -38,7 +42,9 @@
         if epoch != self.epoch {
             return Err(RelayFault::OtherEpoch(epoch));
         }
-        orders.retain(|order| self.open.insert(order.number));
+        orders.retain(|order| order.number > self.newest);
+        self.newest = orders.last().map_or(self.newest, |order| order.number);
+        self.open.extend(orders.iter().map(|order| order.number));
         Ok(orders)
     }
 
--- a/crates/jobs/tests/relay.rs
+++ b/crates/jobs/tests/relay.rs
@@ -325,6 +325,7 @@
     route(&mut desk, 0, 0, start(1));
     let (_, message) = desk.take_messages(0).pop().expect("orders");
     let mut station = RelayStation::new(EPOCH);
+    let again = message.clone();
     assert_eq!(
         station.take(message.clone()).map(|orders| orders.len()),
         Ok(1)
@@ -335,6 +336,11 @@
     let told = station.take_answers();
     assert_eq!(told, Some(answers(vec![(1, OrderAnswer::Done(1).into())])));
     assert_eq!((station.take_answers(), station.open_orders()), (None, 0));
+    assert_eq!(
+        station.take(again).map(|orders| orders.len()),
+        Ok(0),
+        "it has ended"
+    );
 }
 
 fn other_versions_are_told_apart() {
