--- a/crates/jobs/tests/relay.rs
+++ b/crates/jobs/tests/relay.rs
@@ -369,7 +369,12 @@
     });
     let bytes = |holds: usize, desk: &mut RelayDesk| {
         for number in 0..holds {
-            desk.route(0, &name(number), ([10, 128, 0, 9], 8_080).into(), call.clone());
+            desk.route(
+                0,
+                &name(number),
+                ([10, 128, 0, 9], 8_080).into(),
+                call.clone(),
+            );
         }
         let (_, message) = desk.take_messages(0).pop().expect("orders");
         encode_message(&message).len()
