--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -46,6 +46,7 @@
 mod story;
 mod strain;
 mod swing;
+mod takeover;
 mod worker;
 
 pub use events::{
@@ -60,7 +61,8 @@
 pub use progress::{ProgressRow, TaskProgress};
 pub use queues::{QueueEntry, QueueTable};
 pub use roster::WorkerRoster;
-pub use scheduler::{JobScheduler, TakeoverInfo};
+pub use scheduler::JobScheduler;
 pub use silent::SilentWorkers;
 pub use spec::{JobSpec, QueueRules, RepeatRule, SpecFault, StepSpec, MAX_PAYLOAD_BYTES};
 pub use story::JobStories;
+pub use takeover::TakeoverInfo;
