A pass holds its vain tries as they are, and a relay's message looks its sender up once

Read of the change: the memo of a pass repeated the four fields of what the next pass is handed, with a conversion each way; a relay's message looked its state up twice.

--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -33,7 +33,7 @@
         let mut cut = false;
         'pass: for group in groups {
             for wait in group.tasks {
-                if memo.steps.contains(&wait.task.first_of_step()) {
+                if memo.tries.steps.contains(&wait.task.first_of_step()) {
                     continue;
                 }
                 self.place_one(now, group.rank, wait, &mut memo);
@@ -46,7 +46,7 @@
             }
         }
         self.pass_left_some = !self.waiting.is_empty();
-        self.vain_tries = cut.then(|| memo.into_vain_tries());
+        self.vain_tries = cut.then_some(memo.tries);
     }
 
     /// Begins a pass; one that follows a pass that was cut short doesn't try again what that found to fit nowhere, so that
@@ -97,7 +97,7 @@
         let service = self.rules(&job.spec).service.as_str();
         let starving = rank.tier == RankTier::Starving && !memo.helped.contains(&key.job);
         if memo.rules_out(service, step, starving) {
-            memo.steps.insert(key.first_of_step());
+            memo.tries.steps.insert(key.first_of_step());
             return;
         }
         let candidate = Candidate {
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -97,7 +97,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct VainTries {
     pub(crate) since: Millis,
-    steps: HashSet<TaskKey>,
+    /// Steps, by their first task.
+    pub(crate) steps: HashSet<TaskKey>,
     rooms: Vec<(String, ResourceSize)>,
     images: Vec<(String, ResourceSize)>,
 }
@@ -115,11 +116,8 @@
 
 /// What one pass knows.
 pub(crate) struct PassMemo {
-    since: Millis,
-    /// Steps that need not be tried, by their first task.
-    pub(crate) steps: HashSet<TaskKey>,
-    rooms: Vec<(String, ResourceSize)>,
-    images: Vec<(String, ResourceSize)>,
+    /// What need not be tried.
+    pub(crate) tries: VainTries,
     pub(crate) helped: Vec<JobNumber>,
     pub(crate) costs: StepCosts,
     /// The workers in their order, by which costs are kept.
@@ -131,10 +129,7 @@
 impl PassMemo {
     pub(crate) fn new(order: Arc<[WorkerId]>, tries: VainTries) -> Self {
         Self {
-            since: tries.since,
-            steps: tries.steps,
-            rooms: tries.rooms,
-            images: tries.images,
+            tries,
             helped: Vec::new(),
             costs: StepCosts::default(),
             order,
@@ -142,16 +137,6 @@
         }
     }
 
-    /// What the next pass need not try again.
-    pub(crate) fn into_vain_tries(self) -> VainTries {
-        VainTries {
-            since: self.since,
-            steps: self.steps,
-            rooms: self.rooms,
-            images: self.images,
-        }
-    }
-
     /// Whether a task like this one was tried in vain; a starving one is started also where it would be slow.
     pub(crate) fn rules_out(&self, service: &str, step: &StepSpec, starving: bool) -> bool {
         let room = step.room();
@@ -160,8 +145,8 @@
                 .iter()
                 .any(|(name, tried)| name == of && tried.fits_in(size))
         };
-        like(service, &self.rooms, &room)
-            || step.fills && !starving && like(&step.image, &self.images, &step.size)
+        like(service, &self.tries.rooms, &room)
+            || step.fills && !starving && like(&step.image, &self.tries.images, &step.size)
     }
 
     pub(crate) fn note_failed(
@@ -171,12 +156,12 @@
         step: &StepSpec,
         starving: bool,
     ) {
-        self.steps.insert(key.first_of_step());
+        self.tries.steps.insert(key.first_of_step());
         let plain = step.label.is_none() && step.most_per_worker == 0 && !step.gang;
         if plain && step.fills && !starving {
-            self.images.push((step.image.clone(), step.size));
+            self.tries.images.push((step.image.clone(), step.size));
         } else if plain {
-            self.rooms.push((service.to_owned(), step.room()));
+            self.tries.rooms.push((service.to_owned(), step.room()));
         }
     }
 }
--- a/crates/jobs/src/relay/desk.rs
+++ b/crates/jobs/src/relay/desk.rs
@@ -260,14 +260,11 @@
             intake.faults.push(RelayFault::OtherEpoch(epoch));
             return intake;
         }
+        state.last_heard = now;
         if leaves && !state.leaves {
             state.leaves = true;
             self.forget_plan();
         }
-        let Some(state) = self.relays.get_mut(&relay) else {
-            return intake;
-        };
-        state.last_heard = now;
         for (number, answer) in answers {
             match self.answer(relay, number, answer) {
                 Ok(event) => intake.events.push(event),
