Sight: a lost run says how long its worker was heard after it began, a lost worker which runs were its newest

The hypotheses on tasks that crash their workers could not be told apart: lines of single starts are left out under load, and run_lost did not say whether the run had been at work for 10 ms or for a minute. No decision changes.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -58,6 +58,7 @@
     fn run_began(&mut self, now: Millis, worker: &WorkerId, key: RunKey, clock: u64) {
         self.note_clock(now, worker, clock);
         if let Some(record) = self.record_mut(worker, &key) {
+            record.began.get_or_insert(clock);
             if record.phase == RunPhase::Ordered || record.phase == RunPhase::Unsettled {
                 record.phase = RunPhase::Running(clock);
             }
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -283,6 +283,8 @@
         worker: WorkerId,
         /// Why it is certain.
         cause: LossCause,
+        /// How long after it began the worker was last heard, by the worker's own clock; none where nothing told that it began.
+        heard_ms: Option<Millis>,
     },
     /// A run was ordered to stop.
     Stopped {
@@ -338,7 +340,17 @@
     /// A worker does not answer.
     WorkerSilent(WorkerId),
     /// A worker is no more.
-    WorkerGone(WorkerId, LossCause),
+    WorkerGone {
+        /// The worker.
+        worker: WorkerId,
+        /// Why it is certain.
+        cause: LossCause,
+        /// How many runs are lost with it.
+        runs: usize,
+        /// Those of them that began so short a time before it was last heard that each may have brought it down, or that nothing
+        /// told to have begun.
+        newest: Vec<RunKey>,
+    },
     /// A worker fails what it is given and gets nothing for a while.
     WorkerQuarantined(WorkerId),
     /// A run's pace was changed, in percent.
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -191,6 +191,7 @@
             if run.checkpoint.is_some() {
                 record.checkpoint = run.checkpoint;
             }
+            record.began.get_or_insert(clock);
             if matches!(record.phase, RunPhase::Ordered | RunPhase::Unsettled) {
                 record.phase = RunPhase::Running(clock);
                 self.note_begun(&key.task);
@@ -283,12 +284,7 @@
         });
         let missing: Vec<RunKey> = missing.map(|(key, _)| *key).collect();
         for key in missing {
-            self.note(JobNote::RunLost {
-                key,
-                worker: worker.clone(),
-                cause: LossCause::NotThere,
-            });
-            self.drop_run(now, worker, &key);
+            self.lose_run(now, worker, &key, LossCause::NotThere);
         }
     }
 }
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -65,6 +65,10 @@
 pub const MARKED_HOLD_MS: Millis = 50;
 /// A worker that lives answers a new owner sooner: strong hosts had heard from all 490 within a tenth of a second.
 pub const ANSWER_SOON_MS: Millis = 300;
+/// A run whose worker is heard again so long after it began has not brought that worker down. Tasks that crash their workers were seen
+/// to do so 10 ms after they began; a look at a worker comes within half a second to a second, so that a run is proven by the
+/// second one at the latest.
+pub const PROVEN_AFTER_MS: Millis = 500;
 /// How long a worker that had no room gets no new tasks: its own view of its room differs from ours.
 pub const NO_ROOM_PAUSE_MS: Millis = 300;
 /// How long a worker that called itself unhealthy gets no new tasks.
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -227,6 +227,25 @@
         }
     }
 
+    /// Gives up one run and tells so.
+    pub(crate) fn lose_run(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        key: &RunKey,
+        cause: LossCause,
+    ) {
+        let state = self.workers.get(worker);
+        let heard_ms = state.and_then(|state| state.heard_after(state.runs.get(key)?));
+        self.note(JobNote::RunLost {
+            key: *key,
+            worker: worker.clone(),
+            cause,
+            heard_ms,
+        });
+        self.drop_run(now, worker, key);
+    }
+
     /// Gives up every run on a worker.
     pub(crate) fn lose_runs(&mut self, now: Millis, worker: &WorkerId, cause: LossCause) {
         let Some(state) = self.workers.get(worker) else {
@@ -234,21 +253,22 @@
         };
         let keys: Vec<RunKey> = state.runs.keys().copied().collect();
         for key in keys {
-            self.note(JobNote::RunLost {
-                key,
-                worker: worker.clone(),
-                cause,
-            });
-            self.drop_run(now, worker, &key);
+            self.lose_run(now, worker, &key, cause);
         }
     }
 
     /// Notes that a worker is no more.
     pub(crate) fn lose_worker(&mut self, now: Millis, worker: &WorkerId, cause: LossCause) {
-        if !self.workers.contains_key(worker) {
+        let Some(state) = self.workers.get(worker) else {
             return;
-        }
-        self.note(JobNote::WorkerGone(worker.clone(), cause));
+        };
+        let (runs, newest) = (state.runs.len(), state.newest_runs());
+        self.note(JobNote::WorkerGone {
+            worker: worker.clone(),
+            cause,
+            runs,
+            newest,
+        });
         self.lose_runs(now, worker, cause);
         self.workers.remove(worker);
         self.worker_order = None;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -10,7 +10,9 @@
 use crate::ids::RunKey;
 use crate::images::ImageId;
 use crate::job::DueTimes;
-use crate::limits::{ANSWER_SOON_MS, SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT, SUSPECT_AFTER_HOLDS};
+use crate::limits::{
+    ANSWER_SOON_MS, PROVEN_AFTER_MS, SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT, SUSPECT_AFTER_HOLDS,
+};
 use crate::press::{FillLoads, PressEstimate};
 use crate::spec::StepSpec;
 use crate::swing::LoadBook;
@@ -49,6 +51,8 @@
     pub(crate) room: ResourceSize,
     /// What it would use of the processors, in thousandths of a core.
     pub(crate) cpu_millis: u64,
+    /// When the worker said that it runs, by its own clock; kept also once it is to stop.
+    pub(crate) began: Option<WorkerClock>,
     /// Until when on the worker's clock the order to start it may be carried out.
     pub(crate) start_deadline: WorkerClock,
     pub(crate) fills: bool,
@@ -196,6 +200,23 @@
         Some(reading.clock + now.saturating_sub(reading.at))
     }
 
+    /// How long after a run began the worker was last heard, by its own clock; none where nothing told that it began.
+    pub(crate) fn heard_after(&self, record: &RunRecord) -> Option<Millis> {
+        let reading = self.reading?;
+        Some(reading.clock.saturating_sub(record.began?))
+    }
+
+    /// The runs that began so short a time before the worker was last heard that each may have brought it down, and those that
+    /// nothing told to have begun.
+    pub(crate) fn newest_runs(&self) -> Vec<RunKey> {
+        let unproven = |record: &RunRecord| {
+            let heard = self.heard_after(record);
+            heard.is_none_or(|heard| heard < PROVEN_AFTER_MS)
+        };
+        let runs = self.runs.iter().filter(|(_, record)| unproven(record));
+        runs.map(|(key, _)| *key).collect()
+    }
+
     /// What its clock shows at least by now, however slow it runs.
     fn least_clock(&self, now: Millis) -> Option<WorkerClock> {
         let reading = self.reading?;
@@ -324,8 +345,13 @@
         phase: RunPhase,
         start_deadline: WorkerClock,
     ) -> Self {
+        let began = match phase {
+            RunPhase::Running(clock) => Some(clock),
+            RunPhase::Ordered | RunPhase::Unsettled | RunPhase::Stopping { .. } => None,
+        };
         Self {
             phase,
+            began,
             room: step.room(),
             cpu_millis: step.size.cpu_millis,
             start_deadline,
--- a/crates/jobs/tests/story.rs
+++ b/crates/jobs/tests/story.rs
@@ -67,6 +67,7 @@
             key: key(1, 0, 1),
             worker: WorkerId::from("w-4"),
             cause: LossCause::LeaseOver,
+            heard_ms: None,
         },
     );
     let story = stories.note(3_000, &finished(2_000));
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -149,7 +149,7 @@
         JobNote::Stopped { cause, .. } => counter!(STOPS, "cause" => label(cause)).increment(1),
         JobNote::RunLost { cause, .. } => counter!(LOSSES, "cause" => label(cause)).increment(1),
         JobNote::WorkerSilent(_) => counter!(BELIEFS, "belief" => "silent").increment(1),
-        JobNote::WorkerGone(..) => counter!(BELIEFS, "belief" => "gone").increment(1),
+        JobNote::WorkerGone { .. } => counter!(BELIEFS, "belief" => "gone").increment(1),
         JobNote::WorkerQuarantined(_) => counter!(BELIEFS, "belief" => "failing").increment(1),
         JobNote::JobFinished {
             state,
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -1,10 +1,10 @@
 //! Log lines of a scheduler's decisions.
 
-use std::fmt::Debug;
+use std::fmt::{Debug, Display};
 
 use sandshelf_jobs::relay::DeskFigures;
 use sandshelf_jobs::{JobNote, SchedulerCounts};
-use sandshelf_model::{Epoch, HostId, WorkerId};
+use sandshelf_model::{Epoch, HostId};
 
 use crate::jobs::meters;
 use crate::logging::{event, event_always};
@@ -14,19 +14,21 @@
     format!("{value:?}").to_ascii_lowercase()
 }
 
-/// How many workers one line names.
-const WORKERS_NAMED: usize = 8;
+/// How many workers or tasks one line names.
+const NAMED_AT_MOST: usize = 8;
 
-/// The first few workers of many, for a line that has to stay short.
-fn first_of(workers: &[WorkerId]) -> String {
-    let named: Vec<&str> = workers
-        .iter()
-        .take(WORKERS_NAMED)
-        .map(WorkerId::as_str)
-        .collect();
+/// The first few names of many, for a line that has to stay short.
+fn first_of<T: Display>(names: impl IntoIterator<Item = T>) -> String {
+    let named = names.into_iter().take(NAMED_AT_MOST);
+    let named: Vec<String> = named.map(|name| name.to_string()).collect();
     named.join(",")
 }
 
+/// A value as a line shows it that may be missing.
+fn or_none<T: Display>(value: Option<&T>) -> String {
+    value.map_or_else(|| "none".to_owned(), T::to_string)
+}
+
 /// Logs what a scheduler decided or learnt.
 pub fn log_note(note: &JobNote, carrier: Option<&HostId>, story: Option<&str>) {
     meters::note_decision(note);
@@ -63,13 +65,19 @@
                 ("outcome", &label(outcome)),
             ],
         ),
-        JobNote::RunLost { key, worker, cause } => event(
+        JobNote::RunLost {
+            key,
+            worker,
+            cause,
+            heard_ms,
+        } => event(
             "run_lost",
             &[
                 ("task", &key.task),
                 ("run", &key.run),
                 ("worker", worker),
                 ("cause", &label(cause)),
+                ("heard_ms", &or_none(heard_ms.as_ref())),
             ],
         ),
         JobNote::Stopped { key, worker, cause } => event(
@@ -131,9 +139,19 @@
             &[("worker", worker), ("standing", standing)],
         ),
         JobNote::WorkerSilent(worker) => event("worker_silent", &[("worker", worker)]),
-        JobNote::WorkerGone(worker, cause) => event(
+        JobNote::WorkerGone {
+            worker,
+            cause,
+            runs,
+            newest,
+        } => event(
             "worker_gone",
-            &[("worker", worker), ("cause", &label(cause))],
+            &[
+                ("worker", worker),
+                ("cause", &label(cause)),
+                ("runs", runs),
+                ("newest", &first_of(newest.iter().map(|run| run.task))),
+            ],
         ),
         JobNote::WorkerQuarantined(worker) => event("worker_quarantined", &[("worker", worker)]),
         JobNote::Paced(key, worker, percent) => event(
