--- /dev/null
+++ b/crates/jobs/tests/crashes.rs
@@ -0,0 +1,93 @@
+//! Tasks that crash the workers that start them.
+//!
+//! What users saw: a worker went down every three seconds for each of two tasks, all that ran beside them was lost with it, and so it went on for two
+//! minutes. The order of events: a task crashes its worker some milliseconds after it began; a worker that crashes lists no end of the run, and the
+//! one that comes back in its place knows nothing of it; the owner notes the loss when it sees the replacement, and starts the task at once on the next
+//! worker, as if it were new. The cause: only ends that a worker lists as failed counted as attempts, so that nothing bounded the starts of a task
+//! whose worker could no longer list one. Evidence: the owner's log shows the runs of each task numbered in a row, one every 3.3 s, each as
+//! `run_lost cause=replaced` on another worker and none as `task_ended`, under one owner, which started all of them.
+
+mod support;
+
+use sandshelf_jobs::{JobStage, TaskKey};
+use sandshelf_model::Millis;
+use support::crashing::{CrashingFleet, BACK_AFTER_MS};
+use support::{job, step, task};
+
+/// How long after its start the tasks of the incident crashed their workers, in milliseconds.
+const CRASHES_AFTER_MS: Millis = 10;
+/// A task under which three workers have crashed may be started twice more, no oftener.
+const STARTS_AFTER_THREE: usize = 2;
+
+/// A job of six tasks whose first crashes its workers, and its crashing task.
+fn hand_in_crasher(fleet: &mut CrashingFleet, number: u64, after: Millis) -> TaskKey {
+    let crasher = task(number, 0, 0);
+    fleet.hand_in(number, job(vec![step(6)]), &[(crasher, after)]);
+    crasher
+}
+
+/// Ordinary jobs beside it, four a second.
+fn pass_with_traffic(fleet: &mut CrashingFleet, numbers: std::ops::Range<u64>) {
+    for number in numbers {
+        fleet.hand_in(number, job(vec![step(4)]), &[]);
+        fleet.pass(250);
+    }
+}
+
+fn assert_given_up(fleet: &CrashingFleet, crasher: &TaskKey) {
+    let starts = fleet.starts_after_three(crasher);
+    let seen = &fleet.starts[crasher];
+    assert!(
+        starts <= STARTS_AFTER_THREE,
+        "started {starts} times more: {seen:?}"
+    );
+    assert_eq!(fleet.stage(crasher.job.0), Some(JobStage::Failed));
+}
+
+/// The jobs of these numbers have all been done.
+fn assert_done(fleet: &CrashingFleet, numbers: std::ops::Range<u64>) {
+    for number in numbers {
+        assert_eq!(
+            fleet.stage(number),
+            Some(JobStage::Completed),
+            "job {number}"
+        );
+    }
+}
+
+/// One owner, and the task among ordinary ones.
+fn one_owner_gives_it_up(after: Millis) {
+    let mut fleet = CrashingFleet::new(8);
+    pass_with_traffic(&mut fleet, 100..110);
+    let crasher = hand_in_crasher(&mut fleet, 7, after);
+    pass_with_traffic(&mut fleet, 110..230);
+    fleet.pass(6_000);
+    assert_given_up(&fleet, &crasher);
+    assert_done(&fleet, 100..230);
+}
+
+/// Each owner dies so long after it has started the task; the next knows what workers crashed under it before.
+fn owners_in_turn_give_it_up(dies_after: Millis) {
+    let mut fleet = CrashingFleet::new(8);
+    pass_with_traffic(&mut fleet, 100..110);
+    let crasher = hand_in_crasher(&mut fleet, 7, CRASHES_AFTER_MS);
+    for owner in 0..6 {
+        let before = fleet.start_count(&crasher);
+        let first = 110 + owner * 60;
+        for number in first..first + 60 {
+            pass_with_traffic(&mut fleet, number..number + 1);
+            if fleet.start_count(&crasher) > before {
+                break;
+            }
+        }
+        fleet.pass(dies_after);
+        fleet.replace_owner();
+    }
+    fleet.pass(30_000);
+    assert_given_up(&fleet, &crasher);
+}
+
+sandshelf_cases::cases! {
+    crashing_task_given_up => one_owner_gives_it_up(CRASHES_AFTER_MS);
+    crashing_task_given_up_by_successors => owners_in_turn_give_it_up(BACK_AFTER_MS + 1_000);
+}
--- /dev/null
+++ b/crates/jobs/tests/support/crashing.rs
@@ -0,0 +1,412 @@
+//! A small fleet whose workers crash under certain tasks and are back after some seconds, driven by one owner after the other.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sandshelf_jobs::{
+    CommitBatch, EndReport, HoldAnswer, HoldCall, HoldReport, JobAction, JobEvent, JobNumber,
+    JobSpec, JobStage, OrderAnswer, ProgressRow, RunKey, RunOutcome, RunReport, SilentWorkers,
+    TakeoverInfo, TaskKey, WorkerCall, WorkerRoster,
+};
+use sandshelf_model::{Millis, WorkerId};
+
+use super::{listing, SchedulerRig, WALL_START_MS};
+
+/// One step of time: an owner's tick.
+const STEP_MS: Millis = 25;
+/// How often the list of workers is read.
+const LIST_MS: Millis = 700;
+/// How long a caller of a worker waits for an answer.
+const PATIENCE_MS: Millis = 500;
+/// After how long a crashed worker is back as another incarnation.
+pub const BACK_AFTER_MS: Millis = 3_300;
+/// How long an ordinary task works.
+const WORK_MS: Millis = 1_000;
+/// How long a new owner takes from the death of the one before to its first look.
+const TAKEOVER_MS: Millis = 1_900;
+
+/// One place for a worker, and the incarnation that stands there.
+struct FleetWorker {
+    name: String,
+    place: usize,
+    lives: usize,
+    back_at: Option<Millis>,
+    runs: BTreeMap<RunKey, Millis>,
+    ended: Vec<EndReport>,
+    end_count: u64,
+    hold: Option<(Millis, HoldCall)>,
+}
+
+/// A start that a worker carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SeenStart {
+    /// When.
+    pub at: Millis,
+    /// Under which owner.
+    pub epoch: u64,
+    /// How many workers had crashed under the task before.
+    pub crashes_before: usize,
+}
+
+/// Workers, what they run, and the owner that orders them.
+pub struct CrashingFleet {
+    rig: SchedulerRig,
+    epoch: u64,
+    workers: Vec<FleetWorker>,
+    /// Tasks under which workers crash, with how long after their start.
+    crashers: BTreeMap<TaskKey, Millis>,
+    /// Crashes to come: when, where and under which task.
+    fuses: Vec<(Millis, usize, TaskKey)>,
+    answers: Vec<(Millis, JobEvent)>,
+    listed_at: Millis,
+    jobs: Vec<(u64, JobSpec)>,
+    rows: BTreeMap<JobNumber, ProgressRow>,
+    roster: WorkerRoster,
+    silent: SilentWorkers,
+    /// Whether the store takes writes.
+    pub store_up: bool,
+    /// The starts of each task.
+    pub starts: BTreeMap<TaskKey, Vec<SeenStart>>,
+    /// How many workers crashed under each task.
+    pub crashes: BTreeMap<TaskKey, usize>,
+    /// How many runs of others were lost with crashed workers.
+    pub lost_beside: usize,
+}
+
+impl CrashingFleet {
+    /// So many workers and the first owner.
+    pub fn new(places: usize) -> Self {
+        let workers = (1..=places).map(|place| FleetWorker {
+            name: format!("w-{place}"),
+            place,
+            lives: 1,
+            back_at: None,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            end_count: 0,
+            hold: None,
+        });
+        Self {
+            rig: SchedulerRig::new(TakeoverInfo::first(1, 1_000)),
+            epoch: 1,
+            workers: workers.collect(),
+            crashers: BTreeMap::new(),
+            fuses: Vec::new(),
+            answers: Vec::new(),
+            listed_at: 0,
+            jobs: Vec::new(),
+            rows: BTreeMap::new(),
+            roster: WorkerRoster::default(),
+            silent: SilentWorkers::default(),
+            store_up: true,
+            starts: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            lost_beside: 0,
+        }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Millis {
+        self.rig.now
+    }
+
+    /// Hands a job in; each of `crashers` brings down every worker that starts it, so long after its start.
+    pub fn hand_in(&mut self, number: u64, spec: JobSpec, crashers: &[(TaskKey, Millis)]) {
+        self.crashers.extend(crashers.iter().copied());
+        self.jobs.push((number, spec.clone()));
+        self.rig.hand_in(number, self.jobs.len() as u64, spec);
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, millis: Millis) {
+        let until = self.rig.now + millis;
+        while self.rig.now < until {
+            self.rig.now += STEP_MS;
+            self.step_workers();
+            self.list();
+            self.deliver();
+            let wall_ms = WALL_START_MS + self.rig.now;
+            self.rig.tell(JobEvent::Tick { wall_ms });
+            self.obey();
+        }
+    }
+
+    /// The owner dies and another takes over.
+    pub fn replace_owner(&mut self) {
+        self.epoch += 1;
+        let mut now = self.rig.now;
+        let until = now + TAKEOVER_MS;
+        while now < until {
+            now += STEP_MS;
+            self.rig.now = now;
+            self.step_workers();
+        }
+        let info = TakeoverInfo {
+            epoch: self.epoch,
+            claimed_at: now,
+            claim_version: self.jobs.len() as u64,
+            rules_since: 1,
+            progress: self.rows.clone(),
+            roster: self.roster.clone(),
+            silent: self.silent.clone(),
+            store_ms: now,
+            ..TakeoverInfo::default()
+        };
+        self.rig = SchedulerRig::new(info);
+        self.rig.now = now;
+        self.answers.clear();
+        self.listed_at = 0;
+        for worker in &mut self.workers {
+            worker.hold = None;
+        }
+        for (index, (number, spec)) in self.jobs.clone().into_iter().enumerate() {
+            self.rig.hand_in(number, index as u64 + 1, spec);
+        }
+    }
+
+    /// A worker crashes by itself.
+    pub fn crash_worker(&mut self, place: usize) {
+        self.crash(place - 1, None);
+    }
+
+    /// The worker on which a task is at work.
+    pub fn place_of(&self, task: &TaskKey) -> Option<usize> {
+        let runs = |worker: &&FleetWorker| worker.runs.keys().any(|run| run.task == *task);
+        self.workers.iter().find(runs).map(|worker| worker.place)
+    }
+
+    /// The state of a job as it is written.
+    pub fn stage(&self, number: u64) -> Option<JobStage> {
+        self.rows.get(&JobNumber(number)).map(|row| row.stage)
+    }
+
+    /// How often a task was started in all.
+    pub fn start_count(&self, task: &TaskKey) -> usize {
+        self.starts.get(task).map_or(0, Vec::len)
+    }
+
+    /// How many starts of a task came after three workers had crashed under it.
+    pub fn starts_after_three(&self, task: &TaskKey) -> usize {
+        let starts = self.starts.get(task).map_or(&[][..], Vec::as_slice);
+        let late = starts.iter().filter(|start| start.crashes_before >= 3);
+        late.count()
+    }
+
+    fn crash(&mut self, index: usize, under: Option<TaskKey>) {
+        let back_at = self.rig.now + BACK_AFTER_MS;
+        let worker = &mut self.workers[index];
+        worker.back_at = Some(back_at);
+        let lost = std::mem::take(&mut worker.runs);
+        worker.ended.clear();
+        if let Some((at, call)) = worker.hold.take() {
+            let id = WorkerId::from(worker.name.as_str());
+            let failed = HoldAnswer::Failed(OrderAnswer::Unknown);
+            let given_up = at + call.wait_ms + PATIENCE_MS;
+            self.answers
+                .push((given_up, JobEvent::HoldAnswered(id, failed)));
+        }
+        self.fuses.retain(|(_, place, _)| *place != index);
+        let crashing = lost.keys().filter(|run| Some(run.task) != under);
+        self.lost_beside += crashing.count();
+        if let Some(task) = under {
+            *self.crashes.entry(task).or_default() += 1;
+        }
+    }
+
+    fn step_workers(&mut self) {
+        let now = self.rig.now;
+        let lit: Vec<(Millis, usize, TaskKey)> = self
+            .fuses
+            .iter()
+            .copied()
+            .filter(|(at, ..)| *at <= now)
+            .collect();
+        for (_, index, task) in lit {
+            let still = self.workers[index].runs.keys().any(|run| run.task == task);
+            if still {
+                self.crash(index, Some(task));
+            }
+        }
+        for worker in &mut self.workers {
+            if worker.back_at.is_some_and(|at| now >= at) {
+                worker.back_at = None;
+                worker.lives += 1;
+                worker.name = format!("{}-{}", "w".repeat(worker.lives), worker.place);
+                worker.end_count = 0;
+            }
+            let over: Vec<RunKey> = worker
+                .runs
+                .iter()
+                .filter(|(_, at)| now >= **at)
+                .map(|(key, _)| *key)
+                .collect();
+            for key in over {
+                worker.runs.remove(&key);
+                worker.end_count += 1;
+                worker.ended.push(EndReport {
+                    number: worker.end_count,
+                    key,
+                    outcome: RunOutcome::Done,
+                    checkpoint: None,
+                });
+            }
+        }
+    }
+
+    fn list(&mut self) {
+        if self.rig.now < self.listed_at + LIST_MS || !self.store_up {
+            return;
+        }
+        self.listed_at = self.rig.now;
+        let here = self
+            .workers
+            .iter()
+            .filter(|worker| worker.back_at.is_none());
+        let list = here.map(|worker| listing(&worker.name)).collect();
+        self.rig.list_entries(list);
+    }
+
+    fn deliver(&mut self) {
+        let now = self.rig.now;
+        let (due, rest) = std::mem::take(&mut self.answers)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.answers = rest;
+        for (_, event) in due {
+            self.rig.tell(event);
+        }
+        let mut reports = Vec::new();
+        for worker in &mut self.workers {
+            let due = worker
+                .hold
+                .as_ref()
+                .is_some_and(|(sent, call)| now >= sent + call.wait_ms || !worker.ended.is_empty());
+            if let Some((_, call)) = worker.hold.take_if(|_| due) {
+                worker.ended.retain(|end| end.number > call.last_seen);
+                let running = worker.runs.keys().map(|key| RunReport {
+                    key: *key,
+                    checkpoint: None,
+                    percent: 50,
+                    gauge: None,
+                });
+                reports.push((worker.name.clone(), running.collect(), worker.ended.clone()));
+            }
+        }
+        for (name, running, ended) in reports {
+            self.rig.report(&name, running, ended);
+        }
+    }
+
+    /// Carries out what the owner asked for.
+    fn obey(&mut self) {
+        for action in std::mem::take(&mut self.rig.actions) {
+            match action {
+                JobAction::Call { worker, call, .. } => self.order(&worker, call),
+                JobAction::Commit(batch) => self.write(batch),
+                JobAction::Deposed | JobAction::Note(_) => {}
+            }
+        }
+    }
+
+    fn write(&mut self, batch: CommitBatch) {
+        if !self.store_up {
+            return;
+        }
+        self.rows.extend(batch.progress);
+        if let Some(roster) = batch.roster {
+            self.roster = roster;
+        }
+        if let Some(silent) = batch.silent {
+            self.silent = silent;
+        }
+        self.answers
+            .push((self.rig.now, JobEvent::Committed(batch.id)));
+    }
+
+    fn order(&mut self, id: &WorkerId, call: WorkerCall) {
+        let now = self.rig.now;
+        let index = self
+            .workers
+            .iter()
+            .position(|worker| worker.name == id.as_str() && worker.back_at.is_none());
+        let Some(index) = index else {
+            return self.leave_unanswered(id, &call);
+        };
+        let id = id.clone();
+        match call {
+            WorkerCall::Start(start) => {
+                self.begin(index, start.key);
+                let answer = OrderAnswer::Done(now);
+                self.answers
+                    .push((now, JobEvent::StartAnswered(id, start.key, answer)));
+            }
+            WorkerCall::Stop(key) => {
+                self.workers[index].runs.remove(&key);
+                let answer = OrderAnswer::Done(now);
+                self.answers
+                    .push((now, JobEvent::StopAnswered(id, key, answer)));
+            }
+            WorkerCall::Pace(key, _) => {
+                let answer = OrderAnswer::Done(now);
+                self.answers
+                    .push((now, JobEvent::PaceAnswered(id, key, answer)));
+            }
+            WorkerCall::Hold(hold) => self.workers[index].hold = Some((now, hold)),
+        }
+    }
+
+    /// A worker that is down says nothing; one whose place another has taken is known to be no more.
+    fn leave_unanswered(&mut self, id: &WorkerId, call: &WorkerCall) {
+        let number = id
+            .as_str()
+            .trim_start_matches(|letter: char| !letter.is_ascii_digit());
+        let taken = self
+            .workers
+            .iter()
+            .any(|worker| worker.back_at.is_none() && worker.place.to_string() == number);
+        let (answer, after) = match taken {
+            true => (OrderAnswer::Replaced, 0),
+            false => (OrderAnswer::Unknown, PATIENCE_MS),
+        };
+        let id = id.clone();
+        let (event, wait_ms) = match call {
+            WorkerCall::Start(start) => (JobEvent::StartAnswered(id, start.key, answer), 0),
+            WorkerCall::Stop(key) => (JobEvent::StopAnswered(id, *key, answer), 0),
+            WorkerCall::Pace(key, _) => (JobEvent::PaceAnswered(id, *key, answer), 0),
+            WorkerCall::Hold(hold) => {
+                let failed = HoldAnswer::Failed(answer);
+                (JobEvent::HoldAnswered(id, failed), hold.wait_ms)
+            }
+        };
+        self.answers.push((self.rig.now + wait_ms + after, event));
+    }
+
+    fn begin(&mut self, index: usize, key: RunKey) {
+        let now = self.rig.now;
+        let crashes_before = self.crashes.get(&key.task).copied().unwrap_or(0);
+        self.starts.entry(key.task).or_default().push(SeenStart {
+            at: now,
+            epoch: self.epoch,
+            crashes_before,
+        });
+        let standing = self.is_standing(&key.task);
+        let ends_at = match standing {
+            true => Millis::MAX,
+            false => now + WORK_MS,
+        };
+        self.workers[index].runs.insert(key, ends_at);
+        if let Some(after) = self.crashers.get(&key.task) {
+            self.fuses.push((now + after, index, key.task));
+        }
+    }
+
+    fn is_standing(&self, task: &TaskKey) -> bool {
+        let job = self.jobs.iter().find(|(number, _)| *number == task.job.0);
+        let step = job.and_then(|(_, spec)| spec.steps.get(task.step as usize));
+        step.is_some_and(|step| step.standing)
+    }
+
+    /// All tasks that were ever started.
+    pub fn started_tasks(&self) -> BTreeSet<TaskKey> {
+        self.starts.keys().copied().collect()
+    }
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod crashing;
 pub mod emulated_worker;
 pub mod emulator;
 pub mod faults;
