--- a/crates/jobs/tests/support/crashing.rs
+++ b/crates/jobs/tests/support/crashing.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sandshelf_jobs::{
-    CommitBatch, EndReport, HoldAnswer, HoldCall, HoldReport, JobAction, JobEvent, JobNumber,
-    JobSpec, JobStage, OrderAnswer, ProgressRow, RunKey, RunOutcome, RunReport, SilentWorkers,
-    TakeoverInfo, TaskKey, WorkerCall, WorkerRoster,
+    CommitBatch, EndReport, HoldAnswer, HoldCall, JobAction, JobEvent, JobNumber, JobSpec,
+    JobStage, OrderAnswer, ProgressRow, RunKey, RunOutcome, RunReport, SilentWorkers, TakeoverInfo,
+    TaskKey, WorkerCall, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 
