A task under which workers crash is told from its neighbours and given up

Cause: only ends that a worker lists as failed counted against a task. A worker that crashes lists none, so that the task went back into the queue as new, without limit (11 starts in 38 s in the failing test, 8 of them after three workers had crashed). Change: a crash is noted with each run that the worker was not heard of long enough after it began. Tasks with a note start apart from each other, with two notes alone on their worker; a third crash with no other suspect convicts, and the job is shown as failed. Notes are part of the job's progress, a task waits for its note to be durable, the mark of a silent worker names its suspects, and a new owner that finds a task nowhere while workers are lost takes it as a suspect. Ruled out: that owners forget (one owner made all starts until the promise was broken) and that workers crash by themselves.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -44,6 +44,7 @@
         let numbers: Vec<JobNumber> = self.dirty.iter().take(room).copied().collect();
         self.dirty.drain(..numbers.len());
         let complete = self.dirty.is_empty();
+        let crashed = self.crashes.take_unwritten(&numbers);
         let mut progress = Vec::with_capacity(numbers.len());
         for number in numbers {
             self.dirty_set.remove(&number);
@@ -62,6 +63,7 @@
             } else {
                 Vec::new()
             },
+            crashed,
         });
         let strengths = self.due_strengths(now);
         self.out.push(JobAction::Commit(CommitBatch {
@@ -140,6 +142,7 @@
         };
         self.note_marks_gone(now, id);
         self.lease_published |= commit.roster;
+        self.release_noted(now, commit.crashed);
         let gap = self.strain.hold_gap_ms();
         for (worker, noted) in commit.noted {
             let Some(state) = self.workers.get_mut(&worker) else {
--- a/crates/jobs/src/cost.rs
+++ b/crates/jobs/src/cost.rs
@@ -2,6 +2,7 @@
 
 use sandshelf_model::{ResourceSize, WorkerId};
 
+use crate::crash::StartCaution;
 use crate::fill::{FillAsk, FillBoard};
 use crate::ids::TaskKey;
 use crate::press::PressEstimate;
@@ -12,6 +13,11 @@
 const MEMORY_WEIGHT: f64 = 0.3;
 /// What it costs to work far from the data, in loads of a whole worker.
 const FAR_COST: f64 = 1.0;
+/// What each run at work on a worker counts where a task is started that may crash it, in loads of a whole worker: with six of them
+/// a worker is avoided as long as any is half as full.
+pub(crate) const LOST_RUN_COST: f64 = 0.3;
+/// What it costs to start such a task beside another, or where a worker crashed lately: what a further crash tells would be blurred.
+pub(crate) const BLURRED_CRASH_COST: f64 = 8.0;
 /// What it costs to go back to the worker that the task last failed on, in loads of a whole worker.
 const FAILED_THERE_COST: f64 = 4.0;
 /// What it costs a serving task to stand beside each one of another image, in loads of a whole worker: what fills
@@ -48,6 +54,8 @@
     pub(crate) only_rack: Option<&'a str>,
     /// Whether it is started also where it would be slow.
     pub(crate) starving: bool,
+    /// With how much caution, after crashes of its workers.
+    pub(crate) caution: StartCaution,
     pub(crate) fill: FillAsk,
 }
 
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -355,6 +355,24 @@
     WorkerQuarantined(WorkerId),
     /// A run's pace was changed, in percent.
     Paced(RunKey, WorkerId, u32),
+    /// A worker crashed under a run that had begun shortly before.
+    CrashNoted {
+        /// The run.
+        key: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// How long after the run began the worker was last heard; 0 where nothing told that it began.
+        heard_ms: Millis,
+        /// How many crashes count against the task by now.
+        crashes: usize,
+    },
+    /// A task is given up, and its job with it: it crashes the workers that start it.
+    TaskGivenUp {
+        /// The task.
+        task: TaskKey,
+        /// How many crashes count against it.
+        crashes: usize,
+    },
 }
 
 /// Why a run can't be at work any more.
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -11,7 +11,7 @@
 use crate::ids::RunKey;
 use crate::job::{DueTimes, TaskStage};
 use crate::limits::{
-    FOREIGN_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, MARKED_HOLD_MS,
+    FOREIGN_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, MARKED_HOLD_MS, PROVEN_AFTER_MS,
     UNACKNOWLEDGED_HOLD_MS, UNREACHABLE_PAUSE_MS,
 };
 use crate::scheduler::JobScheduler;
@@ -105,6 +105,7 @@
             return;
         };
         state.note_clock(now, report.clock);
+        state.suspects.clear();
         let first = !state.fenced;
         state.fenced = true;
         if first {
@@ -112,6 +113,7 @@
             state.granted = state.granted.max(report.clock + self.inherited_lease_ms);
         }
         let noted = state.noted;
+        self.withdraw_crash(worker);
         if first {
             self.note(JobNote::Fenced(worker.clone()));
         }
@@ -196,6 +198,7 @@
                 record.phase = RunPhase::Running(clock);
                 self.note_begun(&key.task);
             }
+            self.clear_proven(worker, &key);
             return;
         }
         let adopted = self.may_adopt(&key) && !self.has_ended(&key);
@@ -251,6 +254,8 @@
             checkpoint: run.checkpoint,
             percent: run.percent,
             gauge: run.gauge,
+            // It has outlived the change of owner, so that it counts as proven unless its task needs longer for that.
+            began: Some(clock.saturating_sub(PROVEN_AFTER_MS)),
             ..RunRecord::new(
                 &step,
                 self.images.get(&step.image),
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -48,6 +48,9 @@
                 return;
             }
             job.restore(&row);
+            for task in job.crashed_tasks() {
+                self.crashes.note_restored(task);
+            }
         }
         if job.spec.repeat.is_none() || self.wall_ms > 0 {
             job.add_due_times(self.wall_ms);
@@ -120,6 +123,7 @@
             return;
         };
         job.stage = stage;
+        self.crashes.forget_job(number);
         self.finished.insert(number);
         self.finished_at.push_back((now, number));
         self.final_rows.insert(number, job.progress());
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -4,6 +4,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
+use crate::crash::CrashRecord;
 use crate::events::JobStage;
 use crate::ids::{JobNumber, TaskKey};
 use crate::progress::{ProgressRow, TaskProgress};
@@ -40,6 +41,8 @@
     pub(crate) given_up: Vec<u64>,
     /// The newest run whose end was taken in.
     pub(crate) last_ended: u64,
+    /// The crashes of its workers that it may have caused.
+    pub(crate) crashes: CrashRecord,
 }
 
 impl TaskStage {
@@ -61,11 +64,13 @@
             runs: 0,
             given_up: Vec::new(),
             last_ended: 0,
+            crashes: CrashRecord::default(),
         }
     }
 
     fn is_new(&self) -> bool {
-        self.stage != TaskStage::Done && self.failed_runs.is_empty() && self.checkpoint.is_none()
+        let unfailed = self.failed_runs.is_empty() && self.crashes.is_empty();
+        self.stage != TaskStage::Done && unfailed && self.checkpoint.is_none()
     }
 }
 
@@ -220,6 +225,7 @@
             };
             state.failed_runs = task.failed_runs.clone();
             state.checkpoint = task.checkpoint.clone();
+            state.crashes = task.crashes.clone();
             if task.done {
                 state.stage = TaskStage::Done;
                 step.done += 1;
@@ -310,6 +316,26 @@
         self.spec.steps.get(key.step as usize)
     }
 
+    /// Under which key a task waits: a gang does so as a whole, by its first task.
+    pub(crate) fn queued_as(&self, key: &TaskKey) -> TaskKey {
+        let gang = self.step_spec(key).is_some_and(|step| step.gang);
+        match gang {
+            true => key.first_of_step(),
+            false => *key,
+        }
+    }
+
+    /// From when on a task, or its whole gang, may be started.
+    pub(crate) fn not_before(&self, key: &TaskKey) -> Millis {
+        let Some(step) = self.step(key) else {
+            return 0;
+        };
+        let gang = self.step_spec(key).is_some_and(|step| step.gang);
+        let members = step.tasks.iter().enumerate();
+        let members = members.filter(|(index, _)| gang || *index == key.index as usize);
+        members.map(|(_, task)| task.not_before).max().unwrap_or(0)
+    }
+
     /// What is to be kept of it.
     pub(crate) fn progress(&self) -> ProgressRow {
         let mut tasks = Vec::new();
@@ -328,6 +354,7 @@
                             .checkpoint
                             .clone()
                             .filter(|_| task.stage != TaskStage::Done),
+                        crashes: task.crashes.clone(),
                     }
                 }));
             }
@@ -363,6 +390,11 @@
         self.keys_at(|stage| *stage == TaskStage::Unfound)
     }
 
+    /// Tasks with crashes that are noted.
+    pub(crate) fn crashed_tasks(&self) -> Vec<TaskKey> {
+        self.keys_where(|task| !task.crashes.is_empty())
+    }
+
     /// Tasks with a run that may be at work.
     pub(crate) fn live_tasks(&self) -> Vec<TaskKey> {
         self.keys_at(|stage| matches!(stage, TaskStage::Live { .. }))
@@ -402,11 +434,15 @@
     }
 
     fn keys_at(&self, wanted: impl Fn(&TaskStage) -> bool) -> Vec<TaskKey> {
+        self.keys_where(|task| wanted(&task.stage))
+    }
+
+    fn keys_where(&self, wanted: impl Fn(&TaskState) -> bool) -> Vec<TaskKey> {
         let mut keys = Vec::new();
         for (time, state) in &self.times {
             for (step, step_state) in state.steps.iter().enumerate() {
                 for (index, task) in step_state.tasks.iter().enumerate() {
-                    if wanted(&task.stage) {
+                    if wanted(task) {
                         keys.push(TaskKey {
                             job: self.number,
                             time: *time,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -18,6 +18,7 @@
 mod answers;
 mod commit;
 mod cost;
+mod crash;
 mod events;
 mod fill;
 mod foreign;
@@ -49,6 +50,7 @@
 mod takeover;
 mod worker;
 
+pub use crash::{CrashNote, CrashRecord};
 pub use events::{
     CommitBatch, EndReport, HoldAnswer, HoldCall, HoldReport, JobAction, JobEvent, JobNote,
     JobStage, LossCause, OrderAnswer, RefusalReason, RunOutcome, RunReport, StartCall, StopCause,
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -69,6 +69,32 @@
 /// to do so 10 ms after they began; a look at a worker comes within half a second to a second, so that a run is proven by the
 /// second one at the latest.
 pub const PROVEN_AFTER_MS: Millis = 500;
+/// A task that went down with its worker later than that is proven only so many times later.
+pub const PROVEN_BY_TIMES: u64 = 2;
+/// A run that began longer than that before its worker was last heard says nothing of the crash: on a fleet of which a worker crashes
+/// every second, a standing task sees one every minute.
+pub const LATEST_CRASH_MS: Millis = 4_000;
+/// After so many crashes noted with it a task is started with nothing else unproven on its worker.
+pub const ALONE_FROM_CRASHES: usize = 2;
+/// So many convict a task that was the only suspect of the last one. The platform allows two starts after the third.
+pub const CONVICTING_CRASHES: usize = 3;
+/// So many convict a task also where its owners died each time before they could tell what happened; one more start would be allowed.
+pub const UNSEEN_CONVICTING_CRASHES: usize = 4;
+/// Where a new owner finds more tasks nowhere, most of them were never started, and nothing is guessed of those without a note.
+pub const UNFOUND_NOTED_AT_MOST: usize = 200;
+/// How long a task waits for its first note to become durable, and for a silent worker that is still listed to be known as crashed: the
+/// entry of one that crashed goes within 3.3 s, lists are read every 0.7 s, and leases of 4 s may run out a second before.
+pub const CRASH_WAIT_MS: Millis = 1_500;
+/// How long a worker is kept free of new starts for a task that is to be alone there and still waits: until what was started there
+/// before is proven, half a second and a look at it.
+pub const CRASH_KEPT_MS: Millis = 2_000;
+/// One worker of so many may be kept free so.
+pub const KEPT_OF_WORKERS: usize = 16;
+/// So many may always.
+pub const FEWEST_KEPT_WORKERS: usize = 2;
+/// For how long after a crash the worker that is back at the same place is avoided for tasks under suspicion: one that goes down and up by
+/// turns would speak against them.
+pub const SOUND_AGAIN_MS: Millis = 20_000;
 /// How long a worker that had no room gets no new tasks: its own view of its room differs from ours.
 pub const NO_ROOM_PAUSE_MS: Millis = 300;
 /// How long a worker that called itself unhealthy gets no new tasks.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -5,7 +5,8 @@
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 use sandshelf_place::WorkerHealth;
 
-use crate::cost::{fill_cost, place_cost, Candidate};
+use crate::cost::{fill_cost, place_cost, Candidate, BLURRED_CRASH_COST, LOST_RUN_COST};
+use crate::crash::StartCaution;
 use crate::events::{JobNote, StartCall, WorkerCall};
 use crate::fill::{FillAsk, FillUrgency};
 use crate::ids::{RunKey, TaskKey};
@@ -110,6 +111,7 @@
                 .filter(|_| !task.failed_runs.is_empty()),
             only_rack: None,
             starving,
+            caution: self.caution_of(&key),
             fill: FillAsk {
                 urgency: FillUrgency::new(now, job.due),
                 image: self.images.get(&step.image),
@@ -123,6 +125,12 @@
             chosen.map(|worker| vec![(key, worker)])
         };
         match places {
+            None if candidate.caution != StartCaution::Usual => {
+                let kept = self.choose_kept(now, &candidate);
+                if let Some(worker) = kept {
+                    self.keep_worker(now, worker, key);
+                }
+            }
             None => memo.note_failed(&key, service, step, starving),
             Some(places) => {
                 memo.helped.push(key.job);
@@ -147,7 +155,8 @@
         planned: &BTreeMap<WorkerId, Vec<ResourceSize>>,
         memo: &mut PassMemo,
     ) -> Option<WorkerId> {
-        let alike = candidate.last_worker.is_none() && !candidate.step.gang;
+        let usual = candidate.caution == StartCaution::Usual;
+        let alike = candidate.last_worker.is_none() && !candidate.step.gang && usual;
         if alike {
             if let Some(costs) = memo.costs.known(&candidate.key, candidate.starving) {
                 for (cost, id) in costs.iter_mut().zip(memo.order.iter()) {
@@ -199,6 +208,7 @@
             return PlaceCost::NoPlace;
         }
         let mut cost = place_cost(worker, candidate, taken);
+        cost += self.caution_cost(now, worker, candidate);
         if candidate.step.fills {
             let board = worker.board(&self.press, &self.loads, now);
             match fill_cost(board, &self.press, candidate) {
@@ -209,6 +219,40 @@
         PlaceCost::Cost(cost)
     }
 
+    /// What it costs beside that to start a task under which workers crashed: the runs that would be lost with the worker, and what
+    /// would blur what another crash tells.
+    fn caution_cost(&self, now: Millis, worker: &WorkerState, candidate: &Candidate<'_>) -> f64 {
+        if candidate.caution == StartCaution::Usual {
+            return 0.0;
+        }
+        let lately = self.crashes.crashed_lately(now, &worker.entry.address);
+        let blurred = lately || self.has_suspect(worker);
+        let runs = worker.runs.len() as f64 * LOST_RUN_COST;
+        match blurred {
+            true => runs + BLURRED_CRASH_COST,
+            false => runs,
+        }
+    }
+
+    /// Chooses a worker that is kept free of new starts for a task that is to be alone there and found no such worker.
+    fn choose_kept(&self, now: Millis, candidate: &Candidate<'_>) -> Option<WorkerId> {
+        if candidate.caution != StartCaution::Alone || !self.may_keep_for(&candidate.key) {
+            return None;
+        }
+        let apart = Candidate {
+            caution: StartCaution::Apart,
+            ..*candidate
+        };
+        let costs = self.workers.iter().filter_map(|(id, worker)| {
+            match self.cost_at(now, (id, worker), &apart, &[]) {
+                PlaceCost::Cost(cost) => Some((cost, id)),
+                PlaceCost::NoPlace | PlaceCost::Unknown => None,
+            }
+        });
+        let least = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
+        least.map(|(_, id)| id.clone())
+    }
+
     fn may_take(
         &self,
         now: Millis,
@@ -223,6 +267,12 @@
         if !worker.is_open(now) || worker.entry.service != candidate.service || !labelled {
             return false;
         }
+        if !self.crashes.lets_start(id, &candidate.key) {
+            return false;
+        }
+        if candidate.caution == StartCaution::Alone && !self.unproven_runs(worker).is_empty() {
+            return false;
+        }
         let rack = worker.entry.rack.as_deref();
         if candidate.only_rack.is_some() && candidate.only_rack != rack {
             return false;
@@ -293,6 +343,7 @@
             };
             let member = Candidate {
                 key,
+                caution: self.caution_of(&key),
                 only_rack: rack.map(String::as_str),
                 ..*candidate
             };
@@ -310,6 +361,11 @@
             return;
         };
         let gang = places.len() > 1;
+        for (key, worker) in &places {
+            if self.caution_of(key) == StartCaution::Alone {
+                self.keep_worker(now, worker.clone(), *key);
+            }
+        }
         let checkpoint = gang.then(|| self.gang_checkpoint(&first)).flatten();
         let Some(job) = self.jobs.get(&first.job) else {
             return;
@@ -323,6 +379,7 @@
         let run = self.run_number(before);
         for (key, worker) in places {
             let run = RunKey { task: key, run };
+            self.note_restart(&key);
             self.start_task(now, run, before + 1, worker, checkpoint.clone());
         }
     }
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::crash::CrashRecord;
 use crate::events::JobStage;
 
 /// What is kept of a job beside its specification; all else is learnt from the workers.
@@ -44,4 +45,7 @@
     /// Its newest checkpoint that was read at an end.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
+    /// The crashes of its workers that it may have caused.
+    #[serde(rename = "x", default, skip_serializing_if = "CrashRecord::is_empty")]
+    pub crashes: CrashRecord,
 }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -24,6 +24,7 @@
             return;
         }
         let unanswered: Vec<WorkerId> = recovery.unanswered.keys().cloned().collect();
+        let lost_some = recovery.lost_some || !unanswered.is_empty();
         if over {
             self.recovery = None;
             self.forget_leftovers(now);
@@ -38,6 +39,9 @@
                 unfound: keys.len(),
             });
         }
+        if lost_some {
+            self.note_unfound_suspects(now, &keys);
+        }
         for key in &keys {
             self.note(JobNote::Unfound(*key));
             self.enqueue(now, *key);
@@ -126,13 +130,22 @@
             self.note(JobNote::WorkerSilent(id));
         }
         for id in over {
-            self.lose_runs(now, &id, LossCause::LeaseOver);
+            self.lose_crashed(now, &id, LossCause::LeaseOver);
         }
         for id in idle {
-            self.workers.remove(&id);
-            self.worker_order = None;
-            self.quarantine.forget(&id);
-            self.roster_changed |= self.roster.remove(&id);
+            self.forget_silent(now, &id);
+        }
+    }
+
+    /// Forgets a worker that is silent, not listed any more and without runs.
+    fn forget_silent(&mut self, now: Millis, id: &WorkerId) {
+        let convicted = self.note_crash(now, id);
+        self.workers.remove(id);
+        self.worker_order = None;
+        self.quarantine.forget(id);
+        self.roster_changed |= self.roster.remove(id);
+        if let Some(task) = convicted {
+            self.give_up_task(now, task);
         }
     }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -6,6 +6,7 @@
 use sandshelf_model::{Epoch, Millis, WorkerId};
 use sandshelf_place::QuarantineBook;
 
+use crate::crash::CrashBook;
 use crate::events::{JobAction, JobEvent, JobNote, WorkerCall};
 use crate::foreign::ForeignRuns;
 use crate::ids::{JobNumber, RunKey, TaskKey};
@@ -44,6 +45,8 @@
     pub(crate) roster: bool,
     /// Ends that are durable once it took effect, by worker.
     pub(crate) noted: Vec<(WorkerId, u64)>,
+    /// Tasks whose newest crash is durable once it took effect.
+    pub(crate) crashed: Vec<TaskKey>,
 }
 
 /// The owner's view of all jobs and workers of a shard.
@@ -101,6 +104,7 @@
     pub(crate) began_at: Millis,
     pub(crate) foreign: ForeignRuns,
     pub(crate) quarantine: QuarantineBook,
+    pub(crate) crashes: CrashBook,
     pub(crate) images: ImageTable,
     pub(crate) press: PressEstimate,
     pub(crate) loads: LoadBook,
@@ -175,8 +179,10 @@
                 until: info.claimed_at + lease + TAKEOVER_MARGIN_MS,
                 fresh_until: info.claimed_at + FRESH_JOB_WAIT_MS,
                 listed: false,
+                lost_some: false,
             }),
             quarantine: QuarantineBook::with_rule(QUARANTINE),
+            crashes: CrashBook::default(),
             images: ImageTable::default(),
             press: PressEstimate::default(),
             loads: LoadBook::default(),
@@ -290,6 +296,7 @@
             self.workers_looked = now;
             self.check_workers(now);
             self.move_standing_tasks(now);
+            self.free_kept(now);
         }
         self.refresh_roster(now);
         self.resend_stops(now);
@@ -340,12 +347,8 @@
         };
         task.stage = TaskStage::Waiting;
         task.waiting_since = now;
-        let not_before = task.not_before;
-        let task = if gang {
-            TaskKey { index: 0, ..key }
-        } else {
-            key
-        };
+        let task = job.queued_as(&key);
+        let not_before = job.not_before(&key);
         if gang && !self.gang_is_whole(&task) {
             return;
         }
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -262,19 +262,21 @@
         let Some(state) = self.workers.get(worker) else {
             return;
         };
-        let (runs, newest) = (state.runs.len(), state.newest_runs());
+        let (runs, newest) = (state.runs.len(), self.unproven_runs(state));
         self.note(JobNote::WorkerGone {
             worker: worker.clone(),
             cause,
             runs,
             newest,
         });
-        self.lose_runs(now, worker, cause);
+        self.lose_crashed(now, worker, cause);
         self.workers.remove(worker);
         self.worker_order = None;
         self.quarantine.forget(worker);
         self.roster_changed |= self.roster.remove(worker);
-        self.note_answered(worker);
+        if let Some(recovery) = &mut self.recovery {
+            recovery.lost_some |= recovery.unanswered.remove(worker).is_some();
+        }
     }
 
     /// A worker that said that it leaves, is not listed and takes no connection has left.
--- a/crates/jobs/src/silent.rs
+++ b/crates/jobs/src/silent.rs
@@ -10,6 +10,7 @@
 use sandshelf_model::{Epoch, Millis, WorkerId};
 use serde::{Deserialize, Serialize};
 
+use crate::ids::RunKey;
 use crate::scheduler::JobScheduler;
 use crate::worker::{LeaseMark, WorkerState};
 
@@ -27,6 +28,9 @@
     pub epoch: Epoch,
     /// By worker.
     pub over_at: BTreeMap<WorkerId, u64>,
+    /// The runs on each that may have brought it down: those that had begun shortly before it fell silent.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub suspects: BTreeMap<WorkerId, Vec<RunKey>>,
 }
 
 /// What is known of the store's clock, from its answers.
@@ -73,13 +77,17 @@
         }
     }
 
-    fn set(&mut self, worker: &WorkerId, over_at: u64) {
+    fn set(&mut self, worker: &WorkerId, over_at: u64, suspects: Vec<RunKey>) {
         self.fading.remove(worker);
         self.asked.over_at.insert(worker.clone(), over_at);
+        if !suspects.is_empty() {
+            self.asked.suspects.insert(worker.clone(), suspects);
+        }
     }
 
     fn take_away(&mut self, worker: &WorkerId, commit: u64) {
         self.asked.over_at.remove(worker);
+        self.asked.suspects.remove(worker);
         self.fading.insert(worker.clone(), commit);
     }
 
@@ -115,7 +123,9 @@
         for id in self.unmarked_silent(now) {
             let over_at = self.lease_over_at(now, &id);
             if let Some(over_at) = self.store_clock.at_most(over_at) {
-                self.marks.set(&id, over_at);
+                let state = self.workers.get(&id);
+                let suspects = state.map_or_else(Vec::new, |state| self.unproven_runs(state));
+                self.marks.set(&id, over_at, suspects);
                 changed = true;
                 self.show_mark(&id);
             }
@@ -166,6 +176,11 @@
     /// Takes over an earlier owner's marks: nobody has to wait for a marked worker beyond the time that its mark names.
     pub(crate) fn take_over_marks(&mut self, now: Millis, store_ms: u64, marks: SilentWorkers) {
         let workers: Vec<(WorkerId, u64)> = marks.over_at.clone().into_iter().collect();
+        for (id, suspects) in &marks.suspects {
+            if let Some(state) = self.workers.get_mut(id) {
+                state.suspects.clone_from(suspects);
+            }
+        }
         self.marks.asked = marks;
         for (id, over_at) in workers {
             self.show_mark(&id);
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -76,6 +76,8 @@
     pub(crate) fresh_until: Millis,
     /// Whether the list of workers has been read since the claim.
     pub(crate) listed: bool,
+    /// Whether a worker was lost that an earlier owner had given orders to and that had not answered.
+    pub(crate) lost_some: bool,
 }
 
 impl Recovery {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -10,9 +10,7 @@
 use crate::ids::RunKey;
 use crate::images::ImageId;
 use crate::job::DueTimes;
-use crate::limits::{
-    ANSWER_SOON_MS, PROVEN_AFTER_MS, SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT, SUSPECT_AFTER_HOLDS,
-};
+use crate::limits::{ANSWER_SOON_MS, SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT, SUSPECT_AFTER_HOLDS};
 use crate::press::{FillLoads, PressEstimate};
 use crate::spec::StepSpec;
 use crate::swing::LoadBook;
@@ -132,6 +130,8 @@
     /// Until when it gets no new tasks.
     pub(crate) paused_until: Millis,
     pub(crate) runs: BTreeMap<RunKey, RunRecord>,
+    /// Runs given up that may have brought it down, should it turn out to have crashed.
+    pub(crate) suspects: Vec<RunKey>,
     used: ResourceSize,
     ordinary_cpu: u64,
     filling_cpu: u64,
@@ -164,6 +164,7 @@
             mark,
             paused_until: 0,
             runs: BTreeMap::new(),
+            suspects: Vec::new(),
             used: ResourceSize::default(),
             ordinary_cpu: 0,
             filling_cpu: 0,
@@ -206,17 +207,6 @@
         Some(reading.clock.saturating_sub(record.began?))
     }
 
-    /// The runs that began so short a time before the worker was last heard that each may have brought it down, and those that
-    /// nothing told to have begun.
-    pub(crate) fn newest_runs(&self) -> Vec<RunKey> {
-        let unproven = |record: &RunRecord| {
-            let heard = self.heard_after(record);
-            heard.is_none_or(|heard| heard < PROVEN_AFTER_MS)
-        };
-        let runs = self.runs.iter().filter(|(_, record)| unproven(record));
-        runs.map(|(key, _)| *key).collect()
-    }
-
     /// What its clock shows at least by now, however slow it runs.
     fn least_clock(&self, now: Millis) -> Option<WorkerClock> {
         let reading = self.reading?;
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -9,7 +9,7 @@
 
 mod support;
 
-use sandshelf_jobs::{JobStage, TaskKey};
+use sandshelf_jobs::{JobStage, StepSpec, TaskKey};
 use sandshelf_model::Millis;
 use support::crashing::{CrashingFleet, BACK_AFTER_MS};
 use support::{job, step, task};
@@ -87,7 +87,29 @@
     assert_given_up(&fleet, &crasher);
 }
 
+/// A standing task that crashes its workers, beside standing ones that don't.
+fn standing_crasher_is_given_up() {
+    let mut fleet = CrashingFleet::new(8);
+    let stands = StepSpec {
+        standing: true,
+        ..step(4)
+    };
+    fleet.hand_in(50, job(vec![stands.clone()]), &[]);
+    let crasher = task(51, 0, 2);
+    fleet.hand_in(51, job(vec![stands]), &[(crasher, CRASHES_AFTER_MS)]);
+    pass_with_traffic(&mut fleet, 100..220);
+    fleet.pass(6_000);
+    assert_given_up(&fleet, &crasher);
+    assert_eq!(fleet.stage(50), Some(JobStage::Running));
+    assert_done(&fleet, 100..220);
+}
+
 sandshelf_cases::cases! {
     crashing_task_given_up => one_owner_gives_it_up(CRASHES_AFTER_MS);
+    standing_crashing_task_given_up => standing_crasher_is_given_up();
     crashing_task_given_up_by_successors => owners_in_turn_give_it_up(BACK_AFTER_MS + 1_000);
+    crashing_task_given_up_by_owners_that_see_nothing => owners_in_turn_give_it_up(500);
+    crashing_task_given_up_by_owners_that_see_silence => owners_in_turn_give_it_up(2_000);
+    crashing_task_given_up_late_after_its_start => one_owner_gives_it_up(400);
+    crashing_task_given_up_seconds_after_its_start => one_owner_gives_it_up(900);
 }
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -287,6 +287,7 @@
             silent: SilentWorkers {
                 epoch: 2,
                 over_at: over_at.into(),
+                ..SilentWorkers::default()
             },
             store_ms: STORE_AHEAD_MS + 1_000,
             ..TakeoverInfo::default()
--- a/crates/jobs/tests/marks.rs
+++ b/crates/jobs/tests/marks.rs
@@ -195,6 +195,7 @@
         silent: SilentWorkers {
             epoch: 1,
             over_at: [(id("w-1"), STORE_AHEAD_MS)].into(),
+            ..SilentWorkers::default()
         },
     };
     let mut rig = owner_after(9_000, 0, rows);
@@ -259,6 +260,7 @@
         silent: SilentWorkers {
             epoch: 1,
             over_at: [(id("w-1"), STORE_AHEAD_MS + 9_500)].into(),
+            ..SilentWorkers::default()
         },
     };
     let mut rig = owner_after(9_000, 1, rows);
@@ -309,6 +311,7 @@
         silent: SilentWorkers {
             epoch: 1,
             over_at: [(id("w-1"), STORE_AHEAD_MS + 12_000)].into(),
+            ..SilentWorkers::default()
         },
     };
     let mut rig = owner_after(9_000, 1, rows);
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -36,6 +36,10 @@
 const LOSSES: &str = "sandshelf_runs_lost_total";
 /// Workers that were believed silent, gone or failing, by belief.
 const BELIEFS: &str = "sandshelf_worker_beliefs_total";
+/// Crashes of workers that were noted with a task that may have caused them: one for each such task.
+const CRASHES: &str = "sandshelf_task_crashes_noted_total";
+/// Tasks that were given up since they crash the workers that start them.
+const GIVEN_UP: &str = "sandshelf_tasks_given_up_total";
 /// Jobs that came to their end, by queue and state.
 const JOBS: &str = "sandshelf_jobs_finished_total";
 /// Seconds from a job's acceptance to its end, by queue.
@@ -150,6 +154,8 @@
         JobNote::RunLost { cause, .. } => counter!(LOSSES, "cause" => label(cause)).increment(1),
         JobNote::WorkerSilent(_) => counter!(BELIEFS, "belief" => "silent").increment(1),
         JobNote::WorkerGone { .. } => counter!(BELIEFS, "belief" => "gone").increment(1),
+        JobNote::CrashNoted { .. } => counter!(CRASHES).increment(1),
+        JobNote::TaskGivenUp { .. } => counter!(GIVEN_UP).increment(1),
         JobNote::WorkerQuarantined(_) => counter!(BELIEFS, "belief" => "failing").increment(1),
         JobNote::JobFinished {
             state,
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -154,6 +154,24 @@
             ],
         ),
         JobNote::WorkerQuarantined(worker) => event("worker_quarantined", &[("worker", worker)]),
+        JobNote::CrashNoted {
+            key,
+            worker,
+            heard_ms,
+            crashes,
+        } => event(
+            "crash_noted",
+            &[
+                ("task", &key.task),
+                ("run", &key.run),
+                ("worker", worker),
+                ("heard_ms", heard_ms),
+                ("crashes", crashes),
+            ],
+        ),
+        JobNote::TaskGivenUp { task, crashes } => {
+            event_always("task_given_up", &[("task", task), ("crashes", crashes)]);
+        }
         JobNote::Paced(key, worker, percent) => event(
             "task_paced",
             &[
