Crashes are told apart by probes; a successor learns where a task under suspicion was started

Change: orders without an answer count only where nothing else explains the silence; starts of tasks with a note are followed by probes, so that a worker that goes down with the start is told from one that goes down later; two crashes have to be certain; where a task with a note was started is written down, in place of guesses about tasks that nobody reports.

--- a/crates/emulator/src/oracle/mod.rs
+++ b/crates/emulator/src/oracle/mod.rs
@@ -1,6 +1,7 @@
 //! Checks what workers and callers saw against what must always hold.
 
 mod away;
+mod crashes;
 mod hosts;
 mod idle;
 
@@ -12,6 +13,7 @@
 
 use away::AwayTimes;
 pub use away::SoundRoom;
+use crashes::CrashCounts;
 pub use hosts::{HostOracle, HostSight};
 use idle::OpenJob;
 
@@ -130,6 +132,9 @@
     done: BTreeSet<TaskKey>,
     acknowledged: BTreeSet<TaskKey>,
     failed: BTreeMap<TaskKey, BTreeSet<u64>>,
+    /// How many runs of each task have ended as failed, acknowledged or not.
+    failures: BTreeMap<TaskKey, usize>,
+    crashes: CrashCounts,
     history: BTreeMap<TaskKey, Vec<String>>,
     /// For how long standing tasks have been away, those that are.
     away: BTreeMap<TaskKey, AwayTimes>,
@@ -209,6 +214,10 @@
             let what = format!("{key} on {worker} after an acknowledged end: {history:?}");
             self.report(now, BrokenRule::Twice, what);
         }
+        if self.crashes.begin(&task, in_touch) {
+            let what = format!("{key} after three workers had crashed under it");
+            self.report(now, BrokenRule::Budget, what);
+        }
         let failed = self.failed.get(&task).map_or(0, BTreeSet::len);
         let step = &spec.steps[task.step as usize];
         if !step.standing && failed >= spec.rules.max_attempts as usize {
@@ -260,6 +269,9 @@
         self.ends += 1;
         let seen = self.history.entry(key.task).or_default();
         seen.push(format!("{} ended on {worker} as {outcome:?}", key.run));
+        if outcome == Some(RunOutcome::Failed) {
+            *self.failures.entry(key.task).or_default() += 1;
+        }
         let at_work = self.at_work.entry(key.task).or_default();
         at_work.remove(&(worker.clone(), key.run));
         let done = outcome == Some(RunOutcome::Done) && self.done.insert(key.task);
@@ -268,6 +280,29 @@
         }
     }
 
+    /// A worker crashed under a task.
+    pub fn crashed(&mut self, worker: &WorkerId, key: RunKey) {
+        let seen = self.history.entry(key.task).or_default();
+        seen.push(format!("{worker} crashed under {}", key.run));
+        self.crashes.crash(key.task);
+    }
+
+    /// Whether some task of a job has failed as often as is allowed, or may be given up since workers crashed under it.
+    fn may_have_failed(&self, number: JobNumber, spec: &JobSpec) -> bool {
+        let most = spec.rules.max_attempts as usize;
+        let spent = |task: &TaskKey, failed: &usize| task.job == number && *failed >= most;
+        let failed = self
+            .failures
+            .iter()
+            .any(|(task, failed)| spent(task, failed));
+        failed || self.crashes.may_give_up(number)
+    }
+
+    /// How many jobs were given up for crashes, and how many starts of tasks that crash their workers there were at most.
+    pub fn crash_figures(&self) -> (usize, usize) {
+        self.crashes.figures()
+    }
+
     /// An end was acknowledged.
     pub fn acknowledged(&mut self, key: RunKey, outcome: RunOutcome) {
         let seen = self.history.entry(key.task).or_default();
@@ -285,7 +320,7 @@
 
     /// A job is shown in a state.
     pub fn shown(&mut self, now: Millis, number: JobNumber, stage: JobStage) {
-        let Some(spec) = self.jobs.get(&number) else {
+        let Some(spec) = self.jobs.get(&number).cloned() else {
             return self.report(
                 now,
                 BrokenRule::Mixed,
@@ -295,6 +330,14 @@
         if stage.is_final() {
             self.open.remove(&number);
         }
+        if stage == JobStage::Failed && !self.may_have_failed(number, &spec) {
+            let tasks = self.history.iter().filter(|(task, _)| task.job == number);
+            let what = format!(
+                "{number} is given up without cause: {:?}",
+                tasks.collect::<Vec<_>>()
+            );
+            self.report(now, BrokenRule::Lost, what);
+        }
         if stage != JobStage::Completed {
             return;
         }
--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -64,6 +64,7 @@
             }
         }
         self.note_begun(&key.task);
+        self.probe_begun(now, worker, key);
         self.guard_worker(now, worker);
     }
 
--- /dev/null
+++ b/crates/jobs/src/crash/book.rs
@@ -0,0 +1,81 @@
+//! Which tasks have crashes noted, and which workers are kept for their next start.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use sandshelf_model::{Millis, WorkerId};
+
+use crate::ids::{JobNumber, RunKey, TaskKey};
+use crate::limits::SOUND_AGAIN_MS;
+
+/// Tasks under which workers crashed, and workers that are kept for their next start.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CrashBook {
+    /// Tasks with a crash that is noted.
+    pub(super) noted: BTreeSet<TaskKey>,
+    /// Those of them whose newest note is not durable yet.
+    pub(super) unwritten: BTreeSet<TaskKey>,
+    /// Workers on which nothing but one task may be started, until when that is so while the task waits.
+    pub(super) kept: BTreeMap<WorkerId, (TaskKey, Millis)>,
+    /// Probes to be sent, and when.
+    pub(super) probes: BTreeSet<(Millis, WorkerId, RunKey)>,
+    /// Runs noted with workers that fell silent and are not known to have crashed: they may yet answer.
+    pub(super) blamed: BTreeMap<WorkerId, Vec<RunKey>>,
+    /// Where workers crashed lately, and when.
+    crashed_at: BTreeMap<SocketAddr, Millis>,
+}
+
+impl CrashBook {
+    /// Whether a task may be started on a worker, as far as another is not to be alone there.
+    pub(crate) fn lets_start(&self, worker: &WorkerId, task: &TaskKey) -> bool {
+        self.kept
+            .get(worker)
+            .is_none_or(|(kept_for, _)| kept_for == task)
+    }
+
+    /// Notes that a task was restored with crashes.
+    pub(crate) fn note_restored(&mut self, task: TaskKey) {
+        self.noted.insert(task);
+    }
+
+    /// Forgets a job that has come to its end.
+    pub(crate) fn forget_job(&mut self, job: JobNumber) {
+        self.noted.retain(|task| task.job != job);
+        self.unwritten.retain(|task| task.job != job);
+        self.kept.retain(|_, (task, _)| task.job != job);
+        self.blamed.retain(|_, runs| {
+            runs.retain(|run| run.task.job != job);
+            !runs.is_empty()
+        });
+    }
+
+    /// Whether a worker crashed lately at an address.
+    pub(crate) fn crashed_lately(&self, now: Millis, address: &SocketAddr) -> bool {
+        let at = self.crashed_at.get(address);
+        at.is_some_and(|at| now < at + SOUND_AGAIN_MS)
+    }
+
+    /// Forgets a task that is proven, or whose notes were withdrawn.
+    pub(super) fn clear(&mut self, task: &TaskKey) {
+        self.noted.remove(task);
+        self.unwritten.remove(task);
+        self.kept.retain(|_, (kept_for, _)| kept_for != task);
+    }
+
+    /// Notes that a worker crashed at an address.
+    pub(super) fn note_place(&mut self, now: Millis, address: SocketAddr) {
+        self.crashed_at.retain(|_, at| now < *at + SOUND_AGAIN_MS);
+        self.crashed_at.insert(address, now);
+    }
+
+    /// Takes out the tasks of these jobs whose notes are about to be written.
+    pub(crate) fn take_unwritten(&mut self, jobs: &[JobNumber]) -> Vec<TaskKey> {
+        if self.unwritten.is_empty() {
+            return Vec::new();
+        }
+        let written = self
+            .unwritten
+            .extract_if(.., |task| jobs.contains(&task.job));
+        written.collect()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/crash/noted.rs
@@ -0,0 +1,203 @@
+//! What becomes of a worker that is lost: crashes are noted with the runs that may have caused them, and a task that has is given up.
+
+use sandshelf_model::{Millis, WorkerId};
+
+use super::{CrashNote, StartCaution};
+use crate::events::{JobNote, JobStage, LossCause};
+use crate::ids::{RunKey, TaskKey};
+use crate::job::TaskStage;
+use crate::limits::{ALONE_FROM_CRASHES, CRASH_WAIT_MS, UNFOUND_WATCHED_AT_MOST};
+use crate::scheduler::JobScheduler;
+
+impl JobScheduler {
+    /// A worker is lost: notes the crash, gives up its runs, and gives up the task that has brought it down.
+    pub(crate) fn lose_crashed(&mut self, now: Millis, worker: &WorkerId, cause: LossCause) {
+        let state = self.workers.get(worker);
+        let planned = state.is_none_or(|state| state.entry.draining);
+        let convicted = match cause {
+            _ if planned => None,
+            LossCause::Replaced => {
+                self.crashes.blamed.remove(worker);
+                self.note_crash(now, worker)
+            }
+            LossCause::LeaseOver => {
+                // It may be cut off and sound; then it answers some time.
+                self.blame(worker);
+                self.note_crash(now, worker)
+            }
+            LossCause::Left | LossCause::NotThere => None,
+        };
+        self.lose_runs(now, worker, cause);
+        if let Some(task) = convicted {
+            self.give_up_task(now, task);
+        }
+    }
+
+    /// Notes a crash with all that may have caused it; returns the task that did, where that is certain.
+    pub(crate) fn note_crash(&mut self, now: Millis, worker: &WorkerId) -> Option<TaskKey> {
+        let state = self.workers.get(worker)?;
+        let address = state.entry.address;
+        let suspects = self.crash_suspects(state);
+        let unproven = suspects.iter().filter(|suspect| self.is_unproven(suspect));
+        let unproven: Vec<RunKey> = unproven.map(|suspect| suspect.key).collect();
+        let only = match unproven[..] {
+            [run] => Some(run),
+            _ => None,
+        };
+        self.crashes.note_place(now, address);
+        let mut convicted = None;
+        for suspect in suspects {
+            let key = suspect.key;
+            let note = CrashNote {
+                run: key.run,
+                heard_ms: suspect.heard_ms,
+                alone: only == Some(key),
+                sudden: suspect.sudden,
+            };
+            if self.note_crash_under(now, worker, key.task, note) {
+                convicted = Some(key.task);
+            }
+        }
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.suspects.clear();
+        }
+        convicted
+    }
+
+    /// Notes a crash with a task; returns whether that convicts it.
+    fn note_crash_under(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        key: TaskKey,
+        note: CrashNote,
+    ) -> bool {
+        let job = self.jobs.get_mut(&key.job);
+        let Some(task) = job.and_then(|job| job.task_mut(&key)) else {
+            return false;
+        };
+        if task.stage == TaskStage::Done || !task.crashes.add(note) {
+            return false;
+        }
+        let convicted = task.crashes.convicts();
+        let crashes = task.crashes.count();
+        if crashes > 0 {
+            // A first note is waited for a while only: while the store is out, sound tasks that were lost with their worker go on.
+            task.not_before = match crashes < ALONE_FROM_CRASHES {
+                true => now + CRASH_WAIT_MS,
+                false => Millis::MAX,
+            };
+            self.crashes.unwritten.insert(key);
+            self.urgent = true;
+        }
+        self.crashes.noted.insert(key);
+        self.mark_dirty(key.job);
+        self.note(JobNote::CrashNoted {
+            key: RunKey {
+                task: key,
+                run: note.run,
+            },
+            worker: worker.clone(),
+            heard_ms: note.heard_ms,
+            alone: note.alone,
+            crashes,
+        });
+        convicted
+    }
+
+    /// Keeps in mind which notes say nothing should the worker answer again.
+    fn blame(&mut self, worker: &WorkerId) {
+        let Some(state) = self.workers.get(worker) else {
+            return;
+        };
+        let suspects = self.crash_suspects(state);
+        let runs: Vec<RunKey> = suspects.iter().map(|suspect| suspect.key).collect();
+        if !runs.is_empty() {
+            self.crashes.blamed.insert(worker.clone(), runs);
+        }
+    }
+
+    /// A worker that was taken as crashed answers: it was cut off, and what was noted with its runs says nothing.
+    pub(crate) fn withdraw_crash(&mut self, worker: &WorkerId) {
+        let Some(runs) = self.crashes.blamed.remove(worker) else {
+            return;
+        };
+        for key in runs {
+            let job = self.jobs.get_mut(&key.task.job);
+            let Some(task) = job.and_then(|job| job.task_mut(&key.task)) else {
+                continue;
+            };
+            task.crashes.withdraw(key.run);
+            if task.crashes.is_empty() {
+                self.crashes.clear(&key.task);
+            }
+            self.mark_dirty(key.task.job);
+        }
+    }
+
+    /// Forgets a worker that is silent, not listed any more and without runs: it has crashed, as far as can be known.
+    pub(crate) fn forget_silent(&mut self, now: Millis, id: &WorkerId) {
+        self.blame(id);
+        let convicted = self.note_crash(now, id);
+        self.workers.remove(id);
+        self.worker_order = None;
+        self.quarantine.forget(id);
+        self.roster_changed |= self.roster.remove(id);
+        if let Some(task) = convicted {
+            self.give_up_task(now, task);
+        }
+    }
+
+    /// A new owner finds tasks nowhere while workers are lost that an earlier owner gave orders to: what those workers had is noted by
+    /// nobody else. A task that was started again with a note has crashed one worker more where that worker is lost; any other
+    /// is watched, so that its next start is written down. Without this a task is started by owner after owner
+    /// where each dies before it has noted what happened.
+    pub(crate) fn note_unfound_suspects(&mut self, now: Millis, unfound: &[TaskKey]) {
+        let few = unfound.len() <= UNFOUND_WATCHED_AT_MOST;
+        for task in unfound {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let Some(state) = job.task_mut(task) else {
+                continue;
+            };
+            match state.crashes.started().cloned() {
+                Some((worker, run)) => {
+                    self.note_lost_start(now, &worker, RunKey { task: *task, run })
+                }
+                None if few && state.crashes.is_empty() => {
+                    state.crashes.watch();
+                    self.crashes.noted.insert(*task);
+                    self.mark_dirty(task.job);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// An earlier owner started a task with a note on a worker: notes one crash more, unless that worker stands.
+    fn note_lost_start(&mut self, now: Millis, worker: &WorkerId, key: RunKey) {
+        let state = self.workers.get(worker);
+        if state.is_some_and(|state| state.fenced || state.listed) {
+            return;
+        }
+        let note = CrashNote {
+            run: key.run,
+            heard_ms: 0,
+            alone: self.caution_of(&key.task) == StartCaution::Alone,
+            sudden: false,
+        };
+        if self.note_crash_under(now, worker, key.task, note) {
+            self.give_up_task(now, key.task);
+        }
+    }
+
+    /// Gives up a task under which workers crash, and its job with it.
+    fn give_up_task(&mut self, now: Millis, task: TaskKey) {
+        let job = self.jobs.get(&task.job);
+        let crashes = job.and_then(|job| job.task(&task));
+        let crashes = crashes.map_or(0, |state| state.crashes.count());
+        self.note(JobNote::TaskGivenUp { task, crashes });
+        self.finish_job(now, task.job, JobStage::Failed);
+    }
+}
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -363,6 +363,8 @@
         worker: WorkerId,
         /// How long after the run began the worker was last heard; 0 where nothing told that it began.
         heard_ms: Millis,
+        /// Whether nothing else may have caused it.
+        alone: bool,
         /// How many crashes count against the task by now.
         crashes: usize,
     },
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -50,7 +50,7 @@
 mod takeover;
 mod worker;
 
-pub use crash::{CrashNote, CrashRecord};
+pub use crash::{CrashNote, CrashRecord, CrashSuspect};
 pub use events::{
     CommitBatch, EndReport, HoldAnswer, HoldCall, HoldReport, JobAction, JobEvent, JobNote,
     JobStage, LossCause, OrderAnswer, RefusalReason, RunOutcome, RunReport, StartCall, StopCause,
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -69,22 +69,34 @@
 /// to do so 10 ms after they began; a look at a worker comes within half a second to a second, so that a run is proven by the
 /// second one at the latest.
 pub const PROVEN_AFTER_MS: Millis = 500;
-/// A task that went down with its worker later than that is proven only so many times later.
-pub const PROVEN_BY_TIMES: u64 = 2;
+/// How long after it was last heard a worker may go down at most: the longest wait for a look, the time that it takes, and some more.
+pub const UNHEARD_AT_MOST_MS: Millis = 1_500;
 /// A run that began longer than that before its worker was last heard says nothing of the crash: on a fleet of which a worker crashes
 /// every second, a standing task sees one every minute.
 pub const LATEST_CRASH_MS: Millis = 4_000;
 /// After so many crashes noted with it a task is started with nothing else unproven on its worker.
 pub const ALONE_FROM_CRASHES: usize = 2;
-/// So many convict a task that was the only suspect of the last one. The platform allows two starts after the third.
+/// So many convict a task. The platform allows two starts after the third.
 pub const CONVICTING_CRASHES: usize = 3;
-/// So many convict a task also where its owners died each time before they could tell what happened; one more start would be allowed.
-pub const UNSEEN_CONVICTING_CRASHES: usize = 4;
-/// Where a new owner finds more tasks nowhere, most of them were never started, and nothing is guessed of those without a note.
-pub const UNFOUND_NOTED_AT_MOST: usize = 200;
-/// How long a task waits for its first note to become durable, and for a silent worker that is still listed to be known as crashed: the
-/// entry of one that crashed goes within 3.3 s, lists are read every 0.7 s, and leases of 4 s may run out a second before.
-pub const CRASH_WAIT_MS: Millis = 1_500;
+/// How long after its start the first probe of a worker follows that began a task under suspicion, how long after it each further one,
+/// and how many there are.
+pub const FIRST_PROBE_MS: Millis = 50;
+/// See [`FIRST_PROBE_MS`].
+pub const PROBE_EVERY_MS: Millis = 50;
+/// See [`FIRST_PROBE_MS`].
+pub const PROBES: u64 = 4;
+/// Where so many went without an answer the worker went down with the start; a single call may get lost.
+pub const FEWEST_PROBES: u32 = 2;
+/// Of those so many have to be certain: nothing else on the worker was unproven.
+pub const CERTAIN_CRASHES: usize = 2;
+/// So many convict a task whose workers go down some time after its start: the last start but one that is allowed.
+pub const CONVICTING_SLOW_CRASHES: usize = 4;
+/// Where a new owner finds more tasks nowhere, most of them were never started, and those without a note are not watched: the next
+/// start of each costs a write.
+pub const UNFOUND_WATCHED_AT_MOST: usize = 200;
+/// How long a task waits at most for its first note to become durable: a write takes some 10 ms, and where the store is out or slow, what
+/// was lost with a worker goes on soon all the same.
+pub const CRASH_WAIT_MS: Millis = 150;
 /// How long a worker is kept free of new starts for a task that is to be alone there and still waits: until what was started there
 /// before is proven, half a second and a look at it.
 pub const CRASH_KEPT_MS: Millis = 2_000;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -379,7 +379,7 @@
         let run = self.run_number(before);
         for (key, worker) in places {
             let run = RunKey { task: key, run };
-            self.note_restart(&key);
+            self.note_restart(&run, &worker);
             self.start_task(now, run, before + 1, worker, checkpoint.clone());
         }
     }
@@ -424,6 +424,7 @@
         let free_cpu = state.free().cpu_millis;
         let mut record = RunRecord::new(&step, image, RunPhase::Ordered, deadline);
         record.due = due;
+        record.ordered_at = now;
         record.checkpoint = checkpoint.clone();
         state.add_run(run, record);
         if step.fills {
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -136,16 +136,4 @@
             self.forget_silent(now, &id);
         }
     }
-
-    /// Forgets a worker that is silent, not listed any more and without runs.
-    fn forget_silent(&mut self, now: Millis, id: &WorkerId) {
-        let convicted = self.note_crash(now, id);
-        self.workers.remove(id);
-        self.worker_order = None;
-        self.quarantine.forget(id);
-        self.roster_changed |= self.roster.remove(id);
-        if let Some(task) = convicted {
-            self.give_up_task(now, task);
-        }
-    }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -300,6 +300,7 @@
         }
         self.refresh_roster(now);
         self.resend_stops(now);
+        self.send_probes(now);
         self.move_slowed(now);
         self.loads.refresh(now, &self.strain);
         // Readings change what serving tasks leave, and jobs grow late, without any event that frees room.
--- a/crates/jobs/src/silent.rs
+++ b/crates/jobs/src/silent.rs
@@ -10,7 +10,7 @@
 use sandshelf_model::{Epoch, Millis, WorkerId};
 use serde::{Deserialize, Serialize};
 
-use crate::ids::RunKey;
+use crate::crash::CrashSuspect;
 use crate::scheduler::JobScheduler;
 use crate::worker::{LeaseMark, WorkerState};
 
@@ -30,7 +30,7 @@
     pub over_at: BTreeMap<WorkerId, u64>,
     /// The runs on each that may have brought it down: those that had begun shortly before it fell silent.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub suspects: BTreeMap<WorkerId, Vec<RunKey>>,
+    pub suspects: BTreeMap<WorkerId, Vec<CrashSuspect>>,
 }
 
 /// What is known of the store's clock, from its answers.
@@ -77,7 +77,7 @@
         }
     }
 
-    fn set(&mut self, worker: &WorkerId, over_at: u64, suspects: Vec<RunKey>) {
+    fn set(&mut self, worker: &WorkerId, over_at: u64, suspects: Vec<CrashSuspect>) {
         self.fading.remove(worker);
         self.asked.over_at.insert(worker.clone(), over_at);
         if !suspects.is_empty() {
@@ -124,7 +124,7 @@
             let over_at = self.lease_over_at(now, &id);
             if let Some(over_at) = self.store_clock.at_most(over_at) {
                 let state = self.workers.get(&id);
-                let suspects = state.map_or_else(Vec::new, |state| self.unproven_runs(state));
+                let suspects = state.map_or_else(Vec::new, |state| self.crash_suspects(state));
                 self.marks.set(&id, over_at, suspects);
                 changed = true;
                 self.show_mark(&id);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -5,6 +5,7 @@
 
 use sandshelf_model::{Millis, ResourceSize};
 
+use crate::crash::CrashSuspect;
 use crate::events::{WorkerClock, WorkerListing};
 use crate::fill::FillBoard;
 use crate::ids::RunKey;
@@ -49,6 +50,10 @@
     pub(crate) room: ResourceSize,
     /// What it would use of the processors, in thousandths of a core.
     pub(crate) cpu_millis: u64,
+    /// How many probes have followed its start.
+    pub(crate) probes: u32,
+    /// When it was ordered to start; 0 for one that an earlier owner ordered.
+    pub(crate) ordered_at: Millis,
     /// When the worker said that it runs, by its own clock; kept also once it is to stop.
     pub(crate) began: Option<WorkerClock>,
     /// Until when on the worker's clock the order to start it may be carried out.
@@ -131,7 +136,7 @@
     pub(crate) paused_until: Millis,
     pub(crate) runs: BTreeMap<RunKey, RunRecord>,
     /// Runs given up that may have brought it down, should it turn out to have crashed.
-    pub(crate) suspects: Vec<RunKey>,
+    pub(crate) suspects: Vec<CrashSuspect>,
     used: ResourceSize,
     ordinary_cpu: u64,
     filling_cpu: u64,
@@ -207,6 +212,20 @@
         Some(reading.clock.saturating_sub(record.began?))
     }
 
+    /// Of the orders to start without an answer, the one that was sent first.
+    pub(crate) fn first_unanswered(&self) -> Option<CrashSuspect> {
+        let unanswered = self
+            .runs
+            .iter()
+            .filter(|(_, record)| record.began.is_none());
+        let first = unanswered.min_by_key(|(_, record)| record.ordered_at);
+        first.map(|(key, _)| CrashSuspect {
+            key: *key,
+            heard_ms: 0,
+            sudden: false,
+        })
+    }
+
     /// What its clock shows at least by now, however slow it runs.
     fn least_clock(&self, now: Millis) -> Option<WorkerClock> {
         let reading = self.reading?;
@@ -341,6 +360,8 @@
         };
         Self {
             phase,
+            probes: 0,
+            ordered_at: 0,
             began,
             room: step.room(),
             cpu_millis: step.size.cpu_millis,
--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -6,7 +6,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sandshelf_jobs::{JobSpec, JobStage, RunKey, RunOutcome, StepSpec};
+use sandshelf_jobs::{JobSpec, JobStage, RunKey, RunOutcome, StepSpec, TaskKey};
 use sandshelf_model::{ResourceSize, WorkerId};
 use support::emulator::PlatformEmulator;
 use support::faults::FaultPlan;
@@ -46,10 +46,25 @@
     }])
 }
 
+/// Draws whether a job has a task that crashes its workers, and which.
+fn draw_crasher(
+    random: &mut ChaCha8Rng,
+    number: u64,
+    spec: &JobSpec,
+    plan: &FaultPlan,
+) -> Option<TaskKey> {
+    if plan.crashers == 0 || random.random_range(0..1_000) >= plan.crashers {
+        return None;
+    }
+    let step = random.random_range(0..spec.steps.len());
+    let index = random.random_range(0..spec.steps[step].count);
+    Some(task(number, step as u32, index))
+}
+
 /// Plays one seed and returns its emulator after all has settled.
 fn play(seed: u64, plan: FaultPlan) -> PlatformEmulator {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
-    let mut platform = PlatformEmulator::new(seed, 6, plan);
+    let mut platform = PlatformEmulator::new(seed, plan.worker_count(), plan);
     let mut handed = 0;
     let mut standing = Vec::new();
     if plan.standing {
@@ -63,8 +78,13 @@
     for second in 0..TRAFFIC_S {
         for _ in 0..random.random_range(1..5u32) {
             let number = 1_000 + handed;
-            if platform.hand_in(number, random_job(&mut random)) {
+            let spec = random_job(&mut random);
+            let crasher = draw_crasher(&mut random, number, &spec, &plan);
+            if platform.hand_in(number, spec) {
                 handed += 1;
+                if let Some(crasher) = crasher {
+                    platform.let_crash(crasher);
+                }
             }
         }
         if second % 4 == 3 && handed > 2 {
@@ -219,6 +239,50 @@
     }
 }
 
+/// Tasks that crash their workers, nothing else.
+fn crashing_tasks() -> FaultPlan {
+    FaultPlan {
+        workers: 16,
+        crashers: 60,
+        down_ms: 5_000,
+        guards: true,
+        standing: true,
+        max_lease_ms: 10_000,
+        ..FaultPlan::default()
+    }
+}
+
+/// Tasks that crash their workers beside workers that crash by themselves or go down and up by turns: what merely runs there is never
+/// given up.
+fn crashes_of_both_kinds() -> FaultPlan {
+    FaultPlan {
+        crashes: 30,
+        flapping: 1,
+        failed_runs: 10,
+        ..crashing_tasks()
+    }
+}
+
+/// Tasks that crash their workers beside all else.
+fn crashing_tasks_amid_all() -> FaultPlan {
+    FaultPlan {
+        workers: 16,
+        crashers: 60,
+        down_ms: 5_000,
+        ..all_at_once()
+    }
+}
+
+/// Tasks that crash their workers while owners die.
+fn crashing_tasks_and_owners() -> FaultPlan {
+    FaultPlan {
+        deaths: 150,
+        hand_overs: 50,
+        outages: 30,
+        ..crashing_tasks()
+    }
+}
+
 /// On workers that are reachable no lease runs out, whichever single calls get lost.
 fn keeps_sound_leases(seeds: std::ops::Range<u64>, plan: FaultPlan) {
     let lapses: Vec<(u64, usize)> = seeds
@@ -230,11 +294,16 @@
 
 /// What must hold also where standing tasks can't be back in time.
 fn is_safe(seeds: std::ops::Range<u64>, plan: FaultPlan) {
+    let count = seeds.end - seeds.start;
+    let mut unsafe_seeds = Vec::new();
     for seed in seeds {
         let mut broken = play(seed, plan).oracle.broken;
         broken.retain(|(_, rule, _)| *rule != BrokenRule::Away);
-        assert!(broken.is_empty(), "seed {seed}: {:?}", &broken[..1]);
+        unsafe_seeds.extend(broken.into_iter().next().map(|first| (seed, first)));
     }
+    let few = &unsafe_seeds[..unsafe_seeds.len().min(5)];
+    let broken = unsafe_seeds.len();
+    assert!(broken == 0, "{broken} of {count} seeds: {few:?}");
 }
 
 /// The seeds that an environment variable names as `FIRST:LAST`, for longer runs by hand.
@@ -255,6 +324,32 @@
     is_safe(seeds, workers_gone_for_good());
 }
 
+/// A longer run by hand on tasks that crash their workers: `SANDSHELF_CRASH_SEEDS=1:2000`.
+fn crash_run() {
+    let seeds = named_seeds("SANDSHELF_CRASH_SEEDS", "1:5");
+    let slowly = |plan| FaultPlan {
+        slow_crashers: 100,
+        ..plan
+    };
+    let plans = [
+        slowly(crashing_tasks()),
+        crashes_of_both_kinds(),
+        crashing_tasks_and_owners(),
+        crashing_tasks_amid_all(),
+        slowly(crashing_tasks_and_owners()),
+        slowly(crashing_tasks_amid_all()),
+    ];
+    let chosen = std::env::var("SANDSHELF_CRASH_PLAN").ok();
+    for (number, plan) in plans.into_iter().enumerate() {
+        if chosen
+            .as_ref()
+            .is_none_or(|chosen| *chosen == number.to_string())
+        {
+            is_safe(seeds.clone(), plan);
+        }
+    }
+}
+
 /// Each rule of the oracle fires on what breaks it.
 fn oracle_sees(rule: BrokenRule, play: impl Fn(&mut PlatformOracle)) {
     let mut oracle = PlatformOracle::default();
@@ -289,6 +384,11 @@
     unlisted_and_slow => is_safe(800..830, unlisted_workers());
     standing_tasks_come_back => holds(500..530, workers_gone_for_good());
     everything_at_once => holds(400..430, all_at_once());
+    tasks_crash_their_workers => holds(900..930, crashing_tasks());
+    tasks_and_workers_crash => is_safe(1_000..1_030, crashes_of_both_kinds());
+    tasks_crash_and_owners_die => is_safe(1_100..1_130, crashing_tasks_and_owners());
+    tasks_crash_amid_all_else => holds(1_200..1_230, crashing_tasks_amid_all());
+    crashes_by_hand => crash_run();
     seeds_by_hand => long_run();
     away_by_hand => holds(named_seeds("SANDSHELF_AWAY_SEEDS", "500:509"), workers_gone_for_good());
     leases_by_hand => keeps_sound_leases(named_seeds("SANDSHELF_LEASE_SEEDS", "600:609"), lost_calls());
@@ -311,6 +411,17 @@
         }
         oracle.started(0, &worker("a"), run(0, 4), true);
     });
+    oracle_budget_of_crashes => oracle_sees(BrokenRule::Budget, |oracle| {
+        for number in 1..=6 {
+            oracle.started(number, &worker("a"), run(0, number), true);
+            oracle.crashed(&worker("a"), run(0, number));
+            oracle.ended(&worker("a"), run(0, number), None);
+        }
+    });
+    oracle_given_up_without_cause => oracle_sees(BrokenRule::Lost, |oracle| {
+        oracle.crashed(&worker("a"), run(0, 1));
+        oracle.shown(0, sandshelf_jobs::JobNumber(1), JobStage::Failed);
+    });
     oracle_unasked => oracle_sees(BrokenRule::Unasked, |oracle| {
         let key = RunKey { task: task(2, 0, 0), run: 1 };
         oracle.started(0, &worker("a"), key, true);
--- a/crates/jobs/tests/support/emulated_worker.rs
+++ b/crates/jobs/tests/support/emulated_worker.rs
@@ -14,6 +14,8 @@
     pub ends_at: Millis,
     pub outcome: Option<RunOutcome>,
     pub stopping: bool,
+    /// When it brings its worker down.
+    pub crashes_at: Option<Millis>,
 }
 
 pub struct EmulatedWorker {
@@ -29,6 +31,8 @@
     pub end_count: u64,
     /// When the lease was last found to have run out.
     pub lapsed_at: Millis,
+    /// Until when nobody stands here: the one before has crashed and this one has yet to start.
+    pub dark_until: Millis,
     pub cut_since: Millis,
     pub cut_until: Millis,
     pub leaves_at: Option<Millis>,
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
     CommitBatch, HoldAnswer, HoldCall, JobEvent, JobNumber, JobScheduler, JobSpec, OrderAnswer,
-    ProgressRow, SilentWorkers, WorkerCall, WorkerRoster,
+    ProgressRow, SilentWorkers, TaskKey, WorkerCall, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 
@@ -30,6 +30,8 @@
 const LOOK_MS: Millis = 100;
 /// How long a stop takes.
 const STOP_MS: Millis = 300;
+/// How long after their start most crashing tasks bring their worker down.
+const CRASH_AFTER_MS: Millis = 10;
 /// One step of time.
 const STEP_MS: Millis = 5;
 /// How often an owner ticks and reads the list of workers.
@@ -83,6 +85,8 @@
     roster: WorkerRoster,
     silent: SilentWorkers,
     store_out_until: Millis,
+    /// Tasks that crash their workers, with how long after their start.
+    crashers: BTreeMap<TaskKey, Millis>,
     /// How many runs lapsed on workers that were reachable throughout their lease.
     pub sound_lapses: usize,
     /// When the store was last out or no owner at work: rules with a time bound hold only some time after.
@@ -113,6 +117,7 @@
             store_out_until: 0,
             disturbed_at: 0,
             sound_lapses: 0,
+            crashers: BTreeMap::new(),
         };
         for place in 0..workers {
             let worker = emulator.fresh_worker(place);
@@ -135,6 +140,15 @@
         true
     }
 
+    /// Has a task crash every worker that starts it.
+    pub fn let_crash(&mut self, task: TaskKey) {
+        let after = match self.chance(self.plan.slow_crashers) {
+            true => self.random.random_range(100..2_000),
+            false => CRASH_AFTER_MS,
+        };
+        self.crashers.insert(task, after);
+    }
+
     /// A caller cancels a job; it is refused while the store is out.
     pub fn cancel(&mut self, number: u64) -> bool {
         if self.now < self.store_out_until {
@@ -199,8 +213,9 @@
         }
         for index in 0..self.workers.len() {
             self.strike_for_good(index);
-            if self.chance(self.plan.crashes) {
-                self.restart_worker(index);
+            let flaps = index < self.plan.flapping && self.chance(300);
+            if self.chance(self.plan.crashes) || flaps {
+                self.crash_worker(index);
             }
             if self.chance(self.plan.cuts) {
                 let until = self.now + self.random.random_range(500..9_000);
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -97,7 +97,9 @@
                 if now >= owner.listed_at + LIST_MS {
                     owner.listed_at = now;
                     let unlists = self.plan.unlists;
-                    let listed = |worker: &&EmulatedWorker| !unlists || worker.is_listed(now);
+                    let listed = |worker: &&EmulatedWorker| {
+                        (!unlists || worker.is_listed(now)) && now >= worker.dark_until
+                    };
                     let entries = self.workers.iter().filter(listed).map(|worker| {
                         let mut entry = listing(worker.id.as_str());
                         entry.address = place_address(worker.place);
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -10,8 +10,8 @@
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
 use super::{
-    answer_event, Message, PlatformEmulator, CONTACT_MS, DRAIN_MS, PATIENCE_MS, SOUND_AFTER_MS,
-    STOP_MS,
+    answer_event, Message, PlatformEmulator, CONTACT_MS, DRAIN_MS, GHOST_MS, PATIENCE_MS,
+    SOUND_AFTER_MS, STOP_MS,
 };
 use crate::support::emulated_worker::{EmulatedRun, EmulatedWorker};
 use crate::support::listing;
@@ -31,6 +31,7 @@
             ended: Vec::new(),
             end_count: 0,
             lapsed_at: 0,
+            dark_until: 0,
             cut_since: 0,
             cut_until: 0,
             leaves_at: None,
@@ -54,6 +55,32 @@
         }
     }
 
+    /// A worker crashes; another incarnation is back in its place some time later.
+    pub(super) fn crash_worker(&mut self, index: usize) {
+        if self.plan.down_ms == 0 || self.workers[index].for_good {
+            return self.restart_worker(index);
+        }
+        let down = self.random.random_range(1_000..self.plan.down_ms);
+        let listed = self.random.random_range(2_000..GHOST_MS).min(down);
+        let (id, place) = (self.workers[index].id.clone(), self.workers[index].place);
+        self.ghosts.push((self.now + listed, id.clone(), place));
+        self.gone.insert(id);
+        self.restart_worker(index);
+        self.workers[index].dark_until = self.now + down;
+    }
+
+    /// Whoever stood at a place before is known to be replaced once the next is up.
+    fn light_up(&mut self, index: usize) {
+        if self.workers[index].dark_until != self.now {
+            return;
+        }
+        let place = self.workers[index].place;
+        let before = self.ghosts.iter().filter(|(_, _, known)| *known == place);
+        for (_, id, _) in before {
+            self.gone.remove(id);
+        }
+    }
+
     /// Whether a worker left no other at its place that could answer for it.
     pub(super) fn is_gone_for_good(&self, worker: &WorkerId) -> bool {
         self.gone.contains(worker)
@@ -63,7 +90,8 @@
     pub(super) fn sound_room(&self) -> SoundRoom {
         let capacity = listing("w-1").capacity;
         let sound = |worker: &&EmulatedWorker| {
-            worker.draining_since.is_none() && self.now >= worker.cut_until
+            let up = self.now >= worker.cut_until && self.now >= worker.dark_until;
+            worker.draining_since.is_none() && up
         };
         let sound: Vec<_> = self.workers.iter().filter(sound).collect();
         let used = sound.iter().map(|worker| worker.used().cpu_millis);
@@ -81,6 +109,8 @@
     pub(super) fn step_workers(&mut self) {
         let now = self.now;
         for index in 0..self.workers.len() {
+            self.light_up(index);
+            self.crash_under_tasks(index);
             if self.workers[index].leaves_at.is_some_and(|at| now >= at) {
                 self.restart_worker(index);
             }
@@ -125,6 +155,19 @@
         }
     }
 
+    /// A worker goes down where a task that crashes it has been at work for long enough.
+    fn crash_under_tasks(&mut self, index: usize) {
+        let worker = &self.workers[index];
+        let due = |run: &EmulatedRun| run.crashes_at.is_some_and(|at| self.now >= at);
+        let under = worker.runs.iter().find(|(_, run)| due(run));
+        let Some((task, run)) = under.map(|(task, run)| (*task, run.run)) else {
+            return;
+        };
+        let id = worker.id.clone();
+        self.oracle.crashed(&id, RunKey { task, run });
+        self.crash_worker(index);
+    }
+
     pub(super) fn arrive(&mut self, epoch: u64, id: WorkerId, call: WorkerCall, answers: bool) {
         let now = self.now;
         let index = self.workers.iter().position(|worker| worker.id == id);
@@ -138,7 +181,7 @@
             }
             return;
         };
-        if now < self.workers[index].cut_until {
+        if now < self.workers[index].cut_until || now < self.workers[index].dark_until {
             if answers {
                 let event = answer_event(&id, &call, OrderAnswer::Unknown);
                 self.send(now + PATIENCE_MS, Message::Answered(epoch, event));
@@ -180,6 +223,8 @@
         }
         let fails = self.chance(self.plan.failed_runs);
         let step = self.step_of(&call.key.task);
+        let crashes_after = self.crashers.get(&call.key.task);
+        let crashes_at = crashes_after.map(|after| now + after);
         let max_lease = self.max_lease_ms();
         let worker = &mut self.workers[index];
         if call.deadline < clock {
@@ -238,6 +283,7 @@
                     RunOutcome::Done
                 }),
                 stopping: false,
+                crashes_at,
             },
         );
         let id = worker.id.clone();
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -13,6 +13,16 @@
     pub failed_runs: u32,
     /// In each second, a worker restarts as another incarnation.
     pub crashes: u32,
+    /// How many workers there are; 0 for six.
+    pub workers: usize,
+    /// Jobs with a task that crashes every worker that starts it.
+    pub crashers: u32,
+    /// How many of a thousand of these take up to two seconds for it; the others do so at once.
+    pub slow_crashers: u32,
+    /// How long a crashed worker is away before another incarnation is back in its place, up to, in milliseconds; 0 for at once.
+    pub down_ms: u64,
+    /// How many workers go down and up by turns, all the time.
+    pub flapping: usize,
     /// In each second, a worker is cut off for some seconds and works on.
     pub cuts: u32,
     /// In each second, a worker says that it leaves, and leaves some seconds later.
@@ -43,3 +53,13 @@
     /// The longest lease that a worker grants, in milliseconds; 0 for 6 s.
     pub max_lease_ms: u64,
 }
+
+impl FaultPlan {
+    /// How many workers there are.
+    pub fn worker_count(&self) -> usize {
+        match self.workers {
+            0 => 6,
+            count => count,
+        }
+    }
+}
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -158,6 +158,7 @@
             key,
             worker,
             heard_ms,
+            alone,
             crashes,
         } => event(
             "crash_noted",
@@ -166,6 +167,7 @@
                 ("run", &key.run),
                 ("worker", worker),
                 ("heard_ms", heard_ms),
+                ("alone", alone),
                 ("crashes", crashes),
             ],
         ),
