The daemon's clock counts the time in which its host is suspended

Cause, by reading: Instant stands still while a host is suspended. An owner that wakes up took itself for the owner still, and neither the pause between two ticks, which deposes a frozen owner, nor the end of leases in the store's time took note of it.

--- a/crates/sandshelfd/src/backend.rs
+++ b/crates/sandshelfd/src/backend.rs
@@ -1,7 +1,7 @@
 //! Sends a request to a backend server and takes in its whole answer.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use reqwest::redirect::Policy;
@@ -9,6 +9,8 @@
 use sandshelf_model::Millis;
 use sandshelf_route::AttemptEnd;
 
+use crate::clock::SteadyInstant;
+
 /// The header by which a backend server says that it did not run a request, and why.
 pub const REFUSED_HEADER: &str = "sandshelf-refused";
 /// What that header says where the server is leaving.
@@ -80,7 +82,7 @@
     patience: Duration,
     max_body: u64,
 ) -> (AttemptResult, Millis) {
-    let began = Instant::now();
+    let began = SteadyInstant::now();
     let url = format!("http://{server}{}", request.target);
     let sent = client
         .request(request.method.clone(), url)
--- a/crates/sandshelfd/src/jobs/calls.rs
+++ b/crates/sandshelfd/src/jobs/calls.rs
@@ -4,13 +4,13 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
 use sandshelf_adapter::WorkerClient;
 use sandshelf_jobs::{JobEvent, WorkerCall};
 use sandshelf_model::WorkerId;
 use tokio::sync::Semaphore;
 
+use crate::clock::SteadyInstant;
 use crate::jobs::meters;
 
 /// How many orders, beside a hold, are under way to one worker: it takes 64 connections from all hosts together, and
@@ -52,7 +52,7 @@
                 WorkerCall::Hold(_) => None,
                 _ => turns.acquire().await.ok(),
             };
-            let began = Instant::now();
+            let began = SteadyInstant::now();
             let answered = answer_of(&client, worker, address, &call).await;
             meters::note_order(&answered, began.elapsed());
             answered
--- a/crates/sandshelfd/src/jobs/face.rs
+++ b/crates/sandshelfd/src/jobs/face.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use rocket::data::{Data, ToByteUnit};
@@ -14,6 +14,7 @@
 use sandshelf_jobs::{JobNumber, QueueEntry};
 use sandshelf_model::Millis;
 
+use crate::clock::SteadyInstant;
 use crate::jobs::accept::{patience_for, JobAnswer, JobDesk};
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters;
@@ -74,7 +75,7 @@
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let shared = &self.0;
         let _open = OpenRequest::new(&shared.open_requests);
-        let began = Instant::now();
+        let began = SteadyInstant::now();
         let answer = answer_call(shared, request, data).await;
         meters::note_answer(request.method(), answer.status, began.elapsed());
         let mut response = Response::new();
--- a/crates/sandshelfd/src/jobs/health.rs
+++ b/crates/sandshelfd/src/jobs/health.rs
@@ -2,12 +2,11 @@
 
 use std::future::Future;
 use std::sync::Mutex;
-use std::time::Instant;
 
 use sandshelf_adapter::{StoreAnswer, StoreFault};
 use sandshelf_model::Millis;
 
-use crate::clock;
+use crate::clock::{self, SteadyInstant};
 use crate::jobs::meters::{self, CallEnd, StoreCall};
 use crate::jobs::notes::label;
 use crate::logging::event;
@@ -38,7 +37,7 @@
         kind: StoreCall,
         call: impl Future<Output = Result<StoreAnswer<T>, StoreFault>>,
     ) -> Result<T, StoreFault> {
-        let began = Instant::now();
+        let began = SteadyInstant::now();
         let result = call.await;
         let (fault, bytes) = match &result {
             Ok(answer) => (None, answer.bytes),
