--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -104,7 +104,58 @@
     assert_done(&fleet, 100..220);
 }
 
+/// Workers crash by themselves right after they began a sound task, again and again, but let it work for a while in between: it is never
+/// given up, since each of its runs that is proven clears it.
+fn a_task_that_is_proven_in_between_is_never_given_up() {
+    let mut fleet = CrashingFleet::new(8);
+    let stands = StepSpec {
+        standing: true,
+        ..step(1)
+    };
+    fleet.hand_in(50, job(vec![stands]), &[]);
+    let unlucky = task(50, 0, 0);
+    for crash in 0..12 {
+        let before = fleet.start_count(&unlucky);
+        while fleet.start_count(&unlucky) == before || fleet.place_of(&unlucky).is_none() {
+            fleet.pass(25);
+        }
+        // Twice on end right after it began, then after it was at work.
+        let at_work = if crash % 3 == 2 { 5_000 } else { 25 };
+        fleet.pass(at_work);
+        let place = fleet.place_of(&unlucky).expect("it is at work");
+        fleet.crash_worker(place);
+        fleet.pass(25);
+    }
+    fleet.pass(10_000);
+    assert_eq!(fleet.stage(50), Some(JobStage::Running));
+    assert!(fleet.place_of(&unlucky).is_some());
+}
+
+/// A worker crashes by itself, and orders go there until that is noticed: what they were to start was never there and starts
+/// elsewhere as usual, and of several crashes so none counts.
+fn orders_to_a_dead_worker_prove_nothing() {
+    let mut fleet = CrashingFleet::new(2);
+    let mut number = 100;
+    for _ in 0..8 {
+        fleet.pass(4_000);
+        // Something has just begun on each worker, which explains why it is not heard any more.
+        for _ in 0..2 {
+            fleet.hand_in(number, job(vec![step(2)]), &[]);
+            number += 1;
+        }
+        fleet.pass(25);
+        fleet.crash_worker(1);
+        fleet.hand_in(number, job(vec![step(4)]), &[]);
+        number += 1;
+        fleet.pass(500);
+    }
+    fleet.pass(20_000);
+    assert_done(&fleet, 100..number);
+}
+
 sandshelf_cases::cases! {
+    proven_in_between => a_task_that_is_proven_in_between_is_never_given_up();
+    orders_to_the_dead => orders_to_a_dead_worker_prove_nothing();
     crashing_task_given_up => one_owner_gives_it_up(CRASHES_AFTER_MS);
     standing_crashing_task_given_up => standing_crasher_is_given_up();
     crashing_task_given_up_by_successors => owners_in_turn_give_it_up(BACK_AFTER_MS + 1_000);
