--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -353,6 +353,7 @@
             }
         });
         let report = HoldReport {
+            life: None,
             carrier_late_ms: 0,
             clock: self.clock(now),
             running: running.collect(),
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -93,6 +93,7 @@
         let id = WorkerId::from(format!("i-{:08x}", self.incarnations));
         let rack = format!("r1-{}", place / self.rack);
         let entry = WorkerListing {
+            life: None,
             worker: id.clone(),
             service: "desk".to_owned(),
             address: address_of(place),
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -6,7 +6,7 @@
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{JobNumber, RunKey, TaskKey};
+use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
 use crate::press::StrengthRow;
 use crate::progress::ProgressRow;
 use crate::roster::WorkerRoster;
@@ -21,6 +21,8 @@
 pub struct WorkerListing {
     /// The worker's incarnation.
     pub worker: WorkerId,
+    /// Which of its lives under that name wrote the entry, where it says so.
+    pub life: Option<WorkerLife>,
     /// The service whose tasks it runs.
     pub service: String,
     /// Where it takes orders.
@@ -83,6 +85,8 @@
 /// What a worker answers to a hold.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HoldReport {
+    /// Which life of the worker answers, where it says so.
+    pub life: Option<WorkerLife>,
     /// The worker's clock.
     pub clock: WorkerClock,
     /// What is at work.
@@ -329,7 +333,40 @@
     /// A task was put back into the queue by a new owner, which found it nowhere.
     Unfound(TaskKey),
     /// A worker's lease was taken over: it answered under the new epoch.
-    Fenced(WorkerId),
+    Fenced {
+        /// The worker.
+        worker: WorkerId,
+        /// Which of its lives answered.
+        life: Option<WorkerLife>,
+    },
+    /// A worker's report is of another life than the one before.
+    AnotherLife {
+        /// The worker.
+        worker: WorkerId,
+        /// The life that answered before.
+        before: Option<WorkerLife>,
+        /// The one that answers now.
+        life: Option<WorkerLife>,
+        /// The newest reading of the clock before.
+        clock_before: Option<WorkerClock>,
+        /// The clock now.
+        clock: WorkerClock,
+        /// The number of the newest end that was taken in before.
+        noted: u64,
+        /// The number of the newest end that is listed now; 0 where none is.
+        listed: u64,
+    },
+    /// A worker lists an end under a number that was taken in before, of a run that has no end yet.
+    EndPassedOver {
+        /// The run.
+        key: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// The end's number.
+        number: u64,
+        /// The number of the newest end that was taken in before.
+        noted: u64,
+    },
     /// A worker says that it leaves.
     WorkerDraining {
         /// The worker.
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -5,8 +5,8 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use crate::events::{
-    HoldAnswer, HoldCall, HoldReport, JobNote, LossCause, OrderAnswer, RunReport, StopCause,
-    WorkerCall,
+    EndReport, HoldAnswer, HoldCall, HoldReport, JobNote, LossCause, OrderAnswer, RunReport,
+    StopCause, WorkerCall,
 };
 use crate::ids::RunKey;
 use crate::job::{DueTimes, TaskStage};
@@ -102,6 +102,7 @@
     }
 
     fn take_report(&mut self, now: Millis, worker: &WorkerId, report: HoldReport) {
+        self.note_life(worker, &report);
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -116,7 +117,10 @@
         let noted = state.noted;
         self.withdraw_crash(worker);
         if first {
-            self.note(JobNote::Fenced(worker.clone()));
+            self.note(JobNote::Fenced {
+                worker: worker.clone(),
+                life: report.life,
+            });
         }
         let mut ended = BTreeSet::new();
         let mut newest = noted;
@@ -124,6 +128,7 @@
         for end in report.ended {
             ended.insert(end.key);
             if end.number <= newest {
+                self.note_passed_over(worker, &end, newest);
                 continue;
             }
             if self.is_foreign(now, &end.key) {
@@ -161,6 +166,40 @@
         self.plan_hold(now, worker);
     }
 
+    /// Notes which life a report is of, and tells where that is another one than before.
+    fn note_life(&mut self, worker: &WorkerId, report: &HoldReport) {
+        let Some(state) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let before = std::mem::replace(&mut state.life, report.life);
+        if !state.fenced || before == report.life {
+            return;
+        }
+        let (clock_before, noted) = (state.read_clock(), state.noted);
+        self.note(JobNote::AnotherLife {
+            worker: worker.clone(),
+            before,
+            life: report.life,
+            clock_before,
+            clock: report.clock,
+            noted,
+            listed: report.ended.last().map_or(0, |end| end.number),
+        });
+    }
+
+    /// Tells of an end that is passed over although its run has no end yet.
+    fn note_passed_over(&mut self, worker: &WorkerId, end: &EndReport, noted: u64) {
+        let state = self.workers.get(worker);
+        if state.is_some_and(|state| state.runs.contains_key(&end.key)) {
+            self.note(JobNote::EndPassedOver {
+                key: end.key,
+                worker: worker.clone(),
+                number: end.number,
+                noted,
+            });
+        }
+    }
+
     /// Sets when the next hold is due: at once, unless listed ends have to become durable first.
     fn plan_hold(&mut self, now: Millis, worker: &WorkerId) {
         let Some(state) = self.workers.get_mut(worker) else {
--- a/crates/jobs/src/ids.rs
+++ b/crates/jobs/src/ids.rs
@@ -100,6 +100,18 @@
     }
 }
 
+/// Tells apart the lives of a worker that starts again under the name that it had: when a life began, by the worker's time of day, in
+/// milliseconds since 1970.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct WorkerLife(pub u64);
+
+impl fmt::Display for WorkerLife {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
 /// Names one run of a task; runs of a task are numbered upwards across all owners.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RunKey {
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -158,6 +158,7 @@
     pub(crate) fn expect_worker(&mut self, now: Millis, worker: WorkerId, address: SocketAddr) {
         let entry = WorkerListing {
             worker: worker.clone(),
+            life: None,
             service: String::new(),
             address,
             hall: HallId::from(""),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -58,7 +58,7 @@
     WorkerCall, WorkerClock, WorkerListing,
 };
 pub use gauges::SchedulerCounts;
-pub use ids::{BadIdentifier, JobNumber, RunKey, TaskKey};
+pub use ids::{BadIdentifier, JobNumber, RunKey, TaskKey, WorkerLife};
 pub use limits::SchedulerLimits;
 pub use press::{LearntPair, StrengthRow};
 pub use progress::{ProgressRow, TaskProgress};
--- a/crates/jobs/src/relay/messages.rs
+++ b/crates/jobs/src/relay/messages.rs
@@ -12,7 +12,7 @@
 use crate::events::{HoldAnswer, JobEvent, OrderAnswer, WorkerCall};
 
 /// The version of these messages; to be raised with each change of a type in them.
-pub const RELAY_VERSION: u16 = 1;
+pub const RELAY_VERSION: u16 = 2;
 /// The most bytes of one message: 256 reports of 500 runs, the most that a worker lists at once, with 60 bytes each are 8 MB.
 pub const LARGEST_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -8,7 +8,7 @@
 use crate::crash::CrashSuspect;
 use crate::events::{WorkerClock, WorkerListing};
 use crate::fill::FillBoard;
-use crate::ids::RunKey;
+use crate::ids::{RunKey, WorkerLife};
 use crate::images::ImageId;
 use crate::job::DueTimes;
 use crate::limits::{ANSWER_SOON_MS, SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT, SUSPECT_AFTER_HOLDS};
@@ -113,6 +113,8 @@
     pub(crate) unreadable: bool,
     /// Whether it has answered under this owner's epoch.
     pub(crate) fenced: bool,
+    /// Which of its lives answered last.
+    pub(crate) life: Option<WorkerLife>,
     reading: Option<ClockReading>,
     /// The latest end of a lease that was sent to it, on its clock.
     pub(crate) granted: WorkerClock,
@@ -158,6 +160,7 @@
             missing: false,
             unreadable: false,
             fenced: false,
+            life: None,
             reading: None,
             granted: 0,
             noted: 0,
@@ -205,6 +208,11 @@
         }
     }
 
+    /// The newest reading of its clock.
+    pub(crate) fn read_clock(&self) -> Option<WorkerClock> {
+        Some(self.reading?.clock)
+    }
+
     /// Its clock by now, as far as it is known.
     pub(crate) fn clock(&self, now: Millis) -> Option<WorkerClock> {
         let reading = self.reading?;
--- a/crates/jobs/tests/relay.rs
+++ b/crates/jobs/tests/relay.rs
@@ -90,6 +90,7 @@
 
 fn report() -> RelayedAnswer {
     HoldAnswer::Report(HoldReport {
+        life: None,
         carrier_late_ms: 0,
         clock: 10,
         running: Vec::new(),
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -357,6 +357,7 @@
             gauge: None,
         });
         HoldAnswer::Report(HoldReport {
+            life: None,
             carrier_late_ms: 0,
             clock,
             running: running.collect(),
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -85,6 +85,7 @@
     /// A worker answers a hold; its clock is this rig's.
     pub fn report(&mut self, worker: &str, running: Vec<RunReport>, ended: Vec<EndReport>) {
         let report = HoldReport {
+            life: None,
             carrier_late_ms: 0,
             clock: self.now,
             running,
@@ -247,6 +248,7 @@
     let number = name.trim_start_matches(|letter: char| !letter.is_ascii_digit());
     let port: u16 = number.parse().expect("a worker's name ends in a number");
     WorkerListing {
+        life: None,
         worker: WorkerId::from(name),
         service: "desk".to_owned(),
         address: ([10, 0, 0, 1], port).into(),
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -167,7 +167,9 @@
         JobNote::StartRefused { .. }
         | JobNote::TakeoverOver { .. }
         | JobNote::Unfound(_)
-        | JobNote::Fenced(_)
+        | JobNote::Fenced { .. }
+        | JobNote::AnotherLife { .. }
+        | JobNote::EndPassedOver { .. }
         | JobNote::WorkerDraining { .. }
         | JobNote::Paced(..) => {}
     }
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -133,7 +133,45 @@
             ],
         ),
         JobNote::Unfound(task) => event("task_unfound", &[("task", task)]),
-        JobNote::Fenced(worker) => event("worker_fenced", &[("worker", worker)]),
+        JobNote::Fenced { worker, life } => event(
+            "worker_fenced",
+            &[("worker", worker), ("life", &or_none(life.as_ref()))],
+        ),
+        JobNote::AnotherLife {
+            worker,
+            before,
+            life,
+            clock_before,
+            clock,
+            noted,
+            listed,
+        } => event(
+            "worker_restarted",
+            &[
+                ("worker", worker),
+                ("before", &or_none(before.as_ref())),
+                ("life", &or_none(life.as_ref())),
+                ("clock_before", &or_none(clock_before.as_ref())),
+                ("clock", clock),
+                ("noted", noted),
+                ("listed", listed),
+            ],
+        ),
+        JobNote::EndPassedOver {
+            key,
+            worker,
+            number,
+            noted,
+        } => event(
+            "end_passed_over",
+            &[
+                ("task", &key.task),
+                ("run", &key.run),
+                ("worker", worker),
+                ("number", number),
+                ("noted", noted),
+            ],
+        ),
         JobNote::WorkerDraining { worker, standing } => event(
             "worker_draining",
             &[("worker", worker), ("standing", standing)],
