Failing tests: ends and standing tasks of workers that start again under their names

The story of the incident with a rig, and five plans of the emulator in virtual time: alone, amid all other faults, beside owners that die, under tasks that crash their workers, with rooms that shrink. The emulator gives such a worker another clock and counts; calls and answers may pass each other, a parked hold breaks with the life that took it.

--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -303,6 +303,56 @@
     }
 }
 
+/// Workers that go down and start again under their names; nothing else goes wrong.
+fn same_names() -> FaultPlan {
+    FaultPlan {
+        crashes: 60,
+        same_name: 1_000,
+        guards: true,
+        standing: true,
+        max_lease_ms: 10_000,
+        ..FaultPlan::default()
+    }
+}
+
+/// Workers that start again under their names beside all else, on ways on which calls and answers pass each other.
+fn same_names_amid_all() -> FaultPlan {
+    FaultPlan {
+        crashes: 40,
+        same_name: 800,
+        slow_ways: 50,
+        ..all_at_once()
+    }
+}
+
+/// Workers that start again under their names while owners die, hand over and freeze.
+fn same_names_and_owners() -> FaultPlan {
+    FaultPlan {
+        deaths: 150,
+        hand_overs: 80,
+        freezes: 50,
+        slow_ways: 20,
+        ..same_names()
+    }
+}
+
+/// Tasks that crash their workers, which start again under their names.
+fn same_names_under_crashing_tasks() -> FaultPlan {
+    FaultPlan {
+        same_name: 1_000,
+        ..crashing_tasks()
+    }
+}
+
+/// Rooms that shrink and grow on workers that start again under their names.
+fn same_names_and_rooms() -> FaultPlan {
+    FaultPlan {
+        crashes: 30,
+        same_name: 1_000,
+        ..shrinking_rooms()
+    }
+}
+
 /// On workers that are reachable no lease runs out, whichever single calls get lost.
 fn keeps_sound_leases(seeds: std::ops::Range<u64>, plan: FaultPlan) {
     let lapses: Vec<(u64, usize)> = seeds
@@ -412,6 +462,11 @@
     rooms_shrink => is_safe(1_300..1_330, shrinking_rooms());
     rooms_by_hand => is_safe(named_seeds("SANDSHELF_ROOM_SEEDS", "1:5"), shrinking_rooms());
     small_rooms_by_hand => is_safe(named_seeds("SANDSHELF_SMALL_ROOM_SEEDS", "1:5"), FaultPlan { least_room: 30, ..shrinking_rooms() });
+    workers_start_again => holds(1_400..1_430, same_names());
+    workers_start_again_amid_all => holds(1_500..1_530, same_names_amid_all());
+    workers_start_again_and_owners_die => is_safe(1_600..1_630, same_names_and_owners());
+    workers_start_again_under_tasks => holds(1_700..1_730, same_names_under_crashing_tasks());
+    workers_start_again_with_other_rooms => is_safe(1_800..1_830, same_names_and_rooms());
     seeds_by_hand => long_run();
     away_by_hand => holds(named_seeds("SANDSHELF_AWAY_SEEDS", "500:509"), workers_gone_for_good());
     leases_by_hand => keeps_sound_leases(named_seeds("SANDSHELF_LEASE_SEEDS", "600:609"), lost_calls());
--- /dev/null
+++ b/crates/jobs/tests/lives.rs
@@ -0,0 +1,139 @@
+//! Workers that start again under the name that they had.
+//!
+//! Workers went down and were back half a second later under their names. Tasks that they then ran were done and ran once more elsewhere, and
+//! standing tasks of before stayed away for 29 s. In the owner's log no worker had gone. All its lines `run_lost cause=notthere` named workers that had
+//! started again, some with a `heard_ms` of hours. Their counts and clocks had started anew, while the owner went on with what it knew of the life
+//! before: it took ends whose numbers it knew for ends that it knew, and acknowledged them in the same call; and a run of before counted as missing only
+//! once the clock was past the time at which it had begun in the life before.
+
+mod support;
+
+use sandshelf_jobs::{
+    EndReport, HoldReport, JobAction, JobNumber, JobStage, RunKey, RunOutcome, RunReport, StepSpec,
+    WorkerCall, WorkerLife,
+};
+use support::{ended, job, runs, step, SchedulerRig};
+
+/// What the clock of a worker's first life shows when the rig's shows nothing.
+const FIRST_CLOCK: u64 = 4_000_000;
+
+/// A worker's report in one of its lives.
+fn told(life: u64, clock: u64, running: Vec<RunReport>, ended: Vec<EndReport>) -> HoldReport {
+    HoldReport {
+        life: Some(WorkerLife(life)),
+        carrier_late_ms: 0,
+        clock,
+        running,
+        ended,
+    }
+}
+
+/// An owner whose worker has ended three tasks in its first life, all acknowledged.
+fn after_three_ends() -> SchedulerRig {
+    let mut rig = SchedulerRig::new(sandshelf_jobs::TakeoverInfo::first(1, 1_000));
+    rig.list(&["w-1"]);
+    rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
+    rig.hand_in(1, 1, job(vec![step(3)]));
+    rig.pass(50);
+    let clock = FIRST_CLOCK + rig.now;
+    let started = take_starts(&mut rig, clock);
+    let ends = started.iter().zip(1..);
+    let ends = ends.map(|(key, number)| ended(number, *key, RunOutcome::Done));
+    rig.answer_hold("w-1", told(1, clock, vec![], ends.collect()));
+    rig.commit_all();
+    assert_eq!(acknowledged(&rig), 3, "all ends are durable");
+    rig
+}
+
+/// Answers all orders to start with a clock; returns their runs.
+fn take_starts(rig: &mut SchedulerRig, clock: u64) -> Vec<RunKey> {
+    let starts = rig.peek_starts();
+    rig.actions.retain(|action| {
+        !matches!(
+            action,
+            JobAction::Call {
+                call: WorkerCall::Start(_),
+                ..
+            }
+        )
+    });
+    for (worker, start) in &starts {
+        let done = sandshelf_jobs::OrderAnswer::Done(clock);
+        rig.start_answered(worker, start.key, done);
+    }
+    starts.into_iter().map(|(_, start)| start.key).collect()
+}
+
+/// The number of the newest end that the newest hold acknowledges.
+fn acknowledged(rig: &SchedulerRig) -> u64 {
+    let holds = rig.actions.iter().filter_map(|action| match action {
+        JobAction::Call {
+            call: WorkerCall::Hold(hold),
+            ..
+        } => Some(hold.last_seen),
+        _ => None,
+    });
+    holds.last().expect("a hold was sent")
+}
+
+/// The worker's connections break and it is back in another life, whose clock shows this.
+fn start_again(rig: &mut SchedulerRig, clock: u64) {
+    rig.hold_fails("w-1");
+    rig.pass(500);
+    rig.answer_hold("w-1", told(2, clock, vec![], vec![]));
+    rig.list(&["w-1"]);
+}
+
+/// A task that ends as done on a worker that has started again is done, whatever its clock shows: its end bears a number that an end
+/// of the life before bore.
+fn an_end_of_the_new_life_counts(clock: u64) {
+    let mut rig = after_three_ends();
+    start_again(&mut rig, clock);
+    rig.hand_in(2, 2, job(vec![step(1)]));
+    rig.pass(50);
+    let started = take_starts(&mut rig, clock + 50);
+    assert_eq!(started.len(), 1, "the worker is open");
+    rig.pass(100);
+    assert_eq!(acknowledged(&rig), 0, "nothing of this life was taken in");
+    let end = ended(1, started[0], RunOutcome::Done);
+    rig.answer_hold("w-1", told(2, clock + 150, vec![], vec![end]));
+    let written = rig.commit_all();
+    let rows = written.into_iter().flat_map(|batch| batch.progress);
+    let states: Vec<JobStage> = rows
+        .filter(|(number, _)| *number == JobNumber(2))
+        .map(|(_, row)| row.stage)
+        .collect();
+    assert_eq!(states.last(), Some(&JobStage::Completed));
+    assert!(rig.peek_starts().is_empty(), "the task ran once");
+}
+
+/// A standing task is started again as soon as its worker has, whatever the worker's clock shows.
+fn a_standing_task_is_back_at_once(clock: u64) {
+    let mut rig = SchedulerRig::new(sandshelf_jobs::TakeoverInfo::first(1, 1_000));
+    rig.list(&["w-1"]);
+    rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
+    let standing = StepSpec {
+        standing: true,
+        ..step(1)
+    };
+    rig.hand_in(1, 1, job(vec![standing]));
+    rig.pass(50);
+    let first = FIRST_CLOCK + rig.now;
+    let started = take_starts(&mut rig, first);
+    rig.pass(500);
+    let running = vec![runs(started[0])];
+    rig.answer_hold("w-1", told(1, first + 500, running, vec![]));
+    rig.pass(500);
+    start_again(&mut rig, clock);
+    rig.pass(300);
+    let again = take_starts(&mut rig, clock + 300);
+    assert_eq!(again.len(), 1, "the task has gone with the life before");
+    assert!(again[0].run > started[0].run);
+}
+
+sandshelf_cases::cases! {
+    end_of_a_new_life_with_a_clock_behind => an_end_of_the_new_life_counts(1_000);
+    end_of_a_new_life_with_a_clock_ahead => an_end_of_the_new_life_counts(90 * FIRST_CLOCK);
+    standing_task_back_with_a_clock_behind => a_standing_task_is_back_at_once(1_000);
+    standing_task_back_with_a_clock_ahead => a_standing_task_is_back_at_once(90 * FIRST_CLOCK);
+}
--- a/crates/jobs/tests/support/emulated_worker.rs
+++ b/crates/jobs/tests/support/emulated_worker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use sandshelf_jobs::{EndReport, RunOutcome, TaskKey};
+use sandshelf_jobs::{EndReport, RunOutcome, TaskKey, WorkerLife};
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
 /// How often a worker reports on itself.
@@ -24,8 +24,12 @@
 
 pub struct EmulatedWorker {
     pub id: WorkerId,
+    /// Which life under that name it is.
+    pub life: WorkerLife,
     pub place: usize,
     pub clock_percent: u64,
+    /// What its clock showed when this life began, and when that was.
+    pub clock_from: (u64, Millis),
     pub fence: u64,
     pub lease_until: u64,
     pub runs: BTreeMap<TaskKey, EmulatedRun>,
@@ -37,6 +41,10 @@
     pub lapsed_at: Millis,
     /// Until when nobody stands here: the one before has crashed and this one has yet to start.
     pub dark_until: Millis,
+    /// Whether connections are refused until then.
+    pub refuses: bool,
+    /// From when on lists show this life of a worker that has started again under its name.
+    pub shown_from: Millis,
     pub cut_since: Millis,
     pub cut_until: Millis,
     pub leaves_at: Option<Millis>,
@@ -112,7 +120,8 @@
 
 impl EmulatedWorker {
     pub fn clock(&self, now: Millis) -> u64 {
-        now * self.clock_percent / 100
+        let (shown, from) = self.clock_from;
+        shown + now.saturating_sub(from) * self.clock_percent / 100
     }
 
     /// Whether lists name it: an entry goes after three reports that did not come.
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
     CommitBatch, HoldAnswer, HoldCall, JobEvent, JobNumber, JobScheduler, JobSpec, OrderAnswer,
-    ProgressRow, SilentWorkers, TaskKey, WorkerCall, WorkerRoster,
+    ProgressRow, SilentWorkers, TaskKey, WorkerCall, WorkerLife, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 
@@ -39,6 +39,8 @@
 const LIST_MS: Millis = 700;
 /// How long a caller of a worker waits for an answer.
 const PATIENCE_MS: Millis = 500;
+/// How long a call or its answer is on its way at most where the way is slow.
+const SLOW_WAY_MS: Millis = 400;
 /// How long after an owner's last write another claims.
 const CLAIM_AFTER_MS: Millis = 1_500;
 /// How long the store may be read late by a new owner.
@@ -49,11 +51,39 @@
 const DRAIN_MS: Millis = 2_000;
 
 enum Message {
-    Arrives(u64, WorkerId, WorkerCall, bool),
+    Arrives(SentCall),
     Answered(u64, JobEvent),
     Written(u64, CommitBatch),
 }
 
+/// A call on its way to a worker.
+struct SentCall {
+    epoch: u64,
+    worker: WorkerId,
+    /// The life that has taken it and carries it out late; with that life it ends.
+    held_by: Option<WorkerLife>,
+    /// A hold that waits: its arrival and the look at what runs then are two calls to one life.
+    hold: Option<ParkedHold>,
+    call: WorkerCall,
+    /// Whether its answer comes back.
+    answers: bool,
+}
+
+/// Which part of a hold that waits a call is, with the hold's number.
+#[derive(Clone, Copy)]
+enum ParkedHold {
+    Arrival(u64),
+    Look(u64),
+}
+
+/// An entry of a worker that is gone, which lists go on to show for a while.
+struct GhostEntry {
+    until: Millis,
+    worker: WorkerId,
+    life: WorkerLife,
+    place: usize,
+}
+
 struct EmulatedOwner {
     epoch: u64,
     scheduler: JobScheduler,
@@ -69,13 +99,15 @@
     random: ChaCha8Rng,
     plan: FaultPlan,
     workers: Vec<EmulatedWorker>,
-    /// Workers that are gone but still listed, with until when.
-    ghosts: Vec<(Millis, WorkerId, usize)>,
+    /// Workers that are gone but still listed.
+    ghosts: Vec<GhostEntry>,
     /// Workers that left no other at their place.
     gone: BTreeSet<WorkerId>,
     incarnations: usize,
     places: usize,
     messages: BTreeMap<(Millis, u64), Message>,
+    /// Which life took each hold that waits.
+    parked: BTreeMap<u64, WorkerLife>,
     message_count: u64,
     owners: Vec<EmulatedOwner>,
     epoch: u64,
@@ -106,6 +138,7 @@
             incarnations: 0,
             places: workers,
             messages: BTreeMap::new(),
+            parked: BTreeMap::new(),
             message_count: 0,
             owners: Vec::new(),
             epoch: 0,
@@ -247,8 +280,7 @@
             self.workers[index].leaves_at = Some(self.now + serves_on);
             self.workers[index].for_good = true;
         } else if self.plan.losses > 0 && self.chance(self.plan.losses) {
-            let (id, place) = (self.workers[index].id.clone(), self.workers[index].place);
-            self.ghosts.push((self.now + GHOST_MS, id, place));
+            self.leave_entry(index, self.now + GHOST_MS);
             self.workers[index].for_good = true;
             self.restart_worker(index);
         }
@@ -265,9 +297,7 @@
                 return;
             }
             match entry.remove() {
-                Message::Arrives(epoch, worker, call, answers) => {
-                    self.arrive(epoch, worker, call, answers);
-                }
+                Message::Arrives(sent) => self.arrive(sent),
                 Message::Answered(epoch, event) => self.tell(epoch, event),
                 Message::Written(epoch, batch) => self.write(epoch, batch),
             }
@@ -280,8 +310,9 @@
             WorkerCall::Hold(hold) => hold.wait_ms,
             _ => 0,
         };
-        let arrives = self.now + self.random.random_range(1..4);
+        let arrives = self.now + self.random.random_range(1..4) + self.slow_way();
         let known = self.workers.iter().find(|known| known.id == worker);
+        let taken_by = known.map(|known| known.life);
         let cut = match known {
             Some(known) => arrives < known.cut_until,
             None => self.is_gone_for_good(&worker),
@@ -300,25 +331,52 @@
             arrives
         };
         if late || !lost {
-            let answers = !late && !mute;
-            match call {
-                // The lease counts from its arrival, the answer shows what runs when the wait is over.
-                WorkerCall::Hold(hold) if wait > 0 => {
-                    let first =
-                        Message::Arrives(epoch, worker.clone(), WorkerCall::Hold(hold), false);
-                    self.send(at, first);
-                    let look = HoldCall {
-                        deadline: None,
-                        ..hold
-                    };
-                    let shown = Message::Arrives(epoch, worker, WorkerCall::Hold(look), answers);
-                    self.send(at + wait, shown);
-                }
-                call => self.send(at, Message::Arrives(epoch, worker, call, answers)),
+            let sent = SentCall {
+                epoch,
+                worker,
+                held_by: taken_by.filter(|_| late),
+                hold: None,
+                answers: !late && !mute,
+                call,
+            };
+            match sent.call {
+                WorkerCall::Hold(hold) if wait > 0 => self.send_parked(at, sent, hold),
+                _ => self.send(at, Message::Arrives(sent)),
             }
         }
     }
 
+    /// Sends a hold that waits: the lease counts from its arrival, the answer shows what runs when the wait is over.
+    fn send_parked(&mut self, at: Millis, sent: SentCall, hold: HoldCall) {
+        let number = self.message_count;
+        let arrival = SentCall {
+            worker: sent.worker.clone(),
+            hold: Some(ParkedHold::Arrival(number)),
+            call: WorkerCall::Hold(hold),
+            answers: false,
+            ..sent
+        };
+        self.send(at, Message::Arrives(arrival));
+        let look = HoldCall {
+            deadline: None,
+            ..hold
+        };
+        let shown = SentCall {
+            hold: Some(ParkedHold::Look(number)),
+            call: WorkerCall::Hold(look),
+            ..sent
+        };
+        self.send(at + hold.wait_ms, Message::Arrives(shown));
+    }
+
+    /// By how much longer a call or its answer is on its way than usual.
+    fn slow_way(&mut self) -> Millis {
+        if self.plan.slow_ways == 0 || !self.chance(self.plan.slow_ways) {
+            return 0;
+        }
+        self.random.random_range(0..SLOW_WAY_MS)
+    }
+
     /// How many of the jobs handed in have come to an end.
     pub fn finished(&self) -> usize {
         self.progress
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -7,7 +7,7 @@
     CommitBatch, JobAction, JobEvent, JobScheduler, SchedulerLimits, TakeoverInfo, WorkerListing,
 };
 
-use sandshelf_model::Millis;
+use sandshelf_model::{Millis, WorkerId};
 
 use super::{
     EmulatedOwner, Message, PlatformEmulator, CLAIM_AFTER_MS, LIST_MS, TAKEOVER_MS, TICK_MS,
@@ -98,19 +98,28 @@
                     owner.listed_at = now;
                     let unlists = self.plan.unlists;
                     let listed = |worker: &&EmulatedWorker| {
-                        (!unlists || worker.is_listed(now)) && now >= worker.dark_until
+                        let up = now >= worker.dark_until.max(worker.shown_from);
+                        (!unlists || worker.is_listed(now)) && up
                     };
                     let entries = self.workers.iter().filter(listed).map(|worker| {
                         let mut entry = listing(worker.id.as_str());
                         entry.address = place_address(worker.place);
+                        entry.life = Some(worker.life);
                         entry.draining = worker.draining_since.is_some();
                         entry.capacity = worker.room.reported();
                         entry
                     });
-                    let ghosts = self.ghosts.iter().filter(|(until, ..)| now < *until);
-                    let ghosts = ghosts.map(|(_, id, place)| WorkerListing {
-                        address: place_address(*place),
-                        ..listing(id.as_str())
+                    let shown = |id: &WorkerId| {
+                        self.workers
+                            .iter()
+                            .any(|known| known.id == *id && listed(&known))
+                    };
+                    let ghosts = self.ghosts.iter();
+                    let ghosts = ghosts.filter(|ghost| now < ghost.until && !shown(&ghost.worker));
+                    let ghosts = ghosts.map(|ghost| WorkerListing {
+                        address: place_address(ghost.place),
+                        life: Some(ghost.life),
+                        ..listing(ghost.worker.as_str())
                     });
                     let at_most_ms = STORE_START_MS + now + READ_MS;
                     clock_shown = Some(JobEvent::StoreClock {
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -5,25 +5,32 @@
 use rand::RngExt;
 use sandshelf_jobs::{
     EndReport, HoldAnswer, HoldCall, HoldReport, JobEvent, OrderAnswer, RefusalReason, RunKey,
-    RunOutcome, RunReport, StartCall, TaskKey, WorkerCall,
+    RunOutcome, RunReport, StartCall, TaskKey, WorkerCall, WorkerLife,
 };
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
 use super::{
-    answer_event, Message, PlatformEmulator, CONTACT_MS, DRAIN_MS, GHOST_MS, PATIENCE_MS,
-    SOUND_AFTER_MS, STOP_MS,
+    answer_event, GhostEntry, Message, ParkedHold, PlatformEmulator, SentCall, CONTACT_MS,
+    DRAIN_MS, GHOST_MS, PATIENCE_MS, SOUND_AFTER_MS, STOP_MS,
 };
 use crate::support::emulated_worker::{EmulatedRun, EmulatedWorker, ShrinkingRoom, REPORT_MS};
 use crate::support::listing;
 use crate::support::oracle::{BrokenRule, SoundRoom};
 
+/// When the first life of the first worker began, in milliseconds since 1970.
+const FIRST_LIFE_MS: u64 = 1_769_000_000_000;
+/// What the clock of a worker that has started again shows at most, by an eighth.
+const MOST_CLOCK_MS: u64 = 20_000;
+
 impl PlatformEmulator {
     pub(super) fn fresh_worker(&mut self, place: usize) -> EmulatedWorker {
         self.incarnations += 1;
         EmulatedWorker {
             id: WorkerId::from(format!("w-{}", self.incarnations)),
+            life: WorkerLife(FIRST_LIFE_MS + self.incarnations as u64),
             place,
             clock_percent: self.random.random_range(98..=100),
+            clock_from: (0, 0),
             fence: 0,
             lease_until: 0,
             runs: BTreeMap::new(),
@@ -32,6 +39,8 @@
             end_count: 0,
             lapsed_at: 0,
             dark_until: 0,
+            refuses: false,
+            shown_from: 0,
             cut_since: 0,
             cut_until: 0,
             leaves_at: None,
@@ -56,29 +65,67 @@
         }
     }
 
-    /// A worker crashes; another incarnation is back in its place some time later.
+    /// A worker crashes; another incarnation is back in its place some time later, or it starts again under its name.
     pub(super) fn crash_worker(&mut self, index: usize) {
+        let again = self.plan.same_name > 0 && !self.workers[index].for_good;
+        if again && self.chance(self.plan.same_name) {
+            return self.start_again(index);
+        }
         if self.plan.down_ms == 0 || self.workers[index].for_good {
             return self.restart_worker(index);
         }
         let down = self.random.random_range(1_000..self.plan.down_ms);
         let listed = self.random.random_range(2_000..GHOST_MS).min(down);
-        let (id, place) = (self.workers[index].id.clone(), self.workers[index].place);
-        self.ghosts.push((self.now + listed, id.clone(), place));
+        self.leave_entry(index, self.now + listed);
+        let id = self.workers[index].id.clone();
         self.gone.insert(id);
         self.restart_worker(index);
         self.workers[index].dark_until = self.now + down;
     }
 
+    /// A worker goes down and starts again under its name: it knows nothing of before, and its clock shows anything.
+    fn start_again(&mut self, index: usize) {
+        self.leave_entry(index, self.now + GHOST_MS);
+        let id = self.workers[index].id.clone();
+        self.restart_worker(index);
+        let down = match self.random.random_range(0..3) {
+            0 => self.random.random_range(0..50),
+            1 => self.random.random_range(50..700),
+            _ => self.random.random_range(700..6_000),
+        };
+        let back = self.now + down;
+        let clock = self.random.random_range(0..8) * self.random.random_range(0..MOST_CLOCK_MS);
+        let shown_from = back + self.random.random_range(0..1_500);
+        let refuses = self.random.random_bool(0.5);
+        let worker = &mut self.workers[index];
+        worker.id = id;
+        worker.clock_from = (clock, back);
+        worker.lease_until = 0;
+        worker.dark_until = back;
+        worker.shown_from = shown_from;
+        worker.refuses = refuses;
+    }
+
+    /// Lists go on to show a worker's entry for a while after it is gone.
+    pub(super) fn leave_entry(&mut self, index: usize, until: Millis) {
+        let worker = &self.workers[index];
+        self.ghosts.push(GhostEntry {
+            until,
+            worker: worker.id.clone(),
+            life: worker.life,
+            place: worker.place,
+        });
+    }
+
     /// Whoever stood at a place before is known to be replaced once the next is up.
     fn light_up(&mut self, index: usize) {
         if self.workers[index].dark_until != self.now {
             return;
         }
         let place = self.workers[index].place;
-        let before = self.ghosts.iter().filter(|(_, _, known)| *known == place);
-        for (_, id, _) in before {
-            self.gone.remove(id);
+        let before = self.ghosts.iter().filter(|ghost| ghost.place == place);
+        for ghost in before {
+            self.gone.remove(&ghost.worker);
         }
     }
 
@@ -173,8 +220,16 @@
         self.crash_worker(index);
     }
 
-    pub(super) fn arrive(&mut self, epoch: u64, id: WorkerId, call: WorkerCall, answers: bool) {
+    pub(super) fn arrive(&mut self, sent: SentCall) {
         let now = self.now;
+        let SentCall {
+            epoch,
+            worker: id,
+            held_by,
+            hold,
+            call,
+            answers,
+        } = sent;
         let index = self.workers.iter().position(|worker| worker.id == id);
         let Some(index) = index else {
             if answers && self.is_gone_for_good(&id) {
@@ -186,13 +241,39 @@
             }
             return;
         };
+        let life = self.workers[index].life;
         if now < self.workers[index].cut_until || now < self.workers[index].dark_until {
+            let refused = self.workers[index].refuses && now >= self.workers[index].cut_until;
+            let (answer, after) = match refused && hold.is_none() {
+                true => (OrderAnswer::Unreachable, 1),
+                false => (OrderAnswer::Unknown, PATIENCE_MS),
+            };
             if answers {
-                let event = answer_event(&id, &call, OrderAnswer::Unknown);
-                self.send(now + PATIENCE_MS, Message::Answered(epoch, event));
+                let event = answer_event(&id, &call, answer);
+                self.send(now + after, Message::Answered(epoch, event));
             }
             return;
         }
+        if held_by.is_some_and(|held_by| held_by != life) {
+            return;
+        }
+        match hold {
+            Some(ParkedHold::Arrival(number)) => {
+                self.parked.insert(number, life);
+            }
+            Some(ParkedHold::Look(number)) => {
+                let taken_by = self.parked.remove(&number);
+                if taken_by.is_some_and(|taken_by| taken_by != life) {
+                    // The connection broke with the life that had taken the hold.
+                    if answers {
+                        let event = answer_event(&id, &call, OrderAnswer::Unknown);
+                        self.send(now + 1, Message::Answered(epoch, event));
+                    }
+                    return;
+                }
+            }
+            None => {}
+        }
         let event = match &call {
             WorkerCall::Start(start) => {
                 let answer = self.start(index, epoch, start);
@@ -208,7 +289,7 @@
             WorkerCall::Hold(hold) => JobEvent::HoldAnswered(id, self.hold(index, epoch, hold)),
         };
         if answers {
-            let delay = self.random.random_range(1..4);
+            let delay = self.random.random_range(1..4) + self.slow_way();
             self.send(now + delay, Message::Answered(epoch, event));
         }
     }
@@ -357,7 +438,7 @@
             gauge: None,
         });
         HoldAnswer::Report(HoldReport {
-            life: None,
+            life: Some(worker.life),
             carrier_late_ms: 0,
             clock,
             running: running.collect(),
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -13,6 +13,10 @@
     pub failed_runs: u32,
     /// In each second, a worker restarts as another incarnation.
     pub crashes: u32,
+    /// How many of a thousand workers that crash start again under the name that they had; their clocks and counts start anew.
+    pub same_name: u32,
+    /// How many of a thousand calls, and of answers, are on their way for up to 0.4 s, so that others pass them.
+    pub slow_ways: u32,
     /// How many workers there are; 0 for six.
     pub workers: usize,
     /// Jobs with a task that crashes every worker that starts it.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -82,7 +82,7 @@
         });
     }
 
-    /// A worker answers a hold; its clock is this rig's.
+    /// A worker answers a hold; its clock is this rig's, and which life it is it doesn't say.
     pub fn report(&mut self, worker: &str, running: Vec<RunReport>, ended: Vec<EndReport>) {
         let report = HoldReport {
             life: None,
@@ -91,6 +91,11 @@
             running,
             ended,
         };
+        self.answer_hold(worker, report);
+    }
+
+    /// A worker answers a hold with a report of its own.
+    pub fn answer_hold(&mut self, worker: &str, report: HoldReport) {
         self.tell(JobEvent::HoldAnswered(
             WorkerId::from(worker),
             HoldAnswer::Report(report),
