--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -66,14 +66,14 @@
 
 /// The number of the newest end that the newest hold acknowledges.
 fn acknowledged(rig: &SchedulerRig) -> u64 {
-    let holds = rig.actions.iter().filter_map(|action| match action {
+    let mut holds = rig.actions.iter().rev().filter_map(|action| match action {
         JobAction::Call {
             call: WorkerCall::Hold(hold),
             ..
         } => Some(hold.last_seen),
         _ => None,
     });
-    holds.last().expect("a hold was sent")
+    holds.next().expect("a hold was sent")
 }
 
 /// The worker's connections break and it is back in another life, whose clock shows this.
