--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -5,8 +5,8 @@
 use crate::events::{JobNote, JobStage, LossCause, OrderAnswer, RefusalReason, StopCause};
 use crate::ids::{RunKey, TaskKey};
 use crate::limits::{INVALID_PAUSE_MS, NO_ROOM_PAUSE_MS, UNHEALTHY_PAUSE_MS, UNREACHABLE_PAUSE_MS};
+use crate::run::RunPhase;
 use crate::scheduler::JobScheduler;
-use crate::worker::RunPhase;
 
 impl JobScheduler {
     /// Takes in the answer to an order to start.
--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -106,9 +106,9 @@
 
     fn noted_ends(&self) -> Vec<(WorkerId, u64)> {
         let fresh = self.workers.iter();
-        let fresh = fresh.filter(|(_, worker)| worker.noted > worker.durable);
+        let fresh = fresh.filter(|(_, worker)| worker.life.has_unwritten());
         fresh
-            .map(|(id, worker)| (id.clone(), worker.noted))
+            .map(|(id, worker)| (id.clone(), worker.life.noted))
             .collect()
     }
 
@@ -129,7 +129,7 @@
         let gap = self.strain.hold_gap_ms();
         for (worker, noted) in self.noted_ends() {
             if let Some(state) = self.workers.get_mut(&worker) {
-                state.durable = noted;
+                state.life.durable = noted;
             }
             self.hold_at(&worker, now + gap);
         }
@@ -148,8 +148,8 @@
             let Some(state) = self.workers.get_mut(&worker) else {
                 continue;
             };
-            state.durable = state.durable.max(noted);
-            if state.noted == state.durable {
+            state.life.durable = state.life.durable.max(noted);
+            if !state.life.has_unwritten() {
                 self.hold_at(&worker, now + gap);
             }
         }
--- a/crates/jobs/src/crash/noted.rs
+++ b/crates/jobs/src/crash/noted.rs
@@ -178,7 +178,7 @@
     /// An earlier owner started a task with a note on a worker: notes one crash more, unless that worker stands.
     fn note_lost_start(&mut self, now: Millis, worker: &WorkerId, key: RunKey) {
         let state = self.workers.get(worker);
-        if state.is_some_and(|state| state.fenced || state.listed) {
+        if state.is_some_and(|state| state.life.fenced || state.listed) {
             return;
         }
         let note = CrashNote {
--- a/crates/jobs/src/crash/probes.rs
+++ b/crates/jobs/src/crash/probes.rs
@@ -8,8 +8,8 @@
 use crate::events::WorkerCall;
 use crate::ids::RunKey;
 use crate::limits::{FEWEST_PROBES, FIRST_PROBE_MS, PROBES, PROBE_EVERY_MS};
+use crate::run::RunRecord;
 use crate::scheduler::JobScheduler;
-use crate::worker::RunRecord;
 
 impl RunRecord {
     /// Whether the worker went down with the start of this run, which it was heard of last so long after it began.
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -2,8 +2,8 @@
 
 use sandshelf_model::Millis;
 
+use crate::run::RunRecord;
 use crate::scheduler::JobScheduler;
-use crate::worker::RunRecord;
 
 /// Figures for gauges.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -9,8 +9,9 @@
 use crate::fill::{FillAsk, FillUrgency};
 use crate::ids::RunKey;
 use crate::images::ImageId;
+use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
-use crate::worker::{RunPhase, RunRecord, WorkerState};
+use crate::worker::WorkerState;
 
 /// Paces are whole multiples of this, in percent: smaller changes are not worth a call.
 const PACE_STEP: u32 = 5;
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -14,10 +14,11 @@
     FOREIGN_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, MARKED_HOLD_MS, PROVEN_AFTER_MS,
     UNACKNOWLEDGED_HOLD_MS, UNREACHABLE_PAUSE_MS,
 };
+use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
 use crate::spec::StepSpec;
 use crate::strain::WorkStrain;
-use crate::worker::{LeaseMark, RunPhase, RunRecord, WorkerState};
+use crate::worker::{LeaseMark, WorkerState};
 
 impl JobScheduler {
     /// Sends the holds that are due.
@@ -39,7 +40,7 @@
             worker.hold_sent = Some(now);
             worker.hold_wait = call.wait_ms;
             if let Some(deadline) = call.deadline {
-                worker.granted = worker.granted.max(deadline);
+                worker.life.granted = worker.life.granted.max(deadline);
             }
             self.call(&id, WorkerCall::Hold(call));
         }
@@ -108,13 +109,14 @@
         };
         state.note_clock(now, report.clock);
         state.suspects.clear();
-        let first = !state.fenced;
-        state.fenced = true;
+        let first = !state.life.fenced;
+        state.life.fenced = true;
         if first {
             // Until it is prolonged, its lease is that of the earlier owner.
-            state.granted = state.granted.max(report.clock + self.inherited_lease_ms);
+            let inherited = report.clock + self.inherited_lease_ms;
+            state.life.granted = state.life.granted.max(inherited);
         }
-        let noted = state.noted;
+        let noted = state.life.noted;
         self.withdraw_crash(worker);
         if first {
             self.note(JobNote::Fenced {
@@ -143,8 +145,8 @@
             self.take_end(now, worker, end);
         }
         if let Some(state) = self.workers.get_mut(worker) {
-            state.noted = newest;
-            self.unacknowledged |= newest > state.durable;
+            state.life.noted = newest;
+            self.unacknowledged |= newest > state.life.durable;
         }
         let mut listed = BTreeSet::new();
         for run in report.running {
@@ -171,11 +173,11 @@
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
-        let before = std::mem::replace(&mut state.life, report.life);
-        if !state.fenced || before == report.life {
+        let before = std::mem::replace(&mut state.life.name, report.life);
+        if !state.life.fenced || before == report.life {
             return;
         }
-        let (clock_before, noted) = (state.read_clock(), state.noted);
+        let (clock_before, noted) = (state.life.read_clock(), state.life.noted);
         self.note(JobNote::AnotherLife {
             worker: worker.clone(),
             before,
@@ -210,7 +212,7 @@
             LeaseMark::Marked | LeaseMark::Removed(_) => MARKED_HOLD_MS,
         };
         state.hold_gap = gap;
-        let waits = state.noted > state.durable;
+        let waits = state.life.has_unwritten();
         let pause = if waits {
             UNACKNOWLEDGED_HOLD_MS.max(gap)
         } else {
@@ -346,18 +348,18 @@
         matches!(record.phase, RunPhase::Stopping { answered, .. } if answered.is_some())
             || record.phase == RunPhase::Unsettled
     });
-    let at_once = !worker.fenced || !worker.may_prolong();
-    let wait_ms = if worker.noted > worker.durable || at_once {
+    let at_once = !worker.life.fenced || !worker.may_prolong();
+    let wait_ms = if worker.life.has_unwritten() || at_once {
         0
     } else if watched || stopping {
         strain.hold_wait_ms(HOLD_WAIT_MS)
     } else {
         strain.hold_wait_ms(IDLE_HOLD_WAIT_MS)
     };
-    let clock = worker.clock(now).filter(|_| worker.may_prolong());
+    let clock = worker.life.clock(now).filter(|_| worker.may_prolong());
     HoldCall {
         deadline: clock.map(|clock| clock + lease),
-        last_seen: worker.durable,
+        last_seen: worker.life.durable,
         wait_ms,
     }
 }
--- /dev/null
+++ b/crates/jobs/src/life.rs
@@ -0,0 +1,78 @@
+//! What is known of one life of a worker.
+//!
+//! A worker that goes down may start again under the name that it had. Its clock and its counts start anew then, so that nothing
+//! that was read or sent in one life may be compared with another. All that holds for one life only stands here, and ends with it.
+
+use sandshelf_model::Millis;
+
+use crate::events::WorkerClock;
+use crate::ids::WorkerLife;
+use crate::limits::SLOWEST_CLOCK_PERCENT;
+
+/// A reading of a worker's clock and when it reached us.
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    clock: WorkerClock,
+    at: Millis,
+}
+
+/// One life of a worker, as far as this owner has heard of it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LifeState {
+    /// Which one; none where the worker doesn't say it or has not answered.
+    pub(crate) name: Option<WorkerLife>,
+    /// Whether it has answered under this owner's epoch.
+    pub(crate) fenced: bool,
+    reading: Option<ClockReading>,
+    /// The latest end of a lease that was sent to it, on its clock.
+    pub(crate) granted: WorkerClock,
+    /// Ends up to this number were taken in.
+    pub(crate) noted: u64,
+    /// Ends up to this number are durable and may be acknowledged.
+    pub(crate) durable: u64,
+}
+
+impl LifeState {
+    /// Notes a reading of its clock; an older one than is known changes nothing.
+    pub(crate) fn note_clock(&mut self, now: Millis, clock: WorkerClock) {
+        if self.reading.is_none_or(|known| clock >= known.clock) {
+            self.reading = Some(ClockReading { clock, at: now });
+        }
+    }
+
+    /// The newest reading of its clock.
+    pub(crate) fn read_clock(&self) -> Option<WorkerClock> {
+        Some(self.reading?.clock)
+    }
+
+    /// Its clock by now, as far as it is known.
+    pub(crate) fn clock(&self, now: Millis) -> Option<WorkerClock> {
+        let reading = self.reading?;
+        Some(reading.clock + now.saturating_sub(reading.at))
+    }
+
+    /// What its clock shows at least by now, however slow it runs.
+    fn least_clock(&self, now: Millis) -> Option<WorkerClock> {
+        let reading = self.reading?;
+        let passed = now.saturating_sub(reading.at) * SLOWEST_CLOCK_PERCENT / 100;
+        Some(reading.clock + passed)
+    }
+
+    /// From when on all that was leased to it has certainly run out, unless that is prolonged; none before it has answered.
+    pub(crate) fn lease_over_at(&self) -> Option<Millis> {
+        let reading = self.reading?;
+        let left = (self.granted + 1).saturating_sub(reading.clock);
+        Some(reading.at + (left * 100).div_ceil(SLOWEST_CLOCK_PERCENT))
+    }
+
+    /// Whether all that was leased to it has certainly run out.
+    pub(crate) fn lease_is_over(&self, now: Millis) -> bool {
+        self.least_clock(now)
+            .is_some_and(|clock| clock > self.granted)
+    }
+
+    /// Whether ends were taken in that are not durable yet.
+    pub(crate) fn has_unwritten(&self) -> bool {
+        self.noted > self.durable
+    }
+}
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -13,8 +13,9 @@
 use crate::job::TaskStage;
 use crate::limits::{LOOKS_PER_PASS, ROUND_WITHIN_MS, START_VALID_MS};
 use crate::rank::{place_rank, PassMemo, PlaceCost, PlaceRank, RankTier, VainTries, WaitingGroup};
+use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::{JobScheduler, WaitKey};
-use crate::worker::{RunPhase, RunRecord, WorkerState};
+use crate::worker::WorkerState;
 
 impl JobScheduler {
     /// Starts waiting tasks on workers that have room, the most urgent first.
@@ -422,8 +423,8 @@
             return;
         };
         let image = self.images.get(&step.image);
-        let deadline = state.clock(now).unwrap_or(0) + START_VALID_MS;
-        state.granted = state.granted.max(deadline);
+        let deadline = state.life.clock(now).unwrap_or(0) + START_VALID_MS;
+        state.life.granted = state.life.granted.max(deadline);
         let free_cpu = state.free().cpu_millis;
         let mut record = RunRecord::new(&step, image, RunPhase::Ordered, deadline);
         record.due = due;
--- a/crates/jobs/src/readings.rs
+++ b/crates/jobs/src/readings.rs
@@ -8,8 +8,9 @@
 use crate::ids::TaskKey;
 use crate::images::ImageId;
 use crate::press::{load_of_tail, FillLoads};
+use crate::run::RunRecord;
 use crate::scheduler::JobScheduler;
-use crate::worker::{RunRecord, WorkerState};
+use crate::worker::WorkerState;
 
 /// A reading within this time of a change of what fills tells partly of what was before: readings cover the last half second.
 const SETTLED_AFTER_MS: Millis = 400;
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -119,7 +119,7 @@
                 if !worker.listed && !unanswered && worker.is_silent(now) {
                     idle.push(id.clone());
                 }
-            } else if worker.is_silent(now) && worker.lease_is_over(now) {
+            } else if worker.is_silent(now) && worker.life.lease_is_over(now) {
                 over.push(id.clone());
             }
         }
--- /dev/null
+++ b/crates/jobs/src/run.rs
@@ -0,0 +1,116 @@
+//! What is known of one run that may be at work on a worker.
+
+use sandshelf_model::{Millis, ResourceSize};
+
+use crate::events::WorkerClock;
+use crate::images::ImageId;
+use crate::job::DueTimes;
+use crate::spec::StepSpec;
+
+/// What part of its declared processors a filling task uses that was not read yet.
+const USUAL_USE: f64 = 0.87;
+
+/// How far an order to start has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// It was sent and its answer is awaited.
+    Ordered,
+    /// It got no answer: it may have been done, or may be done later.
+    Unsettled,
+    /// The worker said that it runs, at this time of its clock.
+    Running(WorkerClock),
+    /// A stop was sent; answered at this time of the worker's clock, if it was.
+    Stopping {
+        sent: Millis,
+        answered: Option<WorkerClock>,
+    },
+}
+
+impl RunPhase {
+    /// Whether a stop was sent.
+    pub(crate) fn is_stopping(&self) -> bool {
+        matches!(self, RunPhase::Stopping { .. })
+    }
+}
+
+/// A run that may be at work on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct RunRecord {
+    pub(crate) phase: RunPhase,
+    /// What it takes of the worker's room.
+    pub(crate) room: ResourceSize,
+    /// Whether that is known.
+    pub(crate) sized: bool,
+    /// What it would use of the processors, in thousandths of a core.
+    pub(crate) cpu_millis: u64,
+    /// How many probes have followed its start.
+    pub(crate) probes: u32,
+    /// When it was ordered to start; 0 for one that an earlier owner ordered.
+    pub(crate) ordered_at: Millis,
+    /// When the worker said that it runs, by its own clock; kept also once it is to stop.
+    pub(crate) began: Option<WorkerClock>,
+    /// Until when on the worker's clock the order to start it may be carried out.
+    pub(crate) start_deadline: WorkerClock,
+    pub(crate) fills: bool,
+    pub(crate) standing: bool,
+    pub(crate) target_ms: Millis,
+    pub(crate) image: ImageId,
+    pub(crate) checkpoint: Option<String>,
+    pub(crate) percent: u32,
+    pub(crate) gauge: Option<u64>,
+    /// The share at which it was told to work, in percent.
+    pub(crate) pace: u32,
+    /// What part of its declared processors it was seen to use at full pace.
+    pub(crate) use_ratio: Option<f64>,
+    /// When its job should be done.
+    pub(crate) due: DueTimes,
+    /// In how many readings on end it used much more or less than its pace says.
+    pub(crate) off_pace: u32,
+    /// Since when it has been slowed down.
+    pub(crate) slowed_since: Option<Millis>,
+    /// Since when every reading has been over its target.
+    pub(crate) over_since: Option<Millis>,
+}
+
+impl RunRecord {
+    /// What it uses of the processors at full pace, in thousandths of a core, as far as it was seen.
+    pub(crate) fn full_use(&self) -> f64 {
+        self.cpu_millis as f64 * self.use_ratio.unwrap_or(USUAL_USE)
+    }
+
+    /// Makes the record of a run of a step's task.
+    pub(crate) fn new(
+        step: &StepSpec,
+        image: ImageId,
+        phase: RunPhase,
+        start_deadline: WorkerClock,
+    ) -> Self {
+        let began = match phase {
+            RunPhase::Running(clock) => Some(clock),
+            RunPhase::Ordered | RunPhase::Unsettled | RunPhase::Stopping { .. } => None,
+        };
+        Self {
+            phase,
+            probes: 0,
+            ordered_at: 0,
+            began,
+            room: step.room(),
+            sized: true,
+            cpu_millis: step.size.cpu_millis,
+            start_deadline,
+            fills: step.fills,
+            standing: step.standing,
+            target_ms: step.target_ms,
+            image,
+            checkpoint: None,
+            percent: 0,
+            gauge: None,
+            pace: 100,
+            use_ratio: None,
+            due: DueTimes::never(),
+            off_pace: 0,
+            slowed_since: None,
+            over_since: None,
+        }
+    }
+}
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -6,8 +6,8 @@
 use crate::ids::{RunKey, TaskKey};
 use crate::job::TaskStage;
 use crate::limits::STOP_RETRY_MS;
+use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
-use crate::worker::{RunPhase, RunRecord};
 
 impl JobScheduler {
     /// Orders a run to stop, once.
--- a/crates/jobs/src/silent.rs
+++ b/crates/jobs/src/silent.rs
@@ -130,7 +130,7 @@
                 self.show_mark(&id);
             }
         }
-        let answers = |worker: &WorkerState| worker.fenced && worker.failed_holds == 0;
+        let answers = |worker: &WorkerState| worker.life.fenced && worker.failed_holds == 0;
         let back = self.workers.iter();
         let back = back.filter(|(_, worker)| worker.mark == LeaseMark::Marked && answers(worker));
         let back: Vec<WorkerId> = back.map(|(id, _)| id.clone()).collect();
@@ -159,7 +159,7 @@
     /// From when on nothing that was leased to a worker can be at work there.
     fn lease_over_at(&self, now: Millis, worker: &WorkerId) -> Millis {
         let known = self.workers.get(worker);
-        let own = known.and_then(WorkerState::lease_over_at);
+        let own = known.and_then(|worker| worker.life.lease_over_at());
         let recovery = self.recovery.as_ref();
         let inherited = recovery.map(|recovery| recovery.over_at(worker));
         own.or(inherited).unwrap_or(now)
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -8,86 +8,13 @@
 use crate::crash::CrashSuspect;
 use crate::events::{WorkerClock, WorkerListing};
 use crate::fill::FillBoard;
-use crate::ids::{RunKey, WorkerLife};
-use crate::images::ImageId;
-use crate::job::DueTimes;
-use crate::limits::{ANSWER_SOON_MS, SILENT_AFTER_MS, SLOWEST_CLOCK_PERCENT, SUSPECT_AFTER_HOLDS};
+use crate::ids::RunKey;
+use crate::life::LifeState;
+use crate::limits::{ANSWER_SOON_MS, SILENT_AFTER_MS, SUSPECT_AFTER_HOLDS};
 use crate::press::{FillLoads, PressEstimate};
-use crate::spec::StepSpec;
+use crate::run::RunRecord;
 use crate::swing::LoadBook;
 
-/// What part of its declared processors a filling task uses that was not read yet.
-const USUAL_USE: f64 = 0.87;
-
-/// How far an order to start has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RunPhase {
-    /// It was sent and its answer is awaited.
-    Ordered,
-    /// It got no answer: it may have been done, or may be done later.
-    Unsettled,
-    /// The worker said that it runs, at this time of its clock.
-    Running(WorkerClock),
-    /// A stop was sent; answered at this time of the worker's clock, if it was.
-    Stopping {
-        sent: Millis,
-        answered: Option<WorkerClock>,
-    },
-}
-
-impl RunPhase {
-    /// Whether a stop was sent.
-    pub(crate) fn is_stopping(&self) -> bool {
-        matches!(self, RunPhase::Stopping { .. })
-    }
-}
-
-/// A run that may be at work on a worker.
-#[derive(Clone, Debug)]
-pub(crate) struct RunRecord {
-    pub(crate) phase: RunPhase,
-    /// What it takes of the worker's room.
-    pub(crate) room: ResourceSize,
-    /// Whether that is known.
-    pub(crate) sized: bool,
-    /// What it would use of the processors, in thousandths of a core.
-    pub(crate) cpu_millis: u64,
-    /// How many probes have followed its start.
-    pub(crate) probes: u32,
-    /// When it was ordered to start; 0 for one that an earlier owner ordered.
-    pub(crate) ordered_at: Millis,
-    /// When the worker said that it runs, by its own clock; kept also once it is to stop.
-    pub(crate) began: Option<WorkerClock>,
-    /// Until when on the worker's clock the order to start it may be carried out.
-    pub(crate) start_deadline: WorkerClock,
-    pub(crate) fills: bool,
-    pub(crate) standing: bool,
-    pub(crate) target_ms: Millis,
-    pub(crate) image: ImageId,
-    pub(crate) checkpoint: Option<String>,
-    pub(crate) percent: u32,
-    pub(crate) gauge: Option<u64>,
-    /// The share at which it was told to work, in percent.
-    pub(crate) pace: u32,
-    /// What part of its declared processors it was seen to use at full pace.
-    pub(crate) use_ratio: Option<f64>,
-    /// When its job should be done.
-    pub(crate) due: DueTimes,
-    /// In how many readings on end it used much more or less than its pace says.
-    pub(crate) off_pace: u32,
-    /// Since when it has been slowed down.
-    pub(crate) slowed_since: Option<Millis>,
-    /// Since when every reading has been over its target.
-    pub(crate) over_since: Option<Millis>,
-}
-
-/// A reading of a worker's clock and when it reached us.
-#[derive(Clone, Copy, Debug)]
-struct ClockReading {
-    clock: WorkerClock,
-    at: Millis,
-}
-
 /// Whether it is written down that the lease of a silent worker ends, so that nothing may prolong it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum LeaseMark {
@@ -111,17 +38,8 @@
     pub(crate) missing: bool,
     /// Whether the newest list has an entry of its name that can't be read.
     pub(crate) unreadable: bool,
-    /// Whether it has answered under this owner's epoch.
-    pub(crate) fenced: bool,
-    /// Which of its lives answered last.
-    pub(crate) life: Option<WorkerLife>,
-    reading: Option<ClockReading>,
-    /// The latest end of a lease that was sent to it, on its clock.
-    pub(crate) granted: WorkerClock,
-    /// Ends up to this number were taken in.
-    pub(crate) noted: u64,
-    /// Ends up to this number are durable and may be acknowledged.
-    pub(crate) durable: u64,
+    /// Its present life.
+    pub(crate) life: LifeState,
     pub(crate) hold_sent: Option<Millis>,
     /// How long the worker may wait before it answers the hold that is under way.
     pub(crate) hold_wait: Millis,
@@ -159,12 +77,7 @@
             listed: false,
             missing: false,
             unreadable: false,
-            fenced: false,
-            life: None,
-            reading: None,
-            granted: 0,
-            noted: 0,
-            durable: 0,
+            life: LifeState::default(),
             hold_sent: None,
             hold_wait: 0,
             hold_due: now,
@@ -203,26 +116,13 @@
         self.told_silent = false;
         self.unanswered = false;
         self.failed_holds = 0;
-        if self.reading.is_none_or(|known| clock >= known.clock) {
-            self.reading = Some(ClockReading { clock, at: now });
-        }
-    }
-
-    /// The newest reading of its clock.
-    pub(crate) fn read_clock(&self) -> Option<WorkerClock> {
-        Some(self.reading?.clock)
-    }
-
-    /// Its clock by now, as far as it is known.
-    pub(crate) fn clock(&self, now: Millis) -> Option<WorkerClock> {
-        let reading = self.reading?;
-        Some(reading.clock + now.saturating_sub(reading.at))
+        self.life.note_clock(now, clock);
     }
 
     /// How long after a run began the worker was last heard, by its own clock; none where nothing told that it began.
     pub(crate) fn heard_after(&self, record: &RunRecord) -> Option<Millis> {
-        let reading = self.reading?;
-        Some(reading.clock.saturating_sub(record.began?))
+        let heard = self.life.read_clock()?;
+        Some(heard.saturating_sub(record.began?))
     }
 
     /// Of the orders to start without an answer, the one that was sent first.
@@ -239,31 +139,11 @@
         })
     }
 
-    /// What its clock shows at least by now, however slow it runs.
-    fn least_clock(&self, now: Millis) -> Option<WorkerClock> {
-        let reading = self.reading?;
-        let passed = now.saturating_sub(reading.at) * SLOWEST_CLOCK_PERCENT / 100;
-        Some(reading.clock + passed)
-    }
-
-    /// From when on all that was leased to it has certainly run out, unless that is prolonged; none before it has answered.
-    pub(crate) fn lease_over_at(&self) -> Option<Millis> {
-        let reading = self.reading?;
-        let left = (self.granted + 1).saturating_sub(reading.clock);
-        Some(reading.at + (left * 100).div_ceil(SLOWEST_CLOCK_PERCENT))
-    }
-
     /// Whether its lease may be prolonged.
     pub(crate) fn may_prolong(&self) -> bool {
         self.mark == LeaseMark::None && !self.unanswered
     }
 
-    /// Whether all that was leased to it has certainly run out.
-    pub(crate) fn lease_is_over(&self, now: Millis) -> bool {
-        self.least_clock(now)
-            .is_some_and(|clock| clock > self.granted)
-    }
-
     /// Whether it has not answered for a while.
     pub(crate) fn is_silent(&self, now: Millis) -> bool {
         let waits = if self.hold_sent.is_some() {
@@ -279,20 +159,20 @@
     /// call that gets lost says nothing, and while a mark stands nothing prolongs the lease.
     pub(crate) fn is_suspect(&self, now: Millis) -> bool {
         let late = now.saturating_sub(self.last_answer) > ANSWER_SOON_MS;
-        self.failed_holds >= SUSPECT_AFTER_HOLDS || !self.fenced && late
+        self.failed_holds >= SUSPECT_AFTER_HOLDS || !self.life.fenced && late
     }
 
     /// Whether it may be given tasks, which prolongs its lease. One that answers is there, also where a list that suffered with the store omits it.
     pub(crate) fn is_open(&self, now: Millis) -> bool {
         let leaves = self.entry.draining || self.missing;
         let prolongs = self.mark == LeaseMark::None;
-        self.fenced && prolongs && !leaves && now >= self.paused_until && !self.is_silent(now)
+        self.life.fenced && prolongs && !leaves && now >= self.paused_until && !self.is_silent(now)
     }
 
     /// Whether tasks may be at work here that only its own answers tell of. One that leaves and has ended all that it was given
     /// gets nothing new, so that nobody has to wait for its answer.
     pub(crate) fn may_hold_tasks(&self) -> bool {
-        let emptied = self.fenced && self.runs.is_empty() && self.noted == self.durable;
+        let emptied = self.life.fenced && self.runs.is_empty() && !self.life.has_unwritten();
         !(self.entry.draining && emptied)
     }
 
@@ -371,46 +251,3 @@
         self.filling_cpu = filling;
     }
 }
-
-impl RunRecord {
-    /// What it uses of the processors at full pace, in thousandths of a core, as far as it was seen.
-    pub(crate) fn full_use(&self) -> f64 {
-        self.cpu_millis as f64 * self.use_ratio.unwrap_or(USUAL_USE)
-    }
-
-    /// Makes the record of a run of a step's task.
-    pub(crate) fn new(
-        step: &StepSpec,
-        image: ImageId,
-        phase: RunPhase,
-        start_deadline: WorkerClock,
-    ) -> Self {
-        let began = match phase {
-            RunPhase::Running(clock) => Some(clock),
-            RunPhase::Ordered | RunPhase::Unsettled | RunPhase::Stopping { .. } => None,
-        };
-        Self {
-            phase,
-            probes: 0,
-            ordered_at: 0,
-            began,
-            room: step.room(),
-            sized: true,
-            cpu_millis: step.size.cpu_millis,
-            start_deadline,
-            fills: step.fills,
-            standing: step.standing,
-            target_ms: step.target_ms,
-            image,
-            checkpoint: None,
-            percent: 0,
-            gauge: None,
-            pace: 100,
-            use_ratio: None,
-            due: DueTimes::never(),
-            off_pace: 0,
-            slowed_since: None,
-            over_since: None,
-        }
-    }
-}
