A worker that has started again under its name is in another life: its clock and its counts begin anew

Cause: the owner kept what it had read and counted of a worker under the worker's name, which outlives what was read and counted. After a restart under the same name it passed over ends whose numbers it knew and acknowledged them, compared times of two clocks, and granted leases by a clock that was gone.

Change: what holds for one life only is one value (LifeState), which a report of another life replaces as a whole. What the life before had answered for is lost with it, as with a worker whose place another has taken; an order without an answer is settled anew.

--- a/crates/jobs/src/crash/noted.rs
+++ b/crates/jobs/src/crash/noted.rs
@@ -16,7 +16,7 @@
         let planned = state.is_none_or(|state| state.entry.draining);
         let convicted = match cause {
             _ if planned => None,
-            LossCause::Replaced => {
+            LossCause::Replaced | LossCause::Restarted => {
                 self.crashes.blamed.remove(worker);
                 self.note_crash(now, worker)
             }
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -339,7 +339,7 @@
         /// Which of its lives answered.
         life: Option<WorkerLife>,
     },
-    /// A worker's report is of another life than the one before.
+    /// A worker has started again under its name: what it held before is lost.
     AnotherLife {
         /// The worker.
         worker: WorkerId,
@@ -421,6 +421,8 @@
     LeaseOver,
     /// Another incarnation took the worker's place.
     Replaced,
+    /// The worker has started again under its name.
+    Restarted,
     /// The worker left after it had announced so.
     Left,
     /// The worker reports neither the run nor its end.
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -103,7 +103,7 @@
     }
 
     fn take_report(&mut self, now: Millis, worker: &WorkerId, report: HoldReport) {
-        self.note_life(worker, &report);
+        self.take_life(now, worker, &report);
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -168,27 +168,6 @@
         self.plan_hold(now, worker);
     }
 
-    /// Notes which life a report is of, and tells where that is another one than before.
-    fn note_life(&mut self, worker: &WorkerId, report: &HoldReport) {
-        let Some(state) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let before = std::mem::replace(&mut state.life.name, report.life);
-        if !state.life.fenced || before == report.life {
-            return;
-        }
-        let (clock_before, noted) = (state.life.read_clock(), state.life.noted);
-        self.note(JobNote::AnotherLife {
-            worker: worker.clone(),
-            before,
-            life: report.life,
-            clock_before,
-            clock: report.clock,
-            noted,
-            listed: report.ended.last().map_or(0, |end| end.number),
-        });
-    }
-
     /// Tells of an end that is passed over although its run has no end yet.
     fn note_passed_over(&mut self, worker: &WorkerId, end: &EndReport, noted: u64) {
         let state = self.workers.get(worker);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -40,6 +40,7 @@
 mod readings;
 mod recovery;
 pub mod relay;
+mod restart;
 mod rooms;
 mod roster;
 mod run;
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -33,6 +33,19 @@
 }
 
 impl LifeState {
+    /// A life that has answered nothing yet.
+    pub(crate) fn new(name: Option<WorkerLife>) -> Self {
+        Self {
+            name,
+            ..Self::default()
+        }
+    }
+
+    /// Whether a worker that names its life so is in another one; one that doesn't name it may be in any.
+    pub(crate) fn is_other(&self, name: Option<WorkerLife>) -> bool {
+        matches!((self.name, name), (Some(known), Some(named)) if known != named)
+    }
+
     /// Notes a reading of its clock; an older one than is known changes nothing.
     pub(crate) fn note_clock(&mut self, now: Millis, clock: WorkerClock) {
         if self.reading.is_none_or(|known| clock >= known.clock) {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -73,6 +73,11 @@
 }
 
 impl RunRecord {
+    /// Whether the worker has said that it runs.
+    pub(crate) fn was_answered(&self) -> bool {
+        self.began.is_some()
+    }
+
     /// What it uses of the processors at full pace, in thousandths of a core, as far as it was seen.
     pub(crate) fn full_use(&self) -> f64 {
         self.cpu_millis as f64 * self.use_ratio.unwrap_or(USUAL_USE)
