Ends are acknowledged only to the life that listed them

Cause: an acknowledgement names a number, and whoever takes it forgets all ends up to that number. A life that nobody has heard of yet numbers its ends from 1; where it had carried out a start that was meant for the life before, and ended it, the next hold forgot the end unread.

Change: while an order to start is not confirmed by the life that is known, or the newest hold got no answer, holds acknowledge nothing. A hold whose acknowledgement only waits for an answer that is due within 0.1 s is put off for a tick, so that it costs no look more.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -59,6 +59,7 @@
         self.note_clock(now, worker, clock);
         if let Some(record) = self.record_mut(worker, &key) {
             record.began.get_or_insert(clock);
+            record.confirmed = true;
             if record.phase == RunPhase::Ordered || record.phase == RunPhase::Unsettled {
                 record.phase = RunPhase::Running(clock);
             }
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -12,7 +12,7 @@
 use crate::job::{DueTimes, TaskStage};
 use crate::limits::{
     FOREIGN_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, MARKED_HOLD_MS, PROVEN_AFTER_MS,
-    UNACKNOWLEDGED_HOLD_MS, UNREACHABLE_PAUSE_MS,
+    TICK_MS, UNACKNOWLEDGED_HOLD_MS, UNREACHABLE_PAUSE_MS,
 };
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
@@ -36,9 +36,14 @@
             if worker.hold_sent.is_some() || now < worker.hold_due {
                 continue;
             }
+            if worker.awaits_start(now) && worker.withholds_ends(now) {
+                self.hold_at(&id, now + TICK_MS);
+                continue;
+            }
             let call = next_hold(worker, now, lease, &self.strain);
             worker.hold_sent = Some(now);
             worker.hold_wait = call.wait_ms;
+            worker.hold_seen = call.last_seen;
             if let Some(deadline) = call.deadline {
                 worker.life.granted = worker.life.granted.max(deadline);
             }
@@ -107,6 +112,7 @@
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
+        state.life.acknowledged = state.life.acknowledged.max(state.hold_seen);
         state.note_clock(now, report.clock);
         state.suspects.clear();
         let first = !state.life.fenced;
@@ -181,7 +187,7 @@
         }
     }
 
-    /// Sets when the next hold is due: at once, unless listed ends have to become durable first.
+    /// Sets when the next hold is due: at once, unless listed ends can't be acknowledged yet.
     fn plan_hold(&mut self, now: Millis, worker: &WorkerId) {
         let Some(state) = self.workers.get_mut(worker) else {
             return;
@@ -191,9 +197,11 @@
             LeaseMark::Marked | LeaseMark::Removed(_) => MARKED_HOLD_MS,
         };
         state.hold_gap = gap;
-        let waits = state.life.has_unwritten();
-        let pause = if waits {
+        let pause = if state.life.has_unwritten() {
             UNACKNOWLEDGED_HOLD_MS.max(gap)
+        } else if state.withholds_ends(now) {
+            // A worker that lists ends answers at once, however long it may wait.
+            HOLD_WAIT_MS.max(gap)
         } else {
             gap
         };
@@ -215,6 +223,7 @@
                 record.checkpoint = run.checkpoint;
             }
             record.began.get_or_insert(clock);
+            record.confirmed = true;
             if matches!(record.phase, RunPhase::Ordered | RunPhase::Unsettled) {
                 record.phase = RunPhase::Running(clock);
                 self.note_begun(&key.task);
@@ -328,7 +337,7 @@
             || record.phase == RunPhase::Unsettled
     });
     let at_once = !worker.life.fenced || !worker.may_prolong();
-    let wait_ms = if worker.life.has_unwritten() || at_once {
+    let wait_ms = if worker.life.has_unwritten() || worker.withholds_ends(now) || at_once {
         0
     } else if watched || stopping {
         strain.hold_wait_ms(HOLD_WAIT_MS)
@@ -338,7 +347,10 @@
     let clock = worker.life.clock(now).filter(|_| worker.may_prolong());
     HoldCall {
         deadline: clock.map(|clock| clock + lease),
-        last_seen: worker.life.durable,
+        last_seen: match worker.may_acknowledge(now) {
+            true => worker.life.durable,
+            false => 0,
+        },
         wait_ms,
     }
 }
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -30,6 +30,8 @@
     pub(crate) noted: u64,
     /// Ends up to this number are durable and may be acknowledged.
     pub(crate) durable: u64,
+    /// Ends up to this number were acknowledged by a hold that it answered.
+    pub(crate) acknowledged: u64,
 }
 
 impl LifeState {
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -49,6 +49,8 @@
 };
 /// How long after its sending an order to start may still be carried out; a multiple of the usual answer time.
 pub const START_VALID_MS: Millis = 1_500;
+/// Within this time a start is answered, some 5 ms where the worker is well: an acknowledgement waits so long for it.
+pub const START_ANSWER_MS: Millis = 100;
 /// How long a worker may wait for an end before it answers a hold: a new reading of its tails is due by then.
 pub const HOLD_WAIT_MS: Millis = 500;
 /// How long it may wait where nothing there is watched closely.
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -48,7 +48,7 @@
         });
         let listed = listed_runs(report);
         let kept = self.take_runs(worker, |key, record| {
-            listed.contains(key) || !record.was_answered()
+            listed.contains(key) || !record.confirmed
         });
         self.lose_crashed(now, worker, LossCause::Restarted);
         self.quarantine.forget(worker);
@@ -93,6 +93,7 @@
         let record = RunRecord {
             phase: RunPhase::Unsettled,
             began: None,
+            confirmed: false,
             start_deadline: NO_DEADLINE,
             ..record
         };
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -45,6 +45,8 @@
     pub(crate) cpu_millis: u64,
     /// How many probes have followed its start.
     pub(crate) probes: u32,
+    /// Whether it is certain that the worker's present life has it: that life has said so.
+    pub(crate) confirmed: bool,
     /// When it was ordered to start; 0 for one that an earlier owner ordered.
     pub(crate) ordered_at: Millis,
     /// When the worker said that it runs, by its own clock; kept also once it is to stop.
@@ -73,11 +75,6 @@
 }
 
 impl RunRecord {
-    /// Whether the worker has said that it runs.
-    pub(crate) fn was_answered(&self) -> bool {
-        self.began.is_some()
-    }
-
     /// What it uses of the processors at full pace, in thousandths of a core, as far as it was seen.
     pub(crate) fn full_use(&self) -> f64 {
         self.cpu_millis as f64 * self.use_ratio.unwrap_or(USUAL_USE)
@@ -97,6 +94,7 @@
         Self {
             phase,
             probes: 0,
+            confirmed: began.is_some(),
             ordered_at: 0,
             began,
             room: step.room(),
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -10,9 +10,9 @@
 use crate::fill::FillBoard;
 use crate::ids::RunKey;
 use crate::life::LifeState;
-use crate::limits::{ANSWER_SOON_MS, SILENT_AFTER_MS, SUSPECT_AFTER_HOLDS};
+use crate::limits::{ANSWER_SOON_MS, SILENT_AFTER_MS, START_ANSWER_MS, SUSPECT_AFTER_HOLDS};
 use crate::press::{FillLoads, PressEstimate};
-use crate::run::RunRecord;
+use crate::run::{RunPhase, RunRecord};
 use crate::swing::LoadBook;
 
 /// Whether it is written down that the lease of a silent worker ends, so that nothing may prolong it.
@@ -43,6 +43,8 @@
     pub(crate) hold_sent: Option<Millis>,
     /// How long the worker may wait before it answers the hold that is under way.
     pub(crate) hold_wait: Millis,
+    /// Which ends that hold acknowledges.
+    pub(crate) hold_seen: u64,
     pub(crate) hold_due: Millis,
     /// How long the next hold is put off after an answer.
     pub(crate) hold_gap: Millis,
@@ -80,6 +82,7 @@
             life: LifeState::default(),
             hold_sent: None,
             hold_wait: 0,
+            hold_seen: 0,
             hold_due: now,
             hold_gap: 0,
             last_answer: now,
@@ -144,6 +147,29 @@
         self.mark == LeaseMark::None && !self.unanswered
     }
 
+    /// Whether ends may be acknowledged: whoever takes the acknowledgement is the life that listed them.
+    ///
+    /// A worker that has started again numbers its ends anew. While it may have carried out a start that the known life has not
+    /// answered for, that run's end may bear a number that is known, and would be forgotten unread. A start that leaves together with the
+    /// acknowledgement has not ended before that is there.
+    pub(crate) fn may_acknowledge(&self, now: Millis) -> bool {
+        let sure = |record: &RunRecord| record.confirmed || record.ordered_at == now;
+        !self.unanswered && self.runs.values().all(sure)
+    }
+
+    /// Whether ends wait to be acknowledged that may not be yet.
+    pub(crate) fn withholds_ends(&self, now: Millis) -> bool {
+        self.life.durable > self.life.acknowledged && !self.may_acknowledge(now)
+    }
+
+    /// Whether a start was ordered a moment ago whose answer is due.
+    pub(crate) fn awaits_start(&self, now: Millis) -> bool {
+        let awaited = |record: &RunRecord| {
+            record.phase == RunPhase::Ordered && now < record.ordered_at + START_ANSWER_MS
+        };
+        self.runs.values().any(awaited)
+    }
+
     /// Whether it has not answered for a while.
     pub(crate) fn is_silent(&self, now: Millis) -> bool {
         let waits = if self.hold_sent.is_some() {
--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -131,9 +131,28 @@
     assert!(again[0].run > started[0].run);
 }
 
+/// While an order to start has no answer nothing is acknowledged: a life that nobody has heard of may have carried it out, and have
+/// ended the run under a number of the life before.
+fn a_start_without_an_answer_holds_acknowledgements_back() {
+    let mut rig = after_three_ends();
+    rig.hand_in(2, 2, job(vec![step(1)]));
+    rig.pass(50);
+    let starts = rig.peek_starts();
+    assert_eq!(starts.len(), 1, "the worker is open");
+    let first = FIRST_CLOCK + rig.now;
+    rig.answer_hold("w-1", told(1, first, vec![], vec![]));
+    rig.pass(400);
+    assert_eq!(acknowledged(&rig), 0, "who has the start is not known");
+    let running = vec![runs(starts[0].1.key)];
+    rig.answer_hold("w-1", told(1, first + 400, running, vec![]));
+    rig.pass(50);
+    assert_eq!(acknowledged(&rig), 3, "the life that is known has it");
+}
+
 sandshelf_cases::cases! {
     end_of_a_new_life_with_a_clock_behind => an_end_of_the_new_life_counts(1_000);
     end_of_a_new_life_with_a_clock_ahead => an_end_of_the_new_life_counts(90 * FIRST_CLOCK);
+    start_without_an_answer => a_start_without_an_answer_holds_acknowledgements_back();
     standing_task_back_with_a_clock_behind => a_standing_task_is_back_at_once(1_000);
     standing_task_back_with_a_clock_ahead => a_standing_task_is_back_at_once(90 * FIRST_CLOCK);
 }
