Answers to orders are told apart by the clock that they show: another life's says nothing of the one that is known

Cause: answers to starts and stops don't name the worker's life. One of a life that nobody has heard of yet set the clock that the owner reckons with and made a run count as begun on it; the next report of the life before, or one of the new life that was made earlier, then didn't list the run, which was given up while it was at work. A run that a worker had just confirmed and took down with it counted as one that the next life may hold, so that the crash was not noted with it.

Change: an answer counts for the known life only where its clock fits that life's newest reading; any other has the worker looked at at once. A run that another life has is given up only by a look that went out after that answer.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -4,7 +4,10 @@
 
 use crate::events::{JobNote, JobStage, LossCause, OrderAnswer, RefusalReason, StopCause};
 use crate::ids::{RunKey, TaskKey};
-use crate::limits::{INVALID_PAUSE_MS, NO_ROOM_PAUSE_MS, UNHEALTHY_PAUSE_MS, UNREACHABLE_PAUSE_MS};
+use crate::life::ClockSight;
+use crate::limits::{
+    INVALID_PAUSE_MS, NO_ROOM_PAUSE_MS, OLDEST_ANSWER_MS, UNHEALTHY_PAUSE_MS, UNREACHABLE_PAUSE_MS,
+};
 use crate::run::RunPhase;
 use crate::scheduler::JobScheduler;
 
@@ -27,7 +30,8 @@
         match answer {
             OrderAnswer::Done(clock) => self.run_began(now, worker, key, clock),
             OrderAnswer::Refused(clock, reason) => {
-                self.note_clock(now, worker, clock);
+                let asked = self.start_asked(now, worker, &key);
+                self.take_sight(now, worker, ClockSight { clock, asked });
                 match reason {
                     RefusalReason::Fenced => self.deposed = true,
                     RefusalReason::NoRoom => self.pause_worker(worker, now + NO_ROOM_PAUSE_MS),
@@ -55,13 +59,29 @@
         }
     }
 
+    /// When the order to start a run went out; one that is not known any more may have been sent long ago.
+    fn start_asked(&self, now: Millis, worker: &WorkerId, key: &RunKey) -> Millis {
+        let state = self.workers.get(worker);
+        let record = state.and_then(|state| state.runs.get(key));
+        record.map_or(now.saturating_sub(OLDEST_ANSWER_MS), |record| {
+            record.ordered_at
+        })
+    }
+
     fn run_began(&mut self, now: Millis, worker: &WorkerId, key: RunKey, clock: u64) {
-        self.note_clock(now, worker, clock);
+        let asked = self.start_asked(now, worker, &key);
+        let known = self.take_sight(now, worker, ClockSight { clock, asked });
         if let Some(record) = self.record_mut(worker, &key) {
-            record.began.get_or_insert(clock);
-            record.confirmed = true;
-            if record.phase == RunPhase::Ordered || record.phase == RunPhase::Unsettled {
-                record.phase = RunPhase::Running(clock);
+            let settles = matches!(record.phase, RunPhase::Ordered | RunPhase::Unsettled);
+            if known {
+                record.began.get_or_insert(clock);
+                record.confirmed = true;
+            }
+            if settles {
+                record.phase = match known {
+                    true => RunPhase::Running(clock),
+                    false => RunPhase::Elsewhere(now),
+                };
             }
         }
         self.note_begun(&key.task);
@@ -98,18 +118,10 @@
         answer: OrderAnswer,
     ) {
         match answer {
-            OrderAnswer::Done(clock) => {
-                self.note_clock(now, worker, clock);
-                self.stop_answered(worker, key, clock);
-                self.hold_soon(now, worker);
-            }
+            OrderAnswer::Done(clock) => self.stop_answered(now, worker, key, clock),
             OrderAnswer::Refused(clock, reason) => {
-                self.note_clock(now, worker, clock);
-                match reason {
-                    RefusalReason::Fenced => self.deposed = true,
-                    _ => self.stop_answered(worker, key, clock),
-                }
-                self.hold_soon(now, worker);
+                self.deposed |= reason == RefusalReason::Fenced;
+                self.stop_answered(now, worker, key, clock);
             }
             OrderAnswer::Replaced => self.lose_worker(now, worker, LossCause::Replaced),
             OrderAnswer::Unreachable => self.check_left(now, worker),
@@ -117,11 +129,19 @@
         }
     }
 
-    fn stop_answered(&mut self, worker: &WorkerId, key: RunKey, clock: u64) {
-        if let Some(record) = self.record_mut(worker, &key) {
+    /// A stop was answered; what a life that is not known answers says nothing of the one that it was meant for.
+    fn stop_answered(&mut self, now: Millis, worker: &WorkerId, key: RunKey, clock: u64) {
+        let record = self.record_mut(worker, &key);
+        let asked = match record.map(|record| record.phase) {
+            Some(RunPhase::Stopping { sent, .. }) => sent,
+            _ => now.saturating_sub(OLDEST_ANSWER_MS),
+        };
+        let known = self.take_sight(now, worker, ClockSight { clock, asked });
+        if let Some(record) = self.record_mut(worker, &key).filter(|_| known) {
             if let RunPhase::Stopping { answered, .. } = &mut record.phase {
                 *answered = Some(clock);
             }
         }
+        self.hold_soon(now, worker);
     }
 }
--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -9,6 +9,8 @@
 use crate::fill::{FillAsk, FillUrgency};
 use crate::ids::RunKey;
 use crate::images::ImageId;
+use crate::life::ClockSight;
+use crate::limits::OLDEST_ANSWER_MS;
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
 use crate::worker::WorkerState;
@@ -180,7 +182,10 @@
         answer: OrderAnswer,
     ) {
         match answer {
-            OrderAnswer::Done(clock) => self.note_clock(now, worker, clock),
+            OrderAnswer::Done(clock) => {
+                let asked = now.saturating_sub(OLDEST_ANSWER_MS);
+                self.take_sight(now, worker, ClockSight { clock, asked });
+            }
             OrderAnswer::Refused(_, RefusalReason::Fenced) => self.deposed = true,
             OrderAnswer::Replaced => self.lose_worker(now, worker, LossCause::Replaced),
             _ => {
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -10,6 +10,7 @@
 };
 use crate::ids::RunKey;
 use crate::job::{DueTimes, TaskStage};
+use crate::life::ClockSight;
 use crate::limits::{
     FOREIGN_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, MARKED_HOLD_MS, PROVEN_AFTER_MS,
     TICK_MS, UNACKNOWLEDGED_HOLD_MS, UNREACHABLE_PAUSE_MS,
@@ -89,10 +90,12 @@
             HoldAnswer::Failed(_) | HoldAnswer::Fenced => {}
         }
         match answer {
-            HoldAnswer::Report(report) => self.take_report(now, worker, report),
+            HoldAnswer::Report(report) => {
+                self.take_report(now, worker, sent.unwrap_or(now), report);
+            }
             HoldAnswer::Fenced => self.deposed = true,
             HoldAnswer::Failed(answer) => {
-                state.unanswered = true;
+                state.unsure = true;
                 state.failed_holds += 1;
                 self.hold_at(worker, now + HOLD_RETRY_MS);
                 match answer {
@@ -107,13 +110,18 @@
         }
     }
 
-    fn take_report(&mut self, now: Millis, worker: &WorkerId, report: HoldReport) {
+    /// Takes in a report; the look that it answers went out at `asked`.
+    fn take_report(&mut self, now: Millis, worker: &WorkerId, asked: Millis, report: HoldReport) {
         self.take_life(now, worker, &report);
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
         state.life.acknowledged = state.life.acknowledged.max(state.hold_seen);
-        state.note_clock(now, report.clock);
+        let sight = ClockSight {
+            clock: report.clock,
+            asked,
+        };
+        state.note_answer(now, sight);
         state.suspects.clear();
         let first = !state.life.fenced;
         state.life.fenced = true;
@@ -163,7 +171,11 @@
             }
             self.take_running(now, worker, report.clock, run);
         }
-        self.drop_missing(now, worker, report.clock, &listed);
+        let sight = ClockSight {
+            clock: report.clock,
+            asked,
+        };
+        self.drop_missing(now, worker, sight, &listed);
         if first {
             self.note_answered(worker);
             self.check_recovery(now);
@@ -224,7 +236,10 @@
             }
             record.began.get_or_insert(clock);
             record.confirmed = true;
-            if matches!(record.phase, RunPhase::Ordered | RunPhase::Unsettled) {
+            if matches!(
+                record.phase,
+                RunPhase::Ordered | RunPhase::Unsettled | RunPhase::Elsewhere(_)
+            ) {
                 record.phase = RunPhase::Running(clock);
                 self.note_begun(&key.task);
             }
@@ -304,15 +319,17 @@
         &mut self,
         now: Millis,
         worker: &WorkerId,
-        clock: u64,
+        sight: ClockSight,
         listed: &BTreeSet<RunKey>,
     ) {
+        let ClockSight { clock, asked } = sight;
         let Some(state) = self.workers.get(worker) else {
             return;
         };
         let missing = state.runs.iter().filter(|(key, record)| {
             let settled = match record.phase {
                 RunPhase::Ordered | RunPhase::Unsettled => clock > record.start_deadline,
+                RunPhase::Elsewhere(answered) => asked >= answered,
                 RunPhase::Running(began) => clock > began,
                 RunPhase::Stopping { answered, .. } => {
                     answered.is_some_and(|answered| clock > answered)
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -9,13 +9,25 @@
 use crate::ids::WorkerLife;
 use crate::limits::SLOWEST_CLOCK_PERCENT;
 
+/// How far clocks may be off each other within the time of one order, and how late a host may read its own, in milliseconds.
+const CLOCK_SLACK_MS: Millis = 50;
+
 /// A reading of a worker's clock and when it reached us.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
     clock: WorkerClock,
+    /// When the call went out that it answers: it was read after that.
+    asked: Millis,
     at: Millis,
 }
 
+/// What a worker answered an order with: its clock, and when the order went out.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClockSight {
+    pub(crate) clock: WorkerClock,
+    pub(crate) asked: Millis,
+}
+
 /// One life of a worker, as far as this owner has heard of it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LifeState {
@@ -49,12 +61,31 @@
     }
 
     /// Notes a reading of its clock; an older one than is known changes nothing.
-    pub(crate) fn note_clock(&mut self, now: Millis, clock: WorkerClock) {
+    pub(crate) fn note_clock(&mut self, now: Millis, sight: ClockSight) {
+        let ClockSight { clock, asked } = sight;
         if self.reading.is_none_or(|known| clock >= known.clock) {
-            self.reading = Some(ClockReading { clock, at: now });
+            self.reading = Some(ClockReading {
+                clock,
+                asked,
+                at: now,
+            });
         }
     }
 
+    /// Whether an order was answered by this life, by the clock that the answer shows: answers to orders don't name the life.
+    ///
+    /// A life's clock goes on from the newest reading at its own pace, and that of a later life began after the reading, from nothing or
+    /// from anywhere. So one that fits is of this life, but for a life that was not older than the order and its answer took.
+    pub(crate) fn answered(&self, now: Millis, sight: ClockSight) -> bool {
+        let Some(reading) = self.reading else {
+            return true;
+        };
+        let before = reading.at.saturating_sub(sight.asked);
+        let least = reading.clock.saturating_sub(before + CLOCK_SLACK_MS);
+        let most = reading.clock + now.saturating_sub(reading.asked) + CLOCK_SLACK_MS;
+        (least..=most).contains(&sight.clock)
+    }
+
     /// The newest reading of its clock.
     pub(crate) fn read_clock(&self) -> Option<WorkerClock> {
         Some(self.reading?.clock)
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -51,6 +51,9 @@
 pub const START_VALID_MS: Millis = 1_500;
 /// Within this time a start is answered, some 5 ms where the worker is well: an acknowledgement waits so long for it.
 pub const START_ANSWER_MS: Millis = 100;
+/// An answer is to an order that went out no longer ago, where that is not remembered: orders wait for their turn, half a second for each of
+/// three at once before them, and half a second for their answer.
+pub const OLDEST_ANSWER_MS: Millis = 3_000;
 /// How long a worker may wait for an end before it answers a hold: a new reading of its tails is due by then.
 pub const HOLD_WAIT_MS: Millis = 500;
 /// How long it may wait where nothing there is watched closely.
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -90,8 +90,12 @@
         listed: bool,
     ) {
         let stopping = record.phase.is_stopping();
+        let settled = listed || matches!(record.phase, RunPhase::Elsewhere(_));
         let record = RunRecord {
-            phase: RunPhase::Unsettled,
+            phase: match record.phase {
+                RunPhase::Elsewhere(answered) => RunPhase::Elsewhere(answered),
+                _ => RunPhase::Unsettled,
+            },
             began: None,
             confirmed: false,
             start_deadline: NO_DEADLINE,
@@ -100,7 +104,7 @@
         if let Some(state) = self.workers.get_mut(worker) {
             state.add_run(key, record);
         }
-        if stopping || !listed {
+        if stopping || !settled {
             self.stop_run(now, worker, key, StopCause::Unsettled);
         }
     }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -17,9 +17,12 @@
     Ordered,
     /// It got no answer: it may have been done, or may be done later.
     Unsettled,
+    /// A life of the worker that is not known has carried it out: its answer came at this time. A look that goes out later tells
+    /// whether it is at work.
+    Elsewhere(Millis),
     /// The worker said that it runs, at this time of its clock.
     Running(WorkerClock),
-    /// A stop was sent; answered at this time of the worker's clock, if it was.
+    /// A stop was sent, first at this time; answered at that time of the worker's clock, if it was.
     Stopping {
         sent: Millis,
         answered: Option<WorkerClock>,
@@ -89,7 +92,10 @@
     ) -> Self {
         let began = match phase {
             RunPhase::Running(clock) => Some(clock),
-            RunPhase::Ordered | RunPhase::Unsettled | RunPhase::Stopping { .. } => None,
+            RunPhase::Ordered
+            | RunPhase::Unsettled
+            | RunPhase::Elsewhere(_)
+            | RunPhase::Stopping { .. } => None,
         };
         Self {
             phase,
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -5,6 +5,7 @@
 use crate::events::{EndReport, JobNote, JobStage, LossCause, RunOutcome, StopCause, WorkerCall};
 use crate::ids::{RunKey, TaskKey};
 use crate::job::TaskStage;
+use crate::life::ClockSight;
 use crate::limits::STOP_RETRY_MS;
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
@@ -44,12 +45,7 @@
             };
             let record = self.record_mut(&worker, &key);
             let phase = record.map(|record| &mut record.phase);
-            if let Some(RunPhase::Stopping {
-                sent,
-                answered: None,
-            }) = phase
-            {
-                *sent = now;
+            if let Some(RunPhase::Stopping { answered: None, .. }) = phase {
                 self.send_stop(now, &worker, key);
             }
         }
@@ -317,10 +313,16 @@
         record
     }
 
-    pub(crate) fn note_clock(&mut self, now: Millis, worker: &WorkerId, clock: u64) {
-        if let Some(state) = self.workers.get_mut(worker) {
-            state.note_clock(now, clock);
+    /// Takes in the clock that an order was answered with; returns whether the life that is known has answered it.
+    pub(crate) fn take_sight(&mut self, now: Millis, worker: &WorkerId, sight: ClockSight) -> bool {
+        let Some(state) = self.workers.get_mut(worker) else {
+            return false;
+        };
+        let known = state.take_sight(now, sight);
+        if !known {
+            self.hold_soon(now, worker);
         }
+        known
     }
 
     pub(crate) fn pause_worker(&mut self, worker: &WorkerId, until: Millis) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -6,10 +6,10 @@
 use sandshelf_model::{Millis, ResourceSize};
 
 use crate::crash::CrashSuspect;
-use crate::events::{WorkerClock, WorkerListing};
+use crate::events::WorkerListing;
 use crate::fill::FillBoard;
 use crate::ids::RunKey;
-use crate::life::LifeState;
+use crate::life::{ClockSight, LifeState};
 use crate::limits::{ANSWER_SOON_MS, SILENT_AFTER_MS, START_ANSWER_MS, SUSPECT_AFTER_HOLDS};
 use crate::press::{FillLoads, PressEstimate};
 use crate::run::{RunPhase, RunRecord};
@@ -50,8 +50,9 @@
     pub(crate) hold_gap: Millis,
     pub(crate) last_answer: Millis,
     pub(crate) told_silent: bool,
-    /// Whether the newest hold got no answer: the lease is not prolonged before one does, so that it runs out.
-    pub(crate) unanswered: bool,
+    /// Whether the newest hold got no answer, or a life that is not known has answered an order: before a hold is answered nothing prolongs
+    /// the lease, so that it runs out.
+    pub(crate) unsure: bool,
     /// How many holds on end got no answer.
     pub(crate) failed_holds: u32,
     /// Whether a successor would read that its lease ends.
@@ -87,7 +88,7 @@
             hold_gap: 0,
             last_answer: now,
             told_silent: false,
-            unanswered: false,
+            unsure: false,
             failed_holds: 0,
             mark,
             paused_until: 0,
@@ -113,13 +114,24 @@
         self.board.take();
     }
 
-    /// Notes a reading of its clock; an older one than is known changes nothing.
-    pub(crate) fn note_clock(&mut self, now: Millis, clock: WorkerClock) {
+    /// Notes an answer of its present life.
+    pub(crate) fn note_answer(&mut self, now: Millis, sight: ClockSight) {
         self.last_answer = now;
         self.told_silent = false;
-        self.unanswered = false;
+        self.unsure = false;
         self.failed_holds = 0;
-        self.life.note_clock(now, clock);
+        self.life.note_clock(now, sight);
+    }
+
+    /// Takes in the clock that an order was answered with; returns whether the known life has answered. Where it was another one, a
+    /// hold has to tell which.
+    pub(crate) fn take_sight(&mut self, now: Millis, sight: ClockSight) -> bool {
+        let known = self.life.answered(now, sight);
+        match known {
+            true => self.note_answer(now, sight),
+            false => self.unsure = true,
+        }
+        known
     }
 
     /// How long after a run began the worker was last heard, by its own clock; none where nothing told that it began.
@@ -144,7 +156,7 @@
 
     /// Whether its lease may be prolonged.
     pub(crate) fn may_prolong(&self) -> bool {
-        self.mark == LeaseMark::None && !self.unanswered
+        self.mark == LeaseMark::None && !self.unsure
     }
 
     /// Whether ends may be acknowledged: whoever takes the acknowledgement is the life that listed them.
@@ -154,7 +166,7 @@
     /// acknowledgement has not ended before that is there.
     pub(crate) fn may_acknowledge(&self, now: Millis) -> bool {
         let sure = |record: &RunRecord| record.confirmed || record.ordered_at == now;
-        !self.unanswered && self.runs.values().all(sure)
+        !self.unsure && self.runs.values().all(sure)
     }
 
     /// Whether ends wait to be acknowledged that may not be yet.
--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -420,6 +420,28 @@
     }
 }
 
+/// A longer run by hand on workers that start again under their names: `SANDSHELF_LIFE_SEEDS=1:2000`, `SANDSHELF_LIFE_PLAN=0` for one
+/// plan alone.
+fn life_run() {
+    let seeds = named_seeds("SANDSHELF_LIFE_SEEDS", "1:5");
+    let plans = [
+        same_names(),
+        same_names_amid_all(),
+        same_names_and_owners(),
+        same_names_under_crashing_tasks(),
+        same_names_and_rooms(),
+    ];
+    let chosen = std::env::var("SANDSHELF_LIFE_PLAN").ok();
+    for (number, plan) in plans.into_iter().enumerate() {
+        if chosen
+            .as_ref()
+            .is_none_or(|chosen| *chosen == number.to_string())
+        {
+            is_safe(seeds.clone(), plan);
+        }
+    }
+}
+
 /// Each rule of the oracle fires on what breaks it.
 fn oracle_sees(rule: BrokenRule, play: impl Fn(&mut PlatformOracle)) {
     let mut oracle = PlatformOracle::default();
@@ -467,6 +489,7 @@
     workers_start_again_and_owners_die => is_safe(1_600..1_630, same_names_and_owners());
     workers_start_again_under_tasks => holds(1_700..1_730, same_names_under_crashing_tasks());
     workers_start_again_with_other_rooms => is_safe(1_800..1_830, same_names_and_rooms());
+    lives_by_hand => life_run();
     seeds_by_hand => long_run();
     away_by_hand => holds(named_seeds("SANDSHELF_AWAY_SEEDS", "500:509"), workers_gone_for_good());
     leases_by_hand => keeps_sound_leases(named_seeds("SANDSHELF_LEASE_SEEDS", "600:609"), lost_calls());
--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -97,13 +97,7 @@
     assert_eq!(acknowledged(&rig), 0, "nothing of this life was taken in");
     let end = ended(1, started[0], RunOutcome::Done);
     rig.answer_hold("w-1", told(2, clock + 150, vec![], vec![end]));
-    let written = rig.commit_all();
-    let rows = written.into_iter().flat_map(|batch| batch.progress);
-    let states: Vec<JobStage> = rows
-        .filter(|(number, _)| *number == JobNumber(2))
-        .map(|(_, row)| row.stage)
-        .collect();
-    assert_eq!(states.last(), Some(&JobStage::Completed));
+    assert_eq!(final_stages(&mut rig), vec![JobStage::Completed]);
     assert!(rig.peek_starts().is_empty(), "the task ran once");
 }
 
@@ -149,9 +143,36 @@
     assert_eq!(acknowledged(&rig), 3, "the life that is known has it");
 }
 
+/// An order that another life has answered says nothing of the one that is known: the run is not missing where a look that went out before
+/// the answer doesn't list it, whichever life answers that look. It is not started a second time, and its end counts.
+fn an_order_is_answered_by_another_life(looked_at: u64, clock: u64) {
+    let mut rig = after_three_ends();
+    rig.hand_in(2, 2, job(vec![step(1)]));
+    rig.pass(50);
+    let started = take_starts(&mut rig, 1_000);
+    rig.answer_hold("w-1", told(looked_at, clock, vec![], vec![]));
+    rig.pass(25);
+    assert!(rig.peek_starts().is_empty(), "the new life may have it");
+    let end = ended(1, started[0], RunOutcome::Done);
+    rig.answer_hold("w-1", told(2, 1_300, vec![], vec![end]));
+    assert_eq!(final_stages(&mut rig), vec![JobStage::Completed]);
+    assert!(rig.peek_starts().is_empty(), "the task ran once");
+}
+
+/// The final states that are written of the second job.
+fn final_stages(rig: &mut SchedulerRig) -> Vec<JobStage> {
+    let written = rig.commit_all();
+    let rows = written.into_iter().flat_map(|batch| batch.progress);
+    let rows = rows.filter(|(number, _)| *number == JobNumber(2));
+    let stages = rows.map(|(_, row)| row.stage);
+    stages.filter(|stage| stage.is_final()).collect()
+}
+
 sandshelf_cases::cases! {
     end_of_a_new_life_with_a_clock_behind => an_end_of_the_new_life_counts(1_000);
     end_of_a_new_life_with_a_clock_ahead => an_end_of_the_new_life_counts(90 * FIRST_CLOCK);
+    order_answered_by_another_life => an_order_is_answered_by_another_life(1, FIRST_CLOCK + 1_500);
+    order_answered_by_a_life_looked_at => an_order_is_answered_by_another_life(2, 1_010);
     start_without_an_answer => a_start_without_an_answer_holds_acknowledgements_back();
     standing_task_back_with_a_clock_behind => a_standing_task_is_back_at_once(1_000);
     standing_task_back_with_a_clock_ahead => a_standing_task_is_back_at_once(90 * FIRST_CLOCK);
