A write that was under way when its worker went down acknowledges nothing of the next life

Cause: a commit remembered up to which number a worker's ends were written, and by whose name. Taking effect after the worker had started again it made the new life's first ends count as durable, and the next hold forgot them unread.

Change: the commit remembers the life as well.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use sandshelf_model::{Millis, WorkerId};
+use sandshelf_model::Millis;
 
 use crate::events::{CommitBatch, JobAction, JobStage};
 use crate::ids::JobNumber;
@@ -12,7 +12,7 @@
 use crate::press::StrengthRow;
 use crate::progress::ProgressRow;
 use crate::roster::WorkerRoster;
-use crate::scheduler::{JobScheduler, PendingCommit};
+use crate::scheduler::{JobScheduler, NotedEnds, PendingCommit};
 
 impl JobScheduler {
     /// Begins a write where one is wanted and none is under way.
@@ -104,12 +104,15 @@
         }
     }
 
-    fn noted_ends(&self) -> Vec<(WorkerId, u64)> {
+    fn noted_ends(&self) -> Vec<NotedEnds> {
         let fresh = self.workers.iter();
         let fresh = fresh.filter(|(_, worker)| worker.life.has_unwritten());
-        fresh
-            .map(|(id, worker)| (id.clone(), worker.life.noted))
-            .collect()
+        let ends = fresh.map(|(id, worker)| NotedEnds {
+            worker: id.clone(),
+            life: worker.life.name,
+            newest: worker.life.noted,
+        });
+        ends.collect()
     }
 
     fn roster_entries(&self) -> WorkerRoster {
@@ -127,11 +130,11 @@
     /// Nothing waits to be written: all ends that were taken in may be acknowledged.
     fn acknowledge_all(&mut self, now: Millis) {
         let gap = self.strain.hold_gap_ms();
-        for (worker, noted) in self.noted_ends() {
-            if let Some(state) = self.workers.get_mut(&worker) {
-                state.life.durable = noted;
+        for ends in self.noted_ends() {
+            if let Some(state) = self.workers.get_mut(&ends.worker) {
+                state.life.durable = ends.newest;
             }
-            self.hold_at(&worker, now + gap);
+            self.hold_at(&ends.worker, now + gap);
         }
     }
 
@@ -144,13 +147,15 @@
         self.lease_published |= commit.roster;
         self.release_noted(now, commit.crashed);
         let gap = self.strain.hold_gap_ms();
-        for (worker, noted) in commit.noted {
-            let Some(state) = self.workers.get_mut(&worker) else {
+        for ends in commit.noted {
+            let state = self.workers.get_mut(&ends.worker);
+            // Numbers of a life that is over say nothing of the one that has begun since.
+            let Some(state) = state.filter(|state| state.life.name == ends.life) else {
                 continue;
             };
-            state.life.durable = state.life.durable.max(noted);
+            state.life.durable = state.life.durable.max(ends.newest);
             if !state.life.has_unwritten() {
-                self.hold_at(&worker, now + gap);
+                self.hold_at(&ends.worker, now + gap);
             }
         }
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,7 +9,7 @@
 use crate::crash::CrashBook;
 use crate::events::{JobAction, JobEvent, JobNote, WorkerCall};
 use crate::foreign::ForeignRuns;
-use crate::ids::{JobNumber, RunKey, TaskKey};
+use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
 use crate::images::ImageTable;
 use crate::job::{JobState, TaskStage};
 use crate::limits::{
@@ -38,14 +38,22 @@
     pub(crate) task: TaskKey,
 }
 
+/// Ends that one life of a worker listed, up to a number.
+#[derive(Clone, Debug)]
+pub(crate) struct NotedEnds {
+    pub(crate) worker: WorkerId,
+    pub(crate) life: Option<WorkerLife>,
+    pub(crate) newest: u64,
+}
+
 /// A commit under way.
 #[derive(Clone, Debug)]
 pub(crate) struct PendingCommit {
     pub(crate) id: u64,
     /// Whether it publishes the roster, and with it how long leases are.
     pub(crate) roster: bool,
-    /// Ends that are durable once it took effect, by worker.
-    pub(crate) noted: Vec<(WorkerId, u64)>,
+    /// Ends that are durable once it took effect.
+    pub(crate) noted: Vec<NotedEnds>,
     /// Tasks whose newest crash is durable once it took effect.
     pub(crate) crashed: Vec<TaskKey>,
 }
--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -9,8 +9,8 @@
 mod support;
 
 use sandshelf_jobs::{
-    EndReport, HoldReport, JobAction, JobNumber, JobStage, RunKey, RunOutcome, RunReport, StepSpec,
-    WorkerCall, WorkerLife,
+    EndReport, HoldReport, JobAction, JobEvent, JobNumber, JobStage, RunKey, RunOutcome, RunReport,
+    StepSpec, WorkerCall, WorkerLife,
 };
 use support::{ended, job, runs, step, SchedulerRig};
 
@@ -159,6 +159,29 @@
     assert!(rig.peek_starts().is_empty(), "the task ran once");
 }
 
+/// A write that was under way when its worker went down acknowledges nothing of the next life.
+fn a_write_of_the_life_before_says_nothing() {
+    let mut rig = SchedulerRig::new(sandshelf_jobs::TakeoverInfo::first(1, 1_000));
+    rig.list(&["w-1"]);
+    rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
+    rig.commit_all();
+    rig.hand_in(1, 1, job(vec![step(1)]));
+    rig.pass(50);
+    let began = FIRST_CLOCK + rig.now;
+    let started = take_starts(&mut rig, began);
+    rig.commit_all();
+    let end = ended(1, started[0], RunOutcome::Done);
+    let clock = FIRST_CLOCK + rig.now;
+    rig.answer_hold("w-1", told(1, clock, vec![], vec![end]));
+    rig.pass(50);
+    let batch = rig.take_commit().expect("the end is written");
+    start_again(&mut rig, 1_000);
+    rig.tell(JobEvent::Committed(batch.id));
+    rig.answer_hold("w-1", told(2, 1_050, vec![], vec![]));
+    rig.pass(50);
+    assert_eq!(acknowledged(&rig), 0, "nothing of this life was taken in");
+}
+
 /// The final states that are written of the second job.
 fn final_stages(rig: &mut SchedulerRig) -> Vec<JobStage> {
     let written = rig.commit_all();
@@ -173,6 +196,7 @@
     end_of_a_new_life_with_a_clock_ahead => an_end_of_the_new_life_counts(90 * FIRST_CLOCK);
     order_answered_by_another_life => an_order_is_answered_by_another_life(1, FIRST_CLOCK + 1_500);
     order_answered_by_a_life_looked_at => an_order_is_answered_by_another_life(2, 1_010);
+    write_of_the_life_before => a_write_of_the_life_before_says_nothing();
     start_without_an_answer => a_start_without_an_answer_holds_acknowledgements_back();
     standing_task_back_with_a_clock_behind => a_standing_task_is_back_at_once(1_000);
     standing_task_back_with_a_clock_ahead => a_standing_task_is_back_at_once(90 * FIRST_CLOCK);
