A run is a life's own once a look has shown it; a clock that happens to fit proves nothing

Cause: the clock of a life that has begun may show what that of the life before would show. A start that it had carried out and answered counted as the old life's, and was given up with it while it was at work.

Change: what a report lists, and what was answered before the look went out that the report answers, is certain. A start answered later is settled by the next look, also where its clock fits; the crash is noted with it meanwhile, and the note is taken back where it turns out to be at work. A run that is at work was not lost in any crash.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -75,7 +75,7 @@
             let settles = matches!(record.phase, RunPhase::Ordered | RunPhase::Unsettled);
             if known {
                 record.began.get_or_insert(clock);
-                record.confirmed = true;
+                record.answered_at.get_or_insert(now);
             }
             if settles {
                 record.phase = match known {
--- a/crates/jobs/src/crash/caution.rs
+++ b/crates/jobs/src/crash/caution.rs
@@ -75,11 +75,13 @@
         cautions.any(|caution| caution != StartCaution::Usual)
     }
 
-    /// A worker reports a run at work: where it is proven, the crashes that were noted with its task were others' doing.
+    /// A worker reports a run at work: it was not lost with a crash. Where it is proven, the crashes that were noted with its task were
+    /// others' doing.
     pub(crate) fn clear_proven(&mut self, worker: &WorkerId, run: &RunKey) {
         if !self.crashes.noted.contains(&run.task) {
             return;
         }
+        self.withdraw_note(run);
         let state = self.workers.get(worker);
         let heard = state.and_then(|state| state.heard_after(state.runs.get(run)?));
         if heard.is_none_or(|heard| heard < self.proof_ms(&run.task)) {
--- a/crates/jobs/src/crash/noted.rs
+++ b/crates/jobs/src/crash/noted.rs
@@ -12,9 +12,23 @@
 impl JobScheduler {
     /// A worker is lost: notes the crash, gives up its runs, and gives up the task that has brought it down.
     pub(crate) fn lose_crashed(&mut self, now: Millis, worker: &WorkerId, cause: LossCause) {
+        let convicted = self.note_loss(now, worker, cause);
+        self.lose_runs(now, worker, cause);
+        if let Some(task) = convicted {
+            self.give_up_task(now, task);
+        }
+    }
+
+    /// Notes the loss of a worker as a crash, where it may be one; returns the task that has brought it down.
+    pub(crate) fn note_loss(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        cause: LossCause,
+    ) -> Option<TaskKey> {
         let state = self.workers.get(worker);
         let planned = state.is_none_or(|state| state.entry.draining);
-        let convicted = match cause {
+        match cause {
             _ if planned => None,
             LossCause::Replaced | LossCause::Restarted => {
                 self.crashes.blamed.remove(worker);
@@ -26,10 +40,6 @@
                 self.note_crash(now, worker)
             }
             LossCause::Left | LossCause::NotThere => None,
-        };
-        self.lose_runs(now, worker, cause);
-        if let Some(task) = convicted {
-            self.give_up_task(now, task);
         }
     }
 
@@ -123,16 +133,23 @@
             return;
         };
         for key in runs {
-            let job = self.jobs.get_mut(&key.task.job);
-            let Some(task) = job.and_then(|job| job.task_mut(&key.task)) else {
-                continue;
-            };
-            task.crashes.withdraw(key.run);
-            if task.crashes.is_empty() {
-                self.crashes.clear(&key.task);
-            }
-            self.mark_dirty(key.task.job);
+            self.withdraw_note(&key);
+        }
+    }
+
+    /// Takes back what was noted with one run.
+    pub(crate) fn withdraw_note(&mut self, key: &RunKey) {
+        let job = self.jobs.get_mut(&key.task.job);
+        let Some(task) = job.and_then(|job| job.task_mut(&key.task)) else {
+            return;
+        };
+        if !task.crashes.withdraw(key.run) {
+            return;
+        }
+        if task.crashes.is_empty() {
+            self.crashes.clear(&key.task);
         }
+        self.mark_dirty(key.task.job);
     }
 
     /// Forgets a worker that is silent, not listed any more and without runs: it has crashed, as far as can be known.
@@ -193,7 +210,7 @@
     }
 
     /// Gives up a task under which workers crash, and its job with it.
-    fn give_up_task(&mut self, now: Millis, task: TaskKey) {
+    pub(crate) fn give_up_task(&mut self, now: Millis, task: TaskKey) {
         let job = self.jobs.get(&task.job);
         let crashes = job.and_then(|job| job.task(&task));
         let crashes = crashes.map_or(0, |state| state.crashes.count());
--- a/crates/jobs/src/crash/record.rs
+++ b/crates/jobs/src/crash/record.rs
@@ -129,9 +129,11 @@
         self.watched = true;
     }
 
-    /// Takes back what was noted with a run.
-    pub(super) fn withdraw(&mut self, run: u64) {
+    /// Takes back what was noted with a run; returns whether anything was.
+    pub(super) fn withdraw(&mut self, run: u64) -> bool {
+        let before = self.notes.len();
         self.notes.retain(|note| note.run != run);
+        self.notes.len() < before
     }
 }
 
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -112,7 +112,7 @@
 
     /// Takes in a report; the look that it answers went out at `asked`.
     fn take_report(&mut self, now: Millis, worker: &WorkerId, asked: Millis, report: HoldReport) {
-        self.take_life(now, worker, &report);
+        self.take_life(now, worker, asked, &report);
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -235,7 +235,7 @@
                 record.checkpoint = run.checkpoint;
             }
             record.began.get_or_insert(clock);
-            record.confirmed = true;
+            record.listed = true;
             if matches!(
                 record.phase,
                 RunPhase::Ordered | RunPhase::Unsettled | RunPhase::Elsewhere(_)
@@ -330,7 +330,7 @@
             let settled = match record.phase {
                 RunPhase::Ordered | RunPhase::Unsettled => clock > record.start_deadline,
                 RunPhase::Elsewhere(answered) => asked >= answered,
-                RunPhase::Running(began) => clock > began,
+                RunPhase::Running(began) => clock > began && record.would_be_listed(asked),
                 RunPhase::Stopping { answered, .. } => {
                     answered.is_some_and(|answered| clock > answered)
                         || clock > record.start_deadline
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -21,19 +21,28 @@
 impl JobScheduler {
     /// Takes in which life of a worker a report is of. The first one that says so gives the life its name; a report of another life
     /// begins that.
-    pub(crate) fn take_life(&mut self, now: Millis, worker: &WorkerId, report: &HoldReport) {
+    pub(crate) fn take_life(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        asked: Millis,
+        report: &HoldReport,
+    ) {
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
         if state.life.is_other(report.life) {
-            self.begin_life(now, worker, report);
+            self.begin_life(now, worker, asked, report);
         } else if state.life.name.is_none() {
             state.life.name = report.life;
         }
     }
 
     /// A worker has started again: gives up what ended with the life before, and goes on with what the new one may hold.
-    fn begin_life(&mut self, now: Millis, worker: &WorkerId, report: &HoldReport) {
+    ///
+    /// What the report lists is at work there. What the life before had answered for, by a look or before the look went out that this report
+    /// answers, has ended with it; anything else may be at work in the new life, or be begun there.
+    fn begin_life(&mut self, now: Millis, worker: &WorkerId, asked: Millis, report: &HoldReport) {
         let Some(state) = self.workers.get(worker) else {
             return;
         };
@@ -47,17 +56,31 @@
             listed: report.ended.last().map_or(0, |end| end.number),
         });
         let listed = listed_runs(report);
-        let kept = self.take_runs(worker, |key, record| {
-            listed.contains(key) || !record.confirmed
-        });
-        self.lose_crashed(now, worker, LossCause::Restarted);
+        let listed = self.take_runs(worker, |key, _| listed.contains(key));
+        let convicted = self.note_loss(now, worker, LossCause::Restarted);
+        let doubtful = self.take_runs(worker, |_, record| !record.would_be_listed(asked));
+        self.lose_runs(now, worker, LossCause::Restarted);
         self.quarantine.forget(worker);
         if let Some(state) = self.workers.get_mut(worker) {
             state.life = LifeState::new(report.life);
             state.paused_until = now;
         }
-        for (key, record) in kept {
-            self.keep_run(now, worker, key, record, listed.contains(&key));
+        for (key, record) in listed {
+            self.keep_run(now, worker, key, RunPhase::Unsettled, record);
+        }
+        for (key, record) in doubtful {
+            let phase = match (record.phase, record.answered_at) {
+                (RunPhase::Elsewhere(answered), _) => RunPhase::Elsewhere(answered),
+                (RunPhase::Running(_), Some(answered)) => RunPhase::Elsewhere(answered),
+                _ => RunPhase::Unsettled,
+            };
+            self.keep_run(now, worker, key, phase, record);
+            if phase == RunPhase::Unsettled {
+                self.stop_run(now, worker, key, StopCause::Unsettled);
+            }
+        }
+        if let Some(task) = convicted {
+            self.give_up_task(now, task);
         }
         self.room_changed = true;
     }
@@ -80,31 +103,28 @@
             .collect()
     }
 
-    /// Goes on with a run in the new life: one that is listed is at work there, any other is to be settled.
+    /// Goes on with a run in the new life; one that was to stop is told so anew.
     fn keep_run(
         &mut self,
         now: Millis,
         worker: &WorkerId,
         key: RunKey,
+        phase: RunPhase,
         record: RunRecord,
-        listed: bool,
     ) {
         let stopping = record.phase.is_stopping();
-        let settled = listed || matches!(record.phase, RunPhase::Elsewhere(_));
         let record = RunRecord {
-            phase: match record.phase {
-                RunPhase::Elsewhere(answered) => RunPhase::Elsewhere(answered),
-                _ => RunPhase::Unsettled,
-            },
+            phase,
             began: None,
-            confirmed: false,
+            listed: false,
+            answered_at: None,
             start_deadline: NO_DEADLINE,
             ..record
         };
         if let Some(state) = self.workers.get_mut(worker) {
             state.add_run(key, record);
         }
-        if stopping || !settled {
+        if stopping {
             self.stop_run(now, worker, key, StopCause::Unsettled);
         }
     }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -48,8 +48,10 @@
     pub(crate) cpu_millis: u64,
     /// How many probes have followed its start.
     pub(crate) probes: u32,
-    /// Whether it is certain that the worker's present life has it: that life has said so.
-    pub(crate) confirmed: bool,
+    /// Whether the worker's present life has listed it.
+    pub(crate) listed: bool,
+    /// When the order to start it was answered, by the present life as far as the answer's clock tells.
+    pub(crate) answered_at: Option<Millis>,
     /// When it was ordered to start; 0 for one that an earlier owner ordered.
     pub(crate) ordered_at: Millis,
     /// When the worker said that it runs, by its own clock; kept also once it is to stop.
@@ -78,6 +80,11 @@
 }
 
 impl RunRecord {
+    /// Whether a report of the present life, to a look that went out at `asked`, would list it were it at work there.
+    pub(crate) fn would_be_listed(&self, asked: Millis) -> bool {
+        self.listed || self.answered_at.is_some_and(|answered| asked >= answered)
+    }
+
     /// What it uses of the processors at full pace, in thousandths of a core, as far as it was seen.
     pub(crate) fn full_use(&self) -> f64 {
         self.cpu_millis as f64 * self.use_ratio.unwrap_or(USUAL_USE)
@@ -100,7 +107,8 @@
         Self {
             phase,
             probes: 0,
-            confirmed: began.is_some(),
+            listed: began.is_some(),
+            answered_at: None,
             ordered_at: 0,
             began,
             room: step.room(),
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -166,7 +166,9 @@
     /// A worker that has started again numbers its ends anew, and would forget those that bear known numbers unread. So the known life
     /// was heard a moment ago; and while a start may have been carried out by one that has come since, nothing is acknowledged.
     pub(crate) fn may_acknowledge(&self, now: Millis) -> bool {
-        let sure = |record: &RunRecord| record.confirmed || record.ordered_at == now;
+        let sure = |record: &RunRecord| {
+            record.listed || record.answered_at.is_some() || record.ordered_at == now
+        };
         let fresh = now <= self.last_answer + ACKNOWLEDGED_WITHIN_MS;
         fresh && !self.unsure && self.runs.values().all(sure)
     }
--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -183,17 +183,18 @@
 }
 
 /// An order that another life has answered says nothing of the one that is known: the run is not missing where a look that went out before
-/// the answer doesn't list it, whichever life answers that look. It is not started a second time, and its end counts.
-fn an_order_is_answered_by_another_life(looked_at: u64, clock: u64) {
+/// the answer doesn't list it, whichever life answers that look. It is not started a second time, and its end counts. That holds also
+/// where the other life's clock happens to fit.
+fn an_order_is_answered_by_another_life(answered: u64, looked_at: u64, clock: u64) {
     let mut rig = after_three_ends();
     rig.hand_in(2, 2, job(vec![step(1)]));
     rig.pass(50);
-    let started = take_starts(&mut rig, 1_000);
+    let started = take_starts(&mut rig, answered);
     rig.answer_hold("w-1", told(looked_at, clock, vec![], vec![]));
     rig.pass(25);
     assert!(rig.peek_starts().is_empty(), "the new life may have it");
     let end = ended(1, started[0], RunOutcome::Done);
-    rig.answer_hold("w-1", told(2, 1_300, vec![], vec![end]));
+    rig.answer_hold("w-1", told(2, answered + 300, vec![], vec![end]));
     assert_eq!(final_stages(&mut rig), vec![JobStage::Completed]);
     assert!(rig.peek_starts().is_empty(), "the task ran once");
 }
@@ -233,8 +234,9 @@
 sandshelf_cases::cases! {
     end_of_a_new_life_with_a_clock_behind => an_end_of_the_new_life_counts(1_000);
     end_of_a_new_life_with_a_clock_ahead => an_end_of_the_new_life_counts(90 * FIRST_CLOCK);
-    order_answered_by_another_life => an_order_is_answered_by_another_life(1, FIRST_CLOCK + 1_500);
-    order_answered_by_a_life_looked_at => an_order_is_answered_by_another_life(2, 1_010);
+    order_answered_by_another_life => an_order_is_answered_by_another_life(1_000, 1, FIRST_CLOCK + 1_500);
+    order_answered_by_a_life_looked_at => an_order_is_answered_by_another_life(1_000, 2, 1_010);
+    order_answered_by_a_clock_that_fits => an_order_is_answered_by_another_life(FIRST_CLOCK + 1_200, 2, FIRST_CLOCK + 1_210);
     late_write => a_late_write_is_followed_by_a_look();
     write_of_the_life_before => a_write_of_the_life_before_says_nothing();
     start_without_an_answer => a_start_without_an_answer_holds_acknowledgements_back();
