--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -19,6 +19,16 @@
 /// A task under which three workers have crashed may be started twice more, no oftener.
 const STARTS_AFTER_THREE: usize = 2;
 
+/// Eight workers in whose place others come when they crash.
+fn replaced() -> CrashingFleet {
+    CrashingFleet::new(8)
+}
+
+/// Eight workers that start again under their names when they crash.
+fn restarting(after: Millis) -> CrashingFleet {
+    CrashingFleet::that_restart(8, after)
+}
+
 /// A job of six tasks whose first crashes its workers, and its crashing task.
 fn hand_in_crasher(fleet: &mut CrashingFleet, number: u64, after: Millis) -> TaskKey {
     let crasher = task(number, 0, 0);
@@ -56,8 +66,7 @@
 }
 
 /// One owner, and the task among ordinary ones.
-fn one_owner_gives_it_up(after: Millis) {
-    let mut fleet = CrashingFleet::new(8);
+fn one_owner_gives_it_up(mut fleet: CrashingFleet, after: Millis) {
     pass_with_traffic(&mut fleet, 100..110);
     let crasher = hand_in_crasher(&mut fleet, 7, after);
     pass_with_traffic(&mut fleet, 110..230);
@@ -67,8 +76,7 @@
 }
 
 /// Each owner dies so long after it has started the task; the next knows what workers crashed under it before.
-fn owners_in_turn_give_it_up(dies_after: Millis) {
-    let mut fleet = CrashingFleet::new(8);
+fn owners_in_turn_give_it_up(mut fleet: CrashingFleet, dies_after: Millis) {
     pass_with_traffic(&mut fleet, 100..110);
     let crasher = hand_in_crasher(&mut fleet, 7, CRASHES_AFTER_MS);
     for owner in 0..6 {
@@ -156,11 +164,17 @@
 sandshelf_cases::cases! {
     proven_in_between => a_task_that_is_proven_in_between_is_never_given_up();
     orders_to_the_dead => orders_to_a_dead_worker_prove_nothing();
-    crashing_task_given_up => one_owner_gives_it_up(CRASHES_AFTER_MS);
+    crashing_task_given_up => one_owner_gives_it_up(replaced(), CRASHES_AFTER_MS);
     standing_crashing_task_given_up => standing_crasher_is_given_up();
-    crashing_task_given_up_by_successors => owners_in_turn_give_it_up(BACK_AFTER_MS + 1_000);
-    crashing_task_given_up_by_owners_that_see_nothing => owners_in_turn_give_it_up(500);
-    crashing_task_given_up_by_owners_that_see_silence => owners_in_turn_give_it_up(2_000);
-    crashing_task_given_up_late_after_its_start => one_owner_gives_it_up(400);
-    crashing_task_given_up_seconds_after_its_start => one_owner_gives_it_up(900);
+    crashing_task_given_up_by_successors => owners_in_turn_give_it_up(replaced(), BACK_AFTER_MS + 1_000);
+    crashing_task_given_up_by_owners_that_see_nothing => owners_in_turn_give_it_up(replaced(), 500);
+    crashing_task_given_up_by_owners_that_see_silence => owners_in_turn_give_it_up(replaced(), 2_000);
+    crashing_task_given_up_late_after_its_start => one_owner_gives_it_up(replaced(), 400);
+    crashing_task_given_up_seconds_after_its_start => one_owner_gives_it_up(replaced(), 900);
+    crashing_task_given_up_on_workers_that_restart => one_owner_gives_it_up(restarting(600), CRASHES_AFTER_MS);
+    crashing_task_given_up_on_workers_that_restart_late => one_owner_gives_it_up(restarting(6_000), CRASHES_AFTER_MS);
+    crashing_task_given_up_late_on_workers_that_restart => one_owner_gives_it_up(restarting(600), 400);
+    crashing_task_given_up_by_successors_on_workers_that_restart => owners_in_turn_give_it_up(restarting(600), 1_500);
+    crashing_task_given_up_unseen_on_workers_that_restart => owners_in_turn_give_it_up(restarting(600), 300);
+    crashing_task_given_up_silent_on_workers_that_restart => owners_in_turn_give_it_up(restarting(3_300), 2_000);
 }
--- a/crates/jobs/tests/support/crashing.rs
+++ b/crates/jobs/tests/support/crashing.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sandshelf_jobs::{
-    CommitBatch, EndReport, HoldAnswer, HoldCall, JobAction, JobEvent, JobNumber, JobSpec,
-    JobStage, OrderAnswer, ProgressRow, RunKey, RunOutcome, RunReport, SilentWorkers, TakeoverInfo,
-    TaskKey, WorkerCall, WorkerRoster,
+    CommitBatch, EndReport, HoldAnswer, HoldCall, HoldReport, JobAction, JobEvent, JobNumber,
+    JobSpec, JobStage, OrderAnswer, ProgressRow, RunKey, RunOutcome, RunReport, SilentWorkers,
+    TakeoverInfo, TaskKey, WorkerCall, WorkerLife, WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 
@@ -19,11 +19,22 @@
 const PATIENCE_MS: Millis = 500;
 /// After how long a crashed worker is back as another incarnation.
 pub const BACK_AFTER_MS: Millis = 3_300;
+/// One hour.
+const HOUR_MS: Millis = 3_600_000;
 /// How long an ordinary task works.
 const WORK_MS: Millis = 1_000;
 /// How long a new owner takes from the death of the one before to its first look.
 const TAKEOVER_MS: Millis = 1_900;
 
+/// What becomes of a worker that has crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashReturn {
+    /// Another incarnation comes in its place.
+    Replaced,
+    /// It starts again under its name, after so long.
+    Restarts(Millis),
+}
+
 /// One place for a worker, and the incarnation that stands there.
 struct FleetWorker {
     name: String,
@@ -50,6 +61,7 @@
 /// Workers, what they run, and the owner that orders them.
 pub struct CrashingFleet {
     rig: SchedulerRig,
+    returns: CrashReturn,
     epoch: u64,
     workers: Vec<FleetWorker>,
     /// Tasks under which workers crash, with how long after their start.
@@ -72,6 +84,24 @@
     pub lost_beside: usize,
 }
 
+impl FleetWorker {
+    /// Which life under its name it is; a worker that never bears one again doesn't say it.
+    fn life(&self, returns: CrashReturn) -> Option<WorkerLife> {
+        match returns {
+            CrashReturn::Replaced => None,
+            CrashReturn::Restarts(_) => Some(WorkerLife(self.lives as u64)),
+        }
+    }
+
+    /// Its clock: each life of a worker that bears its name again is an hour off the one before.
+    fn clock(&self, now: Millis, returns: CrashReturn) -> u64 {
+        match returns {
+            CrashReturn::Replaced => now,
+            CrashReturn::Restarts(_) => now + HOUR_MS * (100 - self.lives as u64),
+        }
+    }
+}
+
 impl CrashingFleet {
     /// So many workers and the first owner.
     pub fn new(places: usize) -> Self {
@@ -87,6 +117,7 @@
         });
         Self {
             rig: SchedulerRig::new(TakeoverInfo::first(1, 1_000)),
+            returns: CrashReturn::Replaced,
             epoch: 1,
             workers: workers.collect(),
             crashers: BTreeMap::new(),
@@ -104,6 +135,14 @@
         }
     }
 
+    /// So many workers that start again under their names, so long after they crashed.
+    pub fn that_restart(places: usize, after: Millis) -> Self {
+        Self {
+            returns: CrashReturn::Restarts(after),
+            ..Self::new(places)
+        }
+    }
+
     /// The time.
     pub fn now(&self) -> Millis {
         self.rig.now
@@ -192,7 +231,11 @@
     }
 
     fn crash(&mut self, index: usize, under: Option<TaskKey>) {
-        let back_at = self.rig.now + BACK_AFTER_MS;
+        let down = match self.returns {
+            CrashReturn::Replaced => BACK_AFTER_MS,
+            CrashReturn::Restarts(after) => after,
+        };
+        let back_at = self.rig.now + down;
         let worker = &mut self.workers[index];
         worker.back_at = Some(back_at);
         let lost = std::mem::take(&mut worker.runs);
@@ -230,7 +273,9 @@
             if worker.back_at.is_some_and(|at| now >= at) {
                 worker.back_at = None;
                 worker.lives += 1;
-                worker.name = format!("{}-{}", "w".repeat(worker.lives), worker.place);
+                if self.returns == CrashReturn::Replaced {
+                    worker.name = format!("{}-{}", "w".repeat(worker.lives), worker.place);
+                }
                 worker.end_count = 0;
             }
             let over: Vec<RunKey> = worker
@@ -261,7 +306,12 @@
             .workers
             .iter()
             .filter(|worker| worker.back_at.is_none());
-        let list = here.map(|worker| listing(&worker.name)).collect();
+        let returns = self.returns;
+        let entries = here.map(|worker| WorkerListing {
+            life: worker.life(returns),
+            ..listing(&worker.name)
+        });
+        let list = entries.collect();
         self.rig.list_entries(list);
     }
 
@@ -288,11 +338,18 @@
                     percent: 50,
                     gauge: None,
                 });
-                reports.push((worker.name.clone(), running.collect(), worker.ended.clone()));
+                let report = HoldReport {
+                    life: worker.life(self.returns),
+                    carrier_late_ms: 0,
+                    clock: worker.clock(now, self.returns),
+                    running: running.collect(),
+                    ended: worker.ended.clone(),
+                };
+                reports.push((worker.name.clone(), report));
             }
         }
-        for (name, running, ended) in reports {
-            self.rig.report(&name, running, ended);
+        for (name, report) in reports {
+            self.rig.answer_hold(&name, report);
         }
     }
 
@@ -332,21 +389,22 @@
             return self.leave_unanswered(id, &call);
         };
         let id = id.clone();
+        let clock = self.workers[index].clock(now, self.returns);
         match call {
             WorkerCall::Start(start) => {
                 self.begin(index, start.key);
-                let answer = OrderAnswer::Done(now);
+                let answer = OrderAnswer::Done(clock);
                 self.answers
                     .push((now, JobEvent::StartAnswered(id, start.key, answer)));
             }
             WorkerCall::Stop(key) => {
                 self.workers[index].runs.remove(&key);
-                let answer = OrderAnswer::Done(now);
+                let answer = OrderAnswer::Done(clock);
                 self.answers
                     .push((now, JobEvent::StopAnswered(id, key, answer)));
             }
             WorkerCall::Pace(key, _) => {
-                let answer = OrderAnswer::Done(now);
+                let answer = OrderAnswer::Done(clock);
                 self.answers
                     .push((now, JobEvent::PaceAnswered(id, key, answer)));
             }
