A crash is withdrawn only where the same life answers

Cause: what was noted with the runs of a silent worker is withdrawn once the worker answers, since it was cut off and not down. The memory of that bore its name only: a worker that had been forgotten meanwhile and answered in its next life cleared the task that had brought it down.

Change: the life is remembered with it.

--- a/crates/jobs/src/crash/book.rs
+++ b/crates/jobs/src/crash/book.rs
@@ -5,9 +5,17 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use crate::ids::{JobNumber, RunKey, TaskKey};
+use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
 use crate::limits::SOUND_AGAIN_MS;
 
+/// A life of a worker that is taken as crashed.
+#[derive(Clone, Debug)]
+pub(super) struct BlamedLife {
+    pub(super) life: Option<WorkerLife>,
+    /// The runs that this was noted with.
+    pub(super) runs: Vec<RunKey>,
+}
+
 /// Tasks under which workers crashed, and workers that are kept for their next start.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashBook {
@@ -19,8 +27,8 @@
     pub(super) kept: BTreeMap<WorkerId, (TaskKey, Millis)>,
     /// Probes to be sent, and when.
     pub(super) probes: BTreeSet<(Millis, WorkerId, RunKey)>,
-    /// Runs noted with workers that fell silent and are not known to have crashed: they may yet answer.
-    pub(super) blamed: BTreeMap<WorkerId, Vec<RunKey>>,
+    /// Runs noted with workers that fell silent and are not known to have crashed: the same life may yet answer.
+    pub(super) blamed: BTreeMap<WorkerId, BlamedLife>,
     /// Where workers crashed lately, and when.
     crashed_at: BTreeMap<SocketAddr, Millis>,
 }
@@ -43,9 +51,9 @@
         self.noted.retain(|task| task.job != job);
         self.unwritten.retain(|task| task.job != job);
         self.kept.retain(|_, (task, _)| task.job != job);
-        self.blamed.retain(|_, runs| {
-            runs.retain(|run| run.task.job != job);
-            !runs.is_empty()
+        self.blamed.retain(|_, blamed| {
+            blamed.runs.retain(|run| run.task.job != job);
+            !blamed.runs.is_empty()
         });
     }
 
--- a/crates/jobs/src/crash/noted.rs
+++ b/crates/jobs/src/crash/noted.rs
@@ -2,10 +2,12 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
+use super::book::BlamedLife;
 use super::{CrashNote, StartCaution};
 use crate::events::{JobNote, JobStage, LossCause};
-use crate::ids::{RunKey, TaskKey};
+use crate::ids::{RunKey, TaskKey, WorkerLife};
 use crate::job::TaskStage;
+use crate::life::are_others;
 use crate::limits::{ALONE_FROM_CRASHES, CRASH_WAIT_MS, UNFOUND_WATCHED_AT_MOST};
 use crate::scheduler::JobScheduler;
 
@@ -122,17 +124,23 @@
         };
         let suspects = self.crash_suspects(state);
         let runs: Vec<RunKey> = suspects.iter().map(|suspect| suspect.key).collect();
+        let life = state.life.name;
         if !runs.is_empty() {
-            self.crashes.blamed.insert(worker.clone(), runs);
+            let blamed = BlamedLife { life, runs };
+            self.crashes.blamed.insert(worker.clone(), blamed);
         }
     }
 
-    /// A worker that was taken as crashed answers: it was cut off, and what was noted with its runs says nothing.
-    pub(crate) fn withdraw_crash(&mut self, worker: &WorkerId) {
-        let Some(runs) = self.crashes.blamed.remove(worker) else {
+    /// A worker that was taken as crashed answers: where it is the same life it was cut off, and what was noted with its runs says
+    /// nothing. One that has started again has crashed.
+    pub(crate) fn withdraw_crash(&mut self, worker: &WorkerId, life: Option<WorkerLife>) {
+        let Some(blamed) = self.crashes.blamed.remove(worker) else {
             return;
         };
-        for key in runs {
+        if are_others(blamed.life, life) {
+            return;
+        }
+        for key in blamed.runs {
             self.withdraw_note(&key);
         }
     }
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -131,7 +131,7 @@
             state.life.granted = state.life.granted.max(inherited);
         }
         let noted = state.life.noted;
-        self.withdraw_crash(worker);
+        self.withdraw_crash(worker, report.life);
         if first {
             self.note(JobNote::Fenced {
                 worker: worker.clone(),
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -28,6 +28,11 @@
     pub(crate) asked: Millis,
 }
 
+/// Whether two lives of one worker are certainly not the same; where it doesn't name them they may be.
+pub(crate) fn are_others(one: Option<WorkerLife>, other: Option<WorkerLife>) -> bool {
+    matches!((one, other), (Some(one), Some(other)) if one != other)
+}
+
 /// One life of a worker, as far as this owner has heard of it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LifeState {
@@ -55,9 +60,9 @@
         }
     }
 
-    /// Whether a worker that names its life so is in another one; one that doesn't name it may be in any.
+    /// Whether a worker that names its life so is in another one.
     pub(crate) fn is_other(&self, name: Option<WorkerLife>) -> bool {
-        matches!((self.name, name), (Some(known), Some(named)) if known != named)
+        are_others(self.name, name)
     }
 
     /// Notes a reading of its clock; an older one than is known changes nothing.
