A successor tells the lives of workers apart: roster, marks and the record of a start name them

Cause: what an owner writes for the next one named workers only. A worker that had started again since answered to the name, so that nobody noted what had gone with the life before: its suspects were cleared by the answer, a task that had been started there with a note counted as lost nowhere, and no worker as lost.

Change: the roster, the suspects of a silent worker and the record of a start name the life, each in a field of its own that other versions pass over. What a successor learns before the jobs are read is noted once they are.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -117,12 +117,15 @@
 
     fn roster_entries(&self) -> WorkerRoster {
         let known = self.workers.iter();
-        let named = known.filter(|(id, _)| self.roster.contains(*id));
+        let named: Vec<_> = known.filter(|(id, _)| self.roster.contains(*id)).collect();
+        let workers = named.iter();
+        let workers = workers.map(|(id, worker)| ((*id).clone(), worker.entry.address));
+        let told = named.iter().any(|(_, worker)| worker.life.name.is_some());
+        let lives = named.iter().filter(|_| told);
         WorkerRoster {
             epoch: self.epoch,
-            workers: named
-                .map(|(id, worker)| (id.clone(), worker.entry.address))
-                .collect(),
+            workers: workers.collect(),
+            lives: lives.map(|(_, worker)| worker.life.name).collect(),
             lease_ms: Some(self.roster_lease_ms),
         }
     }
--- a/crates/jobs/src/crash/book.rs
+++ b/crates/jobs/src/crash/book.rs
@@ -5,6 +5,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
+use super::CrashNote;
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
 use crate::limits::SOUND_AGAIN_MS;
 
@@ -16,6 +17,14 @@
     pub(super) runs: Vec<RunKey>,
 }
 
+/// A crash under a task whose job has yet to be read.
+#[derive(Clone, Debug)]
+pub(super) struct AwaitedCrash {
+    pub(super) worker: WorkerId,
+    pub(super) key: TaskKey,
+    pub(super) note: CrashNote,
+}
+
 /// Tasks under which workers crashed, and workers that are kept for their next start.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashBook {
@@ -29,6 +38,8 @@
     pub(super) probes: BTreeSet<(Millis, WorkerId, RunKey)>,
     /// Runs noted with workers that fell silent and are not known to have crashed: the same life may yet answer.
     pub(super) blamed: BTreeMap<WorkerId, BlamedLife>,
+    /// Crashes that became known before the jobs were read.
+    pub(super) awaited: Vec<AwaitedCrash>,
     /// Where workers crashed lately, and when.
     crashed_at: BTreeMap<SocketAddr, Millis>,
 }
@@ -46,6 +57,11 @@
         self.noted.insert(task);
     }
 
+    /// Forgets crashes under tasks whose jobs were not among those that were read.
+    pub(crate) fn forget_awaited(&mut self) {
+        self.awaited.clear();
+    }
+
     /// Forgets a job that has come to its end.
     pub(crate) fn forget_job(&mut self, job: JobNumber) {
         self.noted.retain(|task| task.job != job);
--- a/crates/jobs/src/crash/caution.rs
+++ b/crates/jobs/src/crash/caution.rs
@@ -2,6 +2,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
+use super::record::StartPlace;
 use super::{CrashRecord, CrashSuspect, StartCaution};
 use crate::ids::{RunKey, TaskKey};
 use crate::job::{TaskStage, TaskState};
@@ -100,9 +101,13 @@
         if !self.crashes.noted.contains(&key.task) {
             return;
         }
+        let place = StartPlace {
+            worker: worker.clone(),
+            life: self.workers.get(worker).and_then(|state| state.life.name),
+        };
         let job = self.jobs.get_mut(&key.task.job);
         if let Some(task) = job.and_then(|job| job.task_mut(&key.task)) {
-            task.crashes.note_start(worker, key.run);
+            task.crashes.note_start(place, key.run);
             self.mark_dirty(key.task.job);
             self.urgent = true;
         }
--- a/crates/jobs/src/crash/noted.rs
+++ b/crates/jobs/src/crash/noted.rs
@@ -2,14 +2,16 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use super::book::BlamedLife;
+use super::book::{AwaitedCrash, BlamedLife};
+use super::record::StartPlace;
 use super::{CrashNote, StartCaution};
 use crate::events::{JobNote, JobStage, LossCause};
-use crate::ids::{RunKey, TaskKey, WorkerLife};
+use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
 use crate::job::TaskStage;
 use crate::life::are_others;
 use crate::limits::{ALONE_FROM_CRASHES, CRASH_WAIT_MS, UNFOUND_WATCHED_AT_MOST};
 use crate::scheduler::JobScheduler;
+use crate::worker::WorkerState;
 
 impl JobScheduler {
     /// A worker is lost: notes the crash, gives up its runs, and gives up the task that has brought it down.
@@ -84,6 +86,12 @@
         key: TaskKey,
         note: CrashNote,
     ) -> bool {
+        if self.state_pending {
+            let worker = worker.clone();
+            let awaited = AwaitedCrash { worker, key, note };
+            self.crashes.awaited.push(awaited);
+            return false;
+        }
         let job = self.jobs.get_mut(&key.job);
         let Some(task) = job.and_then(|job| job.task_mut(&key)) else {
             return false;
@@ -117,6 +125,19 @@
         convicted
     }
 
+    /// A job was read: notes the crashes under its tasks that became known before.
+    pub(crate) fn note_awaited_crashes(&mut self, now: Millis, job: JobNumber) {
+        let awaited = self.crashes.awaited.iter();
+        let (of_job, others) = awaited.cloned().partition(|crash| crash.key.job == job);
+        let of_job: Vec<AwaitedCrash> = of_job;
+        self.crashes.awaited = others;
+        for crash in of_job {
+            if self.note_crash_under(now, &crash.worker, crash.key, crash.note) {
+                self.give_up_task(now, crash.key);
+            }
+        }
+    }
+
     /// Keeps in mind which notes say nothing should the worker answer again.
     fn blame(&mut self, worker: &WorkerId) {
         let Some(state) = self.workers.get(worker) else {
@@ -186,9 +207,9 @@
             let Some(state) = job.task_mut(task) else {
                 continue;
             };
-            match state.crashes.started().cloned() {
-                Some((worker, run)) => {
-                    self.note_lost_start(now, &worker, RunKey { task: *task, run })
+            match state.crashes.started() {
+                Some((place, run)) => {
+                    self.note_lost_start(now, &place, RunKey { task: *task, run })
                 }
                 None if few && state.crashes.is_empty() => {
                     state.crashes.watch();
@@ -200,10 +221,17 @@
         }
     }
 
-    /// An earlier owner started a task with a note on a worker: notes one crash more, unless that worker stands.
-    fn note_lost_start(&mut self, now: Millis, worker: &WorkerId, key: RunKey) {
-        let state = self.workers.get(worker);
-        if state.is_some_and(|state| state.life.fenced || state.listed) {
+    /// An earlier owner started a task with a note on a worker: notes one crash more, unless that worker stands and is in the same life.
+    fn note_lost_start(&mut self, now: Millis, place: &StartPlace, key: RunKey) {
+        let state = self.workers.get(&place.worker);
+        let stands = |state: &WorkerState| {
+            let life = match state.life.fenced {
+                true => state.life.name,
+                false => state.entry.life,
+            };
+            (state.life.fenced || state.listed) && !are_others(place.life, life)
+        };
+        if state.is_some_and(stands) {
             return;
         }
         let note = CrashNote {
@@ -212,7 +240,7 @@
             alone: self.caution_of(&key.task) == StartCaution::Alone,
             sudden: false,
         };
-        if self.note_crash_under(now, worker, key.task, note) {
+        if self.note_crash_under(now, &place.worker, key.task, note) {
             self.give_up_task(now, key.task);
         }
     }
--- a/crates/jobs/src/crash/record.rs
+++ b/crates/jobs/src/crash/record.rs
@@ -3,7 +3,7 @@
 use sandshelf_model::{Millis, WorkerId};
 use serde::{Deserialize, Serialize};
 
-use crate::ids::RunKey;
+use crate::ids::{RunKey, WorkerLife};
 use crate::limits::{
     ALONE_FROM_CRASHES, CERTAIN_CRASHES, CONVICTING_CRASHES, CONVICTING_SLOW_CRASHES,
     PROVEN_AFTER_MS, UNHEARD_AT_MOST_MS,
@@ -49,6 +49,17 @@
     /// Where the task was started since, and the number of that run.
     #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
     started: Option<(WorkerId, u64)>,
+    /// In which of the worker's lives.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    started_in: Option<WorkerLife>,
+}
+
+/// Where a task was started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct StartPlace {
+    pub(super) worker: WorkerId,
+    /// In which of the worker's lives.
+    pub(super) life: Option<WorkerLife>,
 }
 
 /// With how much caution a task is started.
@@ -110,18 +121,22 @@
         if !known {
             self.notes.push(note);
             self.started = None;
+            self.started_in = None;
         }
         !known
     }
 
     /// Where the task was started since the newest crash, and the number of that run.
-    pub(super) fn started(&self) -> Option<&(WorkerId, u64)> {
-        self.started.as_ref()
+    pub(super) fn started(&self) -> Option<(StartPlace, u64)> {
+        let (worker, run) = self.started.clone()?;
+        let life = self.started_in;
+        Some((StartPlace { worker, life }, run))
     }
 
     /// The task is started again.
-    pub(super) fn note_start(&mut self, worker: &WorkerId, run: u64) {
-        self.started = Some((worker.clone(), run));
+    pub(super) fn note_start(&mut self, place: StartPlace, run: u64) {
+        self.started = Some((place.worker, run));
+        self.started_in = place.life;
     }
 
     /// A crash may have gone unnoted.
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -7,8 +7,9 @@
 
 use crate::events::{JobNote, JobStage, LossCause, StopCause, WorkerListing};
 use crate::foreign::ForeignSight;
-use crate::ids::{JobNumber, RunKey};
+use crate::ids::{JobNumber, RunKey, WorkerLife};
 use crate::job::{objective_ms, JobState, TaskStage};
+use crate::life::LifeState;
 use crate::limits::{LIST_GAP_MS, RELIST_MS};
 use crate::progress::ProgressRow;
 use crate::scheduler::JobScheduler;
@@ -57,6 +58,7 @@
             job.add_due_times(self.wall_ms);
         }
         self.jobs.insert(number, job);
+        self.note_awaited_crashes(now, number);
         for (worker, sight) in self.foreign.take(number) {
             match sight {
                 ForeignSight::AtWork(clock, run) => self.take_running(now, &worker, clock, run),
@@ -155,7 +157,13 @@
     }
 
     /// Expects an answer of a worker that an earlier owner gave orders to.
-    pub(crate) fn expect_worker(&mut self, now: Millis, worker: WorkerId, address: SocketAddr) {
+    pub(crate) fn expect_worker(
+        &mut self,
+        now: Millis,
+        worker: WorkerId,
+        address: SocketAddr,
+        life: Option<WorkerLife>,
+    ) {
         let entry = WorkerListing {
             worker: worker.clone(),
             life: None,
@@ -168,9 +176,9 @@
             draining: false,
         };
         let mark = self.marks.of(&worker);
-        self.workers
-            .entry(worker.clone())
-            .or_insert_with(|| WorkerState::new(entry, now, mark));
+        let mut state = WorkerState::new(entry, now, mark);
+        state.life = LifeState::new(life);
+        self.workers.insert(worker.clone(), state);
         self.worker_order = None;
         self.hold_at(&worker, now);
         self.roster.insert(worker.clone());
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -33,8 +33,9 @@
         };
         if state.life.is_other(report.life) {
             self.begin_life(now, worker, asked, report);
-        } else if state.life.name.is_none() {
+        } else if state.life.name.is_none() && report.life.is_some() {
             state.life.name = report.life;
+            self.roster_changed |= self.roster.contains(worker);
         }
     }
 
@@ -61,6 +62,10 @@
         let doubtful = self.take_runs(worker, |_, record| !record.would_be_listed(asked));
         self.lose_runs(now, worker, LossCause::Restarted);
         self.quarantine.forget(worker);
+        self.roster_changed |= self.roster.contains(worker);
+        if let Some(recovery) = &mut self.recovery {
+            recovery.lost_some |= recovery.unanswered.contains_key(worker);
+        }
         if let Some(state) = self.workers.get_mut(worker) {
             state.life = LifeState::new(report.life);
             state.paused_until = now;
--- a/crates/jobs/src/rooms.rs
+++ b/crates/jobs/src/rooms.rs
@@ -34,10 +34,12 @@
         }
     }
 
-    /// Forgets what ended jobs take once all that an earlier owner started has been reported.
+    /// Forgets what ended jobs take, and what became known of jobs that never came, once all that an earlier owner started has been
+    /// reported.
     pub(crate) fn forget_rooms(&mut self, now: Millis) {
         if now >= self.began_at + FOREIGN_MS {
             self.ended_rooms.by_job.clear();
+            self.crashes.forget_awaited();
         }
     }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -213,8 +213,9 @@
         scheduler
             .press
             .restore(&mut scheduler.images, &info.strengths);
-        for (worker, address) in info.roster.workers {
-            scheduler.expect_worker(info.claimed_at, worker, address);
+        let lives = info.roster.lives.into_iter().chain(std::iter::repeat(None));
+        for ((worker, address), life) in info.roster.workers.into_iter().zip(lives) {
+            scheduler.expect_worker(info.claimed_at, worker, address, life);
         }
         if info.rules_since > 0 && info.silent.epoch >= info.rules_since {
             scheduler.take_over_marks(info.claimed_at, info.store_ms, info.silent);
--- a/crates/jobs/src/silent.rs
+++ b/crates/jobs/src/silent.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::CrashSuspect;
+use crate::ids::WorkerLife;
 use crate::scheduler::JobScheduler;
 use crate::worker::{LeaseMark, WorkerState};
 
@@ -31,6 +32,9 @@
     /// The runs on each that may have brought it down: those that had begun shortly before it fell silent.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub suspects: BTreeMap<WorkerId, Vec<CrashSuspect>>,
+    /// In which life each of those workers had them.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub lives: BTreeMap<WorkerId, WorkerLife>,
 }
 
 /// What is known of the store's clock, from its answers.
@@ -77,17 +81,28 @@
         }
     }
 
-    fn set(&mut self, worker: &WorkerId, over_at: u64, suspects: Vec<CrashSuspect>) {
+    fn set(
+        &mut self,
+        worker: &WorkerId,
+        over_at: u64,
+        life: Option<WorkerLife>,
+        suspects: Vec<CrashSuspect>,
+    ) {
         self.fading.remove(worker);
         self.asked.over_at.insert(worker.clone(), over_at);
-        if !suspects.is_empty() {
-            self.asked.suspects.insert(worker.clone(), suspects);
+        if suspects.is_empty() {
+            return;
+        }
+        self.asked.suspects.insert(worker.clone(), suspects);
+        if let Some(life) = life {
+            self.asked.lives.insert(worker.clone(), life);
         }
     }
 
     fn take_away(&mut self, worker: &WorkerId, commit: u64) {
         self.asked.over_at.remove(worker);
         self.asked.suspects.remove(worker);
+        self.asked.lives.remove(worker);
         self.fading.insert(worker.clone(), commit);
     }
 
@@ -124,8 +139,9 @@
             let over_at = self.lease_over_at(now, &id);
             if let Some(over_at) = self.store_clock.at_most(over_at) {
                 let state = self.workers.get(&id);
+                let life = state.and_then(|state| state.life.name);
                 let suspects = state.map_or_else(Vec::new, |state| self.crash_suspects(state));
-                self.marks.set(&id, over_at, suspects);
+                self.marks.set(&id, over_at, life, suspects);
                 changed = true;
                 self.show_mark(&id);
             }
@@ -179,6 +195,7 @@
         for (id, suspects) in &marks.suspects {
             if let Some(state) = self.workers.get_mut(id) {
                 state.suspects.clone_from(suspects);
+                state.life.name = marks.lives.get(id).copied().or(state.life.name);
             }
         }
         self.marks.asked = marks;
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -50,6 +50,7 @@
             epoch: 1,
             workers: roster.to_vec(),
             lease_ms,
+            ..WorkerRoster::default()
         },
         ..TakeoverInfo::default()
     };
@@ -283,6 +284,7 @@
                 epoch: 1,
                 workers: roster.to_vec(),
                 lease_ms: Some(published_lease_ms()),
+                ..WorkerRoster::default()
             },
             silent: SilentWorkers {
                 epoch: 2,
--- a/crates/jobs/tests/marks.rs
+++ b/crates/jobs/tests/marks.rs
@@ -191,6 +191,7 @@
             epoch: 1,
             workers: vec![(id("w-1"), listing("w-1").address)],
             lease_ms: Some(4_000),
+            ..WorkerRoster::default()
         },
         silent: SilentWorkers {
             epoch: 1,
@@ -231,6 +232,7 @@
             epoch: 1,
             workers: vec![(id("w-1"), listing("w-1").address)],
             lease_ms: Some(4_000),
+            ..WorkerRoster::default()
         },
         ..DurableRows::default()
     };
@@ -256,6 +258,7 @@
             epoch: 1,
             workers: vec![(id("w-1"), listing("w-1").address)],
             lease_ms: Some(4_000),
+            ..WorkerRoster::default()
         },
         silent: SilentWorkers {
             epoch: 1,
@@ -307,6 +310,7 @@
             epoch: 1,
             workers: vec![(id("w-1"), listing("w-1").address)],
             lease_ms: Some(4_000),
+            ..WorkerRoster::default()
         },
         silent: SilentWorkers {
             epoch: 1,
--- a/crates/jobs/tests/rooms.rs
+++ b/crates/jobs/tests/rooms.rs
@@ -70,6 +70,7 @@
             epoch: 1,
             workers: vec![(WorkerId::from("w-1"), listing("w-1").address)],
             lease_ms: Some(4_000),
+            ..WorkerRoster::default()
         },
         ..TakeoverInfo::default()
     };
