A worker that has started again gets nothing before a list shows its new life

Cause: room, labels, service and whether a worker leaves were those of its entry, whichever life had written it. A new life may be of another kind, or leave already.

Change: an entry names its life; one of another life opens no worker and moves no standing task. One of a later life than is known has a hold tell before anything is acknowledged or prolonged.

--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -257,6 +257,10 @@
         state.missing = false;
         let leaves_now = draining && !state.entry.draining;
         state.entry = entry;
+        if state.is_unshown() && state.entry.life > state.life.name {
+            // It has started again, and no hold has told so yet.
+            state.unsure = true;
+        }
         if !known {
             self.roster_changed |= self.roster.insert(id.clone());
             self.worker_order = None;
@@ -292,7 +296,7 @@
         for (id, worker) in self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.entry.draining)
+            .filter(|(_, worker)| worker.entry.draining && !worker.is_unshown())
         {
             let standing = worker.runs.iter();
             let standing = standing.filter(|(_, run)| run.standing && !run.phase.is_stopping());
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -209,9 +209,14 @@
         self.failed_holds >= SUSPECT_AFTER_HOLDS || !self.life.fenced && late
     }
 
+    /// Whether its entry is of another life than the present one, which may be of another kind, have another room or be about to leave.
+    pub(crate) fn is_unshown(&self) -> bool {
+        self.life.is_other(self.entry.life)
+    }
+
     /// Whether it may be given tasks, which prolongs its lease. One that answers is there, also where a list that suffered with the store omits it.
     pub(crate) fn is_open(&self, now: Millis) -> bool {
-        let leaves = self.entry.draining || self.missing;
+        let leaves = self.entry.draining || self.missing || self.is_unshown();
         let prolongs = self.mark == LeaseMark::None;
         self.life.fenced && prolongs && !leaves && now >= self.paused_until && !self.is_silent(now)
     }
--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -10,9 +10,10 @@
 
 use sandshelf_jobs::{
     EndReport, HoldReport, JobAction, JobEvent, JobNumber, JobStage, RunKey, RunOutcome, RunReport,
-    StepSpec, WorkerCall, WorkerLife,
+    StepSpec, WorkerCall, WorkerLife, WorkerListing,
 };
-use support::{ended, job, runs, step, SchedulerRig};
+use sandshelf_model::ResourceSize;
+use support::{ended, job, listing, runs, step, SchedulerRig};
 
 /// What the clock of a worker's first life shows when the rig's shows nothing.
 const FIRST_CLOCK: u64 = 4_000_000;
@@ -222,6 +223,30 @@
     assert_eq!(acknowledged(&rig), 0, "nothing of this life was taken in");
 }
 
+/// What a list shows of the life before says nothing of the new one, which may be of another kind, have another room or be about to leave:
+/// it gets nothing until a list shows it.
+fn an_entry_of_the_life_before_says_nothing() {
+    let shown = |life, cpu| WorkerListing {
+        life: Some(WorkerLife(life)),
+        capacity: ResourceSize::new(cpu, 64_000, 0),
+        ..listing("w-1")
+    };
+    let mut rig = after_three_ends();
+    rig.list_entries(vec![shown(1, 16_000)]);
+    rig.hold_fails("w-1");
+    rig.pass(500);
+    rig.answer_hold("w-1", told(2, 1_000, vec![], vec![]));
+    rig.hand_in(2, 2, job(vec![step(4)]));
+    rig.pass(100);
+    assert!(rig.peek_starts().is_empty(), "its room is not known");
+    rig.list_entries(vec![shown(1, 16_000)]);
+    rig.pass(100);
+    assert!(rig.peek_starts().is_empty(), "the list is an old one");
+    rig.list_entries(vec![shown(2, 2_000)]);
+    rig.pass(100);
+    assert_eq!(rig.peek_starts().len(), 2, "two fit");
+}
+
 /// The final states that are written of the second job.
 fn final_stages(rig: &mut SchedulerRig) -> Vec<JobStage> {
     let written = rig.commit_all();
@@ -238,6 +263,7 @@
     order_answered_by_a_life_looked_at => an_order_is_answered_by_another_life(1_000, 2, 1_010);
     order_answered_by_a_clock_that_fits => an_order_is_answered_by_another_life(FIRST_CLOCK + 1_200, 2, FIRST_CLOCK + 1_210);
     late_write => a_late_write_is_followed_by_a_look();
+    entry_of_the_life_before => an_entry_of_the_life_before_says_nothing();
     write_of_the_life_before => a_write_of_the_life_before_says_nothing();
     start_without_an_answer => a_start_without_an_answer_holds_acknowledgements_back();
     standing_task_back_with_a_clock_behind => a_standing_task_is_back_at_once(1_000);
