A lease that an order of the life before may have given a new life is waited for

Cause: deadlines count on the worker's clock. One that was reckoned for the life before leases, on a new life whose clock is behind, for as long as the worker allows (6 or 10 s), where the owner reckoned with none: a run there was given up while it was at work.

Change: where something meant for the life before may have reached the new one, its lease counts as the longest that the deadlines sent and the worker's own limit allow.

--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -45,6 +45,7 @@
             worker.hold_sent = Some(now);
             worker.hold_wait = call.wait_ms;
             worker.hold_seen = call.last_seen;
+            worker.hold_prolongs = call.deadline.is_some();
             if let Some(deadline) = call.deadline {
                 worker.life.granted = worker.life.granted.max(deadline);
             }
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -67,7 +67,12 @@
             recovery.lost_some |= recovery.unanswered.contains_key(worker);
         }
         if let Some(state) = self.workers.get_mut(worker) {
+            let reached = state.hold_prolongs || !listed.is_empty() || !doubtful.is_empty();
+            // An order that was meant for the life before leases by that one's clock, at most for as long as the worker allows.
+            let longest = report.clock + self.limits.max_lease_ms;
+            let granted = longest.min(state.life.granted);
             state.life = LifeState::new(report.life);
+            state.life.granted = if reached { granted } else { 0 };
             state.paused_until = now;
         }
         for (key, record) in listed {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -47,6 +47,8 @@
     pub(crate) hold_wait: Millis,
     /// Which ends that hold acknowledges.
     pub(crate) hold_seen: u64,
+    /// Whether it prolongs the lease.
+    pub(crate) hold_prolongs: bool,
     pub(crate) hold_due: Millis,
     /// How long the next hold is put off after an answer.
     pub(crate) hold_gap: Millis,
@@ -86,6 +88,7 @@
             hold_sent: None,
             hold_wait: 0,
             hold_seen: 0,
+            hold_prolongs: false,
             hold_due: now,
             hold_gap: 0,
             last_answer: now,
--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -247,6 +247,30 @@
     assert_eq!(rig.peek_starts().len(), 2, "two fit");
 }
 
+/// An order of the life before may reach the new one, whose clock is hours behind: it leases what runs there for as long as the worker allows.
+/// Where the worker then falls silent, its run is given up only once that is over.
+fn a_lease_by_the_clock_of_the_life_before_is_waited_for() {
+    let mut rig = after_three_ends();
+    rig.hand_in(2, 2, job(vec![step(1)]));
+    rig.pass(50);
+    let started = take_starts(&mut rig, 1_000);
+    rig.answer_hold("w-1", told(2, 1_010, vec![runs(started[0])], vec![]));
+    rig.list(&["w-1", "w-2"]);
+    rig.report("w-2", vec![], vec![]);
+    for _ in 0..56 {
+        rig.pass(100);
+        rig.hold_fails("w-1");
+        rig.report("w-2", vec![], vec![]);
+        assert!(rig.peek_starts().is_empty(), "its lease lasts 6 s");
+    }
+    for _ in 0..10 {
+        rig.pass(100);
+        rig.hold_fails("w-1");
+        rig.report("w-2", vec![], vec![]);
+    }
+    assert_eq!(rig.peek_starts().len(), 1, "it is over");
+}
+
 /// The final states that are written of the second job.
 fn final_stages(rig: &mut SchedulerRig) -> Vec<JobStage> {
     let written = rig.commit_all();
@@ -264,6 +288,7 @@
     order_answered_by_a_clock_that_fits => an_order_is_answered_by_another_life(FIRST_CLOCK + 1_200, 2, FIRST_CLOCK + 1_210);
     late_write => a_late_write_is_followed_by_a_look();
     entry_of_the_life_before => an_entry_of_the_life_before_says_nothing();
+    lease_by_the_clock_of_the_life_before => a_lease_by_the_clock_of_the_life_before_is_waited_for();
     write_of_the_life_before => a_write_of_the_life_before_says_nothing();
     start_without_an_answer => a_start_without_an_answer_holds_acknowledgements_back();
     standing_task_back_with_a_clock_behind => a_standing_task_is_back_at_once(1_000);
