What a worker reported of unread jobs goes with it or with its life

Cause: runs of jobs that a new owner has not read yet are kept under the worker's name. Where the worker was replaced, or started again, before the job was read, the run was taken over on a worker that didn't have it, or didn't exist any more, and its task was never started.

Change: they go with the worker or its life; ends that it listed stay.

--- a/crates/jobs/src/crash/noted.rs
+++ b/crates/jobs/src/crash/noted.rs
@@ -186,6 +186,7 @@
         self.blame(id);
         let convicted = self.note_crash(now, id);
         self.workers.remove(id);
+        self.foreign.forget_work(id);
         self.worker_order = None;
         self.quarantine.forget(id);
         self.roster_changed |= self.roster.remove(id);
--- a/crates/jobs/src/foreign.rs
+++ b/crates/jobs/src/foreign.rs
@@ -35,6 +35,14 @@
         self.seen.insert(end.key, (worker.clone(), sight));
     }
 
+    /// A worker, or its life, is no more: what was at work there is gone. Ends that it listed have come about.
+    pub(crate) fn forget_work(&mut self, worker: &WorkerId) {
+        let gone = |known: &WorkerId, sight: &ForeignSight| {
+            known == worker && matches!(sight, ForeignSight::AtWork(..))
+        };
+        self.seen.retain(|_, (known, sight)| !gone(known, sight));
+    }
+
     /// Whether anything was seen on a worker.
     pub(crate) fn names(&self, worker: &WorkerId) -> bool {
         self.seen.values().any(|(known, _)| known == worker)
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -61,6 +61,7 @@
         let convicted = self.note_loss(now, worker, LossCause::Restarted);
         let doubtful = self.take_runs(worker, |_, record| !record.would_be_listed(asked));
         self.lose_runs(now, worker, LossCause::Restarted);
+        self.foreign.forget_work(worker);
         self.quarantine.forget(worker);
         self.roster_changed |= self.roster.contains(worker);
         if let Some(recovery) = &mut self.recovery {
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -267,6 +267,7 @@
         });
         self.lose_crashed(now, worker, cause);
         self.workers.remove(worker);
+        self.foreign.forget_work(worker);
         self.worker_order = None;
         self.quarantine.forget(worker);
         self.roster_changed |= self.roster.remove(worker);
--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -9,11 +9,11 @@
 mod support;
 
 use sandshelf_jobs::{
-    EndReport, HoldReport, JobAction, JobEvent, JobNumber, JobStage, RunKey, RunOutcome, RunReport,
-    StepSpec, WorkerCall, WorkerLife, WorkerListing,
+    EndReport, HoldAnswer, HoldReport, JobAction, JobEvent, JobNumber, JobStage, OrderAnswer,
+    RunKey, RunOutcome, RunReport, StepSpec, TakeoverInfo, WorkerCall, WorkerLife, WorkerListing,
 };
-use sandshelf_model::ResourceSize;
-use support::{ended, job, listing, runs, step, SchedulerRig};
+use sandshelf_model::{ResourceSize, WorkerId};
+use support::{ended, job, listing, runs, step, task, SchedulerRig};
 
 /// What the clock of a worker's first life shows when the rig's shows nothing.
 const FIRST_CLOCK: u64 = 4_000_000;
@@ -31,7 +31,7 @@
 
 /// An owner whose worker has ended three tasks in its first life, all acknowledged.
 fn after_three_ends() -> SchedulerRig {
-    let mut rig = SchedulerRig::new(sandshelf_jobs::TakeoverInfo::first(1, 1_000));
+    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
     rig.list(&["w-1"]);
     rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
     rig.hand_in(1, 1, job(vec![step(3)]));
@@ -59,7 +59,7 @@
         )
     });
     for (worker, start) in &starts {
-        let done = sandshelf_jobs::OrderAnswer::Done(clock);
+        let done = OrderAnswer::Done(clock);
         rig.start_answered(worker, start.key, done);
     }
     starts.into_iter().map(|(_, start)| start.key).collect()
@@ -104,7 +104,7 @@
 
 /// A standing task is started again as soon as its worker has, whatever the worker's clock shows.
 fn a_standing_task_is_back_at_once(clock: u64) {
-    let mut rig = SchedulerRig::new(sandshelf_jobs::TakeoverInfo::first(1, 1_000));
+    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
     rig.list(&["w-1"]);
     rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
     let standing = StepSpec {
@@ -129,7 +129,7 @@
 /// While an order to start has no answer nothing is acknowledged: a life that nobody has heard of may have carried it out, and have
 /// ended the run under a number of the life before.
 fn a_start_without_an_answer_holds_acknowledgements_back() {
-    let mut rig = SchedulerRig::new(sandshelf_jobs::TakeoverInfo::first(1, 1_000));
+    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
     rig.list(&["w-1"]);
     rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
     rig.commit_all();
@@ -158,7 +158,7 @@
 
 /// Ends are acknowledged only to a life that was heard a moment ago: by a look that asks for nothing else first, where that was longer ago.
 fn a_late_write_is_followed_by_a_look() {
-    let mut rig = SchedulerRig::new(sandshelf_jobs::TakeoverInfo::first(1, 1_000));
+    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
     rig.list(&["w-1"]);
     rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
     rig.commit_all();
@@ -202,7 +202,7 @@
 
 /// A write that was under way when its worker went down acknowledges nothing of the next life.
 fn a_write_of_the_life_before_says_nothing() {
-    let mut rig = SchedulerRig::new(sandshelf_jobs::TakeoverInfo::first(1, 1_000));
+    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
     rig.list(&["w-1"]);
     rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
     rig.commit_all();
@@ -271,6 +271,39 @@
     assert_eq!(rig.peek_starts().len(), 1, "it is over");
 }
 
+/// A run that a worker reported of a job that has yet to be read is gone with that worker or its life: its task starts elsewhere as soon as
+/// the job is known.
+fn a_run_of_an_unread_job_goes_with_its_worker(lose: impl Fn(&mut SchedulerRig)) {
+    let mut rig = SchedulerRig::new(TakeoverInfo {
+        epoch: 2,
+        claim_version: 10,
+        ..TakeoverInfo::first(2, 1_000)
+    });
+    rig.list(&["w-1"]);
+    let run = RunKey {
+        task: task(7, 0, 0),
+        run: 1_048_577,
+    };
+    rig.answer_hold("w-1", told(1, FIRST_CLOCK, vec![runs(run)], vec![]));
+    rig.pass(50);
+    lose(&mut rig);
+    rig.list(&["w-2"]);
+    rig.report("w-2", vec![], vec![]);
+    rig.pass(6_000);
+    rig.report("w-2", vec![], vec![]);
+    rig.hand_in(7, 11, job(vec![step(1)]));
+    rig.report("w-2", vec![], vec![]);
+    rig.pass(500);
+    let starts = rig.peek_starts();
+    assert_eq!(starts.len(), 1, "nobody has the task");
+    assert_eq!(starts[0].0, "w-2");
+}
+
+fn replace(rig: &mut SchedulerRig) {
+    let replaced = HoldAnswer::Failed(OrderAnswer::Replaced);
+    rig.tell(JobEvent::HoldAnswered(WorkerId::from("w-1"), replaced));
+}
+
 /// The final states that are written of the second job.
 fn final_stages(rig: &mut SchedulerRig) -> Vec<JobStage> {
     let written = rig.commit_all();
@@ -289,6 +322,12 @@
     late_write => a_late_write_is_followed_by_a_look();
     entry_of_the_life_before => an_entry_of_the_life_before_says_nothing();
     lease_by_the_clock_of_the_life_before => a_lease_by_the_clock_of_the_life_before_is_waited_for();
+    run_of_an_unread_job_on_a_worker_that_restarts => {
+        a_run_of_an_unread_job_goes_with_its_worker(|rig| {
+            rig.answer_hold("w-1", told(2, 1_000, vec![], vec![]));
+        });
+    };
+    run_of_an_unread_job_on_a_worker_that_is_replaced => a_run_of_an_unread_job_goes_with_its_worker(replace);
     write_of_the_life_before => a_write_of_the_life_before_says_nothing();
     start_without_an_answer => a_start_without_an_answer_holds_acknowledgements_back();
     standing_task_back_with_a_clock_behind => a_standing_task_is_back_at_once(1_000);
