Orders that come to a carrier too late, or wait too long for their turn, are not sent

Cause: an owner gives up an order without an answer after a second, has its run stopped and starts the task elsewhere. A host that stood still, or whose link was cut, carried the order out when it read it. The worker refused it, since it knew of the stop; one that had started again meanwhile doesn't.

Change: messages to carriers say when they were sent; a carrier leaves orders that took a second longer than the quickest message of the last 10 to 20 s, and says that they were not sent. So does every host with orders to start, stop or pace that waited for a second for their turn at the worker. The answer is one of its own: a worker that could not be reached may have left, one that was not called has not.

The message of ten holds takes 304 bytes, 303 before: the expected figure in the test follows.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -46,6 +46,7 @@
                 self.pause_worker(worker, now + UNHEALTHY_PAUSE_MS);
                 self.drop_run(now, worker, &key);
             }
+            OrderAnswer::NotSent => self.drop_run(now, worker, &key),
             OrderAnswer::Invalid => {
                 self.delay_task(&key.task, now + INVALID_PAUSE_MS);
                 self.drop_run(now, worker, &key);
@@ -125,7 +126,11 @@
             }
             OrderAnswer::Replaced => self.lose_worker(now, worker, LossCause::Replaced),
             OrderAnswer::Unreachable => self.check_left(now, worker),
-            OrderAnswer::Unhealthy | OrderAnswer::Invalid | OrderAnswer::Unknown => {}
+            // It is sent again.
+            OrderAnswer::Unhealthy
+            | OrderAnswer::Invalid
+            | OrderAnswer::NotSent
+            | OrderAnswer::Unknown => {}
         }
     }
 
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -130,6 +130,8 @@
     Replaced,
     /// No connection could be made: nothing was done.
     Unreachable,
+    /// It was not sent, since it had waited for too long: nothing was done.
+    NotSent,
     /// No answer: it may have been done, or may be done later.
     Unknown,
 }
--- a/crates/jobs/src/relay/desk.rs
+++ b/crates/jobs/src/relay/desk.rs
@@ -6,7 +6,7 @@
 use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
 
 use super::messages::{
-    RelayFault, RelayGreeting, RelayMessage, RelayedAnswer, RelayedOrder, RELAY_VERSION,
+    OrderBatch, RelayFault, RelayGreeting, RelayMessage, RelayedAnswer, RelayedOrder, RELAY_VERSION,
 };
 use super::share::{calls_alone, RelayPlan, RelayShare};
 use crate::events::{HoldAnswer, JobEvent, OrderAnswer, WorkerCall};
@@ -14,7 +14,7 @@
 
 /// How long an answer is waited for beside the wait that a hold asks for: a relay gives a worker up after 0.5 s, and its own
 /// turn with the ways there and back take some 10 ms, on a weak host under load up to 0.3 s.
-const ANSWER_WITHIN_MS: Millis = 1_000;
+pub(super) const ANSWER_WITHIN_MS: Millis = 1_000;
 /// How often orders without an answer are looked at.
 const LOOK_EVERY_MS: Millis = 100;
 /// A relay that tells nothing for so long is lost; it is asked to say that it lives.
@@ -235,7 +235,12 @@
         let told = waiting.map(|(number, relay)| {
             relay.last_told = now;
             let orders = std::mem::take(&mut relay.outbox);
-            (*number, RelayMessage::Orders(epoch, orders))
+            let batch = OrderBatch {
+                epoch,
+                sent_at: now,
+                orders,
+            };
+            (*number, RelayMessage::Orders(batch))
         });
         told.collect()
     }
@@ -338,7 +343,12 @@
         });
         let told = due.map(|(number, relay)| {
             relay.last_told = now;
-            (*number, RelayMessage::Orders(epoch, Vec::new()))
+            let batch = OrderBatch {
+                epoch,
+                sent_at: now,
+                orders: Vec::new(),
+            };
+            (*number, RelayMessage::Orders(batch))
         });
         told.collect()
     }
--- a/crates/jobs/src/relay/messages.rs
+++ b/crates/jobs/src/relay/messages.rs
@@ -95,11 +95,22 @@
     }
 }
 
+/// Orders of one turn of an owner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OrderBatch {
+    /// The owner's epoch.
+    pub epoch: Epoch,
+    /// When they were sent, on the owner's clock in milliseconds.
+    pub sent_at: Millis,
+    /// The orders.
+    pub orders: Vec<RelayedOrder>,
+}
+
 /// Whatever goes between an owner and a relay behind the greeting; a message without entries only says that the sender lives.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RelayMessage {
     /// An owner's orders.
-    Orders(Epoch, Vec<RelayedOrder>),
+    Orders(OrderBatch),
     /// The answers to orders of an epoch, each with the order's number.
     Answers(Epoch, Vec<(u64, RelayedAnswer)>),
     /// A relay is about to stop: it carries out what it was given, and is to be given no more.
--- a/crates/jobs/src/relay/mod.rs
+++ b/crates/jobs/src/relay/mod.rs
@@ -28,7 +28,7 @@
 //! // What the relay does with it.
 //! let mut station = RelayStation::new(7);
 //! let (_, message) = desk.take_messages(0).pop().expect("one message");
-//! let orders = station.take(message).expect("orders of this epoch");
+//! let orders = station.take(0, message).expect("orders of this epoch");
 //! station.finish(orders[0].number, HoldAnswer::Failed(OrderAnswer::Unreachable).into());
 //!
 //! let answers = station.take_answers().expect("an answer");
@@ -39,11 +39,12 @@
 mod messages;
 mod share;
 mod station;
+mod way;
 
 pub use desk::{DeskFigures, OrderRoute, RelayDesk, RelayIntake, RelayNumber};
 pub use messages::{
-    decode_greeting, decode_message, encode_greeting, encode_message, RelayFault, RelayGreeting,
-    RelayMessage, RelayedAnswer, RelayedOrder, LARGEST_MESSAGE_BYTES, RELAY_VERSION,
+    decode_greeting, decode_message, encode_greeting, encode_message, OrderBatch, RelayFault,
+    RelayGreeting, RelayMessage, RelayedAnswer, RelayedOrder, LARGEST_MESSAGE_BYTES, RELAY_VERSION,
 };
 pub use share::waits_for_relays;
 pub use station::RelayStation;
--- a/crates/jobs/src/relay/station.rs
+++ b/crates/jobs/src/relay/station.rs
@@ -2,9 +2,12 @@
 
 use std::collections::HashSet;
 
-use sandshelf_model::Epoch;
+use sandshelf_model::{Epoch, Millis};
 
+use super::desk::ANSWER_WITHIN_MS;
 use super::messages::{RelayFault, RelayMessage, RelayedAnswer, RelayedOrder};
+use super::way::QuickestWay;
+use crate::events::{HoldAnswer, OrderAnswer, WorkerCall};
 
 /// The orders that a host carries for the owner of one epoch; it ends with the connection to that owner.
 #[derive(Clone, Debug)]
@@ -14,6 +17,7 @@
     newest: u64,
     open: HashSet<u64>,
     answers: Vec<(u64, RelayedAnswer)>,
+    way: QuickestWay,
 }
 
 impl RelayStation {
@@ -24,27 +28,43 @@
             newest: 0,
             open: HashSet::new(),
             answers: Vec::new(),
+            way: QuickestWay::default(),
         }
     }
 
     /// Takes a message in; returns the orders to carry out. One that was taken before isn't carried out again, also where it has
     /// ended since.
     ///
+    /// Orders that were on their way for longer than their owner waits for an answer are not carried out either, and are told so: it has given
+    /// them up, settled them by another way, and their worker may have started again since and know nothing of that. A host that stood
+    /// still reads what has come meanwhile all at once.
+    ///
     /// # Errors
     /// The message is of another epoch, or not for a relay; nothing of it is carried out.
-    pub fn take(&mut self, message: RelayMessage) -> Result<Vec<RelayedOrder>, RelayFault> {
-        let (epoch, mut orders) = match message {
-            RelayMessage::Orders(epoch, orders) => (epoch, orders),
+    pub fn take(
+        &mut self,
+        now: Millis,
+        message: RelayMessage,
+    ) -> Result<Vec<RelayedOrder>, RelayFault> {
+        let batch = match message {
+            RelayMessage::Orders(batch) => batch,
             RelayMessage::Answers(..) | RelayMessage::Leaves(_) => {
                 return Err(RelayFault::Misdirected)
             }
         };
-        if epoch != self.epoch {
-            return Err(RelayFault::OtherEpoch(epoch));
+        if batch.epoch != self.epoch {
+            return Err(RelayFault::OtherEpoch(batch.epoch));
         }
+        let late = self.way.note(now, batch.sent_at);
+        let mut orders = batch.orders;
         orders.retain(|order| order.number > self.newest);
         self.newest = orders.last().map_or(self.newest, |order| order.number);
         self.open.extend(orders.iter().map(|order| order.number));
+        if late > ANSWER_WITHIN_MS {
+            for order in std::mem::take(&mut orders) {
+                self.finish(order.number, not_sent(&order.call));
+            }
+        }
         Ok(orders)
     }
 
@@ -79,3 +99,13 @@
         self.open.len() + self.answers.len()
     }
 }
+
+/// What is told of an order that was not carried out.
+fn not_sent(call: &WorkerCall) -> RelayedAnswer {
+    match call {
+        WorkerCall::Hold(_) => HoldAnswer::Failed(OrderAnswer::NotSent).into(),
+        WorkerCall::Start(_) | WorkerCall::Stop(_) | WorkerCall::Pace(..) => {
+            OrderAnswer::NotSent.into()
+        }
+    }
+}
--- a/crates/jobs/tests/relay.rs
+++ b/crates/jobs/tests/relay.rs
@@ -2,14 +2,15 @@
 
 use proptest::prelude::*;
 use sandshelf_jobs::relay::{
-    decode_greeting, decode_message, encode_greeting, encode_message, waits_for_relays, OrderRoute,
-    RelayDesk, RelayFault, RelayGreeting, RelayMessage, RelayNumber, RelayStation, RelayedAnswer,
+    decode_greeting, decode_message, encode_greeting, encode_message, waits_for_relays, OrderBatch,
+    OrderRoute, RelayDesk, RelayFault, RelayGreeting, RelayMessage, RelayNumber, RelayStation,
+    RelayedAnswer, RelayedOrder,
 };
 use sandshelf_jobs::{
     HoldAnswer, HoldCall, HoldReport, JobEvent, JobNumber, OrderAnswer, RunKey, StartCall, TaskKey,
     WorkerCall,
 };
-use sandshelf_model::{HallId, HostId, Millis, WorkerId};
+use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
 
 const EPOCH: u64 = 7;
 /// A host of 0.12 of a core.
@@ -221,7 +222,7 @@
     let mut desk = desk(STRONG, 400);
     let relay = join(&mut desk, "a", 0, STRONG);
     let asked = desk.take_beats(2_000);
-    assert_eq!(asked, [(relay, RelayMessage::Orders(EPOCH, Vec::new()))]);
+    assert_eq!(asked, [(relay, orders_of(EPOCH, 2_000))]);
     desk.take(5_900, relay, answers(Vec::new()));
     assert_eq!(desk.tick(6_100).lost, []);
     assert_eq!(desk.tick(12_000).lost, [relay]);
@@ -278,11 +279,7 @@
             RelayMessage::Answers(EPOCH - 1, vec![(1, OrderAnswer::Done(1).into())]),
             RelayFault::OtherEpoch(EPOCH - 1),
         ),
-        (
-            north,
-            RelayMessage::Orders(EPOCH, Vec::new()),
-            RelayFault::Misdirected,
-        ),
+        (north, orders_of(EPOCH, 0), RelayFault::Misdirected),
     ];
     for (relay, message, fault) in cases {
         let intake = desk.take(1, relay, message);
@@ -312,13 +309,63 @@
 fn a_station_refuses_other_epochs() {
     let mut station = RelayStation::new(EPOCH);
     for epoch in [EPOCH - 1, EPOCH + 1] {
-        let refused = station.take(RelayMessage::Orders(epoch, Vec::new()));
+        let refused = station.take(0, orders_of(epoch, 0));
         assert_eq!(refused, Err(RelayFault::OtherEpoch(epoch)));
     }
-    let refused = station.take(answers(Vec::new()));
+    let refused = station.take(0, answers(Vec::new()));
     assert_eq!(refused, Err(RelayFault::Misdirected));
 }
 
+/// A message without orders of an epoch, sent at a time of the owner's clock.
+fn orders_of(epoch: Epoch, sent_at: Millis) -> RelayMessage {
+    RelayMessage::Orders(OrderBatch {
+        epoch,
+        sent_at,
+        orders: Vec::new(),
+    })
+}
+
+/// Orders that were on their way for longer than their owner waits for answers are not carried out, and it is told so. How far the clocks of
+/// both hosts are apart doesn't matter.
+fn a_station_drops_what_comes_late(apart: Millis, late: Millis, carried: bool) {
+    let mut desk = desk(STRONG, 400);
+    join(&mut desk, "a", 0, STRONG);
+    let mut station = RelayStation::new(EPOCH);
+    let quick = station.take(apart + 5, orders_of(EPOCH, 0));
+    assert_eq!(quick, Ok(Vec::new()));
+    route(&mut desk, 4_000, 0, start(1));
+    let (_, message) = desk.take_messages(4_000).pop().expect("orders");
+    let taken = station.take(apart + 4_005 + late, message);
+    assert_eq!(taken.map(|orders| orders.len()), Ok(usize::from(carried)));
+    let told = (!carried).then(|| answers(vec![(1, OrderAnswer::NotSent.into())]));
+    assert_eq!(station.take_answers(), told);
+}
+
+/// A way that has become slower for good counts as quick some time later.
+fn a_slow_way_becomes_the_usual_one() {
+    let mut station = RelayStation::new(EPOCH);
+    let mut carried = Vec::new();
+    for second in 0..30_u64 {
+        let way = if second < 5 { 1 } else { 2_000 };
+        let sent_at = second * 1_000;
+        let order = RelayedOrder {
+            number: second + 1,
+            worker: worker(0),
+            address: ([10, 0, 0, 1], 80).into(),
+            call: start(second as u32),
+        };
+        let batch = OrderBatch {
+            epoch: EPOCH,
+            sent_at,
+            orders: vec![order],
+        };
+        let taken = station.take(sent_at + way, RelayMessage::Orders(batch));
+        carried.push(!taken.expect("orders of this epoch").is_empty());
+    }
+    assert_eq!(carried[..6], [true, true, true, true, true, false]);
+    assert!(carried[25..].iter().all(|carried| *carried));
+}
+
 /// An order that comes twice is carried out once, and answered once.
 fn a_station_carries_an_order_once() {
     let mut desk = desk(STRONG, 400);
@@ -328,17 +375,17 @@
     let mut station = RelayStation::new(EPOCH);
     let again = message.clone();
     assert_eq!(
-        station.take(message.clone()).map(|orders| orders.len()),
+        station.take(0, message.clone()).map(|orders| orders.len()),
         Ok(1)
     );
-    assert_eq!(station.take(message).map(|orders| orders.len()), Ok(0));
+    assert_eq!(station.take(0, message).map(|orders| orders.len()), Ok(0));
     station.finish(1, OrderAnswer::Done(1).into());
     station.finish(1, OrderAnswer::Done(2).into());
     let told = station.take_answers();
     assert_eq!(told, Some(answers(vec![(1, OrderAnswer::Done(1).into())])));
     assert_eq!((station.take_answers(), station.open_orders()), (None, 0));
     assert_eq!(
-        station.take(again).map(|orders| orders.len()),
+        station.take(0, again).map(|orders| orders.len()),
         Ok(0),
         "it has ended"
     );
@@ -380,7 +427,7 @@
         let (_, message) = desk.take_messages(0).pop().expect("orders");
         encode_message(&message).len()
     };
-    assert_eq!((bytes(1, &mut desk), bytes(10, &mut desk)), (33, 303));
+    assert_eq!((bytes(1, &mut desk), bytes(10, &mut desk)), (34, 304));
 }
 
 /// A new owner with an eighth of a core waits for help before its first calls to 890 workers, a strong one doesn't.
@@ -411,6 +458,11 @@
     foreign_answers => foreign_answers_change_nothing();
     answered_once => an_answer_counts_once();
     other_epochs => a_station_refuses_other_epochs();
+    in_time => a_station_drops_what_comes_late(0, 1_000, true);
+    in_time_with_clocks_apart => a_station_drops_what_comes_late(7_200_000, 1_000, true);
+    late => a_station_drops_what_comes_late(0, 1_001, false);
+    late_with_clocks_apart => a_station_drops_what_comes_late(7_200_000, 1_001, false);
+    slow_for_good => a_slow_way_becomes_the_usual_one();
     carried_once => a_station_carries_an_order_once();
     other_versions => other_versions_are_told_apart();
     short_holds => a_hold_takes_few_bytes();
--- a/crates/jobs/tests/relay_explored.rs
+++ b/crates/jobs/tests/relay_explored.rs
@@ -222,10 +222,10 @@
             link.to_relay.remove(0);
         }
         let message = decode_message(&encode_message(&message)).expect("what was encoded");
-        if let (PlantedFault::TwiceCarried, RelayMessage::Orders(_, orders)) = (fault, &message) {
-            link.carried.extend(orders.clone());
+        if let (PlantedFault::TwiceCarried, RelayMessage::Orders(batch)) = (fault, &message) {
+            link.carried.extend(batch.orders.clone());
         }
-        match link.station.take(message) {
+        match link.station.take(0, message) {
             Ok(orders) if fault != PlantedFault::TwiceCarried => link.carried.extend(orders),
             _ => {}
         }
@@ -322,7 +322,7 @@
 }
 
 fn names(message: &RelayMessage, run: &RunKey) -> bool {
-    matches!(message, RelayMessage::Orders(_, orders) if orders.iter().any(|order| starts(order, run)))
+    matches!(message, RelayMessage::Orders(batch) if batch.orders.iter().any(|order| starts(order, run)))
 }
 
 /// Follows all paths; returns how many there are, or the first that breaks a promise.
--- a/crates/sandshelfd/src/jobs/calls.rs
+++ b/crates/sandshelfd/src/jobs/calls.rs
@@ -4,9 +4,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sandshelf_adapter::WorkerClient;
-use sandshelf_jobs::{JobEvent, WorkerCall};
+use sandshelf_jobs::{HoldAnswer, JobEvent, OrderAnswer, WorkerCall};
 use sandshelf_model::WorkerId;
 use tokio::sync::Semaphore;
 
@@ -17,6 +18,10 @@
 /// those of a host that lost power stay open there for a while.
 const ORDERS_AT_ONCE: usize = 3;
 
+/// An order that has waited for its turn for longer is not sent: to start a run it would come too late, and a worker that has started again
+/// meanwhile can't know that.
+const WAITS_AT_MOST: Duration = Duration::from_millis(1_000);
+
 /// Sends orders; to one worker, those beyond a few at once wait their turn.
 pub struct WorkerCalls {
     client: WorkerClient,
@@ -48,11 +53,15 @@
         let client = self.client.clone();
         async move {
             // A hold may wait for an end, so that it has a connection of its own.
+            let queued = SteadyInstant::now();
             let _turn = match call {
                 WorkerCall::Hold(_) => None,
                 _ => turns.acquire().await.ok(),
             };
             let began = SteadyInstant::now();
+            if queued.elapsed() > WAITS_AT_MOST {
+                return not_sent(worker, &call);
+            }
             let answered = answer_of(&client, worker, address, &call).await;
             meters::note_order(&answered, began.elapsed());
             answered
@@ -60,6 +69,20 @@
     }
 }
 
+/// What is told of an order that was not sent.
+fn not_sent(worker: WorkerId, call: &WorkerCall) -> JobEvent {
+    match call {
+        WorkerCall::Start(start) => {
+            JobEvent::StartAnswered(worker, start.key, OrderAnswer::NotSent)
+        }
+        WorkerCall::Stop(key) => JobEvent::StopAnswered(worker, *key, OrderAnswer::NotSent),
+        WorkerCall::Pace(key, _) => JobEvent::PaceAnswered(worker, *key, OrderAnswer::NotSent),
+        WorkerCall::Hold(_) => {
+            JobEvent::HoldAnswered(worker, HoldAnswer::Failed(OrderAnswer::NotSent))
+        }
+    }
+}
+
 async fn answer_of(
     client: &WorkerClient,
     worker: WorkerId,
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -122,6 +122,7 @@
         OrderAnswer::Invalid => "invalid",
         OrderAnswer::Replaced => "replaced",
         OrderAnswer::Unreachable => "unreachable",
+        OrderAnswer::NotSent => "not_sent",
         OrderAnswer::Unknown => "unknown",
     }
 }
--- a/crates/sandshelfd/src/jobs/station.rs
+++ b/crates/sandshelfd/src/jobs/station.rs
@@ -161,7 +161,8 @@
                 Err(_) => return "the owner is silent",
             };
             let taken = decode_message(&frame);
-            let taken = taken.and_then(|message| self.station.borrow_mut().take(message));
+            let now = clock::now();
+            let taken = taken.and_then(|message| self.station.borrow_mut().take(now, message));
             match taken {
                 Ok(orders) if orders.is_empty() => {
                     let beat = self.station.borrow().beat();
