--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -46,6 +46,8 @@
     FailingImages(usize, Millis),
     /// The workers of so many racks crash and start again after so long.
     RacksDie(usize, Millis),
+    /// So many of a hundred workers go down and start again under their names, at most so long later.
+    WorkersRestart(usize, Millis),
     /// So many workers say that they leave, serve on for a while and are gone.
     ScaleIn(usize),
     /// So many workers take orders in without an answer for so long.
--- a/crates/emulator/src/days.rs
+++ b/crates/emulator/src/days.rs
@@ -7,7 +7,7 @@
 const FILLING_CLASS: usize = 1;
 
 /// Names of days with what they are for.
-pub const DAYS: [(&str, &str); 14] = [
+pub const DAYS: [(&str, &str); 15] = [
     ("calm", "nothing goes wrong"),
     ("burst", "a strong owner under the burst, many orders late"),
     ("long-burst", "2.6 times the filling jobs for 12 s"),
@@ -34,6 +34,10 @@
         "the configuration grows by 1,400 routes twice, and all hosts are started again",
     ),
     ("storm", "large configurations in quick succession"),
+    (
+        "restarts",
+        "a third of the workers start again under their names, time and again, also as the owner dies",
+    ),
 ];
 
 /// A day by its name, on a deployment.
@@ -98,6 +102,14 @@
             }
             day
         }
+        "restarts" => burst_day(calm, 6_000)
+            .with(7_000, DayEvent::WorkersRestart(35, 1_000))
+            .with(9_000, DayEvent::LateOrders(55, 5_500))
+            .with(10_000, DayEvent::WorkersRestart(10, 6_000))
+            .with(14_000, DayEvent::WorkersRestart(35, 2_000))
+            .with(14_300, DayEvent::Kill(HostChoice::Owner, 3_000))
+            .with(20_000, DayEvent::Kill(HostChoice::Owner, 500))
+            .with(20_100, DayEvent::WorkersRestart(35, 1_000)),
         _ => return None,
     })
 }
--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -7,7 +7,7 @@
 
 use sandshelf_jobs::{
     EndReport, HoldAnswer, HoldCall, HoldReport, JobEvent, OrderAnswer, RefusalReason, RunKey,
-    RunOutcome, RunReport, StartCall, TaskKey, WorkerCall,
+    RunOutcome, RunReport, StartCall, TaskKey, WorkerCall, WorkerLife,
 };
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
@@ -38,15 +38,39 @@
     }
 }
 
+/// A life of a worker and its clock, which starts anew with each.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerBirth {
+    /// Which life it is.
+    pub life: WorkerLife,
+    /// When it began.
+    pub at: Micros,
+    /// What its clock shows then.
+    pub clock: u64,
+    /// How fast that runs, in percent.
+    pub clock_percent: u64,
+}
+
+impl WorkerBirth {
+    fn clock(&self, now: Micros) -> u64 {
+        self.clock + (now - self.at) * self.clock_percent / 100 / MS
+    }
+
+    /// When its clock shows more than so much.
+    fn after(&self, clock: u64) -> Micros {
+        let left = (clock + 1).saturating_sub(self.clock);
+        self.at + left * 100 * MS / self.clock_percent + MS
+    }
+}
+
 /// One life of a worker.
 #[derive(Clone, Debug)]
 pub struct EmulatedWorker {
     /// Its incarnation.
     pub id: WorkerId,
+    birth: WorkerBirth,
     /// All that it has.
     pub capacity: ResourceSize,
-    /// How fast its clock runs, in percent.
-    pub clock_percent: u64,
     /// Since when it says that it leaves.
     pub draining_since: Option<Micros>,
     /// Whether it takes orders in without an answer.
@@ -64,11 +88,11 @@
 
 impl EmulatedWorker {
     /// A worker that has just started.
-    pub fn new(id: WorkerId, capacity: ResourceSize, clock_percent: u64) -> Self {
+    pub fn new(id: WorkerId, birth: WorkerBirth, capacity: ResourceSize) -> Self {
         Self {
             id,
+            birth,
             capacity,
-            clock_percent,
             draining_since: None,
             hangs: false,
             fence: 0,
@@ -78,12 +102,12 @@
             ended: Vec::new(),
             end_count: 0,
             lapsed_at: 0,
-            settled_at: 0,
+            settled_at: birth.at,
         }
     }
 
     fn clock(&self, now: Micros) -> u64 {
-        now * self.clock_percent / 100 / MS
+        self.birth.clock(now)
     }
 
     /// What its runs take of its room.
@@ -114,7 +138,7 @@
     pub fn next_change(&self) -> Option<Micros> {
         let ends = self.runs.values();
         let ends = ends.filter_map(|run| run.ends_at(self.settled_at));
-        let lapse = (self.lease_until + 1) * 100 * MS / self.clock_percent + MS;
+        let lapse = self.birth.after(self.lease_until);
         let lapse = (!self.runs.is_empty()).then_some(lapse);
         ends.chain(lapse).min()
     }
@@ -353,7 +377,7 @@
             }
         });
         let report = HoldReport {
-            life: None,
+            life: Some(self.birth.life),
             carrier_late_ms: 0,
             clock: self.clock(now),
             running: running.collect(),
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -2,7 +2,7 @@
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use sandshelf_jobs::{HoldAnswer, JobEvent, WorkerCall, WorkerListing};
+use sandshelf_jobs::{HoldAnswer, JobEvent, WorkerCall, WorkerLife, WorkerListing};
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
 use super::{EmulatedWorld, Happening, HostLife};
@@ -10,13 +10,18 @@
 use crate::host::WorkerOrder;
 use crate::oracle::SoundRoom;
 use crate::queue::{Micros, MS};
-use crate::worker::{address_of, EmulatedWorker, WorkerScene};
+use crate::worker::{address_of, EmulatedWorker, WorkerBirth, WorkerScene};
 
 /// How long a worker that is gone stays listed: three of its reports.
 const GHOST: Micros = 3_300 * MS;
 /// How long a worker serves on after it has said that it leaves.
 const SERVES_ON_MS: std::ops::Range<Millis> = 3_500..9_000;
 
+/// When the first worker began, in milliseconds since 1970.
+const FIRST_LIFE_MS: u64 = 1_769_000_000_000;
+/// What the clock of a worker that has started again shows at most: those of the operators' workers were up to two hours apart.
+const MOST_CLOCK_MS: u64 = 7_200_000;
+
 /// One life of the worker at a place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct PlaceLife {
@@ -92,8 +97,14 @@
         self.incarnations += 1;
         let id = WorkerId::from(format!("i-{:08x}", self.incarnations));
         let rack = format!("r1-{}", place / self.rack);
+        let birth = WorkerBirth {
+            life: WorkerLife(FIRST_LIFE_MS + self.incarnations as u64),
+            at: 0,
+            clock: 0,
+            clock_percent: random.random_range(98..=100),
+        };
         let entry = WorkerListing {
-            life: None,
+            life: Some(birth.life),
             worker: id.clone(),
             service: "desk".to_owned(),
             address: address_of(place),
@@ -103,8 +114,7 @@
             capacity,
             draining: false,
         };
-        let clock_percent = random.random_range(98..=100);
-        (entry, EmulatedWorker::new(id, capacity, clock_percent))
+        (entry, EmulatedWorker::new(id, birth, capacity))
     }
 
     /// The incarnation that stands at a place.
@@ -113,6 +123,12 @@
         worker.map(|worker| &worker.id)
     }
 
+    /// Which life of a worker stands at a place.
+    pub(super) fn life_at(&self, place: usize) -> PlaceLife {
+        let life = self.places[place].life;
+        PlaceLife { place, life }
+    }
+
     /// Whether connections to a place without a worker are refused.
     pub(super) fn refuses(&self, place: usize) -> bool {
         self.places[place].refuses
@@ -286,6 +302,26 @@
         at.listed_until = Micros::MAX;
     }
 
+    /// The worker at a place starts again under its name: it knows nothing of before, and its clock shows anything.
+    pub(super) fn restart_worker(&mut self, place: usize) {
+        self.fleet.incarnations += 1;
+        let birth = WorkerBirth {
+            life: WorkerLife(FIRST_LIFE_MS + self.fleet.incarnations as u64),
+            at: self.now,
+            clock: self.random.random_range(0..MOST_CLOCK_MS),
+            clock_percent: self.random.random_range(98..=100),
+        };
+        let at = &mut self.fleet.places[place];
+        if at.worker.is_some() {
+            return;
+        }
+        let id = at.entry.worker.clone();
+        at.worker = Some(EmulatedWorker::new(id, birth, at.entry.capacity));
+        at.entry.life = Some(birth.life);
+        at.entry.draining = false;
+        at.listed_until = Micros::MAX;
+    }
+
     /// A worker says that it leaves.
     pub(super) fn drain_worker(&mut self, place: usize) {
         let at = &mut self.fleet.places[place];
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -62,6 +62,8 @@
     WorkerDue(PlaceLife),
     /// A worker's place is taken by a new incarnation.
     WorkerBack(usize),
+    /// The worker of a place starts again under its name.
+    WorkerRestarts(usize),
     /// A worker that had announced it is gone.
     WorkerLeaves(PlaceLife),
     /// A worker that hung answers again.
@@ -207,6 +209,7 @@
             Happening::AtWorker(order) => self.at_worker(*order),
             Happening::WorkerDue(place) => self.settle_worker(place),
             Happening::WorkerBack(place) => self.bring_worker_back(place),
+            Happening::WorkerRestarts(place) => self.restart_worker(place),
             Happening::WorkerLeaves(place) => self.worker_leaves(place),
             Happening::WorkerWell(place) => self.fleet.set_hangs(place, false),
             Happening::HostStarts(host) => self.start_host(host),
--- a/crates/emulator/src/world/passage.rs
+++ b/crates/emulator/src/world/passage.rs
@@ -4,6 +4,7 @@
 use sandshelf_jobs::{JobEvent, OrderAnswer, WorkerCall};
 use sandshelf_model::Millis;
 
+use super::fleet::PlaceLife;
 use super::{EmulatedWorld, Happening, HostLife};
 use crate::capacity::CHUNK_BYTES;
 use crate::host::{answer_event, CallAnswer, CallBody, CallPeer, WorkItem, WorkerOrder};
@@ -47,6 +48,8 @@
     pub(super) order: WorkerOrder,
     /// Whether its sender learns what became of it.
     pub(super) answers: bool,
+    /// The worker's life that has taken it and carries it out late.
+    pub(super) held_by: Option<PlaceLife>,
 }
 
 impl EmulatedWorld {
@@ -68,6 +71,7 @@
                     place,
                     order,
                     answers: !late,
+                    held_by: late.then(|| self.fleet.life_at(place)),
                 };
                 let arrives = Happening::AtWorker(Box::new(at_worker));
                 if late {
@@ -173,7 +177,11 @@
             place,
             order,
             answers,
+            held_by,
         } = at_worker;
+        if held_by.is_some_and(|life| life != self.fleet.life_at(place)) {
+            return;
+        }
         let event = match self.fleet.id_at(place) {
             Some(id) if *id == order.worker => {
                 self.carry_out(from, call, place, &order, answers);
--- a/crates/emulator/src/world/strike.rs
+++ b/crates/emulator/src/world/strike.rs
@@ -1,6 +1,7 @@
 //! What goes wrong on a day, or is planned.
 
 use rand::seq::SliceRandom;
+use rand::RngExt;
 use sandshelf_model::Millis;
 
 use super::{EmulatedWorld, Happening};
@@ -61,6 +62,7 @@
                 self.queue.push(until(for_ms), Happening::ImagesWell);
             }
             DayEvent::RacksDie(racks, down_ms) => self.kill_racks(racks, down_ms),
+            DayEvent::WorkersRestart(percent, down_ms) => self.restart_workers(percent, down_ms),
             DayEvent::ScaleIn(count) => {
                 for place in self.drawn_workers(count) {
                     self.drain_worker(place);
@@ -143,6 +145,18 @@
         self.watch.disturb_workers(self.now);
     }
 
+    /// A share of the workers goes down; each starts again under its name, at most so long later.
+    fn restart_workers(&mut self, percent: usize, down_ms: Millis) {
+        let count = self.fleet.count() * percent / 100;
+        for place in self.drawn_workers(count) {
+            self.lose_worker(place, place % 2 == 0);
+            let down = self.random.random_range(down_ms / 2..=down_ms);
+            let at = self.now + down * MS;
+            self.queue.push(at, Happening::WorkerRestarts(place));
+        }
+        self.watch.disturb_workers(self.now);
+    }
+
     fn drawn_workers(&mut self, count: usize) -> Vec<usize> {
         let mut places: Vec<usize> = (0..self.fleet.count()).collect();
         places.shuffle(&mut self.random);
--- a/crates/emulator/tests/grown.rs
+++ b/crates/emulator/tests/grown.rs
@@ -66,5 +66,6 @@
     images_fail_and_orders_are_late => holds_short("images", Deployment::code_search(), 1);
     large_configurations_in_quick_succession => holds_short("storm", Deployment::code_search(), 1);
     connections_fall_silent => holds_short("silent", Deployment::auction(), 1);
+    workers_start_again_under_their_names => holds_short("restarts", Deployment::auction(), 1);
     seeds_by_hand => by_hand();
 }
