The same readings lead to the same estimate of loads, whichever way a map is ordered

Cause: the steps whose waves tell the period were taken from a hash map, and of those that had been read equally long some were left out by its order, which differs with each process. Plays of the emulator differed by some bytes, and further on by what was started where: a broken promise that was seen once could not be played again.

Change: an ordered map.

--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/rules.rs
@@ -1,6 +1,7 @@
 //! Each rule is seen to be broken by a host that breaks it, and kept by one that doesn't.
 
 use sandshelf_emulator::day::{DayEvent, DayPlan, HostChoice};
+use sandshelf_emulator::days::day;
 use sandshelf_emulator::deployment::{Deployment, WEAK_HOST};
 use sandshelf_emulator::host::{HostFault, HostModel, TransferLimit};
 use sandshelf_emulator::oracle::BrokenRule;
@@ -81,6 +82,15 @@
     assert_eq!(first, told(play(tenth_of_a_processor())));
 }
 
+/// A play in which serving tasks swing for long enough to be learnt from is the same each time, to the byte.
+fn same_bytes_each_time() {
+    let told = || {
+        let report = play(day("restarts", Deployment::code_search()).expect("the day is known"));
+        format!("{report}")
+    };
+    assert_eq!(told(), told());
+}
+
 sandshelf_cases::cases! {
     a_sound_day_is_kept => keeps(small(|_| {}));
     a_recovery_is_kept => keeps(all_killed(HostFault::None));
@@ -96,4 +106,5 @@
     stop_by_an_owner_that_stops_nothing => breaks(
         BrokenRule::Stop, small(|host| host.fault = HostFault::NoStops));
     a_starved_owner_fails_the_same_way_each_time => same_play_each_time();
+    restarts_are_the_same_each_time => same_bytes_each_time();
 }
--- a/crates/jobs/src/swing.rs
+++ b/crates/jobs/src/swing.rs
@@ -6,7 +6,7 @@
 //! comes. A sine wave was read off measured days: the readings of 60 steps without filling tasks lie within 0.013 of it.
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::f64::consts::TAU;
 
 use sandshelf_model::Millis;
@@ -99,7 +99,7 @@
 /// The loads of all serving steps.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoadBook {
-    steps: HashMap<TaskKey, StepLoad>,
+    steps: BTreeMap<TaskKey, StepLoad>,
     usual: UsualLoad,
     looked_at: Millis,
 }
