--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -38,6 +38,7 @@
 use crate::jobs::health::StoreHealth;
 use crate::jobs::owner::{run_owner, OwnerParts};
 use crate::jobs::queues::{watch_queues, QueueView};
+use crate::jobs::relays::RelayFace;
 use crate::logging::event;
 use crate::{clock, logging, meters as process_meters};
 
@@ -99,8 +100,9 @@
     let (ready_at, _) = launch(ready).await?;
     let metrics_at = open_metrics(settings.metrics_address).await;
     let metrics_at = metrics_at.map_or("none".to_owned(), |address| address.to_string());
-    let relays_at = settings.relay_address;
-    let relays_at = relays_at.map_or("none".to_owned(), |address| address.to_string());
+    let relays = settings.relay_address.map(RelayFace::open);
+    let relays_at = relays.as_ref().map(RelayFace::address);
+    let relays_told = relays_at.map_or("none".to_owned(), |address| address.to_string());
     event(
         "started",
         &[
@@ -109,7 +111,7 @@
             ("caller", &caller_at),
             ("ready", &ready_at),
             ("metrics", &metrics_at),
-            ("relays", &relays_at),
+            ("relays", &relays_told),
             ("store", &settings.store_address),
         ],
     );
@@ -125,7 +127,11 @@
     let (stopped, owner_stopped) = oneshot::channel();
     start_owner(OwnerParts {
         host: host.clone(),
-        settings: settings.clone(),
+        settings: JobSettings {
+            relay_address: relays_at,
+            ..settings.clone()
+        },
+        relays,
         store,
         queues,
         health,
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -28,7 +28,7 @@
 use crate::jobs::owner::recover::RunningTakeover;
 use crate::jobs::owner::strength::HostStrength;
 use crate::jobs::queues::QueueView;
-use crate::jobs::relays::serve_relays;
+use crate::jobs::relays::{serve_relays, RelayFace};
 use crate::jobs::station::{run_station, OwnerPlace};
 use crate::jobs::takeover::{PublishedState, RecordedState};
 use crate::jobs::writer::{OwnerStore, OwnerWrite, WriteEnd};
@@ -58,6 +58,8 @@
     pub host: HostId,
     /// The settings.
     pub settings: JobSettings,
+    /// Where hosts that carry orders connect; the settings name its address.
+    pub relays: Option<RelayFace>,
     /// The store.
     pub store: StoreClient,
     /// The configuration of queues.
@@ -137,6 +139,7 @@
     let OwnerParts {
         host,
         settings,
+        relays,
         store,
         queues,
         health,
@@ -165,8 +168,8 @@
             None
         }
     };
-    if let Some(address) = settings.relay_address {
-        spawn_local(serve_relays(address, relay_news.clone()));
+    if let Some(face) = relays {
+        spawn_local(serve_relays(face, relay_news.clone()));
     }
     let mut owner = OwnerLoop {
         lease: ShardLease::new(host.clone(), times),
--- a/crates/sandshelfd/src/jobs/relays.rs
+++ b/crates/sandshelfd/src/jobs/relays.rs
@@ -1,7 +1,7 @@
 //! The owner's connections to the hosts that carry its orders.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener as StdListener};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -46,17 +46,66 @@
     Left(LinkNumber),
 }
 
-/// Takes connections for as long as the process lives, and tells what comes over them; has to run within a `LocalSet`.
-pub async fn serve_relays(address: SocketAddr, news: UnboundedSender<RelayNews>) {
-    let listener = loop {
-        match TcpListener::bind(address).await {
-            Ok(listener) => break listener,
+/// Where hosts that carry orders connect.
+///
+/// It is opened before this host can own anything: where the settings leave the port to be chosen, what is published has to name the one that was.
+#[derive(Debug)]
+pub struct RelayFace {
+    address: SocketAddr,
+    /// None where the address could not be had yet.
+    listener: Option<StdListener>,
+}
+
+impl RelayFace {
+    /// Opens an address, or remembers it for later where it can't be had.
+    pub fn open(address: SocketAddr) -> Self {
+        let opened = StdListener::bind(address).and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            Ok((listener.local_addr()?, listener))
+        });
+        match opened {
+            Ok((address, listener)) => Self {
+                address,
+                listener: Some(listener),
+            },
             Err(error) => {
                 event("relays_failed", &[("address", &address), ("error", &error)]);
-                sleep(ACCEPT_PAUSE).await;
+                Self {
+                    address,
+                    listener: None,
+                }
             }
         }
-    };
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its connections; waits until the address can be had.
+    async fn listen(mut self) -> TcpListener {
+        loop {
+            let listener = match self.listener.take() {
+                Some(listener) => TcpListener::from_std(listener),
+                None => TcpListener::bind(self.address).await,
+            };
+            match listener {
+                Ok(listener) => return listener,
+                Err(error) => {
+                    let address = self.address;
+                    event("relays_failed", &[("address", &address), ("error", &error)]);
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Takes connections for as long as the process lives, and tells what comes over them; has to run within a `LocalSet`.
+pub async fn serve_relays(face: RelayFace, news: UnboundedSender<RelayNews>) {
+    let address = face.address();
+    let listener = face.listen().await;
     let mut link = 0;
     loop {
         match listener.accept().await {
--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -350,7 +350,8 @@
     pub async fn set_faults(&self, plan: &crate::platform::FaultPlan) {
         let url = format!("http://{}/standin/faults", self.platform_address);
         let sent = reqwest::Client::new().post(url).json(plan).send().await;
-        sent.expect("the stand-in's faults can be set");
+        let set = sent.and_then(reqwest::Response::error_for_status);
+        set.expect("the stand-in's faults can be set");
     }
 
     /// Reads JSON from a stand-in or a daemon; none where it does not answer.
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -162,6 +162,6 @@
     };
     let url = format!("http://{}/standin/hosts", wish.platform);
     let sent = reqwest::Client::new().post(url).json(&entry).send().await;
-    sent.map_err(|error| error.to_string())?;
-    Ok(())
+    let listed = sent.and_then(reqwest::Response::error_for_status);
+    listed.map(|_| ()).map_err(|error| error.to_string())
 }
--- a/crates/standin/tests/process_failures.rs
+++ b/crates/standin/tests/process_failures.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use reqwest::Client;
+use reqwest::{Client, Response};
 use sandshelf_cases::cases;
 use sandshelf_model::{HallId, RackId, ServiceId, WorkerId};
 use sandshelf_platform::{HostEntry, HostKind, HostState};
@@ -46,7 +46,8 @@
     };
     let url = format!("http://{}/standin/behave", worker.backend);
     let sent = Client::new().post(url).json(&behaviour).send().await;
-    sent.expect("the stand-in's behaviour can be set");
+    let set = sent.and_then(Response::error_for_status);
+    set.expect("the stand-in's behaviour can be set");
 }
 
 async fn histories(system: &LocalSystem) -> Option<Vec<Value>> {
@@ -475,7 +476,8 @@
     tokio::spawn(serve_badly(listener, bad));
     let url = format!("http://{}/standin/hosts", system.platform_address);
     let sent = Client::new().post(url).json(&entry).send().await;
-    sent.expect("the stand-in lists it");
+    let listed = sent.and_then(Response::error_for_status);
+    listed.expect("the stand-in lists it");
     apply(&system, "first", SET);
     system.wait_ready().await;
     let host = &system.hosts["entry-1"];
