What brings down workers with nothing new on them may have brought a sound task's worker down as well

Cause: a task that has just begun whenever many workers go down at one moment (cuts of halls, racks without power) was noted as the only suspect each time, and convicted by the fourth: begun_before_herds_crash and begun_before_herds_restart, which fail on the code before. Change: five make a herd. Crash notes of a worker that goes down with one say no longer that nothing else can be the cause.

--- a/crates/jobs/src/crash/book.rs
+++ b/crates/jobs/src/crash/book.rs
@@ -7,7 +7,7 @@
 
 use super::CrashNote;
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
-use crate::limits::SOUND_AGAIN_MS;
+use crate::limits::{HERD_MS, SOUND_AGAIN_MS, UNEXPLAINED_KEPT_MS};
 
 /// A life of a worker that is taken as crashed.
 #[derive(Clone, Debug)]
@@ -42,6 +42,8 @@
     pub(super) awaited: Vec<AwaitedCrash>,
     /// Where workers crashed lately, and when.
     crashed_at: BTreeMap<SocketAddr, Millis>,
+    /// When workers were last heard that went down with nothing unproven on them.
+    unexplained: Vec<Millis>,
 }
 
 impl CrashBook {
@@ -79,6 +81,18 @@
         at.is_some_and(|at| now < at + SOUND_AGAIN_MS)
     }
 
+    /// Notes that a worker went down which was last heard then, and on which nothing was unproven.
+    pub(super) fn note_unexplained(&mut self, now: Millis, heard_at: Millis) {
+        self.unexplained.retain(|at| now < at + UNEXPLAINED_KEPT_MS);
+        self.unexplained.push(heard_at);
+    }
+
+    /// How many such workers were last heard at about a time.
+    pub(super) fn unexplained_near(&self, heard_at: Millis) -> usize {
+        let near = self.unexplained.iter();
+        near.filter(|at| at.abs_diff(heard_at) <= HERD_MS).count()
+    }
+
     /// Forgets a task that is proven, or whose notes were withdrawn.
     pub(super) fn clear(&mut self, task: &TaskKey) {
         self.noted.remove(task);
--- a/crates/jobs/src/crash/caution.rs
+++ b/crates/jobs/src/crash/caution.rs
@@ -39,6 +39,22 @@
     /// An order without an answer may have been carried out. But where another run there is unproven, that one explains why nothing was
     /// heard any more; and of several the first was the last that the worker can have begun.
     pub(crate) fn crash_suspects(&self, worker: &WorkerState) -> Vec<CrashSuspect> {
+        let mut suspects = self.begun_suspects(worker);
+        if !suspects.iter().any(|suspect| self.is_unproven(suspect)) {
+            suspects.extend(worker.first_unanswered());
+        }
+        suspects
+    }
+
+    /// Whether nothing that had begun on a worker can have brought it down. Orders without an answer say nothing here: they go to a worker that is
+    /// down until that is noticed.
+    pub(super) fn is_unexplained(&self, worker: &WorkerState) -> bool {
+        let suspects = self.begun_suspects(worker);
+        !suspects.iter().any(|suspect| self.is_unproven(suspect))
+    }
+
+    /// Those of the suspects that the worker is known to have begun.
+    fn begun_suspects(&self, worker: &WorkerState) -> Vec<CrashSuspect> {
         let began = worker.runs.iter().filter_map(|(key, record)| {
             let heard_ms = worker.heard_after(record)?;
             Some(CrashSuspect {
@@ -48,13 +64,8 @@
             })
         });
         let began = began.chain(worker.suspects.iter().copied());
-        let mut suspects: Vec<CrashSuspect> = began
-            .filter(|suspect| suspect.heard_ms <= LATEST_CRASH_MS)
-            .collect();
-        if !suspects.iter().any(|suspect| self.is_unproven(suspect)) {
-            suspects.extend(worker.first_unanswered());
-        }
-        suspects
+        let late = began.filter(|suspect| suspect.heard_ms <= LATEST_CRASH_MS);
+        late.collect()
     }
 
     /// Whether a run has not been proven: its worker may have gone down by its doing, or may yet.
--- a/crates/jobs/src/crash/noted.rs
+++ b/crates/jobs/src/crash/noted.rs
@@ -9,7 +9,10 @@
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
 use crate::job::TaskStage;
 use crate::life::are_others;
-use crate::limits::{ALONE_FROM_CRASHES, CRASH_WAIT_MS, UNFOUND_WATCHED_AT_MOST};
+use crate::limits::{
+    ALONE_FROM_CRASHES, CRASH_WAIT_MS, FEWEST_IN_HERD, HERD_MS, HERD_OF_WORKERS,
+    UNFOUND_WATCHED_AT_MOST,
+};
 use crate::scheduler::JobScheduler;
 use crate::worker::WorkerState;
 
@@ -54,10 +57,14 @@
         let suspects = self.crash_suspects(state);
         let unproven = suspects.iter().filter(|suspect| self.is_unproven(suspect));
         let unproven: Vec<RunKey> = unproven.map(|suspect| suspect.key).collect();
+        let heard_at = state.last_answer;
         let only = match unproven[..] {
-            [run] => Some(run),
+            [run] if !self.goes_with_others(worker, heard_at) => Some(run),
             _ => None,
         };
+        if self.is_unexplained(state) {
+            self.crashes.note_unexplained(now, heard_at);
+        }
         self.crashes.note_place(now, address);
         let mut convicted = None;
         for suspect in suspects {
@@ -78,6 +85,17 @@
         convicted
     }
 
+    /// Whether several other workers go down, or don't answer, since about the same time although no task on them explains it: what has
+    /// brought those down may have brought this one down as well, so that nothing can be said to be the only cause.
+    fn goes_with_others(&self, worker: &WorkerId, heard_at: Millis) -> bool {
+        let failing = self.workers.iter().filter(|(id, other)| {
+            let silent = other.failed_holds > 0 && other.last_answer.abs_diff(heard_at) <= HERD_MS;
+            silent && *id != worker && self.is_unexplained(other)
+        });
+        let unexplained = self.crashes.unexplained_near(heard_at) + failing.count();
+        unexplained >= FEWEST_IN_HERD.max(self.workers.len() / HERD_OF_WORKERS)
+    }
+
     /// Notes a crash with a task; returns whether that convicts it.
     fn note_crash_under(
         &mut self,
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -99,6 +99,15 @@
 pub const CERTAIN_CRASHES: usize = 2;
 /// So many convict a task whose workers go down some time after its start: the last start but one that is allowed.
 pub const CONVICTING_SLOW_CRASHES: usize = 4;
+/// Workers that go down at one moment were last heard so far apart at most: the longest wait for a look, and its way.
+pub const HERD_MS: Millis = 1_500;
+/// So many workers that go down at one moment with nothing new on them say that a task need not be the cause. Fewer do so by chance where
+/// workers crash by themselves all the time.
+pub const FEWEST_IN_HERD: usize = 5;
+/// In a large fleet one worker of so many has to be.
+pub const HERD_OF_WORKERS: usize = 100;
+/// For how long a worker is remembered that went down so: the lease of another that did runs out within that time.
+pub const UNEXPLAINED_KEPT_MS: Millis = 10_000;
 /// Where a new owner finds more tasks nowhere, most of them were never started, and those without a note are not watched: the next
 /// start of each costs a write.
 pub const UNFOUND_WATCHED_AT_MOST: usize = 200;
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -29,6 +29,10 @@
     CrashingFleet::that_restart(8, after)
 }
 
+/// How many workers stand where several go down at once, and how many do beside the one that matters.
+const FLEET: usize = 32;
+const HERD: usize = 6;
+
 /// A job of six tasks whose first crashes its workers, and its crashing task.
 fn hand_in_crasher(fleet: &mut CrashingFleet, number: u64, after: Millis) -> TaskKey {
     let crasher = task(number, 0, 0);
@@ -161,9 +165,52 @@
     assert_done(&fleet, 100..number);
 }
 
+/// A sound task has just begun each time that many workers go down at once: what brings down workers on which nothing is new has brought
+/// down its worker as well, and it is never given up.
+fn a_task_that_begins_before_herds_crash_is_never_given_up(mut fleet: CrashingFleet) {
+    let stands = StepSpec {
+        standing: true,
+        ..step(1)
+    };
+    fleet.hand_in(50, job(vec![stands]), &[]);
+    let unlucky = task(50, 0, 0);
+    for _ in 0..8 {
+        let before = fleet.start_count(&unlucky);
+        while fleet.start_count(&unlucky) == before || fleet.place_of(&unlucky).is_none() {
+            fleet.pass(25);
+            assert_ne!(fleet.stage(50), Some(JobStage::Failed), "given up");
+        }
+        fleet.pass(50);
+        let place = fleet.place_of(&unlucky).expect("it is at work");
+        fleet.crash_others(Some(place), HERD);
+        fleet.crash_worker(place);
+        fleet.pass(25);
+    }
+    fleet.pass(10_000);
+    assert_eq!(fleet.stage(50), Some(JobStage::Running));
+}
+
+/// A task that crashes its workers is given up also where others go down by themselves, several at once from time to time.
+fn a_crashing_task_beside_herds_is_given_up(mut fleet: CrashingFleet) {
+    let crasher = hand_in_crasher(&mut fleet, 7, CRASHES_AFTER_MS);
+    for number in 100..180 {
+        pass_with_traffic(&mut fleet, number..number + 1);
+        if number % 20 == 13 {
+            let busy = fleet.place_of(&crasher);
+            fleet.crash_others(busy, HERD);
+        }
+    }
+    fleet.pass(10_000);
+    assert_given_up(&fleet, &crasher);
+}
+
 sandshelf_cases::cases! {
     proven_in_between => a_task_that_is_proven_in_between_is_never_given_up();
     orders_to_the_dead => orders_to_a_dead_worker_prove_nothing();
+    begun_before_herds_crash => a_task_that_begins_before_herds_crash_is_never_given_up(CrashingFleet::new(FLEET));
+    begun_before_herds_restart => a_task_that_begins_before_herds_crash_is_never_given_up(CrashingFleet::that_restart(FLEET, 600));
+    crashing_task_given_up_beside_herds => a_crashing_task_beside_herds_is_given_up(CrashingFleet::new(FLEET));
+    crashing_task_given_up_beside_herds_that_restart => a_crashing_task_beside_herds_is_given_up(CrashingFleet::that_restart(FLEET, 600));
     crashing_task_given_up => one_owner_gives_it_up(replaced(), CRASHES_AFTER_MS);
     standing_crashing_task_given_up => standing_crasher_is_given_up();
     crashing_task_given_up_by_successors => owners_in_turn_give_it_up(replaced(), BACK_AFTER_MS + 1_000);
--- a/crates/jobs/tests/support/crashing.rs
+++ b/crates/jobs/tests/support/crashing.rs
@@ -207,6 +207,20 @@
         self.crash(place - 1, None);
     }
 
+    /// So many workers that stand crash by themselves, all but one.
+    pub fn crash_others(&mut self, spared: Option<usize>, count: usize) {
+        let standing = self.workers.iter();
+        let standing = standing.filter(|worker| worker.back_at.is_none());
+        let others = standing.filter(|worker| Some(worker.place) != spared);
+        // Those that crashed least often stand for longest.
+        let mut others: Vec<(usize, usize)> =
+            others.map(|worker| (worker.lives, worker.place)).collect();
+        others.sort_unstable();
+        for (_, place) in others.into_iter().take(count) {
+            self.crash_worker(place);
+        }
+    }
+
     /// The worker on which a task is at work.
     pub fn place_of(&self, task: &TaskKey) -> Option<usize> {
         let runs = |worker: &&FleetWorker| worker.runs.keys().any(|run| run.task == *task);
