Failing tests: halls that are cut off one way or both, the owner's among them

Story: an owner in a hall that nothing gets out of (or into) can't renew its ownership. Another host claims, and has the leases prolonged of all workers that it reaches. The former owner goes on; one lease after the cut it takes the leases of the workers that it can't hear for over and starts their tasks again in its own hall, where no worker has met the new epoch. The emulator of owners and workers plays halls from now on: packets pass one way, the other or neither, calls under way arrive once the cut has healed, and lists omit workers that can't report.

--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -353,6 +353,32 @@
     }
 }
 
+/// Halls that are cut off one way or both, the owner's among them.
+fn halls_cut() -> FaultPlan {
+    FaultPlan {
+        workers: 16,
+        hall_cuts: 150,
+        guards: true,
+        standing: true,
+        max_lease_ms: 10_000,
+        ..FaultPlan::default()
+    }
+}
+
+/// Halls that are cut off beside owners that die, freeze or lose the store, and calls that get lost or come late.
+fn halls_cut_amid_all() -> FaultPlan {
+    FaultPlan {
+        deaths: 60,
+        freezes: 30,
+        outages: 60,
+        lost_calls: 5,
+        lost_answers: 5,
+        late_orders: 20,
+        failed_runs: 20,
+        ..halls_cut()
+    }
+}
+
 /// On workers that are reachable no lease runs out, whichever single calls get lost.
 fn keeps_sound_leases(seeds: std::ops::Range<u64>, plan: FaultPlan) {
     let lapses: Vec<(u64, usize)> = seeds
@@ -442,6 +468,13 @@
     }
 }
 
+/// A longer run by hand on halls that are cut off: `SANDSHELF_HALL_SEEDS=1:2000`.
+fn hall_run() {
+    let seeds = named_seeds("SANDSHELF_HALL_SEEDS", "1:5");
+    is_safe(seeds.clone(), halls_cut());
+    is_safe(seeds, halls_cut_amid_all());
+}
+
 /// Each rule of the oracle fires on what breaks it.
 fn oracle_sees(rule: BrokenRule, play: impl Fn(&mut PlatformOracle)) {
     let mut oracle = PlatformOracle::default();
@@ -489,6 +522,9 @@
     workers_start_again_and_owners_die => is_safe(1_600..1_630, same_names_and_owners());
     workers_start_again_under_tasks => holds(1_700..1_730, same_names_under_crashing_tasks());
     workers_start_again_with_other_rooms => is_safe(1_800..1_830, same_names_and_rooms());
+    halls_are_cut => is_safe(1_900..1_930, halls_cut());
+    halls_are_cut_amid_all => is_safe(2_000..2_030, halls_cut_amid_all());
+    halls_by_hand => hall_run();
     lives_by_hand => life_run();
     seeds_by_hand => long_run();
     away_by_hand => holds(named_seeds("SANDSHELF_AWAY_SEEDS", "500:509"), workers_gone_for_good());
--- a/crates/jobs/tests/support/emulated_worker.rs
+++ b/crates/jobs/tests/support/emulated_worker.rs
@@ -10,7 +10,7 @@
 /// How long after it has shrunk a room has to be kept to: three seconds in which an owner has been in touch, and a report.
 const SHRUNK_AFTER_MS: Millis = 3_000 + REPORT_MS;
 /// After how long without a report lists omit a worker.
-const UNLISTED_AFTER_MS: Millis = 3_300;
+pub const UNLISTED_AFTER_MS: Millis = 3_300;
 
 pub struct EmulatedRun {
     pub run: u64,
--- /dev/null
+++ b/crates/jobs/tests/support/emulator/halls.rs
@@ -0,0 +1,102 @@
+//! Halls that packets leave or enter no more: hosts and workers in one hear each other, and the store stands outside.
+
+use rand::RngExt;
+use sandshelf_model::Millis;
+
+use super::PlatformEmulator;
+
+/// How many halls there are; the worker at place P stands in hall P modulo this.
+const HALLS: usize = 4;
+
+/// Which way nothing passes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutWay {
+    /// Nothing gets out of the hall.
+    Out,
+    /// Nothing gets in.
+    In,
+    /// Neither.
+    Both,
+}
+
+/// One hall that is cut off.
+#[derive(Clone, Copy, Debug)]
+pub struct HallCut {
+    pub hall: usize,
+    pub way: CutWay,
+    pub since: Millis,
+    pub until: Millis,
+}
+
+impl HallCut {
+    fn stops_out(&self) -> bool {
+        self.way != CutWay::In
+    }
+
+    fn stops_in(&self) -> bool {
+        self.way != CutWay::Out
+    }
+}
+
+/// The hall of the worker at a place.
+pub fn hall_of(place: usize) -> usize {
+    place % HALLS
+}
+
+impl PlatformEmulator {
+    /// Cuts a hall off for some seconds; half of the time the one that the owner stands in.
+    pub(super) fn strike_hall(&mut self) {
+        if self.hall_cut().is_some() {
+            return;
+        }
+        let any = self.random.random_range(0..HALLS);
+        let owners = self.owners.last().map_or(any, |owner| owner.hall);
+        let hall = match self.random.random_bool(0.5) {
+            true => owners,
+            false => any,
+        };
+        let way = [CutWay::Out, CutWay::In, CutWay::Both][self.random.random_range(0..3)];
+        let until = self.now + self.random.random_range(1_000..14_000);
+        self.cut = Some(HallCut {
+            hall,
+            way,
+            since: self.now,
+            until,
+        });
+    }
+
+    /// A hall for a new owner, which has to reach the store.
+    pub(super) fn draw_hall(&mut self) -> usize {
+        if self.plan.hall_cuts == 0 {
+            return 0;
+        }
+        let cut = self.hall_cut().map(|cut| cut.hall);
+        let halls: Vec<usize> = (0..HALLS).filter(|hall| Some(*hall) != cut).collect();
+        halls[self.random.random_range(0..halls.len())]
+    }
+
+    /// The hall that is cut off now.
+    pub(super) fn hall_cut(&self) -> Option<HallCut> {
+        self.cut.filter(|cut| self.now < cut.until)
+    }
+
+    /// Until when nothing gets from one hall to another; the store stands in none of them.
+    pub(super) fn stopped_until(&self, from: Option<usize>, to: Option<usize>) -> Option<Millis> {
+        let cut = self.hall_cut().filter(|_| from != to)?;
+        let leaves = from == Some(cut.hall) && cut.stops_out();
+        let enters = to == Some(cut.hall) && cut.stops_in();
+        (leaves || enters).then_some(cut.until)
+    }
+
+    /// Until when a hall's calls to the store get no answer.
+    pub(super) fn without_store_until(&self, hall: usize) -> Option<Millis> {
+        let cut = self.hall_cut().filter(|cut| cut.hall == hall)?;
+        Some(cut.until)
+    }
+
+    /// The hall of the worker that bears a name.
+    pub(super) fn worker_hall(&self, worker: &sandshelf_model::WorkerId) -> Option<usize> {
+        let known = self.workers.iter().find(|known| known.id == *worker);
+        known.map(|known| hall_of(known.place))
+    }
+}
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -1,6 +1,7 @@
 //! An emulator of the platform in virtual time: workers with leases on skewed clocks, a store, owners that follow each
 //! other, and calls that get lost, late or no answer.
 
+mod halls;
 mod owners;
 mod workers;
 
@@ -14,6 +15,7 @@
 };
 use sandshelf_model::{Millis, WorkerId};
 
+use self::halls::HallCut;
 use super::emulated_worker::EmulatedWorker;
 use super::faults::FaultPlan;
 use super::oracle::PlatformOracle;
@@ -86,6 +88,8 @@
 
 struct EmulatedOwner {
     epoch: u64,
+    /// The hall that its host stands in.
+    hall: usize,
     scheduler: JobScheduler,
     frozen_until: Millis,
     listed_at: Millis,
@@ -117,6 +121,8 @@
     roster: WorkerRoster,
     silent: SilentWorkers,
     store_out_until: Millis,
+    /// The hall that was cut off last.
+    cut: Option<HallCut>,
     /// Tasks that crash their workers, with how long after their start.
     crashers: BTreeMap<TaskKey, Millis>,
     /// How many runs lapsed on workers that were reachable throughout their lease.
@@ -148,6 +154,7 @@
             roster: WorkerRoster::default(),
             silent: SilentWorkers::default(),
             store_out_until: 0,
+            cut: None,
             disturbed_at: 0,
             sound_lapses: 0,
             crashers: BTreeMap::new(),
@@ -231,6 +238,9 @@
         if self.chance(self.plan.outages) {
             self.store_out_until = self.now + self.random.random_range(500..5_000);
         }
+        if self.plan.hall_cuts > 0 && self.chance(self.plan.hall_cuts) {
+            self.strike_hall();
+        }
         if self.chance(self.plan.deaths) {
             self.owners.pop();
         }
@@ -317,18 +327,22 @@
             Some(known) => arrives < known.cut_until,
             None => self.is_gone_for_good(&worker),
         };
+        let (from, to) = (self.owner_hall(epoch), self.worker_hall(&worker));
+        let held_up = self.stopped_until(from, to);
         let late = order && self.chance(self.plan.late_orders);
         let lost = cut || self.chance(self.plan.lost_calls);
-        let mute = self.chance(self.plan.lost_answers);
+        let unheard = self.stopped_until(to, from).is_some();
+        let mute = self.chance(self.plan.lost_answers) || unheard || held_up.is_some();
         if late || lost || mute {
             let event = answer_event(&worker, &call, OrderAnswer::Unknown);
             let given_up = self.now + PATIENCE_MS + wait;
             self.send(given_up, Message::Answered(epoch, event));
         }
-        let at = if late {
-            self.now + self.random.random_range(2_000..6_000)
-        } else {
-            arrives
+        let at = match held_up {
+            // What is under way on an open connection arrives once the cut has healed.
+            Some(until) => until + self.random.random_range(1..400),
+            None if late => self.now + self.random.random_range(2_000..6_000),
+            None => arrives,
         };
         if late || !lost {
             let sent = SentCall {
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -9,10 +9,11 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
+use super::halls::{hall_of, HallCut};
 use super::{
     EmulatedOwner, Message, PlatformEmulator, CLAIM_AFTER_MS, LIST_MS, TAKEOVER_MS, TICK_MS,
 };
-use crate::support::emulated_worker::EmulatedWorker;
+use crate::support::emulated_worker::{EmulatedWorker, UNLISTED_AFTER_MS};
 use crate::support::{listing, WALL_START_MS};
 
 /// The store's clock when the emulator's is at 0.
@@ -34,7 +35,8 @@
             return;
         }
         let current = self.owners.iter().find(|owner| owner.epoch == self.epoch);
-        let alive = current.is_some_and(|owner| self.now >= owner.frozen_until);
+        let writes = |owner: &EmulatedOwner| self.without_store_until(owner.hall).is_none();
+        let alive = current.is_some_and(|owner| self.now >= owner.frozen_until && writes(owner));
         match alive {
             true => self.owner_seen = self.now,
             false => self.disturbed_at = self.now,
@@ -59,8 +61,10 @@
             max_lease_ms: self.max_lease_ms(),
             ..SchedulerLimits::default()
         };
+        let hall = self.draw_hall();
         self.owners.push(EmulatedOwner {
             epoch: self.epoch,
+            hall,
             scheduler: JobScheduler::new(limits, info),
             frozen_until: self.now + TAKEOVER_MS,
             listed_at: 0,
@@ -70,9 +74,13 @@
 
     pub(super) fn step_owners(&mut self) {
         let now = self.now;
-        let reachable = now >= self.store_out_until;
+        let served = now >= self.store_out_until;
         let epochs: Vec<u64> = self.owners.iter().map(|owner| owner.epoch).collect();
         for epoch in epochs {
+            let hall = self.owner_hall(epoch);
+            let cut_off = hall.is_some_and(|hall| self.without_store_until(hall).is_some());
+            let reachable = served && !cut_off;
+            let cut = self.hall_cut();
             let Some(owner) = self.owners.iter_mut().find(|owner| owner.epoch == epoch) else {
                 continue;
             };
@@ -99,6 +107,7 @@
                     let unlists = self.plan.unlists;
                     let listed = |worker: &&EmulatedWorker| {
                         let up = now >= worker.dark_until.max(worker.shown_from);
+                        let up = up && !is_dropped(cut, now, worker.place);
                         (!unlists || worker.is_listed(now)) && up
                     };
                     let entries = self.workers.iter().filter(listed).map(|worker| {
@@ -177,9 +186,18 @@
         }
     }
 
+    /// The hall that the owner of an epoch stands in.
+    pub(super) fn owner_hall(&self, epoch: u64) -> Option<usize> {
+        let owner = self.owners.iter().find(|owner| owner.epoch == epoch);
+        owner.map(|owner| owner.hall)
+    }
+
     fn commit(&mut self, epoch: u64, batch: CommitBatch) {
         let takes = 5 + self.up_to(self.plan.slow_writes_ms);
-        let at = self.now.max(self.store_out_until) + takes;
+        let hall = self.owner_hall(epoch);
+        let healed = hall.and_then(|hall| self.without_store_until(hall));
+        let from = self.now.max(self.store_out_until);
+        let at = from.max(healed.unwrap_or(0)) + takes;
         self.send(at, Message::Written(epoch, batch));
     }
 
@@ -205,3 +223,8 @@
         self.tell(epoch, JobEvent::Committed(batch.id));
     }
 }
+
+/// Whether lists omit a worker that can't tell the store that it lives, since its hall has been cut off for so long.
+fn is_dropped(cut: Option<HallCut>, now: Millis, place: usize) -> bool {
+    cut.is_some_and(|cut| cut.hall == hall_of(place) && now > cut.since + UNLISTED_AFTER_MS)
+}
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -9,6 +9,7 @@
 };
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
+use super::halls::hall_of;
 use super::{
     answer_event, GhostEntry, Message, ParkedHold, PlatformEmulator, SentCall, CONTACT_MS,
     DRAIN_MS, GHOST_MS, PATIENCE_MS, SOUND_AFTER_MS, STOP_MS,
@@ -139,8 +140,10 @@
     /// What is free on workers that stay and can be reached.
     pub(super) fn sound_room(&self) -> SoundRoom {
         let capacity = listing("w-1").capacity;
+        let cut = self.hall_cut().map(|cut| cut.hall);
         let sound = |worker: &&EmulatedWorker| {
             let up = self.now >= worker.cut_until && self.now >= worker.dark_until;
+            let up = up && cut != Some(hall_of(worker.place));
             worker.draining_since.is_none() && up
         };
         let sound: Vec<_> = self.workers.iter().filter(sound).collect();
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -46,6 +46,8 @@
     pub hand_overs: u32,
     /// In each second, the owner freezes for some seconds and wakes up.
     pub freezes: u32,
+    /// In each second, a hall is cut off for some seconds: nothing gets out, nothing gets in, or neither.
+    pub hall_cuts: u32,
     /// In each second, the store is out for some seconds.
     pub outages: u32,
     /// Whether workers reject what doesn't fit.
