An owner that may have been followed starts nothing and prolongs nothing; other hosts keep it sure in an outage that all share

Cause: ownership lasts 1.2 s without a renewal, but an owner that could not renew went on as if nobody could have followed it. In a hall that is cut off one way its successor reaches other workers than it does: it took leases for over that the successor had prolonged, and kept work going that the successor took for over. Change: the owner is sure for as long as a successor that came unheard would still wait for all that it orders: the lease of its last renewal, or of what other hosts say, and 0.8 s of the 1 s by which successors wait longer than leases last. After that it prolongs no lease, starts nothing, moves nothing and takes no lease for over. From 0.55 s without a renewal on it asks the hosts that are connected with it; one that has trouble with the store as well gives up the row that it has in view, and so can't claim for 1.2 s, and says so. Half of the hosts of each hall with workers suffice; answers have to follow one another without a gap. A host that has seen a newer epoch says that, too. Hosts go on serving the last owner they know while they have no row in view: before, all relays left at the first failed read. Weighed: a bound on prolonging alone, without asking (the emulated halls are as clean, but all work lapses 6 s into an outage), and asking all hosts (one dead host would end all work in an outage).

--- a/crates/emulator/src/meter.rs
+++ b/crates/emulator/src/meter.rs
@@ -80,7 +80,8 @@
                 | JobEvent::StoreClock { .. }
                 | JobEvent::StateRead { .. }
                 | JobEvent::WorkersUnreadable(_)
-                | JobEvent::QueuesChanged(_) => {}
+                | JobEvent::QueuesChanged(_)
+                | JobEvent::SureUntil(_) => {}
             }
         }
         Some(MeasuredStep {
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -191,6 +191,8 @@
     HoldAnswered(WorkerId, HoldAnswer),
     /// A durable write took effect.
     Committed(u64),
+    /// Until when nobody can have followed this owner to any effect, on the scheduler's clock; see [`crate::OwnerTenure`].
+    SureUntil(Millis),
     /// Time passes; also carries the time of day, in milliseconds since 1970.
     Tick {
         /// The time of day.
@@ -376,6 +378,13 @@
         /// How many standing tasks are known to be there.
         standing: usize,
     },
+    /// The owner can't renew its ownership and may have been followed: it starts nothing and prolongs nothing.
+    Unsure,
+    /// The owner is sure again that nobody has followed it.
+    SureAgain {
+        /// For how long it was not.
+        lasted_ms: Millis,
+    },
     /// A worker does not answer.
     WorkerSilent(WorkerId),
     /// A worker is no more.
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -24,7 +24,7 @@
 impl JobScheduler {
     /// Sends the holds that are due.
     pub(crate) fn send_holds(&mut self, now: Millis) {
-        let lease = self.granted_lease_ms();
+        let lease = (!self.may_be_followed(now)).then(|| self.granted_lease_ms());
         let mut due = Vec::new();
         while self.hold_queue.first().is_some_and(|(at, _)| *at <= now) {
             due.extend(self.hold_queue.pop_first().map(|(_, id)| id));
@@ -346,8 +346,13 @@
     }
 }
 
-/// Makes a worker's next hold; it waits for an end unless some are waiting to be acknowledged.
-fn next_hold(worker: &WorkerState, now: Millis, lease: Millis, strain: &WorkStrain) -> HoldCall {
+/// Makes a worker's next hold, with the lease to grant, if any; it waits for an end unless some are waiting to be acknowledged.
+fn next_hold(
+    worker: &WorkerState,
+    now: Millis,
+    lease: Option<Millis>,
+    strain: &WorkStrain,
+) -> HoldCall {
     let is_watched = |record: &RunRecord| record.target_ms > 0 || record.standing;
     let watched = worker.runs.values().any(is_watched);
     let stopping = worker.runs.values().any(|record| {
@@ -364,7 +369,7 @@
     };
     let clock = worker.life.clock(now).filter(|_| worker.may_prolong());
     HoldCall {
-        deadline: clock.map(|clock| clock + lease),
+        deadline: clock.zip(lease).map(|(clock, lease)| clock + lease),
         last_seen: match worker.owes_acknowledgement() && worker.may_acknowledge(now) {
             true => worker.life.durable,
             false => 0,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -52,6 +52,7 @@
 mod strain;
 mod swing;
 mod takeover;
+mod tenure;
 mod worker;
 
 pub use crash::{CrashNote, CrashRecord, CrashSuspect};
@@ -72,3 +73,4 @@
 pub use spec::{JobSpec, QueueRules, RepeatRule, SpecFault, StepSpec, MAX_PAYLOAD_BYTES};
 pub use story::JobStories;
 pub use takeover::TakeoverInfo;
+pub use tenure::OwnerTenure;
--- a/crates/jobs/src/relay/desk.rs
+++ b/crates/jobs/src/relay/desk.rs
@@ -1,6 +1,6 @@
 //! The owner's side: which order goes through which relay, and what has no answer yet.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
@@ -9,6 +9,7 @@
     OrderBatch, RelayFault, RelayGreeting, RelayMessage, RelayedAnswer, RelayedOrder, RELAY_VERSION,
 };
 use super::share::{calls_alone, RelayPlan, RelayShare};
+use super::witness::OutageWitness;
 use crate::events::{HoldAnswer, JobEvent, OrderAnswer, WorkerCall};
 use crate::ids::RunKey;
 
@@ -50,6 +51,8 @@
     pub lost: Vec<RelayNumber>,
     /// What was passed over.
     pub faults: Vec<RelayFault>,
+    /// An owner of this newer epoch was seen by a host.
+    pub followed_by: Option<Epoch>,
 }
 
 /// An owner's figures of its relays.
@@ -108,6 +111,7 @@
     open: HashMap<u64, OpenOrder>,
     order_count: u64,
     looked_at: Millis,
+    pub(super) witness: OutageWitness,
 }
 
 impl RelayDesk {
@@ -126,6 +130,7 @@
             open: HashMap::new(),
             order_count: 0,
             looked_at: 0,
+            witness: OutageWitness::default(),
         }
     }
 
@@ -164,16 +169,19 @@
             outbox: Vec::new(),
             leaves: false,
         };
+        let RelayShare { host, hall, .. } = &state.share;
+        self.witness.note_linked(host, hall);
         self.relays.insert(number, state);
         self.forget_plan();
         Ok(number)
     }
 
     /// Gives a relay up: what it had under way may have been done, or may be done later.
-    pub fn leave(&mut self, relay: RelayNumber) -> Vec<JobEvent> {
-        if self.relays.remove(&relay).is_none() {
+    pub fn leave(&mut self, now: Millis, relay: RelayNumber) -> Vec<JobEvent> {
+        let Some(gone) = self.relays.remove(&relay) else {
             return Vec::new();
-        }
+        };
+        self.witness.note_unlinked(now, &gone.share.host);
         self.forget_plan();
         let lost = self.open.iter().filter(|(_, order)| order.relay == relay);
         let mut lost: Vec<u64> = lost.map(|(number, _)| *number).collect();
@@ -252,7 +260,14 @@
         let (epoch, answers, leaves) = match message {
             RelayMessage::Answers(epoch, answers) => (epoch, answers, false),
             RelayMessage::Leaves(epoch) => (epoch, Vec::new(), true),
-            RelayMessage::Orders(..) => {
+            RelayMessage::Knows(epoch, number, sight) => {
+                if let Some(state) = self.relays.get(&relay).filter(|_| epoch == self.epoch) {
+                    self.witness.take(&state.share.host, number, sight);
+                    intake.followed_by = Some(sight.epoch).filter(|seen| *seen > epoch);
+                }
+                (epoch, Vec::new(), false)
+            }
+            RelayMessage::Orders(..) | RelayMessage::Asks(..) => {
                 intake.faults.push(RelayFault::Misdirected);
                 return intake;
             }
@@ -309,7 +324,7 @@
         lost.dedup();
         for number in &lost {
             self.note_loss(now, *number);
-            intake.events.extend(self.leave(*number));
+            intake.events.extend(self.leave(now, *number));
         }
         intake.lost = lost;
         let before = self.shunned.len();
@@ -353,6 +368,32 @@
         told.collect()
     }
 
+    /// Asks all relays what they know of the shard, for an owner that renewed last at `renewed_at`, by which nobody claims the shard before
+    /// `renewed_until`.
+    pub fn ask(
+        &mut self,
+        now: Millis,
+        renewed_at: Millis,
+        renewed_until: Millis,
+    ) -> Vec<(RelayNumber, RelayMessage)> {
+        let number = self.witness.ask(now, renewed_at, renewed_until);
+        let relays = self.relays.keys();
+        let ask = |relay: &RelayNumber| (*relay, RelayMessage::Asks(self.epoch, number));
+        relays.map(ask).collect()
+    }
+
+    /// Before when none of the hosts that answer claims the shard, where enough of them do, in each hall with workers; the owner
+    /// itself stands in `own_hall`.
+    pub fn vouched_until(&self, now: Millis, own_hall: &HallId) -> Option<Millis> {
+        let halls: BTreeSet<&HallId> = self.halls.values().collect();
+        self.witness.vouched_until(now, own_hall, halls)
+    }
+
+    /// Notes that a host could not be taken in since it speaks another version: nobody hears what it would say.
+    pub fn note_refused(&mut self, now: Millis) {
+        self.witness.note_refused(now);
+    }
+
     /// The figures by now.
     pub fn figures(&self) -> DeskFigures {
         DeskFigures {
--- a/crates/jobs/src/relay/messages.rs
+++ b/crates/jobs/src/relay/messages.rs
@@ -12,7 +12,7 @@
 use crate::events::{HoldAnswer, JobEvent, OrderAnswer, WorkerCall};
 
 /// The version of these messages; to be raised with each change of a type in them.
-pub const RELAY_VERSION: u16 = 2;
+pub const RELAY_VERSION: u16 = 3;
 /// The most bytes of one message: 256 reports of 500 runs, the most that a worker lists at once, with 60 bytes each are 8 MB.
 pub const LARGEST_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -115,6 +115,19 @@
     Answers(Epoch, Vec<(u64, RelayedAnswer)>),
     /// A relay is about to stop: it carries out what it was given, and is to be given no more.
     Leaves(Epoch),
+    /// An owner that can't renew its ownership asks what a host knows of the shard, by a question of this number.
+    Asks(Epoch, u64),
+    /// What a host knew of the shard when that question came.
+    Knows(Epoch, u64, ShardSight),
+}
+
+/// What a host that is not the owner knows of the shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardSight {
+    /// The newest epoch that it has seen.
+    pub epoch: Epoch,
+    /// How long it certainly doesn't claim the shard from now on, in milliseconds.
+    pub claims_after_ms: Millis,
 }
 
 /// Why a message changes nothing.
--- a/crates/jobs/src/relay/mod.rs
+++ b/crates/jobs/src/relay/mod.rs
@@ -40,11 +40,13 @@
 mod share;
 mod station;
 mod way;
+mod witness;
 
 pub use desk::{DeskFigures, OrderRoute, RelayDesk, RelayIntake, RelayNumber};
 pub use messages::{
     decode_greeting, decode_message, encode_greeting, encode_message, OrderBatch, RelayFault,
-    RelayGreeting, RelayMessage, RelayedAnswer, RelayedOrder, LARGEST_MESSAGE_BYTES, RELAY_VERSION,
+    RelayGreeting, RelayMessage, RelayedAnswer, RelayedOrder, ShardSight, LARGEST_MESSAGE_BYTES,
+    RELAY_VERSION,
 };
 pub use share::waits_for_relays;
 pub use station::RelayStation;
--- a/crates/jobs/src/relay/station.rs
+++ b/crates/jobs/src/relay/station.rs
@@ -5,7 +5,7 @@
 use sandshelf_model::{Epoch, Millis};
 
 use super::desk::ANSWER_WITHIN_MS;
-use super::messages::{RelayFault, RelayMessage, RelayedAnswer, RelayedOrder};
+use super::messages::{RelayFault, RelayMessage, RelayedAnswer, RelayedOrder, ShardSight};
 use super::way::QuickestWay;
 use crate::events::{HoldAnswer, OrderAnswer, WorkerCall};
 
@@ -48,9 +48,10 @@
     ) -> Result<Vec<RelayedOrder>, RelayFault> {
         let batch = match message {
             RelayMessage::Orders(batch) => batch,
-            RelayMessage::Answers(..) | RelayMessage::Leaves(_) => {
-                return Err(RelayFault::Misdirected)
-            }
+            RelayMessage::Answers(..)
+            | RelayMessage::Leaves(_)
+            | RelayMessage::Asks(..)
+            | RelayMessage::Knows(..) => return Err(RelayFault::Misdirected),
         };
         if batch.epoch != self.epoch {
             return Err(RelayFault::OtherEpoch(batch.epoch));
@@ -84,6 +85,22 @@
         Some(RelayMessage::Answers(self.epoch, answers))
     }
 
+    /// The answer to a question of the owner of an epoch.
+    ///
+    /// # Errors
+    /// This station serves the owner of another epoch.
+    pub fn answer_question(
+        &self,
+        epoch: Epoch,
+        number: u64,
+        sight: ShardSight,
+    ) -> Result<RelayMessage, RelayFault> {
+        match epoch == self.epoch {
+            true => Ok(RelayMessage::Knows(epoch, number, sight)),
+            false => Err(RelayFault::OtherEpoch(epoch)),
+        }
+    }
+
     /// A message that says only that this host lives.
     pub fn beat(&self) -> RelayMessage {
         RelayMessage::Answers(self.epoch, Vec::new())
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -131,6 +131,10 @@
     /// Orders to start that were sent and have no answer yet.
     pub(crate) starts_under_way: usize,
     pub(crate) last_tick: Millis,
+    /// Until when this owner is sure that nobody has followed it; for ever before it is told.
+    pub(crate) sure_until: Millis,
+    /// Since when it is not.
+    pub(crate) unsure_since: Option<Millis>,
     pub(crate) deposed: bool,
     pub(crate) out: Vec<JobAction>,
 }
@@ -207,6 +211,8 @@
             strain: WorkStrain::default(),
             starts_under_way: 0,
             last_tick: 0,
+            sure_until: Millis::MAX,
+            unsure_since: None,
             deposed: false,
             out: Vec::new(),
         };
@@ -289,6 +295,7 @@
             }
             JobEvent::HoldAnswered(worker, answer) => self.take_hold(now, &worker, answer),
             JobEvent::Committed(id) => self.take_commit(now, id),
+            JobEvent::SureUntil(until) => self.take_tenure(now, until),
             JobEvent::Tick { wall_ms } => self.tick(now, wall_ms),
         }
     }
@@ -300,11 +307,13 @@
                 .note_tick(now, now.saturating_sub(self.last_tick));
         }
         self.last_tick = now;
+        self.look_at_tenure(now);
         self.open_due_times(now);
         self.release_delayed(now);
         self.check_recovery(now);
         self.note_own_leases(now);
-        if now >= self.workers_looked + WORKER_LOOK_MS {
+        let sure = !self.may_be_followed(now);
+        if sure && now >= self.workers_looked + WORKER_LOOK_MS {
             self.workers_looked = now;
             self.check_workers(now);
             self.move_standing_tasks(now);
@@ -314,7 +323,9 @@
         self.forget_rooms(now);
         self.resend_stops(now);
         self.send_probes(now);
-        self.move_slowed(now);
+        if sure {
+            self.move_slowed(now);
+        }
         self.loads.refresh(now, &self.strain);
         // Readings change what serving tasks leave, and jobs grow late, without any event that frees room.
         self.room_changed |= now >= self.last_pass + PASS_EVERY_MS;
--- a/crates/jobs/tests/relay.rs
+++ b/crates/jobs/tests/relay.rs
@@ -161,7 +161,7 @@
         .map(|number| route(&mut desk, 0, number, hold()))
         .collect();
     let lost = before[0].expect("a relay");
-    desk.leave(lost);
+    desk.leave(0, lost);
     for (number, relay) in before.iter().enumerate() {
         let now = route(&mut desk, 0, number, hold());
         assert_eq!(now != *relay, *relay == Some(lost), "worker {number}");
@@ -174,13 +174,13 @@
     let relay = join(&mut desk, "a", 0, STRONG);
     route(&mut desk, 0, 0, hold());
     route(&mut desk, 0, 2, start(1));
-    let unanswered = desk.leave(relay);
+    let unanswered = desk.leave(0, relay);
     let expected = [
         JobEvent::HoldAnswered(worker(0), HoldAnswer::Failed(OrderAnswer::Unknown)),
         JobEvent::StartAnswered(worker(2), key(1), OrderAnswer::Unknown),
     ];
     assert_eq!(unanswered, expected);
-    assert_eq!(desk.leave(relay), []);
+    assert_eq!(desk.leave(0, relay), []);
     let late = desk.take(5, relay, answers(vec![(1, report())]));
     assert_eq!(
         (late.events.len(), late.faults),
@@ -212,7 +212,7 @@
         if carries {
             assert_eq!(desk.tick(began + 1_700).lost, [relay]);
         } else {
-            desk.leave(relay);
+            desk.leave(0, relay);
         }
     }
 }
@@ -238,7 +238,7 @@
     assert_eq!(route(&mut desk, 2, 0, hold()), Some(staying));
     let told = answers(vec![(1, OrderAnswer::Done(1).into())]);
     assert_eq!(desk.take(3, leaving, told).events.len(), 1);
-    assert_eq!(desk.leave(leaving), []);
+    assert_eq!(desk.leave(0, leaving), []);
     assert_eq!(route(&mut desk, 4, 0, hold()), Some(staying));
 }
 
@@ -248,7 +248,7 @@
     let before = join(&mut desk, "a", 0, STRONG);
     route(&mut desk, 0, 0, hold());
     let after = join(&mut desk, "a", 0, STRONG);
-    assert_eq!(desk.leave(before).len(), 1);
+    assert_eq!(desk.leave(0, before).len(), 1);
     assert_eq!(route(&mut desk, 0, 0, hold()), Some(after));
 }
 
--- a/crates/jobs/tests/relay_explored.rs
+++ b/crates/jobs/tests/relay_explored.rs
@@ -281,7 +281,7 @@
     fn cut(&mut self, owner: usize, number: usize, fault: PlantedFault) {
         let state = &mut self.owners[owner];
         state.links[number].up = false;
-        let events = state.desk.leave(state.links[number].relay);
+        let events = state.desk.leave(0, state.links[number].relay);
         if fault != PlantedFault::LostForgotten {
             events.into_iter().for_each(|event| state.told(event));
         }
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
     CommitBatch, HoldAnswer, HoldCall, JobEvent, JobNumber, JobScheduler, JobSpec, OrderAnswer,
-    ProgressRow, SilentWorkers, TaskKey, WorkerCall, WorkerLife, WorkerRoster,
+    OwnerTenure, ProgressRow, SilentWorkers, TaskKey, WorkerCall, WorkerLife, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 
@@ -45,6 +45,9 @@
 const SLOW_WAY_MS: Millis = 400;
 /// How long after an owner's last write another claims.
 const CLAIM_AFTER_MS: Millis = 1_500;
+/// How long ownership lasts without a renewal, and how often it is renewed.
+const SHARD_LEASE_MS: Millis = 1_200;
+const RENEW_MS: Millis = 400;
 /// How long the store may be read late by a new owner.
 const TAKEOVER_MS: Millis = 60;
 /// Rules with a time bound hold this long after the last disturbance.
@@ -90,6 +93,7 @@
     epoch: u64,
     /// The hall that its host stands in.
     hall: usize,
+    tenure: OwnerTenure,
     scheduler: JobScheduler,
     frozen_until: Millis,
     listed_at: Millis,
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -4,14 +4,16 @@
 
 use rand::RngExt;
 use sandshelf_jobs::{
-    CommitBatch, JobAction, JobEvent, JobScheduler, SchedulerLimits, TakeoverInfo, WorkerListing,
+    CommitBatch, JobAction, JobEvent, JobScheduler, OwnerTenure, SchedulerLimits, TakeoverInfo,
+    WorkerListing,
 };
 
 use sandshelf_model::{Millis, WorkerId};
 
 use super::halls::{hall_of, HallCut};
 use super::{
-    EmulatedOwner, Message, PlatformEmulator, CLAIM_AFTER_MS, LIST_MS, TAKEOVER_MS, TICK_MS,
+    EmulatedOwner, Message, PlatformEmulator, CLAIM_AFTER_MS, LIST_MS, RENEW_MS, SHARD_LEASE_MS,
+    TAKEOVER_MS, TICK_MS,
 };
 use crate::support::emulated_worker::{EmulatedWorker, UNLISTED_AFTER_MS};
 use crate::support::{listing, WALL_START_MS};
@@ -65,6 +67,7 @@
         self.owners.push(EmulatedOwner {
             epoch: self.epoch,
             hall,
+            tenure: OwnerTenure::new(SHARD_LEASE_MS, self.now),
             scheduler: JobScheduler::new(limits, info),
             frozen_until: self.now + TAKEOVER_MS,
             listed_at: 0,
@@ -75,6 +78,7 @@
     pub(super) fn step_owners(&mut self) {
         let now = self.now;
         let served = now >= self.store_out_until;
+        self.renew_in_vain();
         let epochs: Vec<u64> = self.owners.iter().map(|owner| owner.epoch).collect();
         for epoch in epochs {
             let hall = self.owner_hall(epoch);
@@ -88,6 +92,16 @@
                 continue;
             }
             let mut events = Vec::new();
+            if now.is_multiple_of(RENEW_MS) {
+                // In an outage all hosts say that they have no store, unless some can't be heard.
+                let vouched = !served && cut.is_none();
+                if reachable && epoch == self.epoch {
+                    owner.tenure.note_renewed(now);
+                } else if vouched {
+                    owner.tenure.note_vouched(now + SHARD_LEASE_MS);
+                }
+                events.push(JobEvent::SureUntil(owner.tenure.sure_until()));
+            }
             let mut clock_shown = None;
             // Only the present owner follows the store; one that was followed learns of it at the workers.
             if reachable && epoch == self.epoch {
@@ -152,6 +166,19 @@
         }
     }
 
+    /// Ends owners whose hall was cut off, and that were followed meanwhile: their renewals are refused.
+    fn renew_in_vain(&mut self) {
+        if self.plan.hall_cuts == 0 || !self.now.is_multiple_of(RENEW_MS) {
+            return;
+        }
+        let cut = self.hall_cut().map(|cut| cut.hall);
+        let current = self.epoch;
+        let outlasts = |owner: &EmulatedOwner| owner.epoch == current || cut == Some(owner.hall);
+        let now = self.now;
+        self.owners
+            .retain(|owner| outlasts(owner) || now < owner.frozen_until);
+    }
+
     /// A time between nothing and this.
     fn up_to(&mut self, most: Millis) -> Millis {
         match most {
--- /dev/null
+++ b/crates/jobs/tests/tenure.rs
@@ -0,0 +1,230 @@
+//! An owner that can't renew its ownership: what it goes on with, and how other hosts keep it sure.
+
+mod support;
+
+use sandshelf_jobs::relay::{RelayDesk, RelayGreeting, RelayMessage, RelayNumber, ShardSight};
+use sandshelf_jobs::{JobEvent, RunKey, StepSpec};
+use sandshelf_model::{HallId, HostId, Millis, WorkerId};
+use support::{job, runs, step, SchedulerRig};
+
+const EPOCH: u64 = 7;
+/// How long nobody claims the shard after a renewal, or after saying that it sees no row.
+const LEASE_MS: Millis = 1_200;
+const HALLS: [&str; 2] = ["north", "south"];
+
+/// An owner with a standing task at work, which it prolongs.
+fn owner() -> (SchedulerRig, RunKey) {
+    let mut rig = SchedulerRig::with_workers(&["w-1", "w-2"]);
+    let stands = StepSpec {
+        standing: true,
+        ..step(1)
+    };
+    rig.hand_in(7, 0, job(vec![stands]));
+    let (worker, start) = rig.take_starts().pop().expect("a start");
+    assert_eq!(worker, "w-1");
+    rig.commit_all();
+    rig.report("w-1", vec![runs(start.key)], vec![]);
+    rig.actions.clear();
+    (rig, start.key)
+}
+
+/// The owner hears both workers for a while.
+fn pass_with_reports(rig: &mut SchedulerRig, millis: Millis, key: RunKey) {
+    let until = rig.now + millis;
+    while rig.now < until {
+        rig.pass(100);
+        rig.report("w-1", vec![runs(key)], vec![]);
+        rig.report("w-2", vec![], vec![]);
+    }
+}
+
+/// An owner that may have been followed prolongs nothing and starts nothing, and both at once when it is sure again.
+fn waits_while_unsure() {
+    let (mut rig, key) = owner();
+    rig.tell(JobEvent::SureUntil(rig.now));
+    rig.hand_in(8, 0, job(vec![step(1)]));
+    pass_with_reports(&mut rig, 1_000, key);
+    assert_eq!(rig.deadlines(), Vec::<Millis>::new());
+    assert_eq!(rig.peek_starts(), Vec::new());
+    rig.tell(JobEvent::SureUntil(rig.now + 2_000));
+    assert_eq!(rig.peek_starts().len(), 1);
+    // The look that was under way has been answered.
+    pass_with_reports(&mut rig, 200, key);
+    assert!(!rig.deadlines_of("w-1").is_empty());
+}
+
+/// It takes no lease for over: its successor may have prolonged it, and have the task at work.
+fn takes_no_lease_for_over() {
+    let (mut rig, _) = owner();
+    rig.tell(JobEvent::SureUntil(rig.now + 1_000));
+    // Nothing is heard of the first worker.
+    for _ in 0..200 {
+        rig.pass(100);
+        rig.hold_fails("w-1");
+        rig.report("w-2", vec![], vec![]);
+    }
+    assert_eq!(rig.peek_starts(), Vec::new());
+    // The store has taken a renewal: nobody has followed, and the lease has run out indeed.
+    rig.tell(JobEvent::SureUntil(rig.now + 2_000));
+    rig.pass(1_000);
+    assert_eq!(rig.peek_starts().len(), 1);
+}
+
+/// A task that it finds done, or that its caller has cancelled, is dealt with all the same.
+fn stops_what_is_over() {
+    let (mut rig, key) = owner();
+    rig.tell(JobEvent::SureUntil(rig.now));
+    rig.pass(100);
+    rig.tell(JobEvent::CancelAsked(key.task.job));
+    assert_eq!(rig.stops(), [("w-1".to_owned(), key)]);
+}
+
+/// An owner in the first hall with so many hosts linked in each, and a worker in each.
+fn desk(hosts_a_hall: usize) -> (RelayDesk, Vec<RelayNumber>) {
+    let mut desk = RelayDesk::new(EPOCH, 500);
+    let workers = HALLS.map(|hall| (WorkerId::from(format!("w-{hall}")), HallId::from(hall)));
+    desk.note_workers(workers);
+    let mut relays = Vec::new();
+    for hall in HALLS {
+        for number in 0..hosts_a_hall {
+            let host = HostId::from(format!("{hall}-{number}"));
+            let greeting = RelayGreeting::new(host, HallId::from(hall), 120);
+            relays.push(desk.join(0, greeting).expect("the same version"));
+        }
+    }
+    (desk, relays)
+}
+
+/// Asks all hosts; those named answer that they see no row.
+fn ask(desk: &mut RelayDesk, now: Millis, answering: &[RelayNumber]) -> Option<u64> {
+    let sight = ShardSight {
+        epoch: EPOCH,
+        claims_after_ms: LEASE_MS,
+    };
+    ask_for(desk, now, answering, sight)
+}
+
+fn ask_for(
+    desk: &mut RelayDesk,
+    now: Millis,
+    answering: &[RelayNumber],
+    sight: ShardSight,
+) -> Option<u64> {
+    let mut followed_by = None;
+    for (relay, question) in desk.ask(now, 0, LEASE_MS) {
+        let RelayMessage::Asks(EPOCH, number) = question else {
+            panic!("{question:?} is no question");
+        };
+        if answering.contains(&relay) {
+            let answer = RelayMessage::Knows(EPOCH, number, sight);
+            let intake = desk.take(now + 5, relay, answer);
+            assert_eq!(intake.faults, []);
+            followed_by = followed_by.max(intake.followed_by);
+        }
+    }
+    followed_by
+}
+
+fn vouched(desk: &RelayDesk, now: Millis) -> Option<Millis> {
+    desk.vouched_until(now, &HallId::from(HALLS[0]))
+}
+
+/// Where all hosts are without the store nobody claims, as long as they go on saying so.
+fn an_outage_of_all_is_vouched_for() {
+    let (mut desk, relays) = desk(3);
+    for now in (600..60_000).step_by(1_000) {
+        ask(&mut desk, now, &relays);
+        assert_eq!(vouched(&desk, now + 10), Some(now + LEASE_MS));
+    }
+}
+
+/// Half of the hosts of a hall are enough, fewer are not; the owner itself counts in its own hall.
+fn hosts_of_a_hall_may_be_dead(dead_south: usize, dead_north: usize, enough: bool) {
+    let (mut desk, relays) = desk(4);
+    let (north, south) = relays.split_at(4);
+    let answering = [&north[dead_north..], &south[dead_south..]].concat();
+    ask(&mut desk, 600, &answering);
+    let vouched = vouched(&desk, 610);
+    assert_eq!(vouched.is_some_and(|until| until > 1_000), enough);
+}
+
+/// Nothing gets out of the owner's hall, or into it: the hosts of the others don't answer, whatever those beside it say.
+fn a_cut_hall_is_not_vouched_for() {
+    let (mut desk, relays) = desk(3);
+    for now in (600..6_000).step_by(200) {
+        ask(&mut desk, now, &relays[..3]);
+    }
+    assert_eq!(vouched(&desk, 6_000), Some(0));
+}
+
+/// A host may have claimed between an answer that has run out and the next: such a one says nothing.
+fn answers_have_to_follow_one_another() {
+    let (mut desk, relays) = desk(3);
+    ask(&mut desk, 600, &relays);
+    ask(&mut desk, 600 + LEASE_MS + 1, &relays);
+    assert_eq!(vouched(&desk, 2_000), Some(600 + LEASE_MS));
+}
+
+/// A host that sees the owner's row may claim soon; one that has seen a newer epoch says that the owner has been followed.
+fn hosts_with_the_store_say_so() {
+    let (mut desk, relays) = desk(3);
+    let sight = ShardSight {
+        epoch: EPOCH,
+        claims_after_ms: 0,
+    };
+    assert_eq!(ask_for(&mut desk, 600, &relays, sight), None);
+    assert_eq!(vouched(&desk, 610), Some(LEASE_MS));
+    let sight = ShardSight {
+        epoch: EPOCH + 1,
+        claims_after_ms: 0,
+    };
+    assert_eq!(
+        ask_for(&mut desk, 800, &relays[..1], sight),
+        Some(EPOCH + 1)
+    );
+}
+
+/// A host of another version can't be asked.
+fn hosts_that_are_refused_may_claim() {
+    let (mut desk, relays) = desk(3);
+    desk.note_refused(500);
+    ask(&mut desk, 600, &relays);
+    assert_eq!(vouched(&desk, 610), None);
+}
+
+/// A host whose connection ended while the owner could still renew is gone, and not waited for; one that was lost since is.
+fn hosts_that_left_before_are_forgotten(left_at: Millis, enough: bool) {
+    let (mut desk, relays) = desk(3);
+    for relay in &relays[4..] {
+        desk.leave(left_at, *relay);
+    }
+    for (relay, question) in desk.ask(1_600, 1_000, 1_000 + LEASE_MS) {
+        let RelayMessage::Asks(epoch, number) = question else {
+            panic!("{question:?} is no question");
+        };
+        let sight = ShardSight {
+            epoch: EPOCH,
+            claims_after_ms: LEASE_MS,
+        };
+        desk.take(1_605, relay, RelayMessage::Knows(epoch, number, sight));
+    }
+    let until = vouched(&desk, 1_610);
+    assert_eq!(until == Some(1_600 + LEASE_MS), enough);
+}
+
+sandshelf_cases::cases! {
+    unsure_owner_waits => waits_while_unsure();
+    unsure_owner_takes_no_lease_for_over => takes_no_lease_for_over();
+    unsure_owner_stops_what_is_over => stops_what_is_over();
+    outage_of_all => an_outage_of_all_is_vouched_for();
+    half_of_the_other_hall_dead => hosts_of_a_hall_may_be_dead(2, 0, true);
+    most_of_the_other_hall_dead => hosts_of_a_hall_may_be_dead(3, 0, false);
+    half_of_the_own_hall_dead => hosts_of_a_hall_may_be_dead(0, 2, true);
+    most_of_the_own_hall_dead => hosts_of_a_hall_may_be_dead(0, 3, false);
+    cut_hall => a_cut_hall_is_not_vouched_for();
+    gap_between_answers => answers_have_to_follow_one_another();
+    hosts_with_the_store => hosts_with_the_store_say_so();
+    other_version => hosts_that_are_refused_may_claim();
+    left_before => hosts_that_left_before_are_forgotten(900, true);
+    lost_since => hosts_that_left_before_are_forgotten(1_100, false);
+}
--- a/crates/lease/src/ownership.rs
+++ b/crates/lease/src/ownership.rs
@@ -3,7 +3,7 @@
 //! The holder counts its lease from before it sent the write that renewed it. A challenger claims only after it has
 //! seen the row unchanged for a whole lease on its own clock, and its claim is conditional on that very version.
 
-use sandshelf_model::{HostId, Millis};
+use sandshelf_model::{Epoch, HostId, Millis};
 
 use crate::row::{RowVersion, ShardRow, StoredRow};
 use crate::times::LeaseTimes;
@@ -32,6 +32,7 @@
     stage: LeaseStage,
     seen: Option<StoredRow>,
     seen_since: Millis,
+    newest_epoch: Epoch,
     valid_until: Millis,
     last_good: Millis,
     read_ms: Millis,
@@ -47,6 +48,7 @@
             stage: LeaseStage::Watching,
             seen: None,
             seen_since: 0,
+            newest_epoch: 0,
             valid_until: 0,
             last_good: 0,
             read_ms: 0,
@@ -88,6 +90,23 @@
         held && now >= self.last_good + self.times.shard_lease_ms / 3
     }
 
+    /// The newest epoch that was seen, also where the row has to be read anew.
+    pub fn newest_epoch(&self) -> Epoch {
+        self.newest_epoch
+    }
+
+    /// How long this host certainly doesn't claim the shard from now on.
+    pub fn claims_after(&self, now: Millis) -> Millis {
+        let lease = self.times.shard_lease_ms;
+        match (&self.stage, &self.seen) {
+            (LeaseStage::Watching, None) => lease,
+            (LeaseStage::Watching, Some(seen)) if seen.row.owner.is_some() => {
+                (self.seen_since + lease).saturating_sub(now)
+            }
+            _ => 0,
+        }
+    }
+
     /// Notes how long a read took; where the store is slow, its holder's renewals are slow, too.
     pub fn note_read_time(&mut self, took: Millis) {
         self.read_ms = took.max(self.read_ms * 3 / 4);
@@ -107,6 +126,7 @@
         if held && !own {
             self.stage = LeaseStage::Watching;
         }
+        self.newest_epoch = self.newest_epoch.max(read.row.epoch);
         if changed || self.seen.is_none() {
             self.seen = Some(read);
             self.seen_since = now;
@@ -174,6 +194,7 @@
             self.stage = LeaseStage::Watching;
             self.seen_since = sent;
         }
+        self.newest_epoch = self.newest_epoch.max(row.epoch);
         self.seen = Some(StoredRow { version, row });
         self.write_ms = now.saturating_sub(sent).max(self.write_ms * 3 / 4);
         self.valid_until = sent + self.times.shard_lease_ms + self.write_ms * SLOW_CALLS;
--- a/crates/sandshelfd/src/jobs/health.rs
+++ b/crates/sandshelfd/src/jobs/health.rs
@@ -94,6 +94,15 @@
         state.failures >= OUT_AFTER_FAILURES
     }
 
+    /// Whether the latest call failed.
+    pub fn is_failing(&self) -> bool {
+        let state = self
+            .state
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner());
+        state.failing_since.is_some()
+    }
+
     /// Whether the store has failed this host for long enough to send callers elsewhere.
     pub fn is_long_out(&self) -> bool {
         let state = self
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -36,6 +36,8 @@
 const LOSSES: &str = "sandshelf_runs_lost_total";
 /// Workers that were believed silent, gone or failing, by belief.
 const BELIEFS: &str = "sandshelf_worker_beliefs_total";
+/// How often this owner was not sure any more that nobody had followed it.
+const UNSURE: &str = "sandshelf_ownership_unsure_total";
 /// Crashes of workers that were noted with a task that may have caused them: one for each such task.
 const CRASHES: &str = "sandshelf_task_crashes_noted_total";
 /// Tasks that were given up since they crash the workers that start them.
@@ -153,6 +155,7 @@
         }
         JobNote::Stopped { cause, .. } => counter!(STOPS, "cause" => label(cause)).increment(1),
         JobNote::RunLost { cause, .. } => counter!(LOSSES, "cause" => label(cause)).increment(1),
+        JobNote::Unsure => counter!(UNSURE).increment(1),
         JobNote::WorkerSilent(_) => counter!(BELIEFS, "belief" => "silent").increment(1),
         JobNote::WorkerGone { .. } => counter!(BELIEFS, "belief" => "gone").increment(1),
         JobNote::CrashNoted { .. } => counter!(CRASHES).increment(1),
@@ -172,6 +175,7 @@
         | JobNote::AnotherLife { .. }
         | JobNote::EndPassedOver { .. }
         | JobNote::WorkerDraining { .. }
+        | JobNote::SureAgain { .. }
         | JobNote::Paced(..) => {}
     }
 }
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -176,6 +176,10 @@
             "worker_draining",
             &[("worker", worker), ("standing", standing)],
         ),
+        JobNote::Unsure => event_always("ownership_unsure", &[]),
+        JobNote::SureAgain { lasted_ms } => {
+            event_always("ownership_sure", &[("lasted_ms", lasted_ms)]);
+        }
         JobNote::WorkerSilent(worker) => event("worker_silent", &[("worker", worker)]),
         JobNote::WorkerGone {
             worker,
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -5,6 +5,7 @@
 mod recover;
 mod release;
 mod strength;
+mod tenure;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,6 +28,7 @@
 use crate::jobs::owner::carry::{RelayOffers, RelayPool};
 use crate::jobs::owner::recover::RunningTakeover;
 use crate::jobs::owner::strength::HostStrength;
+use crate::jobs::owner::tenure::ShardTenure;
 use crate::jobs::queues::QueueView;
 use crate::jobs::relays::{serve_relays, RelayFace};
 use crate::jobs::station::{run_station, OwnerPlace};
@@ -89,6 +91,7 @@
     calls: WorkerCalls,
     relays: RelayPool,
     stories: JobStories,
+    tenure: ShardTenure,
     queues_version: u64,
     followers: Vec<JoinHandle<()>>,
 }
@@ -125,7 +128,8 @@
     owned: Option<OwnedShard>,
     waiting_batch: Option<CommitBatch>,
     writing: bool,
-    reading: bool,
+    /// Since when the owner's row is being read.
+    reading: Option<Millis>,
     next_read: Millis,
     next_load: Millis,
     stop_by: Option<Millis>,
@@ -155,12 +159,14 @@
     let rank = HostStrength::of(&settings).draw_rank();
     let (relay_news, mut relay_inbox) = mpsc::unbounded_channel();
     let (serves, served) = watch::channel(None);
+    let (questions, mut asked) = mpsc::unbounded_channel();
     let (stopping, stops) = watch::channel(false);
     let station = match WorkerClient::new(0, WORKER_PATIENCE) {
         Ok(client) => Some(spawn_local(run_station(
             settings.clone(),
             client,
             served,
+            questions,
             stops,
         ))),
         Err(error) => {
@@ -192,7 +198,7 @@
         owned: None,
         waiting_batch: None,
         writing: false,
-        reading: false,
+        reading: None,
         next_read: 0,
         next_load: 0,
         stop_by: None,
@@ -207,6 +213,7 @@
             Some(message) = inbox.recv() => owner.take_messages(message, &mut inbox),
             Some(events) = intake_in.recv() => owner.take_intake(events),
             Some(news) = relay_inbox.recv() => owner.take_relay_news(news, &mut relay_inbox),
+            Some(reply) = asked.recv() => owner.tell_sight(reply),
             _ = ticks.tick() => owner.tick(),
             Some(()) = stop.recv() => owner.begin_stop(),
         }
@@ -283,6 +290,7 @@
 
     fn tick(&mut self) {
         let now = clock::now();
+        self.check_tenure(now);
         if self.owned.is_some() {
             self.refresh_queues();
             self.handle(JobEvent::Tick {
--- a/crates/sandshelfd/src/jobs/owner/carry.rs
+++ b/crates/sandshelfd/src/jobs/owner/carry.rs
@@ -9,7 +9,7 @@
     DeskFigures, OrderRoute, RelayDesk, RelayGreeting, RelayIntake, RelayMessage,
 };
 use sandshelf_jobs::{JobEvent, JobNote, WorkerCall, WorkerRoster};
-use sandshelf_lease::LeaseStage;
+use sandshelf_lease::{LeaseStage, ShardRow};
 use sandshelf_model::{Epoch, HallId, Millis, WorkerId};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
@@ -28,6 +28,8 @@
 pub(super) struct RelayPool {
     desk: RelayDesk,
     links: RelayLinks,
+    /// The epoch of an owner that has followed, where a host has seen one.
+    pub(super) followed_by: Option<Epoch>,
 }
 
 impl RelayPool {
@@ -42,6 +44,7 @@
         let mut pool = Self {
             desk: RelayDesk::new(epoch, settings.processor_millis),
             links: RelayLinks::default(),
+            followed_by: None,
         };
         let known = roster.workers.iter();
         let known = known.map(|(worker, _)| (worker.clone(), HallId::from("")));
@@ -99,14 +102,14 @@
         };
         event("relay_came", &[("host", &host), ("hall", &hall)]);
         let replaced = self.links.add(link, relay, host, outbox);
-        replaced.map_or(Vec::new(), |earlier| self.desk.leave(earlier))
+        replaced.map_or(Vec::new(), |earlier| self.desk.leave(now, earlier))
     }
 
-    fn leave(&mut self, link: LinkNumber) -> Vec<JobEvent> {
+    fn leave(&mut self, now: Millis, link: LinkNumber) -> Vec<JobEvent> {
         let Some(relay) = self.links.remove(link) else {
             return Vec::new();
         };
-        let events = self.desk.leave(relay);
+        let events = self.desk.leave(now, relay);
         event(
             "relay_left",
             &[("link", &link), ("unanswered", &events.len())],
@@ -119,6 +122,7 @@
             return Vec::new();
         };
         let intake = self.desk.take(now, relay, message);
+        self.followed_by = self.followed_by.max(intake.followed_by);
         self.finish_intake(intake)
     }
 
@@ -142,6 +146,18 @@
         intake.events
     }
 
+    /// Asks the hosts what they know of the shard.
+    pub(super) fn ask(&mut self, now: Millis, renewed_at: Millis, renewed_until: Millis) {
+        for (relay, question) in self.desk.ask(now, renewed_at, renewed_until) {
+            self.links.send(relay, &question);
+        }
+    }
+
+    /// Before when nobody claims the shard, by what they say.
+    pub(super) fn vouched_until(&self, now: Millis, own_hall: &HallId) -> Option<Millis> {
+        self.desk.vouched_until(now, own_hall)
+    }
+
     fn tell(&mut self, now: Millis) {
         for (relay, message) in self.desk.take_messages(now) {
             self.links.send(relay, &message);
@@ -175,7 +191,11 @@
                 owned.relays.join(now, link, greeting, outbox)
             }
             (Some(owned), RelayNews::Said(link, message)) => owned.relays.take(now, link, message),
-            (Some(owned), RelayNews::Left(link)) => owned.relays.leave(link),
+            (Some(owned), RelayNews::Left(link)) => owned.relays.leave(now, link),
+            (Some(owned), RelayNews::Refused) => {
+                owned.relays.desk.note_refused(now);
+                Vec::new()
+            }
             (None, RelayNews::Came(link, greeting, outbox)) => {
                 // Without the shard there is nothing to carry, and the connection ends with its outbox.
                 if *self.lease.stage() != LeaseStage::Watching {
@@ -183,7 +203,7 @@
                 }
                 Vec::new()
             }
-            (None, RelayNews::Said(..)) => Vec::new(),
+            (None, RelayNews::Said(..) | RelayNews::Refused) => Vec::new(),
             (None, RelayNews::Left(link)) => {
                 self.offers.remove(&link);
                 Vec::new()
@@ -210,7 +230,11 @@
             let events = owned.relays.tick(now);
             self.take_events(events);
         }
-        let place = self.owner_place();
+        // Where the store is out and no row is in view, the last owner known goes on needing this host.
+        let Some(seen) = self.lease.row() else {
+            return;
+        };
+        let place = self.owner_place(&seen.row);
         self.serves.send_if_modified(|current| {
             let changed = *current != place;
             *current = place;
@@ -218,9 +242,8 @@
         });
     }
 
-    /// Where another host that owns the shard takes connections.
-    fn owner_place(&self) -> Option<OwnerPlace> {
-        let row = &self.lease.row()?.row;
+    /// Where another host that owns the shard takes connections, by the row in view.
+    fn owner_place(&self, row: &ShardRow) -> Option<OwnerPlace> {
         let owner = row.owner.clone().filter(|owner| *owner != self.host)?;
         Some(OwnerPlace {
             owner,
--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -50,8 +50,8 @@
             self.claim(now);
             return;
         }
-        if !self.reading && now >= self.next_read && self.queues.get().is_some() {
-            self.reading = true;
+        if self.reading.is_none() && now >= self.next_read && self.queues.get().is_some() {
+            self.reading = Some(now);
             let store = self.store.clone();
             let messages = self.messages.clone();
             spawn_local(async move {
@@ -63,7 +63,7 @@
 
     pub(super) fn take_row(&mut self, read: Result<StoredRow, StoreFault>) {
         let now = clock::now();
-        self.reading = false;
+        self.reading = None;
         self.next_read = now + WATCH_EVERY_MS;
         match read {
             Ok(row) => {
--- a/crates/sandshelfd/src/jobs/owner/recover.rs
+++ b/crates/sandshelfd/src/jobs/owner/recover.rs
@@ -14,6 +14,7 @@
 use crate::jobs::calls::WorkerCalls;
 use crate::jobs::intake::{follow_jobs, follow_workers};
 use crate::jobs::owner::carry::RelayPool;
+use crate::jobs::owner::tenure::ShardTenure;
 use crate::jobs::pages::PageReads;
 use crate::jobs::takeover::{takeover_reads, PublishedState, RecordedState};
 use crate::logging::event;
@@ -133,9 +134,11 @@
             calls: WorkerCalls::new(workers),
             relays,
             stories: JobStories::default(),
+            tenure: ShardTenure::new(self.lease.last_renewal().unwrap_or(self.claimed_at)),
             queues_version: 0,
             followers: vec![spawn_local(listing)],
         });
+        self.check_tenure(now);
         self.refresh_queues();
         // A tick sends the first holds.
         self.handle(JobEvent::Tick {
--- a/crates/sandshelfd/src/jobs/relays.rs
+++ b/crates/sandshelfd/src/jobs/relays.rs
@@ -44,6 +44,8 @@
     Said(LinkNumber, RelayMessage),
     /// A connection is over.
     Left(LinkNumber),
+    /// A host that speaks another version was turned away.
+    Refused,
 }
 
 /// Where hosts that carry orders connect.
@@ -131,7 +133,10 @@
     };
     let greeting = match greeting {
         Ok(greeting) => greeting,
-        Err(fault) => return event("relay_refused", &[("link", &link), ("fault", &fault)]),
+        Err(fault) => {
+            let _ = news.send(RelayNews::Refused);
+            return event("relay_refused", &[("link", &link), ("fault", &fault)]);
+        }
     };
     let (outbox, waiting) = unbounded_channel();
     if news.send(RelayNews::Came(link, greeting, outbox)).is_err() {
--- a/crates/sandshelfd/src/jobs/station.rs
+++ b/crates/sandshelfd/src/jobs/station.rs
@@ -10,15 +10,15 @@
 use sandshelf_adapter::WorkerClient;
 use sandshelf_config::JobSettings;
 use sandshelf_jobs::relay::{
-    decode_message, encode_greeting, encode_message, RelayGreeting, RelayStation, RelayedAnswer,
-    RelayedOrder,
+    decode_message, encode_greeting, encode_message, RelayFault, RelayGreeting, RelayMessage,
+    RelayStation, RelayedAnswer, RelayedOrder, ShardSight,
 };
 use sandshelf_jobs::WorkerCall;
 use sandshelf_model::{Epoch, HostId};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
-use tokio::sync::{watch, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
@@ -42,6 +42,9 @@
 /// owner looks at what has come only every few milliseconds.
 const GATHER: Duration = Duration::from_millis(4);
 
+/// Asks the control thread what this host knows of the shard.
+pub type SightQuestions = UnboundedSender<oneshot::Sender<ShardSight>>;
+
 /// Where the owner of an epoch takes connections.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnerPlace {
@@ -58,6 +61,7 @@
     settings: JobSettings,
     client: WorkerClient,
     mut place: watch::Receiver<Option<OwnerPlace>>,
+    questions: SightQuestions,
     stopping: watch::Receiver<bool>,
 ) {
     while !*stopping.borrow() {
@@ -66,7 +70,7 @@
             match &current {
                 Some(owner) => {
                     let client = client.for_epoch(owner.epoch);
-                    serve_owner(&settings, owner, client, stopping.clone()).await;
+                    serve_owner(&settings, owner, client, &questions, stopping.clone()).await;
                     sleep(RETRY_PAUSE).await;
                     true
                 }
@@ -88,6 +92,7 @@
     settings: &JobSettings,
     owner: &OwnerPlace,
     client: WorkerClient,
+    questions: &SightQuestions,
     stopping: watch::Receiver<bool>,
 ) {
     let connected = timeout(CONNECT_WITHIN, TcpStream::connect(owner.address)).await;
@@ -112,6 +117,7 @@
         station: Rc::new(RefCell::new(RelayStation::new(owner.epoch))),
         calls: RefCell::new(WorkerCalls::new(client)),
         answered: Rc::new(Notify::new()),
+        questions,
     };
     event(
         "relay_serves",
@@ -140,13 +146,14 @@
 }
 
 /// The orders of one owner that are under way from here.
-struct OrderDesk {
+struct OrderDesk<'a> {
     station: Rc<RefCell<RelayStation>>,
     calls: RefCell<WorkerCalls>,
     answered: Rc<Notify>,
+    questions: &'a SightQuestions,
 }
 
-impl OrderDesk {
+impl OrderDesk<'_> {
     /// Carries out what the owner says, until it says nothing any more; returns why.
     async fn read_orders(
         &self,
@@ -160,9 +167,18 @@
                 Ok(_) => return "the connection ended",
                 Err(_) => return "the owner is silent",
             };
-            let taken = decode_message(&frame);
+            let message = match decode_message(&frame) {
+                Ok(RelayMessage::Asks(epoch, number)) => {
+                    if let Err(fault) = self.answer_question(epoch, number, outbox).await {
+                        event("relay_refused", &[("link", &"owner"), ("fault", &fault)]);
+                        return "a message was refused";
+                    }
+                    continue;
+                }
+                other => other,
+            };
             let now = clock::now();
-            let taken = taken.and_then(|message| self.station.borrow_mut().take(now, message));
+            let taken = message.and_then(|message| self.station.borrow_mut().take(now, message));
             match taken {
                 Ok(orders) if orders.is_empty() => {
                     let beat = self.station.borrow().beat();
@@ -180,6 +196,27 @@
         }
     }
 
+    /// Tells the owner what this host knows of the shard.
+    async fn answer_question(
+        &self,
+        epoch: Epoch,
+        number: u64,
+        outbox: &UnboundedSender<Bytes>,
+    ) -> Result<(), RelayFault> {
+        let (reply, sight) = oneshot::channel();
+        let _ = self.questions.send(reply);
+        // Without a control thread this host is about to end, and has nothing to say.
+        let Ok(sight) = sight.await else {
+            return Ok(());
+        };
+        let told = self
+            .station
+            .borrow()
+            .answer_question(epoch, number, sight)?;
+        let _ = outbox.send(encode_message(&told).into());
+        Ok(())
+    }
+
     fn carry(&self, order: RelayedOrder) {
         let began = clock::now();
         let asked_ms = match &order.call {
