Failing tests: halls that operators evacuate

Until it is taken back nothing may be started on the workers of an evacuated hall, from 5 s after the operators' word at the latest.

--- a/crates/emulator/src/costs.rs
+++ b/crates/emulator/src/costs.rs
@@ -110,6 +110,7 @@
             | JobEvent::CancelAsked(_)
             | JobEvent::Committed(_)
             | JobEvent::QueuesChanged(_)
+            | JobEvent::HallsEvacuated(_)
             | JobEvent::SureUntil(_)
             | JobEvent::StoreClock { .. }
             | JobEvent::StateRead { .. } => ORDER_ANSWER_US,
--- a/crates/emulator/src/meter.rs
+++ b/crates/emulator/src/meter.rs
@@ -81,6 +81,7 @@
                 | JobEvent::StateRead { .. }
                 | JobEvent::WorkersUnreadable(_)
                 | JobEvent::QueuesChanged(_)
+                | JobEvent::HallsEvacuated(_)
                 | JobEvent::SureUntil(_) => {}
             }
         }
--- a/crates/emulator/src/oracle/mod.rs
+++ b/crates/emulator/src/oracle/mod.rs
@@ -34,6 +34,8 @@
     pub contact_ms: Millis,
     /// After how long a worker that says that it leaves must get nothing new.
     pub drain_ms: Millis,
+    /// After how long the workers of an evacuated hall must.
+    pub evacuate_ms: Millis,
     /// How long after all hosts are back requests have to be served.
     pub recovery_ms: Millis,
 }
@@ -48,6 +50,7 @@
         config_ms: 2_000,
         contact_ms: 3_000,
         drain_ms: 2_000,
+        evacuate_ms: 5_000,
         recovery_ms: 12_000,
     };
 
@@ -83,6 +86,8 @@
     Unasked,
     /// A start on a worker that has long said that it leaves.
     Drain,
+    /// A start on a worker whose hall has long been evacuated.
+    Evacuated,
     /// A job shown as completed with a task that is not done.
     Mixed,
     /// A job that does not end though nothing is in its way.
@@ -251,6 +256,14 @@
         self.report(now, BrokenRule::Drain, format!("{key} on {worker}"));
     }
 
+    /// A worker began a run in a hall that had been evacuated since a time, by order of a host in touch.
+    pub fn started_in_evacuated(&mut self, now: Millis, since: Millis, key: RunKey) {
+        if now > since + self.bounds.evacuate_ms {
+            let what = format!("{key} in a hall evacuated since {since}");
+            self.report(now, BrokenRule::Evacuated, what);
+        }
+    }
+
     /// Whether a job was handed in.
     pub fn knows(&self, number: JobNumber) -> bool {
         self.jobs.contains_key(&number)
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -1,6 +1,6 @@
 //! What a scheduler is told and what it asks for.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
@@ -189,6 +189,8 @@
     PaceAnswered(WorkerId, RunKey, OrderAnswer),
     /// A worker answered a hold, or did not.
     HoldAnswered(WorkerId, HoldAnswer),
+    /// The halls that operators have evacuated, all of them: nothing is to be started there.
+    HallsEvacuated(BTreeSet<HallId>),
     /// A durable write took effect.
     Committed(u64),
     /// Until when nobody can have followed this owner to any effect, on the scheduler's clock; see [`crate::OwnerTenure`].
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -283,6 +283,7 @@
             JobEvent::WorkersListed(list) => self.take_list(now, list),
             JobEvent::StoreClock { at, at_most_ms } => self.store_clock.note(at, at_most_ms),
             JobEvent::QueuesChanged(queues) => self.queues = queues,
+            JobEvent::HallsEvacuated(_) => {}
             JobEvent::StartAnswered(worker, key, answer) => {
                 self.starts_under_way = self.starts_under_way.saturating_sub(1);
                 self.take_start_answer(now, &worker, key, answer);
--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -379,6 +379,32 @@
     }
 }
 
+/// Halls that operators evacuate and take back, beside owners that die, hand over or lose the store, and orders that come late.
+fn halls_evacuated() -> FaultPlan {
+    FaultPlan {
+        workers: 16,
+        evacuations: 150,
+        deaths: 60,
+        hand_overs: 30,
+        outages: 40,
+        lost_answers: 5,
+        late_orders: 20,
+        failed_runs: 20,
+        guards: true,
+        standing: true,
+        max_lease_ms: 10_000,
+        ..FaultPlan::default()
+    }
+}
+
+/// The same beside halls that are cut off.
+fn halls_evacuated_and_cut() -> FaultPlan {
+    FaultPlan {
+        hall_cuts: 80,
+        ..halls_evacuated()
+    }
+}
+
 /// On workers that are reachable no lease runs out, whichever single calls get lost.
 fn keeps_sound_leases(seeds: std::ops::Range<u64>, plan: FaultPlan) {
     let lapses: Vec<(u64, usize)> = seeds
@@ -472,7 +498,9 @@
 fn hall_run() {
     let seeds = named_seeds("SANDSHELF_HALL_SEEDS", "1:5");
     is_safe(seeds.clone(), halls_cut());
-    is_safe(seeds, halls_cut_amid_all());
+    is_safe(seeds.clone(), halls_cut_amid_all());
+    is_safe(seeds.clone(), halls_evacuated());
+    is_safe(seeds, halls_evacuated_and_cut());
 }
 
 /// Each rule of the oracle fires on what breaks it.
@@ -524,6 +552,8 @@
     workers_start_again_with_other_rooms => is_safe(1_800..1_830, same_names_and_rooms());
     halls_are_cut => is_safe(1_900..1_930, halls_cut());
     halls_are_cut_amid_all => is_safe(2_000..2_030, halls_cut_amid_all());
+    halls_are_evacuated => is_safe(2_100..2_130, halls_evacuated());
+    halls_are_evacuated_and_cut => is_safe(2_200..2_230, halls_evacuated_and_cut());
     halls_by_hand => hall_run();
     lives_by_hand => life_run();
     seeds_by_hand => long_run();
@@ -575,6 +605,9 @@
             oracle.look_for_away(look * 100, 100, &room);
         }
     });
+    oracle_evacuated => oracle_sees(BrokenRule::Evacuated, |oracle| {
+        oracle.started_in_evacuated(5_001, 0, run(0, 1));
+    });
     oracle_mixed => oracle_sees(BrokenRule::Mixed, |oracle| {
         oracle.shown(0, sandshelf_jobs::JobNumber(1), JobStage::Completed);
     });
--- a/crates/jobs/tests/support/emulator/halls.rs
+++ b/crates/jobs/tests/support/emulator/halls.rs
@@ -1,7 +1,7 @@
 //! Halls that packets leave or enter no more: hosts and workers in one hear each other, and the store stands outside.
 
 use rand::RngExt;
-use sandshelf_model::Millis;
+use sandshelf_model::{HallId, Millis};
 
 use super::PlatformEmulator;
 
@@ -38,6 +38,11 @@
     }
 }
 
+/// The name of a hall.
+pub fn hall_name(hall: usize) -> HallId {
+    HallId::from(format!("hall-{hall}"))
+}
+
 /// The hall of the worker at a place.
 pub fn hall_of(place: usize) -> usize {
     place % HALLS
@@ -65,6 +70,17 @@
         });
     }
 
+    /// Operators evacuate a hall, or take it back; at most two are evacuated at once. While the store is out they can't.
+    pub(super) fn evacuate_hall(&mut self) {
+        if self.now < self.store_out_until {
+            return;
+        }
+        let hall = self.random.random_range(0..HALLS);
+        if self.evacuated.remove(&hall).is_none() && self.evacuated.len() < 2 {
+            self.evacuated.insert(hall, self.now);
+        }
+    }
+
     /// A hall for a new owner, which has to reach the store.
     pub(super) fn draw_hall(&mut self) -> usize {
         if self.plan.hall_cuts == 0 {
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -94,6 +94,8 @@
     /// The hall that its host stands in.
     hall: usize,
     tenure: OwnerTenure,
+    /// The evacuated halls as it was told last.
+    evacuated: BTreeSet<usize>,
     scheduler: JobScheduler,
     frozen_until: Millis,
     listed_at: Millis,
@@ -127,6 +129,8 @@
     store_out_until: Millis,
     /// The hall that was cut off last.
     cut: Option<HallCut>,
+    /// The halls that are evacuated, each with when that was acknowledged.
+    evacuated: BTreeMap<usize, Millis>,
     /// Tasks that crash their workers, with how long after their start.
     crashers: BTreeMap<TaskKey, Millis>,
     /// How many runs lapsed on workers that were reachable throughout their lease.
@@ -159,6 +163,7 @@
             silent: SilentWorkers::default(),
             store_out_until: 0,
             cut: None,
+            evacuated: BTreeMap::new(),
             disturbed_at: 0,
             sound_lapses: 0,
             crashers: BTreeMap::new(),
@@ -245,6 +250,9 @@
         if self.plan.hall_cuts > 0 && self.chance(self.plan.hall_cuts) {
             self.strike_hall();
         }
+        if self.plan.evacuations > 0 && self.chance(self.plan.evacuations) {
+            self.evacuate_hall();
+        }
         if self.chance(self.plan.deaths) {
             self.owners.pop();
         }
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -1,5 +1,6 @@
 //! The emulated hosts: who owns the shard, and what it asks for.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use rand::RngExt;
@@ -10,7 +11,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use super::halls::{hall_of, HallCut};
+use super::halls::{hall_name, hall_of, HallCut};
 use super::{
     EmulatedOwner, Message, PlatformEmulator, CLAIM_AFTER_MS, LIST_MS, RENEW_MS, SHARD_LEASE_MS,
     TAKEOVER_MS, TICK_MS,
@@ -68,6 +69,7 @@
             epoch: self.epoch,
             hall,
             tenure: OwnerTenure::new(SHARD_LEASE_MS, self.now),
+            evacuated: BTreeSet::new(),
             scheduler: JobScheduler::new(limits, info),
             frozen_until: self.now + TAKEOVER_MS,
             listed_at: 0,
@@ -116,6 +118,13 @@
                     None => JobEvent::CancelAsked(*number),
                 }));
                 owner.seen_jobs = self.jobs.len();
+                let evacuated: BTreeSet<usize> = self.evacuated.keys().copied().collect();
+                if owner.evacuated != evacuated {
+                    let halls = evacuated.iter().map(|hall| hall_name(*hall));
+                    // What operators write is read before anything is started.
+                    events.insert(0, JobEvent::HallsEvacuated(halls.collect()));
+                    owner.evacuated = evacuated;
+                }
                 if now >= owner.listed_at + LIST_MS {
                     owner.listed_at = now;
                     let unlists = self.plan.unlists;
@@ -129,6 +138,7 @@
                         entry.address = place_address(worker.place);
                         entry.life = Some(worker.life);
                         entry.draining = worker.draining_since.is_some();
+                        entry.hall = hall_name(hall_of(worker.place));
                         entry.capacity = worker.room.reported();
                         entry
                     });
@@ -141,6 +151,7 @@
                     let ghosts = ghosts.filter(|ghost| now < ghost.until && !shown(&ghost.worker));
                     let ghosts = ghosts.map(|ghost| WorkerListing {
                         address: place_address(ghost.place),
+                        hall: hall_name(hall_of(ghost.place)),
                         life: Some(ghost.life),
                         ..listing(ghost.worker.as_str())
                     });
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -385,6 +385,10 @@
             },
         );
         let id = worker.id.clone();
+        let since = self.evacuated.get(&hall_of(worker.place));
+        if let Some(since) = since.filter(|_| in_touch) {
+            self.oracle.started_in_evacuated(now, *since, call.key);
+        }
         self.oracle.started(now, &id, call.key, in_touch);
         OrderAnswer::Done(clock)
     }
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -48,6 +48,8 @@
     pub freezes: u32,
     /// In each second, a hall is cut off for some seconds: nothing gets out, nothing gets in, or neither.
     pub hall_cuts: u32,
+    /// In each second, operators evacuate a hall, or take one back.
+    pub evacuations: u32,
     /// In each second, the store is out for some seconds.
     pub outages: u32,
     /// Whether workers reject what doesn't fit.
