Nothing is started in a hall that operators have evacuated

Cause: the operators' table was read for its configuration only; rows that say that a hall is evacuated were passed over. Change: hosts follow these rows with the configuration, and read them before it, so that whoever knows a configuration knows them. A new owner reads them once more with what the owner before published, as of its claim: a host that was frozen or cut off may lag behind. What is at work stays, and a hall that is taken back is open at once.

--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -380,6 +380,24 @@
         /// How many standing tasks are known to be there.
         standing: usize,
     },
+    /// Operators have evacuated a hall: nothing is started there from now on.
+    HallEvacuated {
+        /// The hall.
+        hall: HallId,
+        /// How many workers are known there.
+        workers: usize,
+        /// How many runs are at work there, which stay.
+        runs: usize,
+        /// How many of them stand.
+        standing: usize,
+    },
+    /// Operators have taken a hall back.
+    HallBack {
+        /// The hall.
+        hall: HallId,
+        /// For how long this owner knew it as evacuated.
+        lasted_ms: Millis,
+    },
     /// The owner can't renew its ownership and may have been followed: it starts nothing and prolongs nothing.
     Unsure,
     /// The owner is sure again that nobody has followed it.
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -30,6 +30,10 @@
     pub filling: usize,
     /// Filling tasks told to work at less than their full pace.
     pub slowed: usize,
+    /// Halls that operators have evacuated.
+    pub evacuated_halls: usize,
+    /// Runs that are at work there.
+    pub evacuated_runs: usize,
     /// What the filling tasks would use at full pace, in thousandths of a core.
     pub fill_wanted: u64,
     /// What they would use at the pace that they were told, in thousandths of a core.
@@ -52,6 +56,7 @@
     /// Figures for gauges.
     pub fn counts(&self, now: Millis) -> SchedulerCounts {
         let open = self.workers.values().filter(|worker| worker.is_open(now));
+        let evacuated = self.workers.values().filter(|worker| worker.evacuated);
         let mut counts = SchedulerCounts {
             jobs: self.jobs.len(),
             waiting: self.waiting.len(),
@@ -60,6 +65,8 @@
             workers: self.workers.len(),
             dirty: self.dirty.len(),
             stretch: self.strain.stretch(),
+            evacuated_halls: self.evacuated.len(),
+            evacuated_runs: evacuated.map(|worker| worker.runs.len()).sum(),
             ..SchedulerCounts::default()
         };
         let runs = self
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -255,6 +255,7 @@
             .or_insert_with(|| WorkerState::new(entry.clone(), now, mark));
         state.listed = true;
         state.missing = false;
+        state.evacuated = self.evacuated.contains(&entry.hall);
         let leaves_now = draining && !state.entry.draining;
         state.entry = entry;
         if state.is_unshown() && state.entry.life > state.life.name {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -25,6 +25,7 @@
 mod gang;
 mod gauges;
 mod guard;
+mod halls;
 mod holds;
 mod ids;
 mod images;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::crash::CrashBook;
 use crate::events::{JobAction, JobEvent, JobNote, WorkerCall};
 use crate::foreign::ForeignRuns;
+use crate::halls::EvacuatedHalls;
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
 use crate::images::ImageTable;
 use crate::job::{JobState, TaskStage};
@@ -80,6 +81,7 @@
     pub(crate) waiting: BTreeSet<WaitKey>,
     pub(crate) delayed: BTreeSet<(Millis, TaskKey)>,
     pub(crate) queues: BTreeMap<String, QueueRules>,
+    pub(crate) evacuated: EvacuatedHalls,
     pub(crate) dirty: VecDeque<JobNumber>,
     pub(crate) dirty_set: HashSet<JobNumber>,
     pub(crate) urgent: bool,
@@ -162,6 +164,7 @@
             waiting: BTreeSet::new(),
             delayed: BTreeSet::new(),
             queues: BTreeMap::new(),
+            evacuated: EvacuatedHalls::default(),
             dirty: VecDeque::new(),
             dirty_set: HashSet::new(),
             urgent: false,
@@ -283,7 +286,7 @@
             JobEvent::WorkersListed(list) => self.take_list(now, list),
             JobEvent::StoreClock { at, at_most_ms } => self.store_clock.note(at, at_most_ms),
             JobEvent::QueuesChanged(queues) => self.queues = queues,
-            JobEvent::HallsEvacuated(_) => {}
+            JobEvent::HallsEvacuated(halls) => self.take_evacuated(now, halls),
             JobEvent::StartAnswered(worker, key, answer) => {
                 self.starts_under_way = self.starts_under_way.saturating_sub(1);
                 self.take_start_answer(now, &worker, key, answer);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -40,6 +40,8 @@
     pub(crate) missing: bool,
     /// Whether the newest list has an entry of its name that can't be read.
     pub(crate) unreadable: bool,
+    /// Whether operators have evacuated its hall.
+    pub(crate) evacuated: bool,
     /// Its present life.
     pub(crate) life: LifeState,
     pub(crate) hold_sent: Option<Millis>,
@@ -84,6 +86,7 @@
             listed: false,
             missing: false,
             unreadable: false,
+            evacuated: false,
             life: LifeState::default(),
             hold_sent: None,
             hold_wait: 0,
@@ -220,6 +223,7 @@
     /// Whether it may be given tasks, which prolongs its lease. One that answers is there, also where a list that suffered with the store omits it.
     pub(crate) fn is_open(&self, now: Millis) -> bool {
         let leaves = self.entry.draining || self.missing || self.is_unshown();
+        let leaves = leaves || self.evacuated;
         let prolongs = self.mark == LeaseMark::None;
         self.life.fenced && prolongs && !leaves && now >= self.paused_until && !self.is_silent(now)
     }
--- /dev/null
+++ b/crates/sandshelfd/src/jobs/halls.rs
@@ -0,0 +1,76 @@
+//! Keeps at hand which halls operators have evacuated.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use sandshelf_adapter::{evacuated_hall, RowRange, StoredValue, CONFIG_TABLE, EVACUATION_KEYS};
+use sandshelf_model::HallId;
+
+/// What the newest row of a hall says, and its version.
+#[derive(Clone, Copy, Debug)]
+struct HallMark {
+    version: u64,
+    evacuated: bool,
+}
+
+/// The rows that say that halls are evacuated.
+pub fn evacuations() -> RowRange {
+    let (from, to) = EVACUATION_KEYS;
+    RowRange {
+        table: CONFIG_TABLE,
+        part: String::new(),
+        from: from.to_owned(),
+        to: Some(to.to_owned()),
+    }
+}
+
+/// Which halls are evacuated; shared by whoever reads the rows and the owner's thread.
+#[derive(Clone, Debug, Default)]
+pub struct HallView {
+    marks: Arc<Mutex<BTreeMap<HallId, HallMark>>>,
+}
+
+impl HallView {
+    /// The halls that are evacuated.
+    pub fn evacuated(&self) -> BTreeSet<HallId> {
+        let marks = self.lock();
+        let evacuated = marks.iter().filter(|(_, mark)| mark.evacuated);
+        evacuated.map(|(hall, _)| hall.clone()).collect()
+    }
+
+    /// Takes in rows that have changed, up to a version; older ones than are known change nothing.
+    pub fn take_changes(&self, rows: &[StoredValue], up_to: u64) {
+        let mut marks = self.lock();
+        for row in rows {
+            let Some(hall) = evacuated_hall(&row.key) else {
+                continue;
+            };
+            // The version of a removal may not be told.
+            let version = match row.version {
+                0 => up_to,
+                version => version,
+            };
+            let evacuated = row.value.is_some();
+            if marks
+                .get(&hall)
+                .is_none_or(|known| known.version <= version)
+            {
+                marks.insert(hall, HallMark { version, evacuated });
+            }
+        }
+    }
+
+    /// Takes in all rows as of a version: halls without one are not evacuated, unless something newer is known.
+    pub fn take_all(&self, rows: &[StoredValue], as_of: u64) {
+        for mark in self.lock().values_mut() {
+            if mark.version <= as_of {
+                mark.evacuated = false;
+            }
+        }
+        self.take_changes(rows, as_of);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<HallId, HallMark>> {
+        self.marks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -176,6 +176,8 @@
         | JobNote::EndPassedOver { .. }
         | JobNote::WorkerDraining { .. }
         | JobNote::SureAgain { .. }
+        | JobNote::HallEvacuated { .. }
+        | JobNote::HallBack { .. }
         | JobNote::Paced(..) => {}
     }
 }
@@ -200,6 +202,8 @@
     gauge!("sandshelf_tasks_running").set(counts.runs as f64);
     gauge!("sandshelf_workers_known").set(counts.workers as f64);
     gauge!("sandshelf_workers_open").set(counts.open_workers as f64);
+    gauge!("sandshelf_evacuated_halls").set(counts.evacuated_halls as f64);
+    gauge!("sandshelf_evacuated_tasks_running").set(counts.evacuated_runs as f64);
     gauge!("sandshelf_jobs_unwritten").set(counts.dirty as f64);
     gauge!("sandshelf_owner_stretch_percent").set(counts.stretch as f64);
     gauge!("sandshelf_serving_tasks").set(counts.serving as f64);
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod calls;
 mod face;
+mod halls;
 mod health;
 mod intake;
 mod meters;
@@ -35,9 +36,10 @@
 
 use crate::daemon::{launch, quiet_rocket, wait_for_signal, DaemonFailure};
 use crate::jobs::face::{job_routes, metrics_routes, ready_routes, JobShared};
+use crate::jobs::halls::HallView;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::owner::{run_owner, OwnerParts};
-use crate::jobs::queues::{watch_queues, QueueView};
+use crate::jobs::queues::{watch_operators, QueueView};
 use crate::jobs::relays::RelayFace;
 use crate::logging::event;
 use crate::{clock, logging, meters as process_meters};
@@ -87,6 +89,7 @@
     let store = StoreClient::new(settings.store_address).change_context(DaemonFailure::Client)?;
     let health = Arc::new(StoreHealth::default());
     let queues = QueueView::default();
+    let halls = HallView::default();
     let shared = Arc::new(JobShared {
         store: store.clone(),
         health: health.clone(),
@@ -121,7 +124,12 @@
             &[("way", way), ("outcome", &"no task is started")],
         );
     }
-    tokio::spawn(watch_queues(store.clone(), queues.clone(), health.clone()));
+    tokio::spawn(watch_operators(
+        store.clone(),
+        queues.clone(),
+        halls.clone(),
+        health.clone(),
+    ));
     tokio::spawn(watch_settings(path, settings.clone()));
     let (stop, stop_in) = mpsc::channel(1);
     let (stopped, owner_stopped) = oneshot::channel();
@@ -134,6 +142,7 @@
         relays,
         store,
         queues,
+        halls,
         health,
         stop: stop_in,
         stopped,
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -176,6 +176,23 @@
             "worker_draining",
             &[("worker", worker), ("standing", standing)],
         ),
+        JobNote::HallEvacuated {
+            hall,
+            workers,
+            runs,
+            standing,
+        } => event_always(
+            "hall_evacuated",
+            &[
+                ("hall", hall),
+                ("workers", workers),
+                ("runs", runs),
+                ("standing", standing),
+            ],
+        ),
+        JobNote::HallBack { hall, lasted_ms } => {
+            event_always("hall_back", &[("hall", hall), ("lasted_ms", lasted_ms)]);
+        }
         JobNote::Unsure => event_always("ownership_unsure", &[]),
         JobNote::SureAgain { lasted_ms } => {
             event_always("ownership_sure", &[("lasted_ms", lasted_ms)]);
@@ -245,6 +262,8 @@
             ("over_target", &counts.over_target),
             ("filling", &counts.filling),
             ("slowed", &counts.slowed),
+            ("evacuated_halls", &counts.evacuated_halls),
+            ("evacuated_runs", &counts.evacuated_runs),
             ("fill_wanted", &counts.fill_wanted),
             ("fill_paced", &counts.fill_paced),
             ("fill_used", &counts.fill_used),
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -7,6 +7,7 @@
 mod strength;
 mod tenure;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,13 +16,14 @@
 use sandshelf_config::{JobSettings, OrderWay};
 use sandshelf_jobs::{CommitBatch, JobAction, JobEvent, JobScheduler, JobStories, WorkerCall};
 use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease, StoredRow};
-use sandshelf_model::{Epoch, HostId, Millis, WorkerId};
+use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{interval, timeout, MissedTickBehavior};
 
 use crate::clock;
 use crate::jobs::calls::WorkerCalls;
+use crate::jobs::halls::HallView;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters;
 use crate::jobs::notes::log_load;
@@ -66,6 +68,8 @@
     pub store: StoreClient,
     /// The configuration of queues.
     pub queues: QueueView,
+    /// Which halls are evacuated.
+    pub halls: HallView,
     /// What the latest calls say of the store.
     pub health: Arc<StoreHealth>,
     /// Asks for a planned stop.
@@ -93,6 +97,8 @@
     stories: JobStories,
     tenure: ShardTenure,
     queues_version: u64,
+    /// The evacuated halls that the scheduler was told last.
+    evacuated: BTreeSet<HallId>,
     followers: Vec<JoinHandle<()>>,
 }
 
@@ -109,6 +115,7 @@
     settings: JobSettings,
     store: OwnerStore,
     queues: QueueView,
+    halls: HallView,
     lease: ShardLease,
     rank: u32,
     claimed_at: Millis,
@@ -146,6 +153,7 @@
         relays,
         store,
         queues,
+        halls,
         health,
         mut stop,
         stopped,
@@ -186,6 +194,7 @@
             health,
         },
         queues,
+        halls,
         rank,
         claimed_at: 0,
         rules_since: 0,
@@ -293,6 +302,7 @@
         self.check_tenure(now);
         if self.owned.is_some() {
             self.refresh_queues();
+            self.refresh_halls();
             self.handle(JobEvent::Tick {
                 wall_ms: clock::wall_ms(),
             });
@@ -403,6 +413,17 @@
         }
     }
 
+    fn refresh_halls(&mut self) {
+        let Some(owned) = &mut self.owned else {
+            return;
+        };
+        let evacuated = self.halls.evacuated();
+        if owned.evacuated != evacuated {
+            owned.evacuated.clone_from(&evacuated);
+            self.handle(JobEvent::HallsEvacuated(evacuated));
+        }
+    }
+
     fn handle(&mut self, job_event: JobEvent) {
         self.take_events(vec![job_event]);
     }
--- a/crates/sandshelfd/src/jobs/owner/recover.rs
+++ b/crates/sandshelfd/src/jobs/owner/recover.rs
@@ -1,5 +1,6 @@
 //! Reads the shard's state after a claim, and gives way where that gets nowhere.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use sandshelf_adapter::WorkerClient;
@@ -49,8 +50,9 @@
         let messages = self.messages.clone();
         let reads = Rc::new(takeover_reads());
         let noted = reads.clone();
+        let halls = self.halls.clone();
         let reading = spawn_local(async move {
-            let published = Box::new(store.read_published(&noted).await);
+            let published = Box::new(store.read_published(&noted, &halls).await);
             let _ = messages.send(OwnerMessage::PublishedRead(epoch, published));
             let recorded = Box::new(store.read_recorded(&noted).await);
             let _ = messages.send(OwnerMessage::RecordedRead(epoch, recorded));
@@ -136,10 +138,12 @@
             stories: JobStories::default(),
             tenure: ShardTenure::new(self.lease.last_renewal().unwrap_or(self.claimed_at)),
             queues_version: 0,
+            evacuated: BTreeSet::new(),
             followers: vec![spawn_local(listing)],
         });
         self.check_tenure(now);
         self.refresh_queues();
+        self.refresh_halls();
         // A tick sends the first holds.
         self.handle(JobEvent::Tick {
             wall_ms: clock::wall_ms(),
--- a/crates/sandshelfd/src/jobs/queues.rs
+++ b/crates/sandshelfd/src/jobs/queues.rs
@@ -11,6 +11,7 @@
 use sandshelf_model::Millis;
 use tokio::time::sleep;
 
+use crate::jobs::halls::{evacuations, HallView};
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters::StoreCall;
 use crate::logging::event;
@@ -64,15 +65,22 @@
 struct ConfigCalls {
     store: StoreClient,
     view: QueueView,
+    halls: HallView,
     health: Arc<StoreHealth>,
     failures: u32,
 }
 
-/// Reads the configuration and follows its changes, for ever.
-pub async fn watch_queues(store: StoreClient, view: QueueView, health: Arc<StoreHealth>) {
+/// Reads what operators write, the configuration and which halls are evacuated, and follows its changes, for ever.
+pub async fn watch_operators(
+    store: StoreClient,
+    view: QueueView,
+    halls: HallView,
+    health: Arc<StoreHealth>,
+) {
     let mut calls = ConfigCalls {
         store,
         view,
+        halls,
         health,
         failures: 0,
     };
@@ -111,6 +119,7 @@
         match self.health.watch(StoreCall::Follow, follow).await? {
             FeedPage::Changes(rows, version) => {
                 take_rows(&self.view, &rows);
+                self.halls.take_changes(&rows, version);
                 Ok(Some(after.max(version)))
             }
             FeedPage::HistoryGone => {
@@ -120,7 +129,12 @@
         }
     }
 
+    /// Reads the halls first, so that they are known to whoever knows a configuration; returns from where changes are to be followed.
     async fn read(&self) -> Result<u64, StoreFault> {
+        let range = evacuations();
+        let read = self.store.read(&range, self.patience());
+        let halls = self.health.watch(StoreCall::ReadConfig, read).await?;
+        self.halls.take_all(&halls.rows, halls.version);
         let range = RowRange {
             table: CONFIG_TABLE,
             part: String::new(),
@@ -130,7 +144,7 @@
         let read = self.store.read(&range, self.patience());
         let page = self.health.watch(StoreCall::ReadConfig, read).await?;
         take_rows(&self.view, &page.rows);
-        Ok(page.version)
+        Ok(halls.version)
     }
 }
 
--- a/crates/sandshelfd/src/jobs/takeover.rs
+++ b/crates/sandshelfd/src/jobs/takeover.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use futures::future::join;
 use futures::{stream, StreamExt};
 use sandshelf_adapter::{join_value, CallPatience, StoredValue};
 use sandshelf_jobs::{
@@ -10,6 +11,7 @@
 };
 
 use crate::jobs::accept::decode_row;
+use crate::jobs::halls::{evacuations, HallView};
 use crate::jobs::meters::StoreCall;
 use crate::jobs::pages::{PageReads, PartRows};
 use crate::jobs::records::{
@@ -63,9 +65,13 @@
 }
 
 impl OwnerStore {
-    /// Reads what an earlier owner published, for as long as that takes.
-    pub async fn read_published(&self, reads: &PageReads) -> PublishedState {
-        let published = reads.read_part(self, &shard_range(SHARDS_TABLE)).await;
+    /// Reads what an earlier owner published, and which halls are evacuated as of the claim, for as long as that takes.
+    pub async fn read_published(&self, reads: &PageReads, halls: &HallView) -> PublishedState {
+        let (shards, evacuations) = (shard_range(SHARDS_TABLE), evacuations());
+        let published = reads.read_part(self, &shards);
+        let evacuated = reads.read_part(self, &evacuations);
+        let (published, evacuated) = join(published, evacuated).await;
+        halls.take_all(&evacuated.rows, evacuated.until);
         let named = |key: &str| join_value(&published.rows, key);
         let roster = named(ROSTER_KEY).and_then(|row| decode_row(&row, "roster"));
         let silent = named(SILENT_KEY).and_then(|row| decode_row(&row, "silent"));
