--- a/crates/jobs/tests/halls.rs
+++ b/crates/jobs/tests/halls.rs
@@ -68,6 +68,8 @@
     pass_with_reports(&mut rig, 3_000);
     assert!(rig.take_starts().is_empty());
     evacuate(&mut rig, &["north"]);
+    // The next pass over what waits comes with the next tick.
+    rig.pass(25);
     assert_eq!(places(&mut rig), only("w-2"));
 }
 
