--- a/crates/emulator/src/meter.rs
+++ b/crates/emulator/src/meter.rs
@@ -80,7 +80,9 @@
                 | JobEvent::StoreClock { .. }
                 | JobEvent::StateRead { .. }
                 | JobEvent::WorkersUnreadable(_)
-                | JobEvent::QueuesChanged(_) => {}
+                | JobEvent::QueuesChanged(_)
+                | JobEvent::HallsEvacuated(_)
+                | JobEvent::SureUntil(_) => {}
             }
         }
         Some(MeasuredStep {
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -1,6 +1,6 @@
 //! What a scheduler is told and what it asks for.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
@@ -189,8 +189,12 @@
     PaceAnswered(WorkerId, RunKey, OrderAnswer),
     /// A worker answered a hold, or did not.
     HoldAnswered(WorkerId, HoldAnswer),
+    /// The halls that operators have evacuated, all of them: nothing is to be started there.
+    HallsEvacuated(BTreeSet<HallId>),
     /// A durable write took effect.
     Committed(u64),
+    /// Until when nobody can have followed this owner to any effect, on the scheduler's clock; see [`crate::OwnerTenure`].
+    SureUntil(Millis),
     /// Time passes; also carries the time of day, in milliseconds since 1970.
     Tick {
         /// The time of day.
@@ -376,6 +380,31 @@
         /// How many standing tasks are known to be there.
         standing: usize,
     },
+    /// Operators have evacuated a hall: nothing is started there from now on.
+    HallEvacuated {
+        /// The hall.
+        hall: HallId,
+        /// How many workers are known there.
+        workers: usize,
+        /// How many runs are at work there, which stay.
+        runs: usize,
+        /// How many of them stand.
+        standing: usize,
+    },
+    /// Operators have taken a hall back.
+    HallBack {
+        /// The hall.
+        hall: HallId,
+        /// For how long this owner knew it as evacuated.
+        lasted_ms: Millis,
+    },
+    /// The owner can't renew its ownership and may have been followed: it starts nothing and prolongs nothing.
+    Unsure,
+    /// The owner is sure again that nobody has followed it.
+    SureAgain {
+        /// For how long it was not.
+        lasted_ms: Millis,
+    },
     /// A worker does not answer.
     WorkerSilent(WorkerId),
     /// A worker is no more.
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -1,6 +1,7 @@
 //! An emulator of the platform in virtual time: workers with leases on skewed clocks, a store, owners that follow each
 //! other, and calls that get lost, late or no answer.
 
+mod halls;
 mod owners;
 mod workers;
 
@@ -10,10 +11,11 @@
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
     CommitBatch, HoldAnswer, HoldCall, JobEvent, JobNumber, JobScheduler, JobSpec, OrderAnswer,
-    ProgressRow, SilentWorkers, TaskKey, WorkerCall, WorkerLife, WorkerRoster,
+    OwnerTenure, ProgressRow, SilentWorkers, TaskKey, WorkerCall, WorkerLife, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 
+use self::halls::HallCut;
 use super::emulated_worker::EmulatedWorker;
 use super::faults::FaultPlan;
 use super::oracle::PlatformOracle;
@@ -43,6 +45,9 @@
 const SLOW_WAY_MS: Millis = 400;
 /// How long after an owner's last write another claims.
 const CLAIM_AFTER_MS: Millis = 1_500;
+/// How long ownership lasts without a renewal, and how often it is renewed.
+const SHARD_LEASE_MS: Millis = 1_200;
+const RENEW_MS: Millis = 400;
 /// How long the store may be read late by a new owner.
 const TAKEOVER_MS: Millis = 60;
 /// Rules with a time bound hold this long after the last disturbance.
@@ -86,6 +91,11 @@
 
 struct EmulatedOwner {
     epoch: u64,
+    /// The hall that its host stands in.
+    hall: usize,
+    tenure: OwnerTenure,
+    /// The evacuated halls as it was told last.
+    evacuated: BTreeSet<usize>,
     scheduler: JobScheduler,
     frozen_until: Millis,
     listed_at: Millis,
@@ -117,6 +127,10 @@
     roster: WorkerRoster,
     silent: SilentWorkers,
     store_out_until: Millis,
+    /// The hall that was cut off last.
+    cut: Option<HallCut>,
+    /// The halls that are evacuated, each with when that was acknowledged.
+    evacuated: BTreeMap<usize, Millis>,
     /// Tasks that crash their workers, with how long after their start.
     crashers: BTreeMap<TaskKey, Millis>,
     /// How many runs lapsed on workers that were reachable throughout their lease.
@@ -148,6 +162,8 @@
             roster: WorkerRoster::default(),
             silent: SilentWorkers::default(),
             store_out_until: 0,
+            cut: None,
+            evacuated: BTreeMap::new(),
             disturbed_at: 0,
             sound_lapses: 0,
             crashers: BTreeMap::new(),
@@ -231,6 +247,12 @@
         if self.chance(self.plan.outages) {
             self.store_out_until = self.now + self.random.random_range(500..5_000);
         }
+        if self.plan.hall_cuts > 0 && self.chance(self.plan.hall_cuts) {
+            self.strike_hall();
+        }
+        if self.plan.evacuations > 0 && self.chance(self.plan.evacuations) {
+            self.evacuate_hall();
+        }
         if self.chance(self.plan.deaths) {
             self.owners.pop();
         }
@@ -317,18 +339,22 @@
             Some(known) => arrives < known.cut_until,
             None => self.is_gone_for_good(&worker),
         };
+        let (from, to) = (self.owner_hall(epoch), self.worker_hall(&worker));
+        let held_up = self.stopped_until(from, to);
         let late = order && self.chance(self.plan.late_orders);
         let lost = cut || self.chance(self.plan.lost_calls);
-        let mute = self.chance(self.plan.lost_answers);
+        let unheard = self.stopped_until(to, from).is_some();
+        let mute = self.chance(self.plan.lost_answers) || unheard || held_up.is_some();
         if late || lost || mute {
             let event = answer_event(&worker, &call, OrderAnswer::Unknown);
             let given_up = self.now + PATIENCE_MS + wait;
             self.send(given_up, Message::Answered(epoch, event));
         }
-        let at = if late {
-            self.now + self.random.random_range(2_000..6_000)
-        } else {
-            arrives
+        let at = match held_up {
+            // What is under way on an open connection arrives once the cut has healed.
+            Some(until) => until + self.random.random_range(1..400),
+            None if late => self.now + self.random.random_range(2_000..6_000),
+            None => arrives,
         };
         if late || !lost {
             let sent = SentCall {
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -1,18 +1,22 @@
 //! The emulated hosts: who owns the shard, and what it asks for.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use rand::RngExt;
 use sandshelf_jobs::{
-    CommitBatch, JobAction, JobEvent, JobScheduler, SchedulerLimits, TakeoverInfo, WorkerListing,
+    CommitBatch, JobAction, JobEvent, JobScheduler, OwnerTenure, SchedulerLimits, TakeoverInfo,
+    WorkerListing,
 };
 
 use sandshelf_model::{Millis, WorkerId};
 
+use super::halls::{hall_name, hall_of, HallCut};
 use super::{
-    EmulatedOwner, Message, PlatformEmulator, CLAIM_AFTER_MS, LIST_MS, TAKEOVER_MS, TICK_MS,
+    EmulatedOwner, Message, PlatformEmulator, CLAIM_AFTER_MS, LIST_MS, RENEW_MS, SHARD_LEASE_MS,
+    TAKEOVER_MS, TICK_MS,
 };
-use crate::support::emulated_worker::EmulatedWorker;
+use crate::support::emulated_worker::{EmulatedWorker, UNLISTED_AFTER_MS};
 use crate::support::{listing, WALL_START_MS};
 
 /// The store's clock when the emulator's is at 0.
@@ -34,7 +38,8 @@
             return;
         }
         let current = self.owners.iter().find(|owner| owner.epoch == self.epoch);
-        let alive = current.is_some_and(|owner| self.now >= owner.frozen_until);
+        let writes = |owner: &EmulatedOwner| self.without_store_until(owner.hall).is_none();
+        let alive = current.is_some_and(|owner| self.now >= owner.frozen_until && writes(owner));
         match alive {
             true => self.owner_seen = self.now,
             false => self.disturbed_at = self.now,
@@ -59,8 +64,12 @@
             max_lease_ms: self.max_lease_ms(),
             ..SchedulerLimits::default()
         };
+        let hall = self.draw_hall();
         self.owners.push(EmulatedOwner {
             epoch: self.epoch,
+            hall,
+            tenure: OwnerTenure::new(SHARD_LEASE_MS, self.now),
+            evacuated: BTreeSet::new(),
             scheduler: JobScheduler::new(limits, info),
             frozen_until: self.now + TAKEOVER_MS,
             listed_at: 0,
@@ -70,9 +79,14 @@
 
     pub(super) fn step_owners(&mut self) {
         let now = self.now;
-        let reachable = now >= self.store_out_until;
+        let served = now >= self.store_out_until;
+        self.renew_in_vain();
         let epochs: Vec<u64> = self.owners.iter().map(|owner| owner.epoch).collect();
         for epoch in epochs {
+            let hall = self.owner_hall(epoch);
+            let cut_off = hall.is_some_and(|hall| self.without_store_until(hall).is_some());
+            let reachable = served && !cut_off;
+            let cut = self.hall_cut();
             let Some(owner) = self.owners.iter_mut().find(|owner| owner.epoch == epoch) else {
                 continue;
             };
@@ -80,6 +94,16 @@
                 continue;
             }
             let mut events = Vec::new();
+            if now.is_multiple_of(RENEW_MS) {
+                // In an outage all hosts say that they have no store, unless some can't be heard.
+                let vouched = !served && cut.is_none();
+                if reachable && epoch == self.epoch {
+                    owner.tenure.note_renewed(now);
+                } else if vouched {
+                    owner.tenure.note_vouched(now + SHARD_LEASE_MS);
+                }
+                events.push(JobEvent::SureUntil(owner.tenure.sure_until()));
+            }
             let mut clock_shown = None;
             // Only the present owner follows the store; one that was followed learns of it at the workers.
             if reachable && epoch == self.epoch {
@@ -94,11 +118,19 @@
                     None => JobEvent::CancelAsked(*number),
                 }));
                 owner.seen_jobs = self.jobs.len();
+                let evacuated: BTreeSet<usize> = self.evacuated.keys().copied().collect();
+                if owner.evacuated != evacuated {
+                    let halls = evacuated.iter().map(|hall| hall_name(*hall));
+                    // What operators write is read before anything is started.
+                    events.insert(0, JobEvent::HallsEvacuated(halls.collect()));
+                    owner.evacuated = evacuated;
+                }
                 if now >= owner.listed_at + LIST_MS {
                     owner.listed_at = now;
                     let unlists = self.plan.unlists;
                     let listed = |worker: &&EmulatedWorker| {
                         let up = now >= worker.dark_until.max(worker.shown_from);
+                        let up = up && !is_dropped(cut, now, worker.place);
                         (!unlists || worker.is_listed(now)) && up
                     };
                     let entries = self.workers.iter().filter(listed).map(|worker| {
@@ -106,6 +138,7 @@
                         entry.address = place_address(worker.place);
                         entry.life = Some(worker.life);
                         entry.draining = worker.draining_since.is_some();
+                        entry.hall = hall_name(hall_of(worker.place));
                         entry.capacity = worker.room.reported();
                         entry
                     });
@@ -118,6 +151,7 @@
                     let ghosts = ghosts.filter(|ghost| now < ghost.until && !shown(&ghost.worker));
                     let ghosts = ghosts.map(|ghost| WorkerListing {
                         address: place_address(ghost.place),
+                        hall: hall_name(hall_of(ghost.place)),
                         life: Some(ghost.life),
                         ..listing(ghost.worker.as_str())
                     });
@@ -143,6 +177,19 @@
         }
     }
 
+    /// Ends owners whose hall was cut off, and that were followed meanwhile: their renewals are refused.
+    fn renew_in_vain(&mut self) {
+        if self.plan.hall_cuts == 0 || !self.now.is_multiple_of(RENEW_MS) {
+            return;
+        }
+        let cut = self.hall_cut().map(|cut| cut.hall);
+        let current = self.epoch;
+        let outlasts = |owner: &EmulatedOwner| owner.epoch == current || cut == Some(owner.hall);
+        let now = self.now;
+        self.owners
+            .retain(|owner| outlasts(owner) || now < owner.frozen_until);
+    }
+
     /// A time between nothing and this.
     fn up_to(&mut self, most: Millis) -> Millis {
         match most {
@@ -177,9 +224,18 @@
         }
     }
 
+    /// The hall that the owner of an epoch stands in.
+    pub(super) fn owner_hall(&self, epoch: u64) -> Option<usize> {
+        let owner = self.owners.iter().find(|owner| owner.epoch == epoch);
+        owner.map(|owner| owner.hall)
+    }
+
     fn commit(&mut self, epoch: u64, batch: CommitBatch) {
         let takes = 5 + self.up_to(self.plan.slow_writes_ms);
-        let at = self.now.max(self.store_out_until) + takes;
+        let hall = self.owner_hall(epoch);
+        let healed = hall.and_then(|hall| self.without_store_until(hall));
+        let from = self.now.max(self.store_out_until);
+        let at = from.max(healed.unwrap_or(0)) + takes;
         self.send(at, Message::Written(epoch, batch));
     }
 
@@ -205,3 +261,8 @@
         self.tell(epoch, JobEvent::Committed(batch.id));
     }
 }
+
+/// Whether lists omit a worker that can't tell the store that it lives, since its hall has been cut off for so long.
+fn is_dropped(cut: Option<HallCut>, now: Millis, place: usize) -> bool {
+    cut.is_some_and(|cut| cut.hall == hall_of(place) && now > cut.since + UNLISTED_AFTER_MS)
+}
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -5,7 +5,9 @@
 mod recover;
 mod release;
 mod strength;
+mod tenure;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,19 +16,21 @@
 use sandshelf_config::{JobSettings, OrderWay};
 use sandshelf_jobs::{CommitBatch, JobAction, JobEvent, JobScheduler, JobStories, WorkerCall};
 use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease, StoredRow};
-use sandshelf_model::{Epoch, HostId, Millis, WorkerId};
+use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{interval, timeout, MissedTickBehavior};
 
 use crate::clock;
 use crate::jobs::calls::WorkerCalls;
+use crate::jobs::halls::HallView;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters;
 use crate::jobs::notes::log_load;
 use crate::jobs::owner::carry::{RelayOffers, RelayPool};
 use crate::jobs::owner::recover::RunningTakeover;
 use crate::jobs::owner::strength::HostStrength;
+use crate::jobs::owner::tenure::ShardTenure;
 use crate::jobs::queues::QueueView;
 use crate::jobs::relays::{serve_relays, RelayFace};
 use crate::jobs::station::{run_station, OwnerPlace};
@@ -64,6 +68,8 @@
     pub store: StoreClient,
     /// The configuration of queues.
     pub queues: QueueView,
+    /// Which halls are evacuated.
+    pub halls: HallView,
     /// What the latest calls say of the store.
     pub health: Arc<StoreHealth>,
     /// Asks for a planned stop.
@@ -89,7 +95,10 @@
     calls: WorkerCalls,
     relays: RelayPool,
     stories: JobStories,
+    tenure: ShardTenure,
     queues_version: u64,
+    /// The evacuated halls that the scheduler was told last.
+    evacuated: BTreeSet<HallId>,
     followers: Vec<JoinHandle<()>>,
 }
 
@@ -106,6 +115,7 @@
     settings: JobSettings,
     store: OwnerStore,
     queues: QueueView,
+    halls: HallView,
     lease: ShardLease,
     rank: u32,
     claimed_at: Millis,
@@ -125,7 +135,8 @@
     owned: Option<OwnedShard>,
     waiting_batch: Option<CommitBatch>,
     writing: bool,
-    reading: bool,
+    /// Since when the owner's row is being read.
+    reading: Option<Millis>,
     next_read: Millis,
     next_load: Millis,
     stop_by: Option<Millis>,
@@ -142,6 +153,7 @@
         relays,
         store,
         queues,
+        halls,
         health,
         mut stop,
         stopped,
@@ -155,12 +167,14 @@
     let rank = HostStrength::of(&settings).draw_rank();
     let (relay_news, mut relay_inbox) = mpsc::unbounded_channel();
     let (serves, served) = watch::channel(None);
+    let (questions, mut asked) = mpsc::unbounded_channel();
     let (stopping, stops) = watch::channel(false);
     let station = match WorkerClient::new(0, WORKER_PATIENCE) {
         Ok(client) => Some(spawn_local(run_station(
             settings.clone(),
             client,
             served,
+            questions,
             stops,
         ))),
         Err(error) => {
@@ -180,6 +194,7 @@
             health,
         },
         queues,
+        halls,
         rank,
         claimed_at: 0,
         rules_since: 0,
@@ -192,7 +207,7 @@
         owned: None,
         waiting_batch: None,
         writing: false,
-        reading: false,
+        reading: None,
         next_read: 0,
         next_load: 0,
         stop_by: None,
@@ -207,6 +222,7 @@
             Some(message) = inbox.recv() => owner.take_messages(message, &mut inbox),
             Some(events) = intake_in.recv() => owner.take_intake(events),
             Some(news) = relay_inbox.recv() => owner.take_relay_news(news, &mut relay_inbox),
+            Some(reply) = asked.recv() => owner.tell_sight(reply),
             _ = ticks.tick() => owner.tick(),
             Some(()) = stop.recv() => owner.begin_stop(),
         }
@@ -283,8 +299,10 @@
 
     fn tick(&mut self) {
         let now = clock::now();
+        self.check_tenure(now);
         if self.owned.is_some() {
             self.refresh_queues();
+            self.refresh_halls();
             self.handle(JobEvent::Tick {
                 wall_ms: clock::wall_ms(),
             });
@@ -395,6 +413,17 @@
         }
     }
 
+    fn refresh_halls(&mut self) {
+        let Some(owned) = &mut self.owned else {
+            return;
+        };
+        let evacuated = self.halls.evacuated();
+        if owned.evacuated != evacuated {
+            owned.evacuated.clone_from(&evacuated);
+            self.handle(JobEvent::HallsEvacuated(evacuated));
+        }
+    }
+
     fn handle(&mut self, job_event: JobEvent) {
         self.take_events(vec![job_event]);
     }
