--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -304,7 +304,42 @@
     assert_eq!(rig.take_starts().len(), 1);
 }
 
+/// A run that fails shortly after a takeover may not have been the first: ends that were not durable before are told by workers that have yet to answer.
+/// What users saw: after an outage of the store and the loss of all hosts right behind it a task was started once more than its queue allows. Order of
+/// events: four runs of it failed, on four workers, while nothing could be written; the new owner heard of the last of them first, and
+/// started the next run a quarter of a second before the other workers had answered.
+fn a_failed_task_waits_for_all_reports(failed_before: u64) {
+    let mut rig = successor(None);
+    let mut bounded = job(vec![step(1)]);
+    bounded.rules.max_attempts = 3;
+    rig.hand_in(8, 60, bounded);
+    rig.list_entries(vec![listing("w-1"), listing("w-2")]);
+    let key = |run| RunKey {
+        task: task(8, 0, 0),
+        run,
+    };
+    rig.report("w-1", vec![runs(key(13))], vec![]);
+    rig.pass(50);
+    rig.report("w-1", vec![], vec![ended(1, key(13), RunOutcome::Failed)]);
+    rig.pass(200);
+    let started = |rig: &SchedulerRig| {
+        let starts = rig.peek_starts();
+        starts
+            .iter()
+            .any(|(_, start)| start.key.task == task(8, 0, 0))
+    };
+    assert!(!started(&rig));
+    let before = (1..=failed_before).map(|run| ended(run, key(10 + run), RunOutcome::Failed));
+    rig.report("w-2", vec![], before.collect());
+    rig.pass(50);
+    // Two more failures are as many as there may be.
+    assert_eq!(started(&rig), failed_before < 2);
+}
+
 sandshelf_cases::cases! {
+    failed_once_of_three => a_failed_task_waits_for_all_reports(0);
+    failed_twice_of_three => a_failed_task_waits_for_all_reports(1);
+    failed_as_often_as_allowed => a_failed_task_waits_for_all_reports(2);
     leaving_worker_known_before_its_runs => a_leaving_workers_tasks_move_once_they_are_known();
     leaving_worker_without_tasks => a_leaving_worker_without_tasks_is_not_waited_for();
     leaving_worker_with_a_task => a_leaving_worker_with_a_task_is_waited_for();
