A task of a job that was taken over waits, once it has failed, until all workers have told of its failed runs

Cause: a new owner that had adopted the newest run of a task freed the task with that run's end, although the ends of earlier runs, which failed while nothing could be written, were still to be told by workers that had yet to answer. The class: a conclusion from some of the reports of a takeover. Change: such a task goes back among those that are looked for until the takeover is over.

--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -100,11 +100,35 @@
         let spent = failed && self.count_failure(now, end.key);
         match end.outcome {
             RunOutcome::Done if !standing => self.task_done(now, key),
+            // A standing task may fail as often as it likes.
+            RunOutcome::Failed
+                if newest && !spent && !standing && self.may_have_failed_more(&key) =>
+            {
+                self.hold_back(&key);
+            }
             _ if newest && !spent => self.task_freed(now, key),
             _ => {}
         }
     }
 
+    /// Whether workers that have yet to answer this owner may tell of failed runs of a task that nobody wrote down.
+    fn may_have_failed_more(&self, key: &TaskKey) -> bool {
+        let inherited = self.jobs.get(&key.job).is_some_and(|job| job.inherited);
+        self.recovery.is_some() && inherited
+    }
+
+    /// Keeps a task back until all workers have answered, or can hold nothing of an earlier owner's any more.
+    fn hold_back(&mut self, key: &TaskKey) {
+        self.mark_dirty(key.job);
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(key)) {
+            if task.stage != TaskStage::Blocked {
+                task.stage = TaskStage::Unfound;
+            }
+        }
+        self.forget_waiting(|wait| wait.task == *key);
+    }
+
     /// Whether a run was ordered by an earlier owner, and this one has not given it up.
     fn is_of_earlier_owner(&self, key: &RunKey) -> bool {
         let job = self.jobs.get(&key.task.job);
