What serving tasks leave goes to filling jobs that can still end in time

Cause: a filling job counted as worth its whole until the moment of its objective, so that in an overload it was dealt processors until it turned late, and others turned late for it. Change: it counts by when it can end, were it slowed down no more: the guessed time that is left of the task and of the longest chain behind it.

--- a/crates/jobs/src/fill.rs
+++ b/crates/jobs/src/fill.rs
@@ -52,7 +52,10 @@
     }
 }
 
-/// How urgent a filling task is beside others: those of jobs whose end is still worth something come first.
+/// How urgent a filling task is beside others: those of jobs that can still end in time come first.
+///
+/// Answers an overload of filling jobs. What goes to a job that is late anyway is taken from one that may yet be in time; going by what time
+/// it is, and not by when the job can end, the processors went to jobs until the moment at which they turned late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct FillUrgency {
     worth: EndWorth,
@@ -60,9 +63,10 @@
 }
 
 impl FillUrgency {
-    pub(crate) fn new(now: Millis, due: DueTimes) -> Self {
+    /// Of a job that needs so much longer, were it slowed down no more.
+    pub(crate) fn new(now: Millis, due: DueTimes, needs_ms: Millis) -> Self {
         Self {
-            worth: due.worth_at(now),
+            worth: due.worth_at(now + needs_ms),
             due,
         }
     }
@@ -142,7 +146,7 @@
         };
         for (key, record) in worker.runs.iter().filter(|(_, record)| record.fills) {
             let ask = FillAsk {
-                urgency: FillUrgency::new(now, record.due),
+                urgency: FillUrgency::new(now, record.due, record.needs_ms()),
                 image: record.image,
                 cpu_millis: record.full_use() as u64,
             };
--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -142,7 +142,7 @@
         taken: &[&WorkerId],
     ) -> Option<&WorkerId> {
         let asked = FillAsk {
-            urgency: FillUrgency::new(now, record.due),
+            urgency: FillUrgency::new(now, record.due, record.needs_ms()),
             image: record.image,
             cpu_millis: record.cpu_millis,
         };
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -9,7 +9,7 @@
     StopCause, WorkerCall,
 };
 use crate::ids::RunKey;
-use crate::job::{DueTimes, TaskStage};
+use crate::job::{DueTimes, TaskChain, TaskStage};
 use crate::life::ClockSight;
 use crate::limits::{
     FOREIGN_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, MARKED_HOLD_MS, PROVEN_AFTER_MS,
@@ -299,6 +299,7 @@
         let step = step.cloned().unwrap_or_default();
         RunRecord {
             due: job.map_or(DueTimes::never(), |job| job.due),
+            chain: job.map_or(TaskChain::default(), |job| job.chain_from(&key.task)),
             room: room.unwrap_or_default(),
             sized: room.is_some(),
             checkpoint: run.checkpoint,
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -162,6 +162,15 @@
     }
 }
 
+/// How long a task and what waits for it are guessed to take, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct TaskChain {
+    /// The task itself.
+    pub(crate) own_ms: Millis,
+    /// The longest chain of steps behind it.
+    pub(crate) after_ms: Millis,
+}
+
 /// What the end of a job is worth to its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum EndWorth {
@@ -433,6 +442,25 @@
         chains.into_iter().max().unwrap_or(0)
     }
 
+    /// The guessed times of a task, and of the longest chain of steps that wait for it.
+    pub(crate) fn chain_from(&self, task: &TaskKey) -> TaskChain {
+        let own = task.step as usize;
+        let Some(step) = self.spec.steps.get(own) else {
+            return TaskChain::default();
+        };
+        // None for steps that don't wait for it; steps wait for earlier ones only.
+        let mut chains: Vec<Option<Millis>> = vec![None; self.spec.steps.len()];
+        chains[own] = Some(0);
+        for (index, later) in self.spec.steps.iter().enumerate().skip(own + 1) {
+            let before = later.after.iter().filter_map(|after| chains[*after]).max();
+            chains[index] = before.map(|before| before + later.estimate_ms);
+        }
+        TaskChain {
+            own_ms: step.estimate_ms,
+            after_ms: chains.into_iter().flatten().max().unwrap_or(0),
+        }
+    }
+
     fn keys_at(&self, wanted: impl Fn(&TaskStage) -> bool) -> Vec<TaskKey> {
         self.keys_where(|task| wanted(&task.stage))
     }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -116,7 +116,7 @@
             caution: self.caution_of(&key),
             guarded: rules.guarded,
             fill: FillAsk {
-                urgency: FillUrgency::new(now, job.due),
+                urgency: FillUrgency::new(now, job.due, job.remaining_ms()),
                 image: self.images.get(&step.image),
                 cpu_millis: step.size.cpu_millis,
             },
@@ -402,6 +402,7 @@
         let payload = job.spec.payload.clone();
         let queue = job.spec.queue.clone();
         let due = job.due;
+        let chain = job.chain_from(&run.task);
         let Some(step) = job.step_spec(&run.task).cloned() else {
             return;
         };
@@ -428,6 +429,7 @@
         let free_cpu = state.free().cpu_millis;
         let mut record = RunRecord::new(&step, image, RunPhase::Ordered, deadline);
         record.due = due;
+        record.chain = chain;
         record.ordered_at = now;
         record.checkpoint = checkpoint.clone();
         state.add_run(run, record);
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -4,7 +4,7 @@
 
 use crate::events::WorkerClock;
 use crate::images::ImageId;
-use crate::job::DueTimes;
+use crate::job::{DueTimes, TaskChain};
 use crate::spec::StepSpec;
 
 /// What part of its declared processors a filling task uses that was not read yet.
@@ -71,6 +71,8 @@
     pub(crate) use_ratio: Option<f64>,
     /// When its job should be done.
     pub(crate) due: DueTimes,
+    /// What its job needs from this task on.
+    pub(crate) chain: TaskChain,
     /// In how many readings on end it used much more or less than its pace says.
     pub(crate) off_pace: u32,
     /// Since when it has been slowed down.
@@ -85,6 +87,12 @@
         self.listed || self.answered_at.is_some_and(|answered| asked >= answered)
     }
 
+    /// How much longer its job needs from here on, were it slowed down no more.
+    pub(crate) fn needs_ms(&self) -> Millis {
+        let left = u64::from(100 - self.percent.min(100));
+        self.chain.own_ms * left / 100 + self.chain.after_ms
+    }
+
     /// What it uses of the processors at full pace, in thousandths of a core, as far as it was seen.
     pub(crate) fn full_use(&self) -> f64 {
         self.cpu_millis as f64 * self.use_ratio.unwrap_or(USUAL_USE)
@@ -125,6 +133,7 @@
             pace: 100,
             use_ratio: None,
             due: DueTimes::never(),
+            chain: TaskChain::default(),
             off_pace: 0,
             slowed_since: None,
             over_since: None,
