--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -2,14 +2,16 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use crate::events::{JobNote, JobStage, LossCause, OrderAnswer, RefusalReason, StopCause};
 use crate::ids::{RunKey, TaskKey};
 use crate::life::ClockSight;
 use crate::limits::{
     INVALID_PAUSE_MS, NO_ROOM_PAUSE_MS, OLDEST_ANSWER_MS, UNHEALTHY_PAUSE_MS, UNREACHABLE_PAUSE_MS,
 };
+use crate::note::{JobNote, LossCause, StopCause};
+use crate::reports::{OrderAnswer, RefusalReason};
 use crate::run::RunPhase;
 use crate::scheduler::JobScheduler;
+use crate::stage::JobStage;
 
 impl JobScheduler {
     /// Takes in the answer to an order to start.
--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -4,7 +4,7 @@
 
 use sandshelf_model::Millis;
 
-use crate::events::{CommitBatch, JobAction, JobStage};
+use crate::events::{CommitBatch, JobAction};
 use crate::ids::JobNumber;
 use crate::limits::{
     COMMIT_JOBS, COMMIT_PAUSE_MS, FORGET_AT_ONCE, PENDING_EVERY_MS, STRENGTHS_EVERY_MS,
@@ -13,6 +13,7 @@
 use crate::progress::ProgressRow;
 use crate::roster::WorkerRoster;
 use crate::scheduler::{JobScheduler, NotedEnds, PendingCommit};
+use crate::stage::JobStage;
 
 impl JobScheduler {
     /// Begins a write where one is wanted and none is under way.
--- a/crates/jobs/src/crash/noted.rs
+++ b/crates/jobs/src/crash/noted.rs
@@ -5,7 +5,6 @@
 use super::book::{AwaitedCrash, BlamedLife};
 use super::record::StartPlace;
 use super::{CrashNote, StartCaution};
-use crate::events::{JobNote, JobStage, LossCause};
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
 use crate::job::TaskStage;
 use crate::life::are_others;
@@ -13,7 +12,9 @@
     ALONE_FROM_CRASHES, CRASH_WAIT_MS, FEWEST_IN_HERD, HERD_MS, HERD_OF_WORKERS,
     UNFOUND_WATCHED_AT_MOST,
 };
+use crate::note::{JobNote, LossCause};
 use crate::scheduler::JobScheduler;
+use crate::stage::JobStage;
 use crate::worker::WorkerState;
 
 impl JobScheduler {
--- a/crates/jobs/src/fill.rs
+++ b/crates/jobs/src/fill.rs
@@ -6,9 +6,9 @@
 use sandshelf_model::Millis;
 use smallvec::SmallVec;
 
+use crate::due::{DueTimes, EndWorth};
 use crate::ids::{RunKey, TaskKey};
 use crate::images::ImageId;
-use crate::job::{DueTimes, EndWorth};
 use crate::press::{target_load, PressEstimate};
 use crate::swing::LoadBook;
 use crate::worker::WorkerState;
--- a/crates/jobs/src/foreign.rs
+++ b/crates/jobs/src/foreign.rs
@@ -6,8 +6,8 @@
 
 use sandshelf_model::WorkerId;
 
-use crate::events::{EndReport, RunReport, WorkerClock};
 use crate::ids::{JobNumber, RunKey};
+use crate::reports::{EndReport, RunReport, WorkerClock};
 
 /// What was seen of one run.
 #[derive(Clone, Debug)]
--- a/crates/jobs/src/gang.rs
+++ b/crates/jobs/src/gang.rs
@@ -2,9 +2,9 @@
 
 use sandshelf_model::Millis;
 
-use crate::events::StopCause;
 use crate::ids::{RunKey, TaskKey};
 use crate::job::TaskStage;
+use crate::note::StopCause;
 use crate::scheduler::JobScheduler;
 
 impl JobScheduler {
--- a/crates/jobs/src/guard.rs
+++ b/crates/jobs/src/guard.rs
@@ -5,12 +5,14 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use crate::events::{JobNote, LossCause, OrderAnswer, RefusalReason, StopCause, WorkerCall};
+use crate::events::WorkerCall;
 use crate::fill::{FillAsk, FillUrgency};
 use crate::ids::RunKey;
 use crate::images::ImageId;
 use crate::life::ClockSight;
 use crate::limits::OLDEST_ANSWER_MS;
+use crate::note::{JobNote, LossCause, StopCause};
+use crate::reports::{OrderAnswer, RefusalReason};
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
 use crate::worker::WorkerState;
--- a/crates/jobs/src/halls.rs
+++ b/crates/jobs/src/halls.rs
@@ -7,7 +7,7 @@
 
 use sandshelf_model::{HallId, Millis};
 
-use crate::events::JobNote;
+use crate::note::JobNote;
 use crate::scheduler::JobScheduler;
 use crate::worker::WorkerState;
 
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -4,17 +4,17 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use crate::events::{
-    EndReport, HoldAnswer, HoldCall, HoldReport, JobNote, LossCause, OrderAnswer, RunReport,
-    StopCause, WorkerCall,
-};
+use crate::due::{DueTimes, TaskChain};
+use crate::events::{HoldCall, WorkerCall};
 use crate::ids::RunKey;
-use crate::job::{DueTimes, TaskChain, TaskStage};
+use crate::job::TaskStage;
 use crate::life::ClockSight;
 use crate::limits::{
     FOREIGN_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_HOLD_WAIT_MS, MARKED_HOLD_MS, PROVEN_AFTER_MS,
     TICK_MS, UNACKNOWLEDGED_HOLD_MS, UNREACHABLE_PAUSE_MS,
 };
+use crate::note::{JobNote, LossCause, StopCause};
+use crate::reports::{EndReport, HoldAnswer, HoldReport, OrderAnswer, RunReport};
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
 use crate::spec::StepSpec;
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -5,15 +5,17 @@
 
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
-use crate::events::{JobNote, JobStage, LossCause, StopCause, WorkerListing};
 use crate::foreign::ForeignSight;
 use crate::ids::{JobNumber, RunKey, WorkerLife};
 use crate::job::{objective_ms, JobState, TaskStage};
 use crate::life::LifeState;
 use crate::limits::{LIST_GAP_MS, RELIST_MS};
+use crate::note::{JobNote, LossCause, StopCause};
 use crate::progress::ProgressRow;
+use crate::reports::WorkerListing;
 use crate::scheduler::JobScheduler;
 use crate::spec::JobSpec;
+use crate::stage::JobStage;
 use crate::worker::WorkerState;
 
 /// No job counts as older: hosts' clocks may be wrong.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod commit;
 mod cost;
 mod crash;
+mod due;
 mod events;
 mod fill;
 mod foreign;
@@ -33,6 +34,7 @@
 mod job;
 mod life;
 mod limits;
+mod note;
 mod place;
 mod press;
 mod progress;
@@ -41,6 +43,7 @@
 mod readings;
 mod recovery;
 pub mod relay;
+mod reports;
 mod restart;
 mod rooms;
 mod roster;
@@ -49,6 +52,8 @@
 mod settle;
 mod silent;
 mod spec;
+mod stage;
+mod start;
 mod story;
 mod strain;
 mod swing;
@@ -57,21 +62,23 @@
 mod worker;
 
 pub use crash::{CrashNote, CrashRecord, CrashSuspect};
-pub use events::{
-    CommitBatch, EndReport, HoldAnswer, HoldCall, HoldReport, JobAction, JobEvent, JobNote,
-    JobStage, LossCause, OrderAnswer, RefusalReason, RunOutcome, RunReport, StartCall, StopCause,
-    WorkerCall, WorkerClock, WorkerListing,
-};
+pub use events::{CommitBatch, HoldCall, JobAction, JobEvent, StartCall, WorkerCall};
 pub use gauges::SchedulerCounts;
 pub use ids::{BadIdentifier, JobNumber, RunKey, TaskKey, WorkerLife};
 pub use limits::SchedulerLimits;
+pub use note::{JobNote, LossCause, StopCause};
 pub use press::{LearntPair, StrengthRow};
 pub use progress::{ProgressRow, TaskProgress};
 pub use queues::{QueueEntry, QueueTable};
+pub use reports::{
+    EndReport, HoldAnswer, HoldReport, OrderAnswer, RefusalReason, RunOutcome, RunReport,
+    WorkerClock, WorkerListing,
+};
 pub use roster::WorkerRoster;
 pub use scheduler::JobScheduler;
 pub use silent::SilentWorkers;
 pub use spec::{JobSpec, QueueRules, RepeatRule, SpecFault, StepSpec, MAX_PAYLOAD_BYTES};
+pub use stage::JobStage;
 pub use story::JobStories;
 pub use takeover::TakeoverInfo;
 pub use tenure::OwnerTenure;
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -5,9 +5,9 @@
 
 use sandshelf_model::Millis;
 
-use crate::events::WorkerClock;
 use crate::ids::WorkerLife;
 use crate::limits::SLOWEST_CLOCK_PERCENT;
+use crate::reports::WorkerClock;
 
 /// How far clocks may be off each other within the time of one order, and how late a host may read its own, in milliseconds.
 const CLOCK_SLACK_MS: Millis = 50;
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::CrashRecord;
-use crate::events::JobStage;
+use crate::stage::JobStage;
 
 /// What is kept of a job beside its specification; all else is learnt from the workers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -5,11 +5,12 @@
 
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
-use crate::events::JobStage;
+use crate::due::EndWorth;
 use crate::ids::{JobNumber, TaskKey};
-use crate::job::{EndWorth, JobState};
+use crate::job::JobState;
 use crate::scheduler::WaitKey;
 use crate::spec::StepSpec;
+use crate::stage::JobStage;
 
 /// After so long with nothing at work a job gets a first task started also where that task will be slow: the platform
 /// counts a job as lost that has had nothing running for three seconds while there is room for it.
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -2,10 +2,10 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use crate::events::{JobNote, LossCause};
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::JobState;
 use crate::limits::ROSTER_LOOK_MS;
+use crate::note::{JobNote, LossCause};
 use crate::scheduler::JobScheduler;
 
 impl JobScheduler {
--- a/crates/jobs/src/relay/desk.rs
+++ b/crates/jobs/src/relay/desk.rs
@@ -10,8 +10,9 @@
 };
 use super::share::{calls_alone, RelayPlan, RelayShare};
 use super::witness::OutageWitness;
-use crate::events::{HoldAnswer, JobEvent, OrderAnswer, WorkerCall};
+use crate::events::{JobEvent, WorkerCall};
 use crate::ids::RunKey;
+use crate::reports::{HoldAnswer, OrderAnswer};
 
 /// How long an answer is waited for beside the wait that a hold asks for: a relay gives a worker up after 0.5 s, and its own
 /// turn with the ways there and back take some 10 ms, on a weak host under load up to 0.3 s.
--- a/crates/jobs/src/relay/messages.rs
+++ b/crates/jobs/src/relay/messages.rs
@@ -9,7 +9,8 @@
 use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
 use serde::{Deserialize, Serialize};
 
-use crate::events::{HoldAnswer, JobEvent, OrderAnswer, WorkerCall};
+use crate::events::{JobEvent, WorkerCall};
+use crate::reports::{HoldAnswer, OrderAnswer};
 
 /// The version of these messages; to be raised with each change of a type in them.
 pub const RELAY_VERSION: u16 = 3;
--- a/crates/jobs/src/relay/station.rs
+++ b/crates/jobs/src/relay/station.rs
@@ -7,7 +7,8 @@
 use super::desk::ANSWER_WITHIN_MS;
 use super::messages::{RelayFault, RelayMessage, RelayedAnswer, RelayedOrder, ShardSight};
 use super::way::QuickestWay;
-use crate::events::{HoldAnswer, OrderAnswer, WorkerCall};
+use crate::events::WorkerCall;
+use crate::reports::{HoldAnswer, OrderAnswer};
 
 /// The orders that a host carries for the owner of one epoch; it ends with the connection to that owner.
 #[derive(Clone, Debug)]
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -8,9 +8,10 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use crate::events::{HoldReport, JobNote, LossCause, StopCause};
 use crate::ids::RunKey;
 use crate::life::LifeState;
+use crate::note::{JobNote, LossCause, StopCause};
+use crate::reports::HoldReport;
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
 
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -2,9 +2,9 @@
 
 use sandshelf_model::{Millis, ResourceSize};
 
-use crate::events::WorkerClock;
+use crate::due::{DueTimes, TaskChain};
 use crate::images::ImageId;
-use crate::job::{DueTimes, TaskChain};
+use crate::reports::WorkerClock;
 use crate::spec::StepSpec;
 
 /// What part of its declared processors a filling task uses that was not read yet.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -7,7 +7,7 @@
 use sandshelf_place::QuarantineBook;
 
 use crate::crash::CrashBook;
-use crate::events::{JobAction, JobEvent, JobNote, WorkerCall};
+use crate::events::{JobAction, JobEvent, WorkerCall};
 use crate::foreign::ForeignRuns;
 use crate::halls::EvacuatedHalls;
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerLife};
@@ -17,6 +17,7 @@
     SchedulerLimits, FRESH_JOB_WAIT_MS, LONGEST_PAUSE_MS, PASS_EVERY_MS, QUARANTINE,
     SLOWEST_CLOCK_PERCENT, TAKEOVER_MARGIN_MS, WORKER_LOOK_MS,
 };
+use crate::note::JobNote;
 use crate::press::PressEstimate;
 use crate::progress::ProgressRow;
 use crate::rank::VainTries;
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -2,13 +2,16 @@
 
 use sandshelf_model::{JobId, Millis, WorkerId};
 
-use crate::events::{EndReport, JobNote, JobStage, LossCause, RunOutcome, StopCause, WorkerCall};
+use crate::events::WorkerCall;
 use crate::ids::{RunKey, TaskKey};
 use crate::job::TaskStage;
 use crate::life::ClockSight;
 use crate::limits::STOP_RETRY_MS;
+use crate::note::{JobNote, LossCause, StopCause};
+use crate::reports::{EndReport, RunOutcome};
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
+use crate::stage::JobStage;
 
 impl JobScheduler {
     /// Orders a run to stop, once.
--- a/crates/jobs/src/story.rs
+++ b/crates/jobs/src/story.rs
@@ -8,8 +8,9 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use crate::events::{JobNote, RunOutcome};
 use crate::ids::{JobNumber, TaskKey};
+use crate::note::JobNote;
+use crate::reports::RunOutcome;
 
 /// So many steps of a job are told apart, those of its repetitions included; what comes behind counts with the last.
 const STEPS_TOLD: usize = 32;
--- a/crates/jobs/src/tenure.rs
+++ b/crates/jobs/src/tenure.rs
@@ -11,8 +11,8 @@
 
 use sandshelf_model::Millis;
 
-use crate::events::JobNote;
 use crate::limits::TAKEOVER_MARGIN_MS;
+use crate::note::JobNote;
 use crate::scheduler::JobScheduler;
 
 /// What an owner leaves of the margin by which its successor waits longer than leases last: its orders take a moment to go out.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -6,7 +6,6 @@
 use sandshelf_model::{Millis, ResourceSize};
 
 use crate::crash::CrashSuspect;
-use crate::events::WorkerListing;
 use crate::fill::FillBoard;
 use crate::ids::RunKey;
 use crate::life::{ClockSight, LifeState};
@@ -14,6 +13,7 @@
     ACKNOWLEDGED_WITHIN_MS, ANSWER_SOON_MS, SILENT_AFTER_MS, START_ANSWER_MS, SUSPECT_AFTER_HOLDS,
 };
 use crate::press::{FillLoads, PressEstimate};
+use crate::reports::WorkerListing;
 use crate::run::{RunPhase, RunRecord};
 use crate::swing::LoadBook;
 
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -2,6 +2,7 @@
 
 mod carry;
 mod claim;
+mod operators;
 mod recover;
 mod release;
 mod strength;
@@ -400,30 +401,6 @@
         self.write_next(now);
     }
 
-    fn refresh_queues(&mut self) {
-        let Some(table) = self.queues.get() else {
-            return;
-        };
-        let Some(owned) = &mut self.owned else {
-            return;
-        };
-        if owned.queues_version != table.version {
-            owned.queues_version = table.version;
-            self.handle(JobEvent::QueuesChanged(table.rules()));
-        }
-    }
-
-    fn refresh_halls(&mut self) {
-        let Some(owned) = &mut self.owned else {
-            return;
-        };
-        let evacuated = self.halls.evacuated();
-        if owned.evacuated != evacuated {
-            owned.evacuated.clone_from(&evacuated);
-            self.handle(JobEvent::HallsEvacuated(evacuated));
-        }
-    }
-
     fn handle(&mut self, job_event: JobEvent) {
         self.take_events(vec![job_event]);
     }
