A filling job that has nothing at work waits like any other where most of the workers' room is taken

Cause: a job that had waited for 1.5 s with nothing at work got a first task before all others, also where that would be slow. In an overload every waiting job did, so that what serving tasks leave went to first tasks of jobs that could not all end; of 60 jobs with room 15 ended in time where 119 came, and fewer the more came. Change: filling jobs get that only while less than 0.55 of the workers' processors or of their memory is taken as declared; the platform asks for it while under half is in use.

--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -10,7 +10,9 @@
 use crate::fill::{FillAsk, FillUrgency};
 use crate::ids::TaskKey;
 use crate::limits::{LOOKS_PER_PASS, ROUND_WITHIN_MS};
-use crate::rank::{place_rank, PassMemo, PlaceCost, PlaceRank, RankTier, VainTries, WaitingGroup};
+use crate::rank::{
+    is_mostly_taken, place_rank, PassMemo, PlaceCost, PlaceRank, RankTier, VainTries, WaitingGroup,
+};
 use crate::scheduler::{JobScheduler, WaitKey};
 use crate::worker::WorkerState;
 
@@ -63,6 +65,7 @@
     /// The tasks that wait, job by job, the most urgent job first.
     fn ranked_groups(&self, now: Millis) -> Vec<WaitingGroup> {
         let mut groups: Vec<WaitingGroup> = Vec::new();
+        let mostly_taken = is_mostly_taken(self.workers.values());
         for wait in &self.waiting {
             let number = wait.task.job;
             match groups.last_mut() {
@@ -70,7 +73,7 @@
                 _ => {
                     if let Some(job) = self.jobs.get(&number) {
                         groups.push(WaitingGroup {
-                            rank: place_rank(now, job, wait),
+                            rank: place_rank(now, job, wait, mostly_taken),
                             job: number,
                             tasks: vec![*wait],
                         });
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -11,10 +11,15 @@
 use crate::scheduler::WaitKey;
 use crate::spec::StepSpec;
 use crate::stage::JobStage;
+use crate::worker::WorkerState;
 
 /// After so long with nothing at work a job gets a first task started also where that task will be slow: the platform
 /// counts a job as lost that has had nothing running for three seconds while there is room for it.
 const STARVING_AFTER_MS: Millis = 1_500;
+/// From this part of the workers' processors and of their memory on, in percent, a filling job that has nothing at work waits like any other. The
+/// platform counts it as lost only while under half is in use. Were each of many that wait given a first task, what serving tasks leave
+/// would be dealt to the first tasks of jobs that can't all end.
+const MOSTLY_TAKEN_PERCENT: u64 = 55;
 /// A standing task that has waited for so long goes before what has just come, also where others of its job are at work: each
 /// has to be back within nine seconds, and an owner that falls behind can't start all that has room.
 const STANDING_OVERDUE_MS: Millis = 2_500;
@@ -167,8 +172,27 @@
     }
 }
 
-/// How urgent a waiting job is.
-pub(crate) fn place_rank(now: Millis, job: &JobState, wait: &WaitKey) -> PlaceRank {
+/// Whether most of the workers' room is taken, by what is declared.
+pub(crate) fn is_mostly_taken<'a>(workers: impl Iterator<Item = &'a WorkerState>) -> bool {
+    let (mut whole, mut free) = (ResourceSize::default(), ResourceSize::default());
+    for worker in workers {
+        let room = worker.free();
+        whole.cpu_millis += worker.entry.capacity.cpu_millis;
+        whole.memory_mib += worker.entry.capacity.memory_mib;
+        free.cpu_millis += room.cpu_millis;
+        free.memory_mib += room.memory_mib;
+    }
+    let taken = |whole: u64, free: u64| (whole - free) * 100 >= whole * MOSTLY_TAKEN_PERCENT;
+    taken(whole.cpu_millis, free.cpu_millis) && taken(whole.memory_mib, free.memory_mib)
+}
+
+/// How urgent a waiting job is, where most of the workers' room is taken or not.
+pub(crate) fn place_rank(
+    now: Millis,
+    job: &JobState,
+    wait: &WaitKey,
+    mostly_taken: bool,
+) -> PlaceRank {
     let step = job.step_spec(&wait.task);
     let task = job.task(&wait.task);
     let fills = step.is_some_and(|step| step.fills);
@@ -178,7 +202,8 @@
     let worth = job.due.worth_at(now + needs);
     let begun = job.stage != JobStage::Queued;
     let overdue = standing && waited >= STANDING_OVERDUE_MS;
-    let tier = if overdue || waited >= STARVING_AFTER_MS && !job.has_live_task() {
+    let starves = waited >= STARVING_AFTER_MS && !job.has_live_task();
+    let tier = if overdue || starves && !(fills && mostly_taken) {
         RankTier::Starving
     } else if standing {
         RankTier::Standing
