Failing tests: runs of one task in two places

The issue's trace has it: a successor that found two runs of each task started a third, and some first runs were never stopped. It stops all but one, but the end of what it stopped counts as the task's, and frees it while the other is at work; and a stop that was answered is not sent again where the run is still listed.

--- /dev/null
+++ b/crates/jobs/tests/second_runs.rs
@@ -0,0 +1,167 @@
+//! Runs of one task that stand in two places, whoever ordered them: all but one are stopped, and none is forgotten.
+
+mod support;
+
+use sandshelf_jobs::{
+    JobEvent, JobNumber, OrderAnswer, RunKey, RunOutcome, SchedulerLimits, StartCall, TakeoverInfo,
+    WorkerRoster,
+};
+use sandshelf_model::WorkerId;
+use support::{ended, job, listing, runs, step, task, SchedulerRig};
+
+const WORKERS: [&str; 3] = ["w-1", "w-2", "w-3"];
+
+fn key(run: u64) -> RunKey {
+    RunKey {
+        task: task(7, 0, 0),
+        run,
+    }
+}
+
+/// An owner of epoch 2 that takes over one job of one task, and three workers that have not answered.
+fn successor() -> SchedulerRig {
+    let roster = WORKERS.map(|name| (WorkerId::from(name), listing(name).address));
+    let info = TakeoverInfo {
+        epoch: 2,
+        claimed_at: 1_000,
+        claim_version: 100,
+        roster: WorkerRoster {
+            epoch: 1,
+            workers: roster.to_vec(),
+            ..WorkerRoster::default()
+        },
+        ..TakeoverInfo::default()
+    };
+    let mut rig = SchedulerRig::with_limits(SchedulerLimits::default(), info);
+    rig.hand_in(7, 50, job(vec![step(1)]));
+    rig.list(&WORKERS);
+    rig
+}
+
+/// Of the runs that workers list only the first that is heard of stays; a stop is sent again until it is answered.
+fn all_but_one_are_stopped(listed: &[u64]) {
+    let mut rig = successor();
+    for (worker, run) in WORKERS.iter().zip(listed) {
+        rig.report(worker, vec![runs(key(*run))], vec![]);
+    }
+    for worker in &WORKERS[listed.len()..] {
+        rig.report(worker, vec![], vec![]);
+    }
+    let wanted: Vec<(String, RunKey)> = WORKERS
+        .iter()
+        .zip(listed)
+        .skip(1)
+        .map(|(worker, run)| ((*worker).to_owned(), key(*run)))
+        .collect();
+    assert_eq!(rig.stops(), wanted);
+    rig.actions.clear();
+    rig.pass(2_000);
+    for stop in &wanted {
+        assert!(rig.stops().contains(stop), "{stop:?} is not sent again");
+    }
+    assert!(rig.take_starts().is_empty());
+}
+
+/// A run that was stopped beside the one that stays frees nothing with its end, however it ended; once one of them is done the other is stopped.
+fn the_end_of_another_run_starts_nothing(outcome: RunOutcome) {
+    let mut rig = successor();
+    rig.report("w-1", vec![runs(key(11))], vec![]);
+    rig.report("w-2", vec![runs(key(12))], vec![]);
+    rig.report("w-3", vec![], vec![]);
+    rig.actions.clear();
+    rig.report("w-2", vec![], vec![ended(1, key(12), outcome)]);
+    for _ in 0..10 {
+        rig.pass(200);
+        rig.report("w-1", vec![runs(key(11))], vec![]);
+        rig.report("w-3", vec![], vec![]);
+    }
+    assert_eq!(rig.take_starts(), Vec::new());
+    let stopped = rig.stops().contains(&("w-1".to_owned(), key(11)));
+    assert_eq!(stopped, outcome == RunOutcome::Done);
+}
+
+/// A stop was answered, and the run is still listed by looks that went out later: it is stopped again.
+fn a_stop_without_effect_is_sent_again() {
+    let mut rig = successor();
+    rig.report("w-1", vec![runs(key(11))], vec![]);
+    rig.report("w-2", vec![runs(key(12))], vec![]);
+    rig.report("w-3", vec![], vec![]);
+    let second = key(12);
+    let done = OrderAnswer::Done(rig.now);
+    rig.tell(JobEvent::StopAnswered(WorkerId::from("w-2"), second, done));
+    rig.actions.clear();
+    for _ in 0..20 {
+        rig.pass(250);
+        rig.report("w-1", vec![runs(key(11))], vec![]);
+        rig.report("w-2", vec![runs(second)], vec![]);
+    }
+    assert!(rig.stops().contains(&("w-2".to_owned(), second)));
+}
+
+/// A run that is listed of a job which has ended is stopped, also where nobody knows of it any more.
+fn a_run_of_an_ended_job_is_stopped() {
+    let mut rig = successor();
+    rig.report("w-1", vec![runs(key(11))], vec![]);
+    rig.report("w-2", vec![], vec![]);
+    rig.report("w-3", vec![], vec![]);
+    rig.tell(JobEvent::CancelAsked(JobNumber(7)));
+    rig.commit_all();
+    rig.actions.clear();
+    rig.report("w-2", vec![runs(key(12))], vec![]);
+    assert_eq!(rig.stops(), [("w-2".to_owned(), key(12))]);
+}
+
+/// A worker that was silent until its lease was over, and still lists the run: it is taken back where no other was started, and stopped
+/// where one was.
+fn a_run_that_was_given_up_is_dealt_with(restarted: bool) {
+    let mut rig = SchedulerRig::with_workers(&["w-1", "w-2"]);
+    rig.hand_in(7, 0, job(vec![step(1)]));
+    let (worker, start) = rig.take_starts().pop().expect("a start");
+    assert_eq!(worker, "w-1");
+    rig.report("w-1", vec![runs(start.key)], vec![]);
+    if !restarted {
+        rig.list_entries(vec![listing("w-1")]);
+    }
+    let mut others = Vec::new();
+    for _ in 0..80 {
+        rig.pass(100);
+        rig.hold_fails("w-1");
+        let at_work = others
+            .iter()
+            .map(|(_, other): &(_, StartCall)| runs(other.key));
+        let at_work = at_work.collect();
+        if restarted {
+            rig.report("w-2", at_work, vec![]);
+        }
+        // What is noted of the loss is durable before the task starts again.
+        rig.commit_all();
+        others.extend(rig.take_starts());
+    }
+    assert_eq!(others.len(), usize::from(restarted), "{others:?}");
+    rig.actions.clear();
+    rig.report("w-1", vec![runs(start.key)], vec![]);
+    rig.pass(100);
+    let stopped = rig.stops().contains(&("w-1".to_owned(), start.key));
+    let started = !rig.take_starts().is_empty();
+    assert!(stopped || !started && !restarted);
+    if stopped {
+        let end = ended(1, start.key, RunOutcome::Stopped);
+        rig.report("w-1", vec![], vec![end]);
+        rig.pass(100);
+        assert_eq!(!rig.take_starts().is_empty(), !restarted);
+    }
+}
+
+sandshelf_cases::cases! {
+    two_listed => all_but_one_are_stopped(&[11, 12]);
+    two_listed_newest_first => all_but_one_are_stopped(&[12, 11]);
+    three_listed => all_but_one_are_stopped(&[11, 12, 13]);
+    end_of_a_stopped_run => the_end_of_another_run_starts_nothing(RunOutcome::Stopped);
+    end_of_a_failed_run => the_end_of_another_run_starts_nothing(RunOutcome::Failed);
+    end_of_a_lapsed_run => the_end_of_another_run_starts_nothing(RunOutcome::Lapsed);
+    end_of_a_done_run => the_end_of_another_run_starts_nothing(RunOutcome::Done);
+    stop_without_effect => a_stop_without_effect_is_sent_again();
+    of_an_ended_job => a_run_of_an_ended_job_is_stopped();
+    given_up_and_started_again => a_run_that_was_given_up_is_dealt_with(true);
+    given_up_and_waiting => a_run_that_was_given_up_is_dealt_with(false);
+}
