An owner's own word counts only where it knows of no other host in its hall, and lasts no longer than another's

Cause: in the owner's own hall the owner counted as one that never claims, for ever: alone with one other host in a hall, it vouched for itself, and in a deployment of one hall it was sure without end, which overflowed where overflows are checked. Change: half of the other hosts there have to say so; an owner that knows of none has its own word for 1.2 s at a time.

--- a/crates/jobs/src/relay/witness.rs
+++ b/crates/jobs/src/relay/witness.rs
@@ -16,6 +16,8 @@
 
 /// A host of another version connects time and again; while it does, nobody knows what it would say.
 const REFUSED_FOR_MS: Millis = 5_000;
+/// How long the owner's own word lasts where it knows of no other host: as long as another's would.
+const OWN_WORD_MS: Millis = 1_200;
 /// So many questions are remembered: answers to older ones come too late to be of use.
 const QUESTIONS_KEPT: usize = 16;
 
@@ -102,15 +104,16 @@
         let vouched = halls
             .into_iter()
             .map(|hall| self.hall_until(hall, own_hall));
-        vouched.min().flatten()
+        let until = vouched.min().flatten()?;
+        Some(until.min(now + OWN_WORD_MS))
     }
 
-    /// Before when half of the hosts of a hall claim nothing; the owner itself never does.
+    /// Before when half of the hosts of a hall claim nothing; the owner, alone in its hall, never does.
     fn hall_until(&self, hall: &HallId, own_hall: &HallId) -> Option<Millis> {
         let seats = self.seats.values().filter(|seat| seat.hall == *hall);
         let mut until: Vec<Millis> = seats.map(|seat| seat.free_until).collect();
-        if hall == own_hall {
-            until.push(Millis::MAX);
+        if until.is_empty() && hall == own_hall {
+            return Some(Millis::MAX);
         }
         until.sort_unstable_by(|one, other| other.cmp(one));
         let half = until.len().div_ceil(2);
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -138,7 +138,7 @@
     }
 }
 
-/// Half of the hosts of a hall are enough, fewer are not; the owner itself counts in its own hall.
+/// Half of the hosts of a hall are enough, fewer are not; in its own hall the owner is not one of them.
 fn hosts_of_a_hall_may_be_dead(dead_south: usize, dead_north: usize, enough: bool) {
     let (mut desk, relays) = desk(4);
     let (north, south) = relays.split_at(4);
@@ -148,6 +148,40 @@
     assert_eq!(vouched.is_some_and(|until| until > 1_000), enough);
 }
 
+/// The hosts of the other hall, and no other in the owner's, say that they have no store.
+fn an_owner_alone_in_its_hall_is_vouched_for() {
+    let (mut desk, relays) = desk(1);
+    desk.leave(0, relays[0]);
+    for (relay, question) in desk.ask(600, 100, 100 + LEASE_MS) {
+        let RelayMessage::Asks(epoch, number) = question else {
+            panic!("{question:?} is no question");
+        };
+        let sight = ShardSight {
+            epoch,
+            claims_after_ms: LEASE_MS,
+        };
+        desk.take(605, relay, RelayMessage::Knows(epoch, number, sight));
+    }
+    assert_eq!(vouched(&desk, 610), Some(600 + LEASE_MS));
+}
+
+/// An owner that knows of no other host, in the hall of all workers, has its own word only, which is no longer than another's.
+fn an_owner_that_is_alone_goes_on() {
+    let mut desk = RelayDesk::new(EPOCH, 500);
+    desk.note_workers([(WorkerId::from("w-1"), HallId::from(HALLS[0]))]);
+    assert_eq!(vouched(&desk, 5_000), Some(5_000 + LEASE_MS));
+}
+
+/// One other host in the owner's hall, which doesn't answer, may have claimed.
+fn an_owner_has_no_voice_beside_another() {
+    let mut desk = RelayDesk::new(EPOCH, 500);
+    desk.note_workers([(WorkerId::from("w-1"), HallId::from(HALLS[0]))]);
+    let greeting = RelayGreeting::new(HostId::from("north-0"), HallId::from(HALLS[0]), 120);
+    desk.join(0, greeting).expect("the same version");
+    ask(&mut desk, 600, &[]);
+    assert_eq!(vouched(&desk, 610), Some(0));
+}
+
 /// Nothing gets out of the owner's hall, or into it: the hosts of the others don't answer, whatever those beside it say.
 fn a_cut_hall_is_not_vouched_for() {
     let (mut desk, relays) = desk(3);
@@ -221,6 +255,9 @@
     most_of_the_other_hall_dead => hosts_of_a_hall_may_be_dead(3, 0, false);
     half_of_the_own_hall_dead => hosts_of_a_hall_may_be_dead(0, 2, true);
     most_of_the_own_hall_dead => hosts_of_a_hall_may_be_dead(0, 3, false);
+    alone_in_its_hall => an_owner_alone_in_its_hall_is_vouched_for();
+    alone => an_owner_that_is_alone_goes_on();
+    beside_another => an_owner_has_no_voice_beside_another();
     cut_hall => a_cut_hall_is_not_vouched_for();
     gap_between_answers => answers_have_to_follow_one_another();
     hosts_with_the_store => hosts_with_the_store_say_so();
