--- a/crates/jobs/src/relay/desk.rs
+++ b/crates/jobs/src/relay/desk.rs
@@ -1,6 +1,6 @@
 //! The owner's side: which order goes through which relay, and what has no answer yet.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
@@ -68,7 +68,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct RelayState {
+pub(super) struct RelayState {
     share: RelayShare,
     last_heard: Millis,
     last_told: Millis,
@@ -97,15 +97,15 @@
 /// The relays of an owner, for as long as it is one.
 #[derive(Clone, Debug)]
 pub struct RelayDesk {
-    epoch: Epoch,
+    pub(super) epoch: Epoch,
     processor_millis: u64,
-    relays: BTreeMap<RelayNumber, RelayState>,
+    pub(super) relays: BTreeMap<RelayNumber, RelayState>,
     relay_count: u64,
     /// When a host last left orders without an answer.
     lost_at: BTreeMap<HostId, Millis>,
     /// Until when a host carries no orders.
     shunned: BTreeMap<HostId, Millis>,
-    halls: HashMap<WorkerId, HallId>,
+    pub(super) halls: HashMap<WorkerId, HallId>,
     /// Made anew at the first order after a change of workers or relays.
     plan: Option<RelayPlan>,
     routes: HashMap<WorkerId, Option<RelayNumber>>,
@@ -369,32 +369,6 @@
         told.collect()
     }
 
-    /// Asks all relays what they know of the shard, for an owner that renewed last at `renewed_at`, by which nobody claims the shard before
-    /// `renewed_until`.
-    pub fn ask(
-        &mut self,
-        now: Millis,
-        renewed_at: Millis,
-        renewed_until: Millis,
-    ) -> Vec<(RelayNumber, RelayMessage)> {
-        let number = self.witness.ask(now, renewed_at, renewed_until);
-        let relays = self.relays.keys();
-        let ask = |relay: &RelayNumber| (*relay, RelayMessage::Asks(self.epoch, number));
-        relays.map(ask).collect()
-    }
-
-    /// Before when none of the hosts that answer claims the shard, where enough of them do, in each hall with workers; the owner
-    /// itself stands in `own_hall`.
-    pub fn vouched_until(&self, now: Millis, own_hall: &HallId) -> Option<Millis> {
-        let halls: BTreeSet<&HallId> = self.halls.values().collect();
-        self.witness.vouched_until(now, own_hall, halls)
-    }
-
-    /// Notes that a host could not be taken in since it speaks another version: nobody hears what it would say.
-    pub fn note_refused(&mut self, now: Millis) {
-        self.witness.note_refused(now);
-    }
-
     /// The figures by now.
     pub fn figures(&self) -> DeskFigures {
         DeskFigures {
--- a/crates/jobs/src/relay/witness.rs
+++ b/crates/jobs/src/relay/witness.rs
@@ -6,13 +6,14 @@
 //! between, and be down by now.
 //!
 //! A host that doesn't answer may be dead, or cut off together with the workers of its hall. So in each hall with workers half of the hosts have
-//! to answer. Less is not asked for: a single one may have died, and would end all work with it in a long outage.
+//! to answer. That all do is not asked for: a single dead one would end all work in a long outage.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use sandshelf_model::{HallId, HostId, Millis};
 
-use super::messages::ShardSight;
+use super::desk::{RelayDesk, RelayNumber};
+use super::messages::{RelayMessage, ShardSight};
 
 /// A host of another version connects time and again; while it does, nobody knows what it would say.
 const REFUSED_FOR_MS: Millis = 5_000;
@@ -120,3 +121,31 @@
         until.get(half.checked_sub(1)?).copied()
     }
 }
+
+impl RelayDesk {
+    /// Asks all relays what they know of the shard, for an owner that renewed last at `renewed_at`, by which nobody claims the shard before
+    /// `renewed_until`.
+    pub fn ask(
+        &mut self,
+        now: Millis,
+        renewed_at: Millis,
+        renewed_until: Millis,
+    ) -> Vec<(RelayNumber, RelayMessage)> {
+        let number = self.witness.ask(now, renewed_at, renewed_until);
+        let relays = self.relays.keys();
+        let ask = |relay: &RelayNumber| (*relay, RelayMessage::Asks(self.epoch, number));
+        relays.map(ask).collect()
+    }
+
+    /// Before when none of the hosts that answer claims the shard, where enough of them do, in each hall with workers; the owner
+    /// itself stands in `own_hall`.
+    pub fn vouched_until(&self, now: Millis, own_hall: &HallId) -> Option<Millis> {
+        let halls: BTreeSet<&HallId> = self.halls.values().collect();
+        self.witness.vouched_until(now, own_hall, halls)
+    }
+
+    /// Notes that a host could not be taken in since it speaks another version: nobody hears what it would say.
+    pub fn note_refused(&mut self, now: Millis) {
+        self.witness.note_refused(now);
+    }
+}
--- a/crates/jobs/tests/halls.rs
+++ b/crates/jobs/tests/halls.rs
@@ -4,10 +4,9 @@
 
 use std::collections::BTreeSet;
 
-use sandshelf_jobs::{JobAction, StepSpec};
-use sandshelf_jobs::{JobEvent, JobNote, RunOutcome, TakeoverInfo, WorkerListing, WorkerRoster};
-use sandshelf_model::{HallId, WorkerId};
-use support::{ended, job, listing, runs, step, SchedulerRig};
+use sandshelf_jobs::{JobAction, JobEvent, JobNote, RunOutcome, StepSpec, WorkerListing};
+use sandshelf_model::HallId;
+use support::{ended, job, listing, runs, second_owner, step, SchedulerRig};
 
 /// A worker in a hall.
 fn entry(name: &str, hall: &str) -> WorkerListing {
@@ -113,19 +112,7 @@
 
 /// A new owner that is told before it begins starts nothing there, whatever it takes over.
 fn a_successor_keeps_to_it() {
-    let roster = ["w-1", "w-2"].map(|name| (WorkerId::from(name), listing(name).address));
-    let info = TakeoverInfo {
-        epoch: 2,
-        claimed_at: 1_000,
-        claim_version: 100,
-        roster: WorkerRoster {
-            epoch: 1,
-            workers: roster.to_vec(),
-            ..WorkerRoster::default()
-        },
-        ..TakeoverInfo::default()
-    };
-    let mut rig = SchedulerRig::new(info);
+    let mut rig = SchedulerRig::new(second_owner(&["w-1", "w-2"]));
     evacuate(&mut rig, &["north"]);
     rig.hand_in(1, 50, job(vec![step(6)]));
     rig.list_entries(entries());
--- a/crates/jobs/tests/second_runs.rs
+++ b/crates/jobs/tests/second_runs.rs
@@ -2,12 +2,9 @@
 
 mod support;
 
-use sandshelf_jobs::{
-    JobEvent, JobNumber, OrderAnswer, RunKey, RunOutcome, SchedulerLimits, StartCall, TakeoverInfo,
-    WorkerRoster,
-};
+use sandshelf_jobs::{JobEvent, JobNumber, OrderAnswer, RunKey, RunOutcome, StartCall};
 use sandshelf_model::WorkerId;
-use support::{ended, job, listing, runs, step, task, SchedulerRig};
+use support::{ended, job, listing, runs, second_owner, step, task, SchedulerRig};
 
 const WORKERS: [&str; 3] = ["w-1", "w-2", "w-3"];
 
@@ -20,19 +17,7 @@
 
 /// An owner of epoch 2 that takes over one job of one task, and three workers that have not answered.
 fn successor() -> SchedulerRig {
-    let roster = WORKERS.map(|name| (WorkerId::from(name), listing(name).address));
-    let info = TakeoverInfo {
-        epoch: 2,
-        claimed_at: 1_000,
-        claim_version: 100,
-        roster: WorkerRoster {
-            epoch: 1,
-            workers: roster.to_vec(),
-            ..WorkerRoster::default()
-        },
-        ..TakeoverInfo::default()
-    };
-    let mut rig = SchedulerRig::with_limits(SchedulerLimits::default(), info);
+    let mut rig = SchedulerRig::new(second_owner(&WORKERS));
     rig.hand_in(7, 50, job(vec![step(1)]));
     rig.list(&WORKERS);
     rig
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use sandshelf_jobs::{
     CommitBatch, EndReport, HoldAnswer, HoldReport, JobAction, JobEvent, JobNumber, JobScheduler,
     JobSpec, OrderAnswer, QueueRules, RunKey, RunOutcome, RunReport, SchedulerLimits, StartCall,
-    StepSpec, TakeoverInfo, TaskKey, WorkerCall, WorkerListing,
+    StepSpec, TakeoverInfo, TaskKey, WorkerCall, WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
@@ -249,6 +249,25 @@
     deadlines.collect()
 }
 
+/// What the second owner takes over at time 1,000 from the first, which had given these workers orders; jobs up to version 100 may be known to
+/// the first.
+pub fn second_owner(names: &[&str]) -> TakeoverInfo {
+    let workers = names
+        .iter()
+        .map(|name| (WorkerId::from(*name), listing(name).address));
+    TakeoverInfo {
+        epoch: 2,
+        claimed_at: 1_000,
+        claim_version: 100,
+        roster: WorkerRoster {
+            epoch: 1,
+            workers: workers.collect(),
+            ..WorkerRoster::default()
+        },
+        ..TakeoverInfo::default()
+    }
+}
+
 pub fn listing(name: &str) -> WorkerListing {
     let number = name.trim_start_matches(|letter: char| !letter.is_ascii_digit());
     let port: u16 = number.parse().expect("a worker's name ends in a number");
