A hall stays evacuated while its rows are read anew; the store's health is locked in one place

No test of its own: the window is a few microseconds between two threads. The lock of the store's health stood four times.

--- a/crates/sandshelfd/src/jobs/halls.rs
+++ b/crates/sandshelfd/src/jobs/halls.rs
@@ -40,37 +40,41 @@
 
     /// Takes in rows that have changed, up to a version; older ones than are known change nothing.
     pub fn take_changes(&self, rows: &[StoredValue], up_to: u64) {
-        let mut marks = self.lock();
-        for row in rows {
-            let Some(hall) = evacuated_hall(&row.key) else {
-                continue;
-            };
-            // The version of a removal may not be told.
-            let version = match row.version {
-                0 => up_to,
-                version => version,
-            };
-            let evacuated = row.value.is_some();
-            if marks
-                .get(&hall)
-                .is_none_or(|known| known.version <= version)
-            {
-                marks.insert(hall, HallMark { version, evacuated });
-            }
-        }
+        mark_halls(&mut self.lock(), rows, up_to);
     }
 
-    /// Takes in all rows as of a version: halls without one are not evacuated, unless something newer is known.
+    /// Takes in all rows as of a version: halls without one are not evacuated, unless something newer is known. Nobody sees a hall as taken back
+    /// in between.
     pub fn take_all(&self, rows: &[StoredValue], as_of: u64) {
-        for mark in self.lock().values_mut() {
+        let mut marks = self.lock();
+        for mark in marks.values_mut() {
             if mark.version <= as_of {
                 mark.evacuated = false;
             }
         }
-        self.take_changes(rows, as_of);
+        mark_halls(&mut marks, rows, as_of);
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<HallId, HallMark>> {
         self.marks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Notes what rows say of halls, unless something newer is known.
+fn mark_halls(marks: &mut BTreeMap<HallId, HallMark>, rows: &[StoredValue], up_to: u64) {
+    for row in rows {
+        let Some(hall) = evacuated_hall(&row.key) else {
+            continue;
+        };
+        // The version of a removal may not be told.
+        let version = match row.version {
+            0 => up_to,
+            version => version,
+        };
+        let evacuated = row.value.is_some();
+        let known = marks.get(&hall);
+        if known.is_none_or(|known| known.version <= version) {
+            marks.insert(hall, HallMark { version, evacuated });
+        }
+    }
+}
--- a/crates/sandshelfd/src/jobs/health.rs
+++ b/crates/sandshelfd/src/jobs/health.rs
@@ -1,7 +1,7 @@
 //! Whether the store answers this host.
 
 use std::future::Future;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use sandshelf_adapter::{StoreAnswer, StoreFault};
 use sandshelf_model::Millis;
@@ -57,10 +57,7 @@
     /// The first failure and the first success after one are logged; the failure with how much of the answer had come after
     /// how long, which tells a thin link from a silent store.
     fn note(&self, ended: &CallEnd) {
-        let mut state = self
-            .state
-            .lock()
-            .unwrap_or_else(|broken| broken.into_inner());
+        let mut state = self.lock();
         let Some(fault) = ended.fault else {
             state.failures = 0;
             if let Some(since) = state.failing_since.take() {
@@ -85,30 +82,25 @@
         }
     }
 
+    fn lock(&self) -> MutexGuard<'_, HealthState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the latest calls all failed, so that another is not worth a caller's time.
     pub fn is_out(&self) -> bool {
-        let state = self
-            .state
-            .lock()
-            .unwrap_or_else(|broken| broken.into_inner());
+        let state = self.lock();
         state.failures >= OUT_AFTER_FAILURES
     }
 
     /// Whether the latest call failed.
     pub fn is_failing(&self) -> bool {
-        let state = self
-            .state
-            .lock()
-            .unwrap_or_else(|broken| broken.into_inner());
+        let state = self.lock();
         state.failing_since.is_some()
     }
 
     /// Whether the store has failed this host for long enough to send callers elsewhere.
     pub fn is_long_out(&self) -> bool {
-        let state = self
-            .state
-            .lock()
-            .unwrap_or_else(|broken| broken.into_inner());
+        let state = self.lock();
         let since = state.failing_since;
         since.is_some_and(|since| clock::now() >= since + UNREADY_AFTER_MS)
     }
