The grown emulator cuts halls off one way, and its owners may have been followed

Change: hosts and workers stand in four halls; a cut of one stops what leaves it, what enters it, or both, also between it and the store. Owners keep an OwnerTenure by their renewals, as the daemon does; nobody speaks for them in a common outage.

Rules with a time bound ask for hosts in touch.

--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -17,6 +17,26 @@
     Percent(usize),
 }
 
+/// Which hall something strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HallChoice {
+    /// The one in which the shard's owner stands, as the store has it.
+    Owner,
+    /// The one with a number, counted from 0.
+    Number(usize),
+}
+
+/// Which way nothing passes between a hall and everything outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutWay {
+    /// Nothing gets out.
+    Outward,
+    /// Nothing gets in.
+    Inward,
+    /// Neither way.
+    Both,
+}
+
 /// What goes wrong, or is planned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DayEvent {
@@ -32,6 +52,8 @@
     SlowHosts(HostChoice, u64, Millis),
     /// All open connections of hosts fall silent; new ones work.
     SilentConnections(HostChoice),
+    /// A hall is cut off from the others and from the store for so long.
+    CutHall(HallChoice, CutWay, Millis),
     /// The store answers nobody for so long.
     StoreSilent(Millis),
     /// The store takes so many times as long for so long.
--- a/crates/emulator/src/days.rs
+++ b/crates/emulator/src/days.rs
@@ -1,13 +1,13 @@
 //! Days that are played again and again, by name.
 
-use crate::day::{DayEvent, DayPlan, HostChoice};
+use crate::day::{CutWay, DayEvent, DayPlan, HallChoice, HostChoice};
 use crate::deployment::{Deployment, WEAK_HOST};
 
 /// The class of filling jobs, whose traffic bursts.
 const FILLING_CLASS: usize = 1;
 
 /// Names of days with what they are for.
-pub const DAYS: [(&str, &str); 15] = [
+pub const DAYS: [(&str, &str); 16] = [
     ("calm", "nothing goes wrong"),
     ("burst", "a strong owner under the burst, many orders late"),
     ("long-burst", "2.6 times the filling jobs for 12 s"),
@@ -38,6 +38,10 @@
         "restarts",
         "a third of the workers start again under their names, time and again, also as the owner dies",
     ),
+    (
+        "cuts",
+        "the owner's hall is cut off, outward, inward, outward again in the burst, and both ways",
+    ),
 ];
 
 /// A day by its name, on a deployment.
@@ -110,6 +114,23 @@
             .with(14_300, DayEvent::Kill(HostChoice::Owner, 3_000))
             .with(20_000, DayEvent::Kill(HostChoice::Owner, 500))
             .with(20_100, DayEvent::WorkersRestart(35, 1_000)),
+        "cuts" => burst_day(calm, 13_000)
+            .with(
+                6_000,
+                DayEvent::CutHall(HallChoice::Owner, CutWay::Outward, 5_500),
+            )
+            .with(
+                13_500,
+                DayEvent::CutHall(HallChoice::Owner, CutWay::Inward, 6_000),
+            )
+            .with(
+                20_500,
+                DayEvent::CutHall(HallChoice::Owner, CutWay::Outward, 7_000),
+            )
+            .with(
+                22_000,
+                DayEvent::CutHall(HallChoice::Number(1), CutWay::Both, 4_000),
+            ),
         _ => return None,
     })
 }
--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -3,8 +3,8 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
-    CommitBatch, JobAction, JobEvent, JobScheduler, SchedulerCounts, SchedulerLimits, TakeoverInfo,
-    WorkerCall,
+    CommitBatch, JobAction, JobEvent, JobScheduler, OwnerTenure, SchedulerCounts, SchedulerLimits,
+    TakeoverInfo, WorkerCall,
 };
 use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease};
 use sandshelf_model::{HostId, Millis};
@@ -45,6 +45,9 @@
     queues_version: u64,
     /// How many workers were listed last.
     workers: usize,
+    tenure: OwnerTenure,
+    /// Until when the scheduler was last told that nobody can have followed this owner.
+    sure_until: Millis,
 }
 
 /// What the control thread of one life of a host holds.
@@ -148,6 +151,7 @@
 impl EmulatedHost {
     pub(super) fn tick(&mut self, at: Micros) {
         if self.control.owned.is_some() {
+            self.check_tenure(at);
             self.refresh_queues(at);
             let wall_ms = WALL_START_MS + at / MS;
             self.take_events(at, vec![JobEvent::Tick { wall_ms }]);
@@ -158,6 +162,21 @@
         }
     }
 
+    /// Tells the scheduler until when nobody can have followed this owner. Hosts don't talk to one another here, so that none speaks for an owner
+    /// in an outage that all share.
+    fn check_tenure(&mut self, at: Micros) {
+        let renewed_at = self.control.lease.last_renewal();
+        let (Some(renewed_at), Some(owned)) = (renewed_at, &mut self.control.owned) else {
+            return;
+        };
+        owned.tenure.note_renewed(renewed_at);
+        let until = owned.tenure.sure_until();
+        if owned.sure_until != until && self.model.fault != HostFault::NeverUnsure {
+            owned.sure_until = until;
+            self.take_events(at, vec![JobEvent::SureUntil(until)]);
+        }
+    }
+
     pub(super) fn refresh_queues(&mut self, at: Micros) {
         let version = self.config.in_force().map_or(0, |config| config.version);
         let Some(owned) = &mut self.control.owned else {
@@ -314,6 +333,8 @@
             scheduler: JobScheduler::new(limits, info),
             queues_version: 0,
             workers: 0,
+            tenure: OwnerTenure::new(SHARD_LEASE_MS, self.control.claimed_at),
+            sure_until: 0,
         });
         self.list_workers(at);
         self.refresh_queues(at);
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -151,6 +151,11 @@
         open.map(|open| open.progress_at = now).is_some()
     }
 
+    /// Whom an open call goes to.
+    pub fn peer_of(&mut self, call: u64) -> Option<CallPeer> {
+        self.calls.get_mut(call).map(|open| open.peer)
+    }
+
     /// All open connections fall silent; returns the calls that will get no answer.
     pub fn fall_silent(&mut self) -> Vec<u64> {
         self.calls.fall_silent()
--- a/crates/emulator/src/host/model.rs
+++ b/crates/emulator/src/host/model.rs
@@ -43,6 +43,8 @@
     BlindTakeover,
     /// It keeps calls to stop to itself.
     NoStops,
+    /// It never takes into account that it may have been followed.
+    NeverUnsure,
 }
 
 /// How fit a host is to own the shard.
--- a/crates/emulator/src/world/look.rs
+++ b/crates/emulator/src/world/look.rs
@@ -144,7 +144,10 @@
         if store_answers {
             let room = self.fleet.sound_room(now.saturating_sub(calm_since));
             self.oracle.look_for_away(now, LOOK_MS, &room);
-            self.oracle.look_for_idle(now, LOOK_MS, &room);
+            // What a cut worker may have at work is started elsewhere only once its lease is over.
+            if self.halls_in_touch() {
+                self.oracle.look_for_idle(now, LOOK_MS, &room);
+            }
         }
         let contact_ms = self.deployment.bounds.contact_ms;
         self.oracle.look_for_stops(now, calm_since + contact_ms);
@@ -157,6 +160,13 @@
         }
     }
 
+    /// Whether no hall has been cut off for as long as rules with a time bound ask for.
+    fn halls_in_touch(&self) -> bool {
+        let contact = self.deployment.bounds.contact_ms * MS;
+        let cut_until = self.halls.cut_until();
+        cut_until.is_none_or(|until| self.now >= until + contact)
+    }
+
     fn look_at_hosts(&mut self) {
         let (_, _, burst_until) = self.burst;
         for index in 0..self.hosts.len() {
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -1,6 +1,7 @@
 //! The emulated world: hosts, workers, store, callers and the operator, in one queue of what happens next.
 
 mod callers;
+mod cuts;
 mod fleet;
 mod look;
 mod passage;
@@ -19,6 +20,7 @@
 use crate::queue::{EventQueue, Micros, MS};
 use crate::store::{EmulatedStore, StoreAsk};
 use callers::CallerDesk;
+use cuts::HallMap;
 use fleet::{PlaceLife, WorkerFleet};
 use look::PlayWatch;
 use passage::{AtWorker, LinkTransfer};
@@ -103,6 +105,7 @@
     interference: InterferenceModel,
     callers: CallerDesk,
     watch: PlayWatch,
+    halls: HallMap,
     late_orders: (Micros, u32),
     burst: (usize, u32, Micros),
     /// What workers and callers saw.
@@ -144,6 +147,7 @@
             interference,
             callers: CallerDesk::default(),
             watch: PlayWatch::new(&deployment),
+            halls: HallMap::new(deployment.workers),
             late_orders: (0, 0),
             burst: (0, 100, 0),
             oracle: PlatformOracle::with_bounds(deployment.bounds),
--- a/crates/emulator/src/world/passage.rs
+++ b/crates/emulator/src/world/passage.rs
@@ -62,6 +62,9 @@
         bytes: u64,
     ) {
         self.watch.report.calls.note(&body, bytes);
+        if !self.halls.reaches(self.now, life.host, peer) {
+            return;
+        }
         let arrives = match (peer, body) {
             (CallPeer::Worker(place), CallBody::Order(order)) => {
                 let late = self.is_late(&order.call);
@@ -96,6 +99,14 @@
     /// A host opens a connection for a call: one packet each way.
     pub(super) fn connect(&mut self, life: HostLife, call: u64) {
         self.watch.report.calls.connections += 1;
+        let peer = self.hosts[life.host].peer_of(call);
+        let opens = peer.is_none_or(|peer| {
+            let halls = &self.halls;
+            halls.reaches(self.now, life.host, peer) && halls.comes_back(self.now, life.host, peer)
+        });
+        if !opens {
+            return;
+        }
         let connected = Happening::Reach(life, WorkItem::Connected(call));
         self.queue.push(self.now + 2 * WAY, connected);
     }
@@ -140,8 +151,12 @@
         }
     }
 
-    /// Sends an answer to a host.
+    /// Sends an answer to a host; one to a call that has ended there says nothing.
     fn answer(&mut self, at: Micros, life: HostLife, call: u64, answer: CallAnswer, bytes: u64) {
+        let peer = self.hosts[life.host].peer_of(call);
+        if peer.is_some_and(|peer| !self.halls.comes_back(self.now, life.host, peer)) {
+            return;
+        }
         self.watch.report.calls.note_answer(&answer, bytes);
         let transfer = LinkTransfer {
             life,
--- a/crates/emulator/src/world/strike.rs
+++ b/crates/emulator/src/world/strike.rs
@@ -5,7 +5,7 @@
 use sandshelf_model::Millis;
 
 use super::{EmulatedWorld, Happening};
-use crate::day::{DayEvent, HostChoice};
+use crate::day::{CutWay, DayEvent, HallChoice, HostChoice};
 use crate::deployment::STRONG_HOST;
 use crate::queue::{Micros, MS};
 
@@ -36,6 +36,7 @@
                     self.silence(host);
                 }
             }
+            DayEvent::CutHall(choice, way, for_ms) => self.cut_hall(choice, way, for_ms),
             DayEvent::StoreSilent(for_ms) => {
                 self.store.silent_until = until(for_ms);
                 self.watch.disturb_store(until(for_ms));
@@ -103,6 +104,27 @@
         running
     }
 
+    fn cut_hall(&mut self, choice: HallChoice, way: CutWay, for_ms: Millis) {
+        let until = self.now + for_ms * MS;
+        let hall = match choice {
+            HallChoice::Number(hall) => Some(hall),
+            HallChoice::Owner => {
+                let owners = self.chosen(HostChoice::Owner);
+                owners.first().map(|owner| self.halls.hall_of_host(*owner))
+            }
+        };
+        let Some(hall) = hall else {
+            return;
+        };
+        self.halls.cut(hall, way, until);
+        self.watch.disturb_workers(until);
+        for host in 0..self.hosts.len() {
+            if self.halls.hall_of_host(host) == hall {
+                self.watch.disturb_host(host, until);
+            }
+        }
+    }
+
     fn kill_hosts(&mut self, choice: HostChoice, down_ms: Millis) {
         for host in self.chosen(choice) {
             self.hosts[host].kill();
--- a/crates/emulator/tests/grown.rs
+++ b/crates/emulator/tests/grown.rs
@@ -67,5 +67,6 @@
     large_configurations_in_quick_succession => holds_short("storm", Deployment::code_search(), 1);
     connections_fall_silent => holds_short("silent", Deployment::auction(), 1);
     workers_start_again_under_their_names => holds_short("restarts", Deployment::auction(), 1);
+    the_owners_hall_is_cut_off => holds_short("cuts", Deployment::auction(), 1);
     seeds_by_hand => by_hand();
 }
--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/rules.rs
@@ -60,6 +60,14 @@
     day.with(6_000, DayEvent::Kill(HostChoice::All, 500))
 }
 
+/// The owner's hall is cut off one way, for long enough that another host owns the shard.
+fn owners_hall_cut(fault: HostFault) -> DayPlan {
+    let mut day = day("cuts", Deployment::auction()).expect("the day is known");
+    day.deployment = day.deployment.with_each_host(|host| host.fault = fault);
+    day.length_ms = 14_000;
+    day
+}
+
 /// Hosts with a tenth of the processor that the small deployment's have.
 fn tenth_of_a_processor() -> DayPlan {
     small(|host| host.processor_millis /= 10)
@@ -103,6 +111,9 @@
         BrokenRule::Recover, all_killed(HostFault::EndlessTakeover));
     twice_by_a_successor_that_reads_nothing => breaks(
         BrokenRule::Twice, all_killed(HostFault::BlindTakeover));
+    twice_by_an_owner_that_is_never_unsure => breaks(
+        BrokenRule::Twice, owners_hall_cut(HostFault::NeverUnsure));
+    an_owner_that_may_have_been_followed_is_kept => keeps(owners_hall_cut(HostFault::None));
     stop_by_an_owner_that_stops_nothing => breaks(
         BrokenRule::Stop, small(|host| host.fault = HostFault::NoStops));
     a_starved_owner_fails_the_same_way_each_time => same_play_each_time();
