--- /dev/null
+++ b/crates/lease/tests/support/world/looks.rs
@@ -0,0 +1,51 @@
+//! What tests look at: notes, places, durable state.
+
+use sandshelf_fakes::FakeWorker;
+use sandshelf_lease::{decode_snapshot, ShardNote, TaskBook, TaskStage};
+use sandshelf_model::{ShardId, TaskId, WorkerId};
+use sandshelf_platform::{journal_range, read_group, read_shard_row, TableKey};
+
+use super::World;
+
+impl World {
+    /// How many notes satisfy `wanted`.
+    pub fn count_notes(&self, wanted: impl Fn(&ShardNote) -> bool) -> usize {
+        let notes = self.notes.iter();
+        notes.filter(|(_, _, note)| wanted(note)).count()
+    }
+
+    /// The worker on which a task runs.
+    pub fn place_of(&self, task: &TaskId) -> Option<WorkerId> {
+        let runs = |worker: &FakeWorker| worker.running().any(|run| run.attempt.task == *task);
+        let found = self.workers.iter().find(|(_, worker)| runs(worker));
+        found.map(|(name, _)| name.clone())
+    }
+
+    /// Reads a shard's durable state as a successor would.
+    pub fn durable(&self, shard: &ShardId) -> TaskBook {
+        let row = self.store.table.row(&TableKey::Shard(shard).text());
+        let stored = read_shard_row(row).expect("rows are written by owners");
+        let row = stored.row;
+        let rows =
+            self.store
+                .table
+                .range(&journal_range(shard, row.snapshot_sequence, row.sequence));
+        let groups: Vec<_> = rows
+            .iter()
+            .map(|row| read_group(row).expect("groups are written by owners"))
+            .collect();
+        let snapshot = row.snapshot.as_ref();
+        let snapshot = snapshot.map(|digest| self.store.objects[digest].to_vec());
+        decode_snapshot(snapshot.as_deref(), &groups).expect("snapshots are by owners")
+    }
+
+    /// The stages of a task in all shards, but for those that handed it on.
+    pub fn stages(&self, task: &TaskId) -> Vec<TaskStage> {
+        let books = self.shards.iter().map(|shard| self.durable(shard));
+        let cells = books.filter_map(|book| book.cell(task).cloned());
+        cells
+            .map(|cell| cell.stage)
+            .filter(|stage| !matches!(stage, TaskStage::HandedOff(_)))
+            .collect()
+    }
+}
--- a/crates/lease/tests/support/world.rs
+++ b/crates/lease/tests/support/world/mod.rs
@@ -1,19 +1,23 @@
 //! Entry hosts, the store, workers and the network between them.
 
+mod chances;
+mod looks;
+mod passage;
+mod schedule;
+
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sandshelf_config::{ConfigSet, JobSpec};
-use sandshelf_fakes::{unanswered, FakeStore, FakeWorker};
-use sandshelf_lease::{
-    decode_snapshot, CommitAnswer, LeaseStage, LeaseTimes, ShardAction, ShardEvent, ShardNote,
-    ShardOwner, ShardRoom, TaskBook, TaskStage, WorkerOrders, WorkerReport,
-};
-use sandshelf_model::{HostId, Millis, ResourceSize, Revision, ShardId, TaskId, TeamId, WorkerId};
+use sandshelf_fakes::{FakeStore, FakeWorker};
+use sandshelf_lease::{LeaseTimes, ShardAction, ShardEvent, ShardNote, ShardOwner};
+use sandshelf_model::{HostId, Millis, ResourceSize, Revision, ShardId, WorkerId};
 use sandshelf_place::WorkerEntry;
-use sandshelf_platform::{journal_range, read_group, read_shard_row, TableKey};
+
+pub use schedule::Cut;
+use schedule::{Happening, Scheduled};
 
 use super::faults::FaultRates;
 use super::jobs::set_of;
@@ -43,61 +47,6 @@
     stagger_ms: 300,
 };
 
-/// Something that happens at a time.
-#[derive(Debug)]
-enum Happening {
-    Tick(HostId),
-    /// An action leaves its host, once the host isn't frozen.
-    Leaves(HostId, ShardId, ShardAction),
-    /// An action reaches the store.
-    AtStore(HostId, ShardId, ShardAction),
-    /// A message reaches a worker.
-    AtWorker(HostId, ShardId, WorkerId, WorkerOrders),
-    /// An answer reaches its host, once the host isn't frozen.
-    Back(HostId, ShardId, Box<ShardEvent>),
-    /// Something may go wrong.
-    Chance,
-    Thaw(HostId),
-    Mend(Cut),
-    Configure(HostId, Revision),
-}
-
-/// A connection that is down.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Cut {
-    /// The store answers nobody.
-    Store,
-    /// The store can't be reached by this host.
-    HostStore(HostId),
-    /// This host and this worker can't reach each other.
-    HostWorker(HostId, WorkerId),
-    /// Nobody can reach this worker.
-    Worker(WorkerId),
-}
-
-struct Scheduled {
-    at: Millis,
-    order: u64,
-    what: Happening,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-impl Eq for Scheduled {}
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
 struct WorldHost {
     owners: BTreeMap<ShardId, ShardOwner>,
     frozen: bool,
@@ -429,19 +378,6 @@
         self.check();
     }
 
-    /// How many notes satisfy `wanted`.
-    pub fn count_notes(&self, wanted: impl Fn(&ShardNote) -> bool) -> usize {
-        let notes = self.notes.iter();
-        notes.filter(|(_, _, note)| wanted(note)).count()
-    }
-
-    /// The worker on which a task runs.
-    pub fn place_of(&self, task: &TaskId) -> Option<WorkerId> {
-        let runs = |worker: &FakeWorker| worker.running().any(|run| run.attempt.task == *task);
-        let found = self.workers.iter().find(|(_, worker)| runs(worker));
-        found.map(|(name, _)| name.clone())
-    }
-
     fn check(&mut self) {
         for (name, worker) in &mut self.workers {
             worker.advance(local_time(self.now, self.worker_drift[name]));
@@ -469,307 +405,6 @@
         }
     }
 
-    fn tick(&mut self, host: HostId) {
-        if !self.hosts.contains_key(&host) {
-            return;
-        }
-        if !self.hosts[&host].frozen {
-            for shard in self.shard_ids() {
-                self.feed(&host, &shard, ShardEvent::Tick);
-                let rooms = self.rooms();
-                self.feed(&host, &shard, ShardEvent::RoomHeard(rooms));
-            }
-        }
-        self.schedule(self.now + TICK_MS, Happening::Tick(host));
-    }
-
-    /// What the owners tell each other of their room.
-    fn rooms(&self) -> Vec<ShardRoom> {
-        let owners = self.hosts.values().flat_map(|host| host.owners.values());
-        let holding = owners.filter(|owner| *owner.stage() == LeaseStage::Holding);
-        holding.map(|owner| owner.room()).collect()
-    }
-
-    fn tell_config(&mut self, host: &HostId, revision: Revision) {
-        let set = self.sets[revision as usize].clone();
-        for shard in self.shard_ids() {
-            let quota = ShardEvent::QuotaSliced {
-                team: TeamId::from("team"),
-                slice: ResourceSize::new(1 << 40, 1 << 40, 0),
-            };
-            self.feed(host, &shard, quota);
-            let event = ShardEvent::Configured {
-                revision,
-                set: set.clone(),
-                shards: self.shards.clone(),
-            };
-            self.feed(host, &shard, event);
-        }
-    }
-
-    /// An action leaves its host, unless the host is frozen between deciding and sending.
-    fn leave(&mut self, host: HostId, shard: ShardId, action: ShardAction) {
-        let Some(state) = self.hosts.get_mut(&host) else {
-            return;
-        };
-        if state.frozen {
-            state.held.push(Happening::Leaves(host, shard, action));
-            return;
-        }
-        if self.chance(self.rates.lost) {
-            self.answer_nothing(&host, &shard, &action);
-            return;
-        }
-        let delay = self.delay();
-        match action {
-            ShardAction::SendOrders { worker, orders } => {
-                if self.chance(self.rates.repeated) {
-                    let again = self.source.random_range(1..=self.rates.longest_delay);
-                    let copy = Happening::AtWorker(
-                        host.clone(),
-                        shard.clone(),
-                        worker.clone(),
-                        orders.clone(),
-                    );
-                    self.schedule(self.now + again, copy);
-                }
-                let there = Happening::AtWorker(host, shard, worker, orders);
-                self.schedule(self.now + delay, there);
-            }
-            action => {
-                let there = Happening::AtStore(host, shard, action);
-                self.schedule(self.now + delay + self.store_delay, there);
-            }
-        }
-    }
-
-    fn delay(&mut self) -> Millis {
-        if self.chance(self.rates.delayed) {
-            return self.source.random_range(1..=self.rates.longest_delay);
-        }
-        LEAST_DELAY_MS + self.source.random_range(0..4)
-    }
-
-    fn reach_store(&mut self, host: HostId, shard: ShardId, action: ShardAction) {
-        let out = self.is_cut(&Cut::Store) || self.is_cut(&Cut::HostStore(host.clone()));
-        if out {
-            self.answer_nothing(&host, &shard, &action);
-            return;
-        }
-        self.store_reads += u64::from(action == ShardAction::ReadRow);
-        let Some(event) = self.store.serve(&shard, &action) else {
-            return;
-        };
-        let took_effect = matches!(
-            event,
-            ShardEvent::CommitAnswered {
-                answer: CommitAnswer::Committed { .. },
-                ..
-            }
-        );
-        let lost = self.lose_commit_answers && took_effect;
-        if lost || self.chance(self.rates.answer_lost) {
-            self.answer_nothing(&host, &shard, &action);
-            return;
-        }
-        let delay = self.delay() + self.store_delay;
-        let back = Happening::Back(host, shard, Box::new(event));
-        self.schedule(self.now + delay, back);
-    }
-
-    /// After a while, the host learns that it will get no answer.
-    fn answer_nothing(&mut self, host: &HostId, shard: &ShardId, action: &ShardAction) {
-        let Some(event) = unanswered(action) else {
-            return;
-        };
-        let wait = self.source.random_range(100..800);
-        let back = Happening::Back(host.clone(), shard.clone(), Box::new(event));
-        self.schedule(self.now + wait, back);
-    }
-
-    fn reach_worker(
-        &mut self,
-        host: HostId,
-        shard: ShardId,
-        worker: WorkerId,
-        orders: &WorkerOrders,
-    ) {
-        let cut = self.is_cut(&Cut::HostWorker(host.clone(), worker.clone()))
-            || self.is_cut(&Cut::Worker(worker.clone()));
-        let local = local_time(self.now, self.worker_drift[&worker]);
-        let report = match self.workers.get_mut(&worker) {
-            Some(there) if !cut => Some(there.handle(local, orders)),
-            _ => None,
-        };
-        self.worker_messages += 1;
-        self.check();
-        let lost = self.chance(self.rates.answer_lost);
-        let report = report.filter(|_| !lost);
-        self.answer_orders(host, shard, worker, orders, report);
-    }
-
-    fn answer_orders(
-        &mut self,
-        host: HostId,
-        shard: ShardId,
-        worker: WorkerId,
-        orders: &WorkerOrders,
-        report: Option<WorkerReport>,
-    ) {
-        let delay = self.delay();
-        let event = ShardEvent::WorkerAnswered {
-            worker,
-            epoch: orders.epoch,
-            number: orders.number,
-            report,
-        };
-        let back = Happening::Back(host, shard, Box::new(event));
-        self.schedule(self.now + delay, back);
-    }
-
-    fn come_back(&mut self, host: HostId, shard: ShardId, event: Box<ShardEvent>) {
-        let Some(state) = self.hosts.get_mut(&host) else {
-            return;
-        };
-        if state.frozen {
-            state.held.push(Happening::Back(host, shard, event));
-            return;
-        }
-        self.feed(&host, &shard, *event);
-    }
-
-    fn thaw(&mut self, host: &HostId) {
-        let Some(state) = self.hosts.get_mut(host) else {
-            return;
-        };
-        state.frozen = false;
-        // What was about to be sent is sent first, before the host looks at the clock again.
-        for held in std::mem::take(&mut state.held) {
-            self.schedule(self.now, held);
-        }
-    }
-
-    /// Lets things go wrong, by the rates.
-    fn take_chances(&mut self) {
-        self.schedule(self.now + 1_000, Happening::Chance);
-        let rates = self.rates;
-        for host in self.host_ids() {
-            if self.chance(rates.host_killed) {
-                self.kill(&host);
-                self.add_host();
-                continue;
-            }
-            let length = self.source.random_range(500..20_000);
-            if self.chance(rates.host_frozen) {
-                self.freeze(&host, length);
-            }
-            if self.chance(rates.store_cut) {
-                self.cut(Cut::HostStore(host.clone()), length);
-            }
-            for worker in self.workers.keys().cloned().collect::<Vec<_>>() {
-                if self.chance(rates.worker_cut) {
-                    self.cut(Cut::HostWorker(host.clone(), worker), length);
-                }
-            }
-        }
-        self.chance_of_workers(rates);
-        self.chance_of_owners(rates);
-    }
-
-    fn chance_of_workers(&mut self, rates: FaultRates) {
-        let length = self.source.random_range(500..20_000);
-        if self.chance(rates.store_out) {
-            self.cut(Cut::Store, length);
-        }
-        for worker in self.workers.keys().cloned().collect::<Vec<_>>() {
-            if self.chance(rates.worker_cut / 4) {
-                self.cut(Cut::Worker(worker.clone()), length);
-            }
-            if self.chance(rates.worker_replaced) {
-                self.replace_worker(&worker);
-            }
-        }
-    }
-
-    fn chance_of_owners(&mut self, rates: FaultRates) {
-        for shard in self.shard_ids() {
-            let Some(host) = self.owner_of(&shard) else {
-                continue;
-            };
-            if self.chance(rates.evicted) {
-                self.evict_something(&host, &shard);
-            }
-            if self.chance(rates.released) {
-                self.feed(&host, &shard, ShardEvent::Release);
-            }
-        }
-    }
-
-    /// Has an owner evict one of the attempts that it placed.
-    pub fn evict_something(&mut self, host: &HostId, shard: &ShardId) {
-        let pool = self.owner(host, shard).pool();
-        let tenants = pool.workers().flat_map(|worker| pool.tenants(worker));
-        let mut attempts: Vec<_> = tenants.map(|tenant| tenant.attempt.clone()).collect();
-        attempts.sort();
-        if attempts.is_empty() {
-            return;
-        }
-        let picked = self.source.random_range(0..attempts.len());
-        self.feed(
-            host,
-            shard,
-            ShardEvent::EvictAsked(attempts[picked].clone()),
-        );
-    }
-
-    /// Has an owner empty a worker, which evicts what can be checkpointed there.
-    pub fn drain_worker(&mut self, host: &HostId, shard: &ShardId, worker: &WorkerId) {
-        let event = ShardEvent::WorkersListed {
-            present: vec![WorkerEntry::plain(worker.as_str(), CAPACITY)],
-            leaving: BTreeSet::from([worker.clone()]),
-            gone: BTreeSet::new(),
-        };
-        self.feed(host, shard, event);
-    }
-
-    /// Mends everything and stops what goes wrong.
-    pub fn heal(&mut self) {
-        self.rates = FaultRates::CALM;
-        self.cuts.clear();
-        for host in self.host_ids() {
-            self.thaw(&host);
-        }
-        self.list_workers();
-    }
-
-    /// Reads a shard's durable state as a successor would.
-    pub fn durable(&self, shard: &ShardId) -> TaskBook {
-        let row = self.store.table.row(&TableKey::Shard(shard).text());
-        let stored = read_shard_row(row).expect("rows are written by owners");
-        let row = stored.row;
-        let rows =
-            self.store
-                .table
-                .range(&journal_range(shard, row.snapshot_sequence, row.sequence));
-        let groups: Vec<_> = rows
-            .iter()
-            .map(|row| read_group(row).expect("groups are written by owners"))
-            .collect();
-        let snapshot = row.snapshot.as_ref();
-        let snapshot = snapshot.map(|digest| self.store.objects[digest].to_vec());
-        decode_snapshot(snapshot.as_deref(), &groups).expect("snapshots are by owners")
-    }
-
-    /// The stages of a task in all shards, but for those that handed it on.
-    pub fn stages(&self, task: &TaskId) -> Vec<TaskStage> {
-        let books = self.shards.iter().map(|shard| self.durable(shard));
-        let cells = books.filter_map(|book| book.cell(task).cloned());
-        cells
-            .map(|cell| cell.stage)
-            .filter(|stage| !matches!(stage, TaskStage::HandedOff(_)))
-            .collect()
-    }
-
     /// Runs until `done`, looking twice a second; says how long it took.
     pub fn run_until_done(
         &mut self,
