--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod emulated_worker;
 pub mod emulator;
 pub mod faults;
+pub mod plans;
 
 pub use sandshelf_emulator::oracle;
 
