--- a/crates/jobs/tests/lives.rs
+++ b/crates/jobs/tests/lives.rs
@@ -46,6 +46,20 @@
     rig
 }
 
+/// An owner whose worker has begun one task in its first life; what is known of it is durable.
+fn with_first_run() -> (SchedulerRig, RunKey) {
+    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
+    rig.list(&["w-1"]);
+    rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
+    rig.commit_all();
+    rig.hand_in(1, 1, job(vec![step(1)]));
+    rig.pass(50);
+    let began = FIRST_CLOCK + rig.now;
+    let started = take_starts(&mut rig, began);
+    rig.commit_all();
+    (rig, started[0])
+}
+
 /// Answers all orders to start with a clock; returns their runs.
 fn take_starts(rig: &mut SchedulerRig, clock: u64) -> Vec<RunKey> {
     let starts = rig.peek_starts();
@@ -129,20 +143,12 @@
 /// While an order to start has no answer nothing is acknowledged: a life that nobody has heard of may have carried it out, and have
 /// ended the run under a number of the life before.
 fn a_start_without_an_answer_holds_acknowledgements_back() {
-    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
-    rig.list(&["w-1"]);
-    rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
-    rig.commit_all();
-    rig.hand_in(1, 1, job(vec![step(1)]));
-    rig.pass(50);
-    let began = FIRST_CLOCK + rig.now;
-    let started = take_starts(&mut rig, began);
-    rig.commit_all();
+    let (mut rig, first) = with_first_run();
     rig.hand_in(2, 2, job(vec![step(1)]));
     rig.pass(50);
     let open = rig.peek_starts();
     assert_eq!(open.len(), 1, "the worker is open");
-    let end = ended(1, started[0], RunOutcome::Done);
+    let end = ended(1, first, RunOutcome::Done);
     rig.answer_hold(
         "w-1",
         told(1, FIRST_CLOCK + rig.now, vec![], vec![end.clone()]),
@@ -158,16 +164,8 @@
 
 /// Ends are acknowledged only to a life that was heard a moment ago: by a look that asks for nothing else first, where that was longer ago.
 fn a_late_write_is_followed_by_a_look() {
-    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
-    rig.list(&["w-1"]);
-    rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
-    rig.commit_all();
-    rig.hand_in(1, 1, job(vec![step(1)]));
-    rig.pass(50);
-    let began = FIRST_CLOCK + rig.now;
-    let started = take_starts(&mut rig, began);
-    rig.commit_all();
-    let end = ended(1, started[0], RunOutcome::Done);
+    let (mut rig, first) = with_first_run();
+    let end = ended(1, first, RunOutcome::Done);
     rig.answer_hold(
         "w-1",
         told(1, FIRST_CLOCK + rig.now, vec![], vec![end.clone()]),
@@ -202,16 +200,8 @@
 
 /// A write that was under way when its worker went down acknowledges nothing of the next life.
 fn a_write_of_the_life_before_says_nothing() {
-    let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
-    rig.list(&["w-1"]);
-    rig.answer_hold("w-1", told(1, FIRST_CLOCK + rig.now, vec![], vec![]));
-    rig.commit_all();
-    rig.hand_in(1, 1, job(vec![step(1)]));
-    rig.pass(50);
-    let began = FIRST_CLOCK + rig.now;
-    let started = take_starts(&mut rig, began);
-    rig.commit_all();
-    let end = ended(1, started[0], RunOutcome::Done);
+    let (mut rig, first) = with_first_run();
+    let end = ended(1, first, RunOutcome::Done);
     let clock = FIRST_CLOCK + rig.now;
     rig.answer_hold("w-1", told(1, clock, vec![], vec![end]));
     rig.pass(50);
--- a/crates/jobs/tests/marks.rs
+++ b/crates/jobs/tests/marks.rs
@@ -38,6 +38,23 @@
 }
 
 impl DurableRows {
+    /// Of an owner that marked its one worker: that one's lease is over at a time of the store's clock.
+    fn marked(over_at: u64) -> Self {
+        Self {
+            roster: WorkerRoster {
+                epoch: 1,
+                workers: vec![(id("w-1"), listing("w-1").address)],
+                lease_ms: Some(4_000),
+                ..WorkerRoster::default()
+            },
+            silent: SilentWorkers {
+                epoch: 1,
+                over_at: [(id("w-1"), over_at)].into(),
+                ..SilentWorkers::default()
+            },
+        }
+    }
+
     fn write(&mut self, rig: &mut SchedulerRig) {
         for batch in rig.commit_all() {
             self.roster = batch.roster.unwrap_or(std::mem::take(&mut self.roster));
@@ -186,19 +203,7 @@
 
 /// An owner of an earlier version came between: it neither heeded marks nor granted short leases, whatever the rows say.
 fn rows_before_another_version_say_nothing() {
-    let rows = DurableRows {
-        roster: WorkerRoster {
-            epoch: 1,
-            workers: vec![(id("w-1"), listing("w-1").address)],
-            lease_ms: Some(4_000),
-            ..WorkerRoster::default()
-        },
-        silent: SilentWorkers {
-            epoch: 1,
-            over_at: [(id("w-1"), STORE_AHEAD_MS)].into(),
-            ..SilentWorkers::default()
-        },
-    };
+    let rows = DurableRows::marked(STORE_AHEAD_MS);
     let mut rig = owner_after(9_000, 0, rows);
     let waited = starts_after(&mut rig);
     assert!(waited >= 11_000, "{waited} ms; leases of 10 s may last");
@@ -253,19 +258,7 @@
 
 /// An inherited mark forbids this owner, too, to prolong the lease or to start anything there.
 fn an_inherited_mark_is_heeded() {
-    let rows = DurableRows {
-        roster: WorkerRoster {
-            epoch: 1,
-            workers: vec![(id("w-1"), listing("w-1").address)],
-            lease_ms: Some(4_000),
-            ..WorkerRoster::default()
-        },
-        silent: SilentWorkers {
-            epoch: 1,
-            over_at: [(id("w-1"), STORE_AHEAD_MS + 9_500)].into(),
-            ..SilentWorkers::default()
-        },
-    };
+    let rows = DurableRows::marked(STORE_AHEAD_MS + 9_500);
     let mut rig = owner_after(9_000, 1, rows);
     rig.commit_all();
     rig.actions.clear();
@@ -305,19 +298,7 @@
 /// A worker that was marked answers its new owner once and falls silent again: what it reported is under the earlier lease, and
 /// starts nowhere else before that is over.
 fn a_first_report_is_under_the_inherited_lease() {
-    let rows = DurableRows {
-        roster: WorkerRoster {
-            epoch: 1,
-            workers: vec![(id("w-1"), listing("w-1").address)],
-            lease_ms: Some(4_000),
-            ..WorkerRoster::default()
-        },
-        silent: SilentWorkers {
-            epoch: 1,
-            over_at: [(id("w-1"), STORE_AHEAD_MS + 12_000)].into(),
-            ..SilentWorkers::default()
-        },
-    };
+    let rows = DurableRows::marked(STORE_AHEAD_MS + 12_000);
     let mut rig = owner_after(9_000, 1, rows);
     let key = RunKey {
         task: task(7, 0, 0),
