--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -73,3 +73,11 @@
     let value = response.headers().get(name);
     value.and_then(|value| value.to_str().ok()).unwrap_or("")
 }
+
+/// Has an operator apply a set, and waits until it is in force.
+pub fn apply(system: &LocalSystem, name: &str, text: &str) {
+    let set = system.write_set(name, text);
+    let output = system.command(&["apply", &set.display().to_string(), "--wait", "30"]);
+    let printed = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.success(), "{printed}");
+}
