--- a/crates/jobs/tests/relay.rs
+++ b/crates/jobs/tests/relay.rs
@@ -1,108 +1,15 @@
 //! An owner's orders through other hosts: who carries what, and what becomes of it when hosts come, go or say nonsense.
 
+mod support;
+
 use proptest::prelude::*;
 use sandshelf_jobs::relay::{
-    decode_greeting, decode_message, encode_greeting, encode_message, waits_for_relays, OrderBatch,
-    OrderRoute, RelayDesk, RelayFault, RelayGreeting, RelayMessage, RelayNumber, RelayStation,
-    RelayedAnswer, RelayedOrder,
-};
-use sandshelf_jobs::{
-    HoldAnswer, HoldCall, HoldReport, JobEvent, JobNumber, OrderAnswer, RunKey, StartCall, TaskKey,
-    WorkerCall,
+    decode_greeting, decode_message, encode_greeting, encode_message, waits_for_relays, RelayDesk,
+    RelayFault, RelayMessage,
 };
-use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
-
-const EPOCH: u64 = 7;
-/// A host of 0.12 of a core.
-const WEAK: u64 = 120;
-/// A host of half a core.
-const STRONG: u64 = 500;
-
-fn worker(number: usize) -> WorkerId {
-    WorkerId::from(format!("w-{number}"))
-}
-
-fn hall(number: usize) -> HallId {
-    HallId::from(["north", "south"][number % 2])
-}
-
-/// An owner of so many workers in two halls.
-fn desk(processor_millis: u64, workers: usize) -> RelayDesk {
-    let mut desk = RelayDesk::new(EPOCH, processor_millis);
-    desk.note_workers((0..workers).map(|number| (worker(number), hall(number))));
-    desk
-}
-
-fn greeting(host: &str, hall_number: usize, processor_millis: u64) -> RelayGreeting {
-    RelayGreeting::new(HostId::from(host), hall(hall_number), processor_millis)
-}
-
-fn join(
-    desk: &mut RelayDesk,
-    host: &str,
-    hall_number: usize,
-    processor_millis: u64,
-) -> RelayNumber {
-    let greeting = greeting(host, hall_number, processor_millis);
-    desk.join(0, greeting).expect("the same version")
-}
-
-fn hold() -> WorkerCall {
-    WorkerCall::Hold(HoldCall {
-        deadline: Some(4_000),
-        last_seen: 3,
-        wait_ms: 500,
-    })
-}
-
-fn key(index: u32) -> RunKey {
-    RunKey {
-        task: TaskKey {
-            job: JobNumber(9),
-            time: 0,
-            step: 0,
-            index,
-        },
-        run: 1,
-    }
-}
-
-fn start(index: u32) -> WorkerCall {
-    WorkerCall::Start(StartCall {
-        key: key(index),
-        payload: "text".to_owned(),
-        deadline: 1_500,
-        checkpoint: None,
-    })
-}
-
-fn route(
-    desk: &mut RelayDesk,
-    now: Millis,
-    number: usize,
-    call: WorkerCall,
-) -> Option<RelayNumber> {
-    let address = ([10, 0, 0, 1], 80).into();
-    match desk.route(now, &worker(number), address, call) {
-        OrderRoute::Direct(_) => None,
-        OrderRoute::Relayed(relay) => Some(relay),
-    }
-}
-
-fn report() -> RelayedAnswer {
-    HoldAnswer::Report(HoldReport {
-        life: None,
-        carrier_late_ms: 0,
-        clock: 10,
-        running: Vec::new(),
-        ended: Vec::new(),
-    })
-    .into()
-}
-
-fn answers(entries: Vec<(u64, RelayedAnswer)>) -> RelayMessage {
-    RelayMessage::Answers(EPOCH, entries)
-}
+use sandshelf_jobs::{HoldAnswer, HoldCall, JobEvent, OrderAnswer, StartCall, WorkerCall};
+use sandshelf_model::WorkerId;
+use support::relaying::*;
 
 /// A small deployment pays nothing for relays: its owner calls its workers itself, however many hosts offer help.
 fn a_small_deployment_is_called_directly() {
@@ -305,92 +212,6 @@
     );
 }
 
-/// Orders of an epoch that is over are not carried out, whoever sends them.
-fn a_station_refuses_other_epochs() {
-    let mut station = RelayStation::new(EPOCH);
-    for epoch in [EPOCH - 1, EPOCH + 1] {
-        let refused = station.take(0, orders_of(epoch, 0));
-        assert_eq!(refused, Err(RelayFault::OtherEpoch(epoch)));
-    }
-    let refused = station.take(0, answers(Vec::new()));
-    assert_eq!(refused, Err(RelayFault::Misdirected));
-}
-
-/// A message without orders of an epoch, sent at a time of the owner's clock.
-fn orders_of(epoch: Epoch, sent_at: Millis) -> RelayMessage {
-    RelayMessage::Orders(OrderBatch {
-        epoch,
-        sent_at,
-        orders: Vec::new(),
-    })
-}
-
-/// Orders that were on their way for longer than their owner waits for answers are not carried out, and it is told so. How far the clocks of
-/// both hosts are apart doesn't matter.
-fn a_station_drops_what_comes_late(apart: Millis, late: Millis, carried: bool) {
-    let mut desk = desk(STRONG, 400);
-    join(&mut desk, "a", 0, STRONG);
-    let mut station = RelayStation::new(EPOCH);
-    let quick = station.take(apart + 5, orders_of(EPOCH, 0));
-    assert_eq!(quick, Ok(Vec::new()));
-    route(&mut desk, 4_000, 0, start(1));
-    let (_, message) = desk.take_messages(4_000).pop().expect("orders");
-    let taken = station.take(apart + 4_005 + late, message);
-    assert_eq!(taken.map(|orders| orders.len()), Ok(usize::from(carried)));
-    let told = (!carried).then(|| answers(vec![(1, OrderAnswer::NotSent.into())]));
-    assert_eq!(station.take_answers(), told);
-}
-
-/// A way that has become slower for good counts as quick some time later.
-fn a_slow_way_becomes_the_usual_one() {
-    let mut station = RelayStation::new(EPOCH);
-    let mut carried = Vec::new();
-    for second in 0..30_u64 {
-        let way = if second < 5 { 1 } else { 2_000 };
-        let sent_at = second * 1_000;
-        let order = RelayedOrder {
-            number: second + 1,
-            worker: worker(0),
-            address: ([10, 0, 0, 1], 80).into(),
-            call: start(second as u32),
-        };
-        let batch = OrderBatch {
-            epoch: EPOCH,
-            sent_at,
-            orders: vec![order],
-        };
-        let taken = station.take(sent_at + way, RelayMessage::Orders(batch));
-        carried.push(!taken.expect("orders of this epoch").is_empty());
-    }
-    assert_eq!(carried[..6], [true, true, true, true, true, false]);
-    assert!(carried[25..].iter().all(|carried| *carried));
-}
-
-/// An order that comes twice is carried out once, and answered once.
-fn a_station_carries_an_order_once() {
-    let mut desk = desk(STRONG, 400);
-    join(&mut desk, "a", 0, STRONG);
-    route(&mut desk, 0, 0, start(1));
-    let (_, message) = desk.take_messages(0).pop().expect("orders");
-    let mut station = RelayStation::new(EPOCH);
-    let again = message.clone();
-    assert_eq!(
-        station.take(0, message.clone()).map(|orders| orders.len()),
-        Ok(1)
-    );
-    assert_eq!(station.take(0, message).map(|orders| orders.len()), Ok(0));
-    station.finish(1, OrderAnswer::Done(1).into());
-    station.finish(1, OrderAnswer::Done(2).into());
-    let told = station.take_answers();
-    assert_eq!(told, Some(answers(vec![(1, OrderAnswer::Done(1).into())])));
-    assert_eq!((station.take_answers(), station.open_orders()), (None, 0));
-    assert_eq!(
-        station.take(0, again).map(|orders| orders.len()),
-        Ok(0),
-        "it has ended"
-    );
-}
-
 fn other_versions_are_told_apart() {
     let mut other = greeting("a", 0, STRONG);
     other.version += 1;
@@ -457,13 +278,6 @@
     came_again => a_host_that_comes_again_gets_new_orders();
     foreign_answers => foreign_answers_change_nothing();
     answered_once => an_answer_counts_once();
-    other_epochs => a_station_refuses_other_epochs();
-    in_time => a_station_drops_what_comes_late(0, 1_000, true);
-    in_time_with_clocks_apart => a_station_drops_what_comes_late(7_200_000, 1_000, true);
-    late => a_station_drops_what_comes_late(0, 1_001, false);
-    late_with_clocks_apart => a_station_drops_what_comes_late(7_200_000, 1_001, false);
-    slow_for_good => a_slow_way_becomes_the_usual_one();
-    carried_once => a_station_carries_an_order_once();
     other_versions => other_versions_are_told_apart();
     short_holds => a_hold_takes_few_bytes();
     weak_owner => a_weak_owner_waits_for_relays();
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod emulator;
 pub mod faults;
 pub mod plans;
+pub mod relaying;
 
 pub use sandshelf_emulator::oracle;
 
