--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -2,6 +2,7 @@
 //! other, and calls that get lost, late or no answer.
 
 mod halls;
+mod orders;
 mod owners;
 mod workers;
 
