--- a/crates/jobs/tests/support/crashing.rs
+++ b/crates/jobs/tests/support/crashing/mod.rs
@@ -1,11 +1,13 @@
 //! A small fleet whose workers crash under certain tasks and are back after some seconds, driven by one owner after the other.
 
+mod orders;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use sandshelf_jobs::{
-    CommitBatch, EndReport, HoldAnswer, HoldCall, HoldReport, JobAction, JobEvent, JobNumber,
-    JobSpec, JobStage, OrderAnswer, ProgressRow, RunKey, RunOutcome, RunReport, SilentWorkers,
-    TakeoverInfo, TaskKey, WorkerCall, WorkerLife, WorkerListing, WorkerRoster,
+    EndReport, HoldAnswer, HoldCall, JobEvent, JobNumber, JobSpec, JobStage, OrderAnswer,
+    ProgressRow, RunKey, RunOutcome, SilentWorkers, TakeoverInfo, TaskKey, WorkerLife,
+    WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 
@@ -329,148 +331,6 @@
         self.rig.list_entries(list);
     }
 
-    fn deliver(&mut self) {
-        let now = self.rig.now;
-        let (due, rest) = std::mem::take(&mut self.answers)
-            .into_iter()
-            .partition(|(at, _)| *at <= now);
-        self.answers = rest;
-        for (_, event) in due {
-            self.rig.tell(event);
-        }
-        let mut reports = Vec::new();
-        for worker in &mut self.workers {
-            let due = worker
-                .hold
-                .as_ref()
-                .is_some_and(|(sent, call)| now >= sent + call.wait_ms || !worker.ended.is_empty());
-            if let Some((_, call)) = worker.hold.take_if(|_| due) {
-                worker.ended.retain(|end| end.number > call.last_seen);
-                let running = worker.runs.keys().map(|key| RunReport {
-                    key: *key,
-                    checkpoint: None,
-                    percent: 50,
-                    gauge: None,
-                });
-                let report = HoldReport {
-                    life: worker.life(self.returns),
-                    carrier_late_ms: 0,
-                    clock: worker.clock(now, self.returns),
-                    running: running.collect(),
-                    ended: worker.ended.clone(),
-                };
-                reports.push((worker.name.clone(), report));
-            }
-        }
-        for (name, report) in reports {
-            self.rig.answer_hold(&name, report);
-        }
-    }
-
-    /// Carries out what the owner asked for.
-    fn obey(&mut self) {
-        for action in std::mem::take(&mut self.rig.actions) {
-            match action {
-                JobAction::Call { worker, call, .. } => self.order(&worker, call),
-                JobAction::Commit(batch) => self.write(batch),
-                JobAction::Deposed | JobAction::Note(_) => {}
-            }
-        }
-    }
-
-    fn write(&mut self, batch: CommitBatch) {
-        if !self.store_up {
-            return;
-        }
-        self.rows.extend(batch.progress);
-        if let Some(roster) = batch.roster {
-            self.roster = roster;
-        }
-        if let Some(silent) = batch.silent {
-            self.silent = silent;
-        }
-        self.answers
-            .push((self.rig.now, JobEvent::Committed(batch.id)));
-    }
-
-    fn order(&mut self, id: &WorkerId, call: WorkerCall) {
-        let now = self.rig.now;
-        let index = self
-            .workers
-            .iter()
-            .position(|worker| worker.name == id.as_str() && worker.back_at.is_none());
-        let Some(index) = index else {
-            return self.leave_unanswered(id, &call);
-        };
-        let id = id.clone();
-        let clock = self.workers[index].clock(now, self.returns);
-        match call {
-            WorkerCall::Start(start) => {
-                self.begin(index, start.key);
-                let answer = OrderAnswer::Done(clock);
-                self.answers
-                    .push((now, JobEvent::StartAnswered(id, start.key, answer)));
-            }
-            WorkerCall::Stop(key) => {
-                self.workers[index].runs.remove(&key);
-                let answer = OrderAnswer::Done(clock);
-                self.answers
-                    .push((now, JobEvent::StopAnswered(id, key, answer)));
-            }
-            WorkerCall::Pace(key, _) => {
-                let answer = OrderAnswer::Done(clock);
-                self.answers
-                    .push((now, JobEvent::PaceAnswered(id, key, answer)));
-            }
-            WorkerCall::Hold(hold) => self.workers[index].hold = Some((now, hold)),
-        }
-    }
-
-    /// A worker that is down says nothing; one whose place another has taken is known to be no more.
-    fn leave_unanswered(&mut self, id: &WorkerId, call: &WorkerCall) {
-        let number = id
-            .as_str()
-            .trim_start_matches(|letter: char| !letter.is_ascii_digit());
-        let taken = self
-            .workers
-            .iter()
-            .any(|worker| worker.back_at.is_none() && worker.place.to_string() == number);
-        let (answer, after) = match taken {
-            true => (OrderAnswer::Replaced, 0),
-            false => (OrderAnswer::Unknown, PATIENCE_MS),
-        };
-        let id = id.clone();
-        let (event, wait_ms) = match call {
-            WorkerCall::Start(start) => (JobEvent::StartAnswered(id, start.key, answer), 0),
-            WorkerCall::Stop(key) => (JobEvent::StopAnswered(id, *key, answer), 0),
-            WorkerCall::Pace(key, _) => (JobEvent::PaceAnswered(id, *key, answer), 0),
-            WorkerCall::Hold(hold) => {
-                let failed = HoldAnswer::Failed(answer);
-                (JobEvent::HoldAnswered(id, failed), hold.wait_ms)
-            }
-        };
-        self.answers.push((self.rig.now + wait_ms + after, event));
-    }
-
-    fn begin(&mut self, index: usize, key: RunKey) {
-        let now = self.rig.now;
-        let crashes_before = self.crashes.get(&key.task).copied().unwrap_or(0);
-        self.starts.entry(key.task).or_default().push(SeenStart {
-            at: now,
-            epoch: self.epoch,
-            crashes_before,
-        });
-        let standing = self.is_standing(&key.task);
-        let ends_at = match standing {
-            true => Millis::MAX,
-            false => now + WORK_MS,
-        };
-        self.workers[index].runs.insert(key, ends_at);
-        if let Some(after) = self.crashers.get(&key.task) {
-            self.fuses.push((now + after, index, key.task));
-        }
-    }
-
     fn is_standing(&self, task: &TaskKey) -> bool {
         let job = self.jobs.iter().find(|(number, _)| *number == task.job.0);
         let step = job.and_then(|(_, spec)| spec.steps.get(task.step as usize));
