Both emulators ask one rule what a cut hall stops

Each had a type for the way of a cut and its own test of what leaves and enters; the place outside of all halls is no type of its own any more.

--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -37,6 +37,19 @@
     Both,
 }
 
+impl CutWay {
+    /// Whether a hall that is cut off this way stops what goes from one place to another, each a hall or, with none, outside of all of them.
+    pub fn stops(self, hall: usize, from: Option<usize>, to: Option<usize>) -> bool {
+        let outward = from == Some(hall) && to != Some(hall);
+        let inward = from != Some(hall) && to == Some(hall);
+        match self {
+            CutWay::Outward => outward,
+            CutWay::Inward => inward,
+            CutWay::Both => outward || inward,
+        }
+    }
+}
+
 /// What goes wrong, or is planned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DayEvent {
--- a/crates/emulator/src/world/cuts.rs
+++ b/crates/emulator/src/world/cuts.rs
@@ -10,15 +10,6 @@
 /// How many halls there are.
 pub const HALLS: usize = 4;
 
-/// Where something stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Standing {
-    /// In a hall.
-    Hall(usize),
-    /// Outside of all halls.
-    Outside,
-}
-
 /// A hall that is cut off.
 #[derive(Clone, Copy, Debug)]
 struct HallCut {
@@ -27,19 +18,6 @@
     until: Micros,
 }
 
-impl HallCut {
-    fn stops(&self, from: Standing, to: Standing) -> bool {
-        let hall = Standing::Hall(self.hall);
-        let outward = from == hall && to != hall;
-        let inward = from != hall && to == hall;
-        match self.way {
-            CutWay::Outward => outward,
-            CutWay::Inward => inward,
-            CutWay::Both => outward || inward,
-        }
-    }
-}
-
 /// All cuts, and who stands where.
 #[derive(Debug)]
 pub(super) struct HallMap {
@@ -60,10 +38,11 @@
         host % HALLS
     }
 
-    fn peer(&self, peer: CallPeer) -> Standing {
+    /// The hall of a peer; the store is in none.
+    fn hall_of_peer(&self, peer: CallPeer) -> Option<usize> {
         match peer {
-            CallPeer::Store => Standing::Outside,
-            CallPeer::Worker(place) => Standing::Hall(place * HALLS / self.workers.max(1)),
+            CallPeer::Store => None,
+            CallPeer::Worker(place) => Some(place * HALLS / self.workers.max(1)),
         }
     }
 
@@ -71,9 +50,9 @@
         self.cuts.push(HallCut { hall, way, until });
     }
 
-    fn passes(&self, now: Micros, from: Standing, to: Standing) -> bool {
+    fn passes(&self, now: Micros, from: Option<usize>, to: Option<usize>) -> bool {
         let mut cuts = self.cuts.iter().filter(|cut| now < cut.until);
-        !cuts.any(|cut| cut.stops(from, to))
+        !cuts.any(|cut| cut.way.stops(cut.hall, from, to))
     }
 
     /// Until when a hall is cut off, as far as cuts have begun.
@@ -83,13 +62,13 @@
 
     /// Whether what a host sends to a peer arrives.
     pub(super) fn reaches(&self, now: Micros, host: usize, peer: CallPeer) -> bool {
-        let from = Standing::Hall(self.hall_of_host(host));
-        self.passes(now, from, self.peer(peer))
+        let from = Some(self.hall_of_host(host));
+        self.passes(now, from, self.hall_of_peer(peer))
     }
 
     /// Whether what a peer sends to a host arrives.
     pub(super) fn comes_back(&self, now: Micros, host: usize, peer: CallPeer) -> bool {
-        let to = Standing::Hall(self.hall_of_host(host));
-        self.passes(now, self.peer(peer), to)
+        let to = Some(self.hall_of_host(host));
+        self.passes(now, self.hall_of_peer(peer), to)
     }
 }
--- a/crates/jobs/tests/support/emulator/halls.rs
+++ b/crates/jobs/tests/support/emulator/halls.rs
@@ -1,6 +1,7 @@
 //! Halls that packets leave or enter no more: hosts and workers in one hear each other, and the store stands outside.
 
 use rand::RngExt;
+use sandshelf_emulator::day::CutWay;
 use sandshelf_model::{HallId, Millis};
 
 use super::PlatformEmulator;
@@ -8,17 +9,6 @@
 /// How many halls there are; the worker at place P stands in hall P modulo this.
 const HALLS: usize = 4;
 
-/// Which way nothing passes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CutWay {
-    /// Nothing gets out of the hall.
-    Out,
-    /// Nothing gets in.
-    In,
-    /// Neither.
-    Both,
-}
-
 /// One hall that is cut off.
 #[derive(Clone, Copy, Debug)]
 pub struct HallCut {
@@ -28,16 +18,6 @@
     pub until: Millis,
 }
 
-impl HallCut {
-    fn stops_out(&self) -> bool {
-        self.way != CutWay::In
-    }
-
-    fn stops_in(&self) -> bool {
-        self.way != CutWay::Out
-    }
-}
-
 /// The name of a hall.
 pub fn hall_name(hall: usize) -> HallId {
     HallId::from(format!("hall-{hall}"))
@@ -60,7 +40,7 @@
             true => owners,
             false => any,
         };
-        let way = [CutWay::Out, CutWay::In, CutWay::Both][self.random.random_range(0..3)];
+        let way = [CutWay::Outward, CutWay::Inward, CutWay::Both][self.random.random_range(0..3)];
         let until = self.now + self.random.random_range(1_000..14_000);
         self.cut = Some(HallCut {
             hall,
@@ -98,10 +78,9 @@
 
     /// Until when nothing gets from one hall to another; the store stands in none of them.
     pub(super) fn stopped_until(&self, from: Option<usize>, to: Option<usize>) -> Option<Millis> {
-        let cut = self.hall_cut().filter(|_| from != to)?;
-        let leaves = from == Some(cut.hall) && cut.stops_out();
-        let enters = to == Some(cut.hall) && cut.stops_in();
-        (leaves || enters).then_some(cut.until)
+        let cut = self.hall_cut();
+        let cut = cut.filter(|cut| cut.way.stops(cut.hall, from, to));
+        cut.map(|cut| cut.until)
     }
 
     /// Until when a hall's calls to the store get no answer.
