A task whose crash notes are withdrawn is held back no longer than what is left demands

A standing task, or a task of a job, is never started again.

Cause: a task with two crash notes waits until the second one is durable (its earliest start is set to the end of time, and the write sets it back). A note is withdrawn where the worker answers after all. If that took the last note away before the write was requested, the task was taken out of the tasks whose notes are to be written, and nothing set its earliest start back. If one note was left, the task waited until the store was back, although a task with one note waits 150 ms at most.

Change: whoever withdraws a note sets the earliest start to what the notes that are left demand, by the same rule as where a note is recorded (`latest_start`).

Why it works: the earliest start depends on the notes alone, whichever way they change.

--- a/crates/jobs/src/crash/caution.rs
+++ b/crates/jobs/src/crash/caution.rs
@@ -93,11 +93,11 @@
     /// Handles a run that its worker reports as running. It was not lost in a crash, so its crash
     /// note is withdrawn. If the run is cleared, the task did not cause the other recorded crashes
     /// either.
-    pub(crate) fn clear_if_survived(&mut self, worker: &WorkerId, run: &RunKey) {
+    pub(crate) fn clear_if_survived(&mut self, now: Millis, worker: &WorkerId, run: &RunKey) {
         if !self.crashes.noted.contains(&run.task) {
             return;
         }
-        self.withdraw_note(run);
+        self.withdraw_note(now, run);
         let state = self.workers.get(worker);
         let heard = state.and_then(|state| state.heard_after(state.runs.get(run)?));
         if heard.is_none_or(|heard| heard < self.clearance_ms(&run.task)) {
@@ -108,6 +108,7 @@
             task.crashes = CrashRecord::default();
         }
         self.crashes.forget_task(&run.task);
+        self.hold_back(now, &run.task, now);
         self.mark_dirty(run.task.job);
     }
 
@@ -136,24 +137,29 @@
     pub(crate) fn release_noted(&mut self, now: Millis, tasks: Vec<TaskKey>) {
         for key in tasks {
             // Another crash may have been recorded after that write was requested.
-            if self.crashes.unwritten.contains(&key) {
-                continue;
-            }
-            let Some(job) = self.jobs.get_mut(&key.job) else {
-                continue;
-            };
-            let queued = job.queued_as(&key);
-            let Some(task) = job.task_mut(&key) else {
-                continue;
-            };
-            task.not_before = 0;
-            if task.stage == TaskStage::Waiting {
-                self.delayed.retain(|(_, task)| *task != queued);
-                self.enqueue(now, key);
+            if !self.crashes.unwritten.contains(&key) {
+                self.hold_back(now, &key, now);
             }
         }
     }
 
+    /// Sets the time before which a task must not be started.
+    pub(super) fn hold_back(&mut self, now: Millis, key: &TaskKey, not_before: Millis) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let queued = job.queued_as(key);
+        let Some(task) = job.task_mut(key) else {
+            return;
+        };
+        let was_held = task.not_before > now;
+        task.not_before = not_before;
+        if was_held && task.stage == TaskStage::Waiting {
+            self.delayed.retain(|(_, task)| *task != queued);
+            self.enqueue(now, *key);
+        }
+    }
+
     /// Reserves a worker for a task that has to be alone on it: nothing else is started there until
     /// the task's run is cleared.
     pub(crate) fn reserve_worker(&mut self, now: Millis, worker: WorkerId, task: TaskKey) {
--- a/crates/jobs/src/crash/losses.rs
+++ b/crates/jobs/src/crash/losses.rs
@@ -127,12 +127,7 @@
         let blamed = task.crashes.is_blamed();
         let crashes = task.crashes.count();
         if crashes > 0 {
-            // The task waits for its first crash note to become durable for a limited time only:
-            // while the store is out, healthy tasks that were lost with their worker must continue.
-            task.not_before = match crashes < ISOLATE_FROM_CRASHES {
-                true => now + MAX_CRASH_NOTE_WAIT_MS,
-                false => Millis::MAX,
-            };
+            task.not_before = latest_start(now, crashes);
             self.crashes.unwritten.insert(key);
             self.urgent = true;
         }
@@ -183,6 +178,7 @@
     /// that has restarted did crash.
     pub(crate) fn withdraw_crash(
         &mut self,
+        now: Millis,
         worker: &WorkerId,
         incarnation: Option<WorkerIncarnation>,
     ) {
@@ -193,12 +189,13 @@
             return;
         }
         for key in crash.runs {
-            self.withdraw_note(&key);
+            self.withdraw_note(now, &key);
         }
     }
 
-    /// Withdraws the crash note under one run.
-    pub(crate) fn withdraw_note(&mut self, key: &RunKey) {
+    /// Withdraws the crash note under one run. The task waits for the write of its notes no longer
+    /// than the notes that are left demand.
+    pub(crate) fn withdraw_note(&mut self, now: Millis, key: &RunKey) {
         let job = self.jobs.get_mut(&key.task.job);
         let Some(task) = job.and_then(|job| job.task_mut(&key.task)) else {
             return;
@@ -206,10 +203,12 @@
         if !task.crashes.withdraw(key.run) {
             return;
         }
+        let not_before = latest_start(now, task.crashes.count()).min(task.not_before);
         if task.crashes.is_empty() {
             self.crashes.forget_task(&key.task);
         }
         self.mark_dirty(key.task.job);
+        self.hold_back(now, &key.task, not_before);
     }
 
     /// Removes a worker that is silent, not listed any more and without runs. It is presumed to
@@ -290,3 +289,16 @@
         self.finish_job(now, task.job, JobStage::Failed);
     }
 }
+
+/// When a task with this many crashes may be started at the latest although its newest crash note
+/// is not durable yet.
+///
+/// For its first note it waits for a limited time only: while the store is out, healthy tasks that
+/// were lost with their worker must continue.
+fn latest_start(now: Millis, crashes: usize) -> Millis {
+    match crashes {
+        0 => now,
+        crashes if crashes < ISOLATE_FROM_CRASHES => now + MAX_CRASH_NOTE_WAIT_MS,
+        _ => Millis::MAX,
+    }
+}
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -150,7 +150,7 @@
             state.incarnation.lease_deadline = state.incarnation.lease_deadline.max(inherited);
         }
         let noted = state.incarnation.noted;
-        self.withdraw_crash(worker, report.incarnation);
+        self.withdraw_crash(now, worker, report.incarnation);
         if first {
             self.note(JobNote::Fenced {
                 worker: worker.clone(),
@@ -263,7 +263,7 @@
                 record.phase = RunPhase::Running(clock);
                 self.note_begun(&key.task);
             }
-            self.clear_if_survived(worker, &key);
+            self.clear_if_survived(now, worker, &key);
             self.stop_again(now, worker, key, clock);
             return;
         }
