A start order that nobody carried out, or that another incarnation did, counts as no crash

What callers saw: a standing job was over (state failed) within a second of its acceptance, after eight workers had restarted at one moment. No task of it had done anything wrong.

Cause: where a worker goes down with no uncleared run on it, the oldest start order without an answer counts as the run that brought it down. A task that was lost with the first worker was ordered at once from a second one, which had restarted as well and had been up again for 160 ms. The report that showed this restart came while the order was under way, so that the crash of the earlier incarnation was recorded under a run that only the new incarnation had ever heard of; a fraction of a millisecond later the new incarnation refused the order as late. Three such orders and the first loss make four crashes. Nothing took a note back where the answer to the order showed that the run had not begun. The eight failed renewals of the 600 ms before were no evidence either: the mass failure was not recognized, since four of the eight workers had a task that had just begun.

Change: an order counts as a suspect only if it was sent before the first sign that its worker is down (a renewal without an answer, an answer or list entry of another incarnation), and if no other incarnation has said that it carried it out. An answer which shows that the order was not carried out, or that the current incarnation did, withdraws a note under that run (`crash_withdrawn` in the log). An order that is answered by another worker at the same address is dropped before the loss of the worker is handled.

Why it works: a note now needs an order that the lost incarnation can have carried out by all that is known, and what is learnt later takes it back. Bounds and waits are as they were. The same path is that of replaced workers (`answered_by_another_worker`) and of relayed orders that come back unsent (`turned_away_as_not_sent`).

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -30,6 +30,10 @@
                 answer,
             });
         }
+        if answer.shows_nothing_done() {
+            // The worker may have gone down in the meantime: the run had no part in that.
+            self.withdraw_note(now, &key);
+        }
         match answer {
             OrderAnswer::Done(clock) => self.run_began(now, worker, key, clock),
             OrderAnswer::Refused(clock, reason) => {
@@ -58,7 +62,10 @@
                 self.pause_worker(worker, now + UNREACHABLE_PAUSE_MS);
                 self.drop_run(now, worker, &key);
             }
-            OrderAnswer::Replaced => self.lose_worker(now, worker, LossCause::Replaced),
+            OrderAnswer::Replaced => {
+                self.drop_run(now, worker, &key);
+                self.lose_worker(now, worker, LossCause::Replaced);
+            }
             OrderAnswer::Unknown => self.run_unsettled(now, worker, key),
         }
     }
@@ -89,6 +96,10 @@
                 };
             }
         }
+        if known {
+            // A crash that was recorded under the run was one of an earlier incarnation.
+            self.withdraw_note(now, &key);
+        }
         self.note_begun(&key.task);
         self.schedule_probes(now, worker, key);
         self.update_paces(now, worker);
--- a/crates/jobs/src/crash/losses.rs
+++ b/crates/jobs/src/crash/losses.rs
@@ -203,12 +203,14 @@
         if !task.crashes.withdraw(key.run) {
             return;
         }
-        let not_before = latest_start(now, task.crashes.count()).min(task.not_before);
+        let crashes = task.crashes.count();
+        let not_before = latest_start(now, crashes).min(task.not_before);
         if task.crashes.is_empty() {
             self.crashes.forget_task(&key.task);
         }
         self.mark_dirty(key.task.job);
         self.hold_back(now, &key.task, not_before);
+        self.note(JobNote::CrashWithdrawn { key: *key, crashes });
     }
 
     /// Removes a worker that is silent, not listed any more and without runs. It is presumed to
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -270,7 +270,7 @@
         state.entry = entry;
         if state.entry_incarnation_differs() && state.entry.incarnation > state.incarnation.id {
             // The worker has restarted, and no lease renewal has shown that yet.
-            state.unsure = true;
+            state.note_doubt(now);
         }
         if !known {
             self.roster_changed |= self.roster.insert(id.clone());
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -185,6 +185,13 @@
         /// The number of crashes that count against the task so far.
         crashes: usize,
     },
+    /// A crash does not count against a run any more: the worker did not carry the order out, or did not crash.
+    CrashWithdrawn {
+        /// The run.
+        key: RunKey,
+        /// The number of crashes that still count against the task.
+        crashes: usize,
+    },
     /// A task is given up because it crashes the workers that start it. Its job fails.
     TaskGivenUp {
         /// The task.
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -105,7 +105,7 @@
             }
             RenewalAnswer::Fenced => self.deposed = true,
             RenewalAnswer::Failed(answer) => {
-                state.unsure = true;
+                state.note_doubt(now);
                 state.failed_renewals += 1;
                 self.schedule_renewal(worker, now + RENEWAL_RETRY_PAUSE_MS);
                 match answer {
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -130,6 +130,21 @@
     Unknown,
 }
 
+impl OrderAnswer {
+    /// Whether the answer shows that no incarnation of the worker has carried the order out.
+    pub(crate) fn shows_nothing_done(&self) -> bool {
+        match self {
+            Self::Done(_) | Self::Unknown => false,
+            Self::Refused(..)
+            | Self::Unhealthy
+            | Self::Invalid
+            | Self::Replaced
+            | Self::Unreachable
+            | Self::NotSent => true,
+        }
+    }
+}
+
 /// The result of a lease renewal.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RenewalAnswer {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -57,9 +57,10 @@
     pub(crate) renewal_gap_ms: Millis,
     pub(crate) last_answer: Millis,
     pub(crate) silence_logged: bool,
-    /// Whether the newest renewal got no answer, or an unknown incarnation has answered an order.
-    /// Until a renewal is answered nothing extends the lease, so that it expires.
-    pub(crate) unsure: bool,
+    /// Since when it has been unsure which incarnation is up, if any: a renewal got no answer, an
+    /// unknown incarnation answered an order, or the worker list names a newer one. Until a renewal
+    /// is answered nothing extends the lease, so that it expires.
+    pub(crate) unsure_since: Option<Millis>,
     /// How many consecutive renewals got no answer.
     pub(crate) failed_renewals: u32,
     /// Whether a successor could read a silence record of this worker.
@@ -99,7 +100,7 @@
             renewal_gap_ms: 0,
             last_answer: now,
             silence_logged: false,
-            unsure: false,
+            unsure_since: None,
             failed_renewals: 0,
             silence_record,
             paused_until: 0,
@@ -134,7 +135,7 @@
     pub(crate) fn note_answer(&mut self, now: Millis, sample: ClockSample) {
         self.last_answer = now;
         self.silence_logged = false;
-        self.unsure = false;
+        self.unsure_since = None;
         self.failed_renewals = 0;
         self.incarnation.note_clock(now, sample);
     }
@@ -145,11 +146,16 @@
         let known = self.incarnation.has_answered(now, sample);
         match known {
             true => self.note_answer(now, sample),
-            false => self.unsure = true,
+            false => self.note_doubt(now),
         }
         known
     }
 
+    /// Records that it is unsure which incarnation is up, if any.
+    pub(crate) fn note_doubt(&mut self, now: Millis) {
+        self.unsure_since.get_or_insert(now);
+    }
+
     /// How long after the start of a run the worker was last heard from, on the worker's clock;
     /// `None` if no answer said that the run began.
     pub(crate) fn heard_after(&self, record: &RunRecord) -> Option<Millis> {
@@ -157,12 +163,18 @@
         Some(heard.saturating_sub(record.began?))
     }
 
-    /// The start order that was sent first among those that were not answered.
+    /// The start order that was sent first among those that were not answered and that the current
+    /// incarnation may have carried out.
+    ///
+    /// An order that was sent after the first sign that this incarnation is down, or that another
+    /// one has carried out, is no suspect: where many workers restart at once, a lost task is
+    /// ordered from several of them before a renewal shows that they have restarted.
     pub(crate) fn first_unanswered(&self) -> Option<CrashSuspect> {
-        let unanswered = self
-            .runs
-            .iter()
-            .filter(|(_, record)| record.began.is_none());
+        let unanswered = self.runs.iter().filter(|(_, record)| {
+            let before_doubt = self.unsure_since.is_none_or(|at| record.ordered_at < at);
+            let by_another = matches!(record.phase, RunPhase::OtherIncarnation(_));
+            record.began.is_none() && before_doubt && !by_another
+        });
         let first = unanswered.min_by_key(|(_, record)| record.ordered_at);
         first.map(|(key, _)| CrashSuspect {
             key: *key,
@@ -173,7 +185,7 @@
 
     /// Whether its lease may be extended.
     pub(crate) fn may_extend_lease(&self) -> bool {
-        self.silence_record == SilenceRecord::None && !self.unsure
+        self.silence_record == SilenceRecord::None && self.unsure_since.is_none()
     }
 
     /// Whether ends may be acknowledged: the incarnation that receives the acknowledgement must be
@@ -188,7 +200,7 @@
             record.listed || record.answered_at.is_some() || record.ordered_at == now
         };
         let fresh = now <= self.last_answer + MAX_HEARD_AGE_FOR_ACK_MS;
-        fresh && !self.unsure && self.runs.values().all(sure)
+        fresh && self.unsure_since.is_none() && self.runs.values().all(sure)
     }
 
     /// Whether there are durable ends that were not acknowledged yet.
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -178,6 +178,7 @@
         | JobNote::SureAgain { .. }
         | JobNote::HallEvacuated { .. }
         | JobNote::HallBack { .. }
+        | JobNote::CrashWithdrawn { .. }
         | JobNote::Paced(..) => {}
     }
 }
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -233,6 +233,10 @@
                 ("crashes", crashes),
             ],
         ),
+        JobNote::CrashWithdrawn { key, crashes } => event(
+            "crash_withdrawn",
+            &[("task", &key.task), ("run", &key.run), ("crashes", crashes)],
+        ),
         JobNote::TaskGivenUp { task, crashes } => {
             event_always("task_given_up", &[("task", task), ("crashes", crashes)]);
         }
