No task is ordered from a worker while it is unknown which incarnation answers

A new owner that comes in between also counts such an order as a crash.

Cause: an answer with a clock that doesn't fit shows that another incarnation is up. Ends are not acknowledged and the lease is not extended until a renewal tells which one; tasks were ordered there all the same, with a deadline on the clock of the earlier incarnation. Where the new clock is ahead, the order is late at once; where it is behind, the order stays valid for hours. The place of such a start was written with the earlier incarnation, so that a successor took the task for lost in a crash.

The cases `not_ordered_from_an_unknown_incarnation` and `refused_order_of_an_earlier_owner` are red before.

Change: a worker is closed to new tasks from an answer of an unknown incarnation to the next answer that is known.

Why it works: an order needs the clock of the incarnation that gets it.

--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -61,6 +61,8 @@
     /// unknown incarnation answered an order, or the worker list names a newer one. Until a renewal
     /// is answered nothing extends the lease, so that it expires.
     pub(crate) unsure_since: Option<Millis>,
+    /// Whether an unknown incarnation has answered an order since the current one was last heard.
+    pub(crate) other_answered: bool,
     /// How many consecutive renewals got no answer.
     pub(crate) failed_renewals: u32,
     /// Whether a successor could read a silence record of this worker.
@@ -101,6 +103,7 @@
             last_answer: now,
             silence_logged: false,
             unsure_since: None,
+            other_answered: false,
             failed_renewals: 0,
             silence_record,
             paused_until: 0,
@@ -136,6 +139,7 @@
         self.last_answer = now;
         self.silence_logged = false;
         self.unsure_since = None;
+        self.other_answered = false;
         self.failed_renewals = 0;
         self.incarnation.note_clock(now, sample);
     }
@@ -146,7 +150,10 @@
         let known = self.incarnation.has_answered(now, sample);
         match known {
             true => self.note_answer(now, sample),
-            false => self.note_doubt(now),
+            false => {
+                self.note_doubt(now);
+                self.other_answered = true;
+            }
         }
         known
     }
@@ -247,10 +254,12 @@
     }
 
     /// Whether it may be given tasks, which extends its lease. A worker that answers exists, even
-    /// if a worker list omits it because of problems with the store.
+    /// if a worker list omits it because of problems with the store. While it is unknown which
+    /// incarnation answers, its clock is unknown as well: an order could be late at once, or be
+    /// carried out hours later.
     pub(crate) fn is_open(&self, now: Millis) -> bool {
-        let leaves = self.entry.draining || self.missing || self.entry_incarnation_differs();
-        let leaves = leaves || self.evacuated;
+        let restarted = self.entry_incarnation_differs() || self.other_answered;
+        let leaves = self.entry.draining || self.missing || self.evacuated || restarted;
         let extendable = self.silence_record == SilenceRecord::None;
         self.incarnation.fenced
             && extendable
--- a/crates/jobs/tests/orders_not_carried_out.rs
+++ b/crates/jobs/tests/orders_not_carried_out.rs
@@ -14,7 +14,7 @@
 use sandshelf_jobs::{
     JobAction, JobEvent, JobNote, JobNumber, JobSpec, JobStage, OrderAnswer, ProgressRow,
     RefusalReason, RenewalReport, RunKey, StepSpec, TakeoverInfo, WorkerCall, WorkerIncarnation,
-    WorkerListing,
+    WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 use support::{job, listing, step, SchedulerRig};
@@ -22,6 +22,8 @@
 const WORKERS: u64 = 8;
 /// The number of the job.
 const JOB: u64 = 1;
+/// The time from the death of an owner until the next one has read its state.
+const TAKEOVER_MS: Millis = 1_900;
 /// What the clock of a worker's first incarnation shows when the rig's shows 0; each restart adds
 /// as much again.
 const CLOCK_LEAD_MS: u64 = 3_600_000;
@@ -37,6 +39,7 @@
     rig: SchedulerRig,
     /// The written progress of the job.
     row: ProgressRow,
+    roster: WorkerRoster,
     /// The current incarnation of each worker.
     incarnations: Vec<u64>,
 }
@@ -64,6 +67,7 @@
         let mut fleet = Self {
             rig: SchedulerRig::new(TakeoverInfo::first(1, 1_000)),
             row: ProgressRow::default(),
+            roster: WorkerRoster::default(),
             incarnations: vec![1; WORKERS as usize + 1],
         };
         fleet.list();
@@ -114,10 +118,32 @@
             if let Some((_, row)) = rows.find(|(number, _)| *number == JobNumber(JOB)) {
                 self.row = row;
             }
+            if let Some(roster) = batch.roster {
+                self.roster = roster;
+            }
             self.rig.handle(JobEvent::Committed(batch.id));
         }
     }
 
+    /// The owner dies, and another one takes over a job of one task.
+    fn replace_owner(&mut self) {
+        let now = self.rig.now + TAKEOVER_MS;
+        let info = TakeoverInfo {
+            epoch: 2,
+            claimed_at: now,
+            claim_version: 1,
+            rules_since: 1,
+            progress: [(JobNumber(JOB), self.row.clone())].into(),
+            roster: self.roster.clone(),
+            store_ms: now,
+            ..TakeoverInfo::default()
+        };
+        self.rig = SchedulerRig::new(info);
+        self.rig.now = now;
+        self.rig.hand_in(JOB, 1, standing_job(1));
+        self.list();
+    }
+
     /// Takes the start orders that were sent: the worker of each, and its run.
     fn take_starts(&mut self) -> Vec<(u64, RunKey)> {
         let starts = self.rig.peek_starts();
@@ -352,7 +378,42 @@
     }
 }
 
+/// The owner has ordered a start that the worker refused, and dies. Its successor finds the task
+/// nowhere and another incarnation of that worker: no crash, since the task never began there.
+fn a_refused_order_of_an_earlier_owner() {
+    let mut fleet = RestartingFleet::with_standing_tasks(1);
+    let (worker, run) = fleet.next_start();
+    fleet.accept(worker, run);
+    fleet.restart(worker);
+    fleet.report(worker);
+    assert_eq!(fleet.crash_notes(), vec![run], "a worker crashed under it");
+    let (worker, run) = fleet.next_start();
+    fleet.commit();
+    fleet.restart(worker);
+    fleet.refuse_as_late(worker, run);
+    fleet.rig.advance(25);
+    fleet.commit();
+    fleet.replace_owner();
+    fleet.next_start();
+    assert_eq!(fleet.crash_notes(), Vec::new(), "it never began there");
+}
+
+/// A worker refuses an order, and its clock shows that another incarnation has answered. Until a
+/// renewal shows which one that is, tasks are ordered from other workers.
+fn no_orders_to_an_unknown_incarnation() {
+    let mut fleet = RestartingFleet::with_standing_tasks(1);
+    let (worker, run) = fleet.next_start();
+    fleet.restart(worker);
+    fleet.refuse_as_late(worker, run);
+    fleet.rig.advance(25);
+    let ordered = fleet.take_starts();
+    let workers: Vec<u64> = ordered.iter().map(|(worker, _)| *worker).collect();
+    assert_eq!(workers.len(), 1, "the task is ordered again");
+    assert!(!workers.contains(&worker), "from a worker that is known");
+}
+
 sandshelf_cases::cases! {
+    not_ordered_from_an_unknown_incarnation => no_orders_to_an_unknown_incarnation();
     ordered_between_reports_of_a_mass_restart => orders_between_the_reports_of_a_mass_restart();
     refused_after_the_report => an_order_refused_after_the_report_of_the_restart();
     carried_out_by_the_next_incarnation => an_order_carried_out_by_the_next_incarnation();
@@ -362,4 +423,5 @@
     turned_away_as_not_sent => an_order_turned_away(OrderAnswer::NotSent);
     ordered_after_a_failed_renewal => an_order_after_a_failed_renewal();
     crash_before_the_answer_counts => a_crash_before_the_answer_counts();
+    refused_order_of_an_earlier_owner => a_refused_order_of_an_earlier_owner();
 }
