A refused start is no longer kept as the place where a task was last started

A successor counts a crash against a sound task.

Cause: where a task with a crash note is started is written at once, so that a successor that finds the task nowhere, and that worker lost, counts a crash. The record stayed where the worker had refused the order, until the next start replaced it. If no worker had room for that, and the owner died, the successor counted a crash for a run that never began.

Evidence: tests/orders_not_carried_out.rs, `refused_order_without_another_worker`, red before.

Change: an answer which shows that the order was not carried out removes the record as well.

Why it works: it is the same evidence that withdraws a note of the living owner.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -32,7 +32,7 @@
         }
         if answer.shows_nothing_done() {
             // The worker may have gone down in the meantime: the run had no part in that.
-            self.withdraw_note(now, &key);
+            self.withdraw_start(now, &key);
         }
         match answer {
             OrderAnswer::Done(clock) => self.run_began(now, worker, key, clock),
--- a/crates/jobs/src/crash/losses.rs
+++ b/crates/jobs/src/crash/losses.rs
@@ -213,6 +213,17 @@
         self.note(JobNote::CrashWithdrawn { key: *key, crashes });
     }
 
+    /// Handles a start order that was certainly not carried out: the run has crashed no worker, and
+    /// a successor need not look for it.
+    pub(crate) fn withdraw_start(&mut self, now: Millis, key: &RunKey) {
+        self.withdraw_note(now, key);
+        let job = self.jobs.get_mut(&key.task.job);
+        let task = job.and_then(|job| job.task_mut(&key.task));
+        if task.is_some_and(|task| task.crashes.forget_start(key.run)) {
+            self.mark_dirty(key.task.job);
+        }
+    }
+
     /// Removes a worker that is silent, not listed any more and without runs. It is presumed to
     /// have crashed.
     pub(crate) fn forget_silent(&mut self, now: Millis, id: &WorkerId) {
--- a/crates/jobs/src/crash/record.rs
+++ b/crates/jobs/src/crash/record.rs
@@ -155,6 +155,15 @@
         self.started_in = place.incarnation;
     }
 
+    /// Forgets that a run was started. Returns whether its start was recorded.
+    pub(super) fn forget_start(&mut self, run: u64) -> bool {
+        let recorded = self.started.take_if(|(_, started)| *started == run);
+        if recorded.is_some() {
+            self.started_in = None;
+        }
+        recorded.is_some()
+    }
+
     /// Records that a crash may have gone unrecorded.
     pub(super) fn watch(&mut self) {
         self.watched = true;
--- a/crates/jobs/tests/orders_not_carried_out.rs
+++ b/crates/jobs/tests/orders_not_carried_out.rs
@@ -16,7 +16,7 @@
     RefusalReason, RenewalReport, RunKey, StepSpec, TakeoverInfo, WorkerCall, WorkerIncarnation,
     WorkerListing, WorkerRoster,
 };
-use sandshelf_model::{Millis, WorkerId};
+use sandshelf_model::{Millis, ResourceSize, WorkerId};
 use support::{job, listing, step, SchedulerRig};
 
 const WORKERS: u64 = 8;
@@ -82,14 +82,27 @@
     }
 
     fn list(&mut self) {
+        let entries = (1..=WORKERS).map(|worker| self.entry(worker));
+        let entries = entries.collect();
+        self.rig.list_entries(entries);
+    }
+
+    fn list_without_capacity(&mut self) {
         let entries = (1..=WORKERS).map(|worker| WorkerListing {
-            incarnation: Some(WorkerIncarnation(self.incarnations[worker as usize])),
-            ..listing(&name(worker))
+            capacity: ResourceSize::default(),
+            ..self.entry(worker)
         });
         let entries = entries.collect();
         self.rig.list_entries(entries);
     }
 
+    fn entry(&self, worker: u64) -> WorkerListing {
+        WorkerListing {
+            incarnation: Some(WorkerIncarnation(self.incarnations[worker as usize])),
+            ..listing(&name(worker))
+        }
+    }
+
     fn clock(&self, worker: u64) -> u64 {
         self.rig.now + CLOCK_LEAD_MS * self.incarnations[worker as usize]
     }
@@ -398,6 +411,26 @@
     assert_eq!(fleet.crash_notes(), Vec::new(), "it never began there");
 }
 
+/// The same where no worker has capacity left for the task, so that no newer start is written.
+fn a_refused_order_without_another_worker() {
+    let mut fleet = RestartingFleet::with_standing_tasks(1);
+    let (worker, run) = fleet.next_start();
+    fleet.accept(worker, run);
+    fleet.restart(worker);
+    fleet.report(worker);
+    let (worker, run) = fleet.next_start();
+    fleet.commit();
+    fleet.list_without_capacity();
+    fleet.restart(worker);
+    fleet.refuse_as_late(worker, run);
+    fleet.rig.advance(300);
+    fleet.commit();
+    assert_eq!(fleet.take_starts(), Vec::new(), "no worker has capacity");
+    fleet.replace_owner();
+    fleet.next_start();
+    assert_eq!(fleet.crash_notes(), Vec::new(), "it never began there");
+}
+
 /// A worker refuses an order, and its clock shows that another incarnation has answered. Until a
 /// renewal shows which one that is, tasks are ordered from other workers.
 fn no_orders_to_an_unknown_incarnation() {
@@ -422,6 +455,7 @@
     turned_away_as_unreachable => an_order_turned_away(OrderAnswer::Unreachable);
     turned_away_as_not_sent => an_order_turned_away(OrderAnswer::NotSent);
     ordered_after_a_failed_renewal => an_order_after_a_failed_renewal();
+    refused_order_without_another_worker => a_refused_order_without_another_worker();
     crash_before_the_answer_counts => a_crash_before_the_answer_counts();
     refused_order_of_an_earlier_owner => a_refused_order_of_an_earlier_owner();
 }
