A failure of the whole fleet counts as one, whatever had just begun on its workers

Standing jobs are over, given up as crashing their workers, where all workers restart at one moment a few times within seconds.

Cause: a mass failure was recognized by workers that go down without a task on them that had just begun. Right after one failure of the fleet every lost task has just begun, so that in the next one no worker is without, and each task looks like the cause of one crash, the fourth of which gives it up. Two more ways led there: the first workers that are heard of again look as if they had gone down alone, and a new owner counts each start that its predecessor wrote down as a certain crash, although all workers have restarted.

Change: where at least half of the fleet goes down within the window of a mass failure, no crash is certain, unless the worker went down right with a start (by probes) and so did most of the others: that is what many crashing tasks look like that begin at one moment. A crash that was certain loses that if it turns out to belong to such a failure. A start of an earlier owner counts as certain only where no mass failure is seen.

Why it works: a verdict needs two certain crashes, the last one among them; a failure of the fleet gives none.

--- a/crates/jobs/src/crash/caution.rs
+++ b/crates/jobs/src/crash/caution.rs
@@ -49,15 +49,9 @@
         suspects
     }
 
-    /// Whether no run that had begun on a worker can have brought it down. Orders without an answer
-    /// are no evidence here: they are sent to a worker that is down until that is noticed.
-    pub(super) fn is_unexplained(&self, worker: &WorkerState) -> bool {
-        let suspects = self.begun_suspects(worker);
-        !suspects.iter().any(|suspect| self.is_uncleared(suspect))
-    }
-
-    /// The suspects that the worker is known to have started.
-    fn begun_suspects(&self, worker: &WorkerState) -> Vec<CrashSuspect> {
+    /// The suspects that the worker is known to have started. Orders without an answer are not among
+    /// them: they are sent to a worker that is down until that is noticed.
+    pub(super) fn begun_suspects(&self, worker: &WorkerState) -> Vec<CrashSuspect> {
         let began = worker.runs.iter().filter_map(|(key, record)| {
             let heard_ms = worker.heard_after(record)?;
             Some(CrashSuspect {
--- a/crates/jobs/src/crash/losses.rs
+++ b/crates/jobs/src/crash/losses.rs
@@ -1,17 +1,20 @@
 //! Handles lost workers: records crashes under the runs that may have caused them, and gives up a
 //! task that is blamed.
 
+use std::collections::BTreeMap;
+
 use sandshelf_model::{Millis, WorkerId};
 
 use super::record::StartPlace;
-use super::tracker::{PendingCrash, PresumedCrash};
-use super::{CrashNote, StartCaution};
+use super::tracker::{FailureSign, PendingCrash, PresumedCrash, WorkerFailure};
+use super::{CrashNote, CrashSuspect, StartCaution};
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerIncarnation};
 use crate::incarnation::certainly_differ;
 use crate::job::TaskStage;
 use crate::limits::{
-    ISOLATE_FROM_CRASHES, MASS_FAILURE_FLEET_DIVISOR, MASS_FAILURE_WINDOW_MS,
-    MAX_CRASH_NOTE_WAIT_MS, MAX_WATCHED_UNFOUND_TASKS, MIN_MASS_FAILURE_WORKERS,
+    ISOLATE_FROM_CRASHES, MASS_FAILURE_FLEET_DIVISOR, MASS_FAILURE_MAJORITY_DIVISOR,
+    MASS_FAILURE_WINDOW_MS, MAX_CRASH_NOTE_WAIT_MS, MAX_WATCHED_UNFOUND_TASKS,
+    MIN_MASS_FAILURE_WORKERS,
 };
 use crate::note::{JobNote, LossCause};
 use crate::scheduler::JobScheduler;
@@ -61,16 +64,21 @@
         let address = state.entry.address;
         let suspects = self.crash_suspects(state);
         let uncleared = suspects.iter().filter(|suspect| self.is_uncleared(suspect));
-        let uncleared: Vec<RunKey> = uncleared.map(|suspect| suspect.key).collect();
-        let heard_at = state.last_answer;
-        let sole_suspect = match uncleared[..] {
-            [run] if !self.is_mass_failure(worker, heard_at) => Some(run),
+        let uncleared: Vec<&CrashSuspect> = uncleared.collect();
+        let mut failure = WorkerFailure {
+            worker: worker.clone(),
+            heard_at: state.last_answer,
+            sign: self.failure_sign(state),
+            sole_suspect: None,
+        };
+        failure.sole_suspect = match uncleared[..] {
+            [suspect] if !self.is_mass_failure(&failure) => Some(suspect.key),
             _ => None,
         };
-        if self.is_unexplained(state) {
-            self.crashes.note_unexplained(now, heard_at);
-        }
+        let sole_suspect = failure.sole_suspect;
+        self.crashes.note_failure(now, failure);
         self.crashes.note_crash_address(now, address);
+        self.revise_certain_crashes();
         let mut blamed = None;
         for suspect in suspects {
             let key = suspect.key;
@@ -91,16 +99,81 @@
     }
 
     /// Whether several other workers have gone down or stopped answering at about the same time
-    /// without a task on them that explains it. This mass failure may have brought this worker down
-    /// as well, so no task can be called the only cause.
-    fn is_mass_failure(&self, worker: &WorkerId, heard_at: Millis) -> bool {
-        let failing = self.workers.iter().filter(|(id, other)| {
-            let silent = other.failed_renewals > 0
-                && other.last_answer.abs_diff(heard_at) <= MASS_FAILURE_WINDOW_MS;
-            silent && *id != worker && self.is_unexplained(other)
+    /// without a task on them that explains it, or most of the fleet. This mass failure may have
+    /// brought this worker down as well, so no task can be called the only cause.
+    fn is_mass_failure(&self, failure: &WorkerFailure) -> bool {
+        let others = self.simultaneous_failures(failure);
+        let unexplained = others.iter();
+        let unexplained = unexplained.filter(|sign| **sign == FailureSign::Unexplained);
+        unexplained.count() >= self.mass_failure_workers()
+            || self.is_fleet_failure(failure, &others)
+    }
+
+    /// How many unexplained failures at the same moment are a mass failure.
+    fn mass_failure_workers(&self) -> usize {
+        MIN_MASS_FAILURE_WORKERS.max(self.workers.len() / MASS_FAILURE_FLEET_DIVISOR)
+    }
+
+    /// Whether a worker went down with most of the fleet, whatever runs there: right after a failure
+    /// of the fleet the lost tasks have just begun on all workers. Where many tasks that crash their
+    /// workers begin at one moment, most of the workers go down right with a start.
+    fn is_fleet_failure(&self, failure: &WorkerFailure, others: &[FailureSign]) -> bool {
+        let most = self.workers.len() / MASS_FAILURE_MAJORITY_DIVISOR;
+        let sudden = others.iter();
+        let sudden = sudden.filter(|sign| **sign == FailureSign::SuddenStart);
+        let mostly_sudden = sudden.count() * 2 > others.len();
+        let by_start = failure.sign == FailureSign::SuddenStart && mostly_sudden;
+        others.len() >= most.max(self.mass_failure_workers()) && !by_start
+    }
+
+    /// The other workers that went down or stopped answering at about the same time as a worker
+    /// that went down.
+    fn simultaneous_failures(&self, failure: &WorkerFailure) -> Vec<FailureSign> {
+        let heard_at = failure.heard_at;
+        let failing = self.workers.iter().filter(|(_, other)| {
+            let near = other.last_answer.abs_diff(heard_at) <= MASS_FAILURE_WINDOW_MS;
+            other.failed_renewals > 0 && near
         });
-        let unexplained = self.crashes.unexplained_near(heard_at) + failing.count();
-        unexplained >= MIN_MASS_FAILURE_WORKERS.max(self.workers.len() / MASS_FAILURE_FLEET_DIVISOR)
+        let failing = failing.map(|(id, other)| (id, self.failure_sign(other)));
+        let down = self.crashes.failures_near(heard_at);
+        let down = down.map(|known| (&known.worker, known.sign));
+        let mut others: BTreeMap<&WorkerId, FailureSign> = failing.chain(down).collect();
+        others.remove(&failure.worker);
+        others.into_values().collect()
+    }
+
+    /// What the runs on a worker tell of the cause if it has gone down.
+    fn failure_sign(&self, worker: &WorkerState) -> FailureSign {
+        let suspects = self.begun_suspects(worker);
+        let uncleared = suspects.iter().filter(|suspect| self.is_uncleared(suspect));
+        let sudden = uncleared.map(|suspect| suspect.sudden);
+        match sudden.max() {
+            None => FailureSign::Unexplained,
+            Some(false) => FailureSign::RecentStart,
+            Some(true) => FailureSign::SuddenStart,
+        }
+    }
+
+    /// Takes the certainty from recorded crashes that turn out to be part of a mass failure: the
+    /// first workers of it that are known to be down look as if they had failed alone. Only a
+    /// failure of the fleet counts here, since where workers keep crashing by themselves, a few
+    /// others turn out in time to have failed at about any moment.
+    fn revise_certain_crashes(&mut self) {
+        for failure in self.crashes.certain_failures() {
+            let Some(run) = failure.sole_suspect else {
+                continue;
+            };
+            let others = self.simultaneous_failures(&failure);
+            if !self.is_fleet_failure(&failure, &others) {
+                continue;
+            }
+            self.crashes.clear_sole_suspect(&run);
+            let job = self.jobs.get_mut(&run.task.job);
+            let task = job.and_then(|job| job.task_mut(&run.task));
+            if task.is_some_and(|task| task.crashes.make_uncertain(run.run)) {
+                self.mark_dirty(run.task.job);
+            }
+        }
     }
 
     /// Records a crash under a task. Returns whether the task is now blamed.
@@ -282,10 +355,17 @@
         if state.is_some_and(is_alive) {
             return;
         }
+        let failure = WorkerFailure {
+            worker: place.worker.clone(),
+            heard_at: self.claimed_at,
+            sign: FailureSign::RecentStart,
+            sole_suspect: None,
+        };
+        let ordered_alone = self.caution_of(&key.task) == StartCaution::Alone;
         let note = CrashNote {
             run: key.run,
             heard_ms: 0,
-            alone: self.caution_of(&key.task) == StartCaution::Alone,
+            alone: ordered_alone && !self.is_mass_failure(&failure),
             sudden: false,
         };
         if self.record_crash_under(now, &place.worker, key.task, note) {
--- a/crates/jobs/src/crash/record.rs
+++ b/crates/jobs/src/crash/record.rs
@@ -155,6 +155,14 @@
         self.started_in = place.incarnation;
     }
 
+    /// Records that a run need not have caused the crash that is recorded under it. Returns whether
+    /// it counted as the only cause.
+    pub(super) fn make_uncertain(&mut self, run: u64) -> bool {
+        let mut notes = self.notes.iter_mut();
+        let certain = notes.find(|note| note.run == run && note.alone);
+        certain.map(|note| note.alone = false).is_some()
+    }
+
     /// Forgets that a run was started. Returns whether its start was recorded.
     pub(super) fn forget_start(&mut self, run: u64) -> bool {
         let recorded = self.started.take_if(|(_, started)| *started == run);
--- a/crates/jobs/src/crash/tracker.rs
+++ b/crates/jobs/src/crash/tracker.rs
@@ -7,9 +7,7 @@
 
 use super::CrashNote;
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerIncarnation};
-use crate::limits::{
-    AVOID_AFTER_CRASH_MS, MASS_FAILURE_WINDOW_MS, UNEXPLAINED_FAILURE_RETENTION_MS,
-};
+use crate::limits::{AVOID_AFTER_CRASH_MS, MASS_FAILURE_WINDOW_MS, WORKER_FAILURE_RETENTION_MS};
 
 /// An incarnation of a worker that is presumed to have crashed.
 #[derive(Clone, Debug)]
@@ -27,6 +25,28 @@
     pub(super) note: CrashNote,
 }
 
+/// What the runs on a worker that went down tell of the cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FailureSign {
+    /// No run that had begun there was uncleared.
+    Unexplained,
+    /// A run that had begun there was uncleared.
+    RecentStart,
+    /// The worker went down right with the start of such a run.
+    SuddenStart,
+}
+
+/// A worker that went down.
+#[derive(Clone, Debug)]
+pub(super) struct WorkerFailure {
+    pub(super) worker: WorkerId,
+    /// When the worker was last heard from.
+    pub(super) heard_at: Millis,
+    pub(super) sign: FailureSign,
+    /// The run that was recorded as the only one that may have caused it.
+    pub(super) sole_suspect: Option<RunKey>,
+}
+
 /// The tasks under which workers crashed, and the workers that are reserved for their next start.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashTracker {
@@ -46,9 +66,8 @@
     pub(super) pending: Vec<PendingCrash>,
     /// Where and when workers crashed recently.
     crashed_at: BTreeMap<SocketAddr, Millis>,
-    /// The times at which workers were last heard from that went down without an uncleared run on
-    /// them.
-    unexplained: Vec<Millis>,
+    /// The workers that went down recently.
+    failures: Vec<WorkerFailure>,
 }
 
 impl CrashTracker {
@@ -86,19 +105,31 @@
         at.is_some_and(|at| now < at + AVOID_AFTER_CRASH_MS)
     }
 
-    /// Records that a worker went down that was last heard from at `heard_at`, and on which no run
-    /// was uncleared.
-    pub(super) fn note_unexplained(&mut self, now: Millis, heard_at: Millis) {
-        self.unexplained
-            .retain(|at| now < at + UNEXPLAINED_FAILURE_RETENTION_MS);
-        self.unexplained.push(heard_at);
+    /// Records that a worker went down.
+    pub(super) fn note_failure(&mut self, now: Millis, failure: WorkerFailure) {
+        self.failures
+            .retain(|known| now < known.heard_at + WORKER_FAILURE_RETENTION_MS);
+        self.failures.push(failure);
     }
 
-    /// How many such workers were last heard from at about this time.
-    pub(super) fn unexplained_near(&self, heard_at: Millis) -> usize {
-        let near = self.unexplained.iter();
-        near.filter(|at| at.abs_diff(heard_at) <= MASS_FAILURE_WINDOW_MS)
-            .count()
+    /// The workers that went down and were last heard from at about this time.
+    pub(super) fn failures_near(&self, heard_at: Millis) -> impl Iterator<Item = &WorkerFailure> {
+        let near = self.failures.iter();
+        near.filter(move |known| known.heard_at.abs_diff(heard_at) <= MASS_FAILURE_WINDOW_MS)
+    }
+
+    /// The recent failures for which one run alone was recorded as the cause.
+    pub(super) fn certain_failures(&self) -> Vec<WorkerFailure> {
+        let certain = self.failures.iter();
+        let certain = certain.filter(|known| known.sole_suspect.is_some());
+        certain.cloned().collect()
+    }
+
+    /// Records that a run need not have caused the failure of its worker.
+    pub(super) fn clear_sole_suspect(&mut self, run: &RunKey) {
+        for known in &mut self.failures {
+            known.sole_suspect.take_if(|suspect| suspect == run);
+        }
     }
 
     /// Discards a task that is cleared or whose crash notes were withdrawn.
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -114,9 +114,12 @@
 pub const MIN_MASS_FAILURE_WORKERS: usize = 5;
 /// In a large fleet a mass failure takes at least one worker of this many.
 pub const MASS_FAILURE_FLEET_DIVISOR: usize = 100;
-/// How long a worker that went down without uncleared runs is remembered. The lease of another worker that went down at the same moment
-/// runs out within that time.
-pub const UNEXPLAINED_FAILURE_RETENTION_MS: Millis = 10_000;
+/// If one worker of this many goes down at the same moment, it is a mass failure, whatever runs on them: right after a mass failure
+/// the lost tasks have just begun on all workers.
+pub const MASS_FAILURE_MAJORITY_DIVISOR: usize = 2;
+/// How long a worker that went down is remembered. The lease of another worker that went down at the same moment runs out within that
+/// time.
+pub const WORKER_FAILURE_RETENTION_MS: Millis = 10_000;
 /// The most unfound tasks that a new owner watches for crashes. If it finds more, most of them were never started, and those without a
 /// recorded crash are not watched, since the next start of each watched task costs a write.
 pub const MAX_WATCHED_UNFOUND_TASKS: usize = 200;
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -261,6 +261,9 @@
         if self.plan.evacuations > 0 && self.chance(self.plan.evacuations) {
             self.evacuate_hall();
         }
+        if self.plan.mass_restarts > 0 && self.chance(self.plan.mass_restarts) {
+            self.restart_all_workers();
+        }
         if self.chance(self.plan.deaths) {
             self.owners.pop();
         }
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -73,7 +73,8 @@
     pub(super) fn crash_worker(&mut self, index: usize) {
         let restarts = self.plan.same_name > 0 && !self.workers[index].leaves_for_good;
         if restarts && self.chance(self.plan.same_name) {
-            return self.restart_worker(index);
+            let down = self.draw_downtime();
+            return self.restart_worker(index, down);
         }
         if self.plan.down_ms == 0 || self.workers[index].leaves_for_good {
             return self.replace_worker(index);
@@ -87,17 +88,31 @@
         self.workers[index].down_until = self.now + down;
     }
 
-    /// A worker crashes and restarts under its name: it has lost its state, and its clock may show
-    /// any time.
-    fn restart_worker(&mut self, index: usize) {
-        self.keep_stale_entry(index, self.now + STALE_ENTRY_MS);
-        let id = self.workers[index].id.clone();
-        self.replace_worker(index);
-        let down = match self.random.random_range(0..3) {
+    /// All workers that are up go down at one moment, and restart at one moment.
+    pub(super) fn restart_all_workers(&mut self) {
+        let down = self.draw_downtime();
+        for index in 0..self.workers.len() {
+            if self.now >= self.workers[index].down_until {
+                self.restart_worker(index, down);
+            }
+        }
+    }
+
+    /// How long a worker is down before it restarts, in milliseconds.
+    fn draw_downtime(&mut self) -> Millis {
+        match self.random.random_range(0..3) {
             0 => self.random.random_range(0..50),
             1 => self.random.random_range(50..700),
             _ => self.random.random_range(700..6_000),
-        };
+        }
+    }
+
+    /// A worker crashes and restarts under its name after `down` milliseconds: it has lost its
+    /// state, and its clock may show any time.
+    fn restart_worker(&mut self, index: usize, down: Millis) {
+        self.keep_stale_entry(index, self.now + STALE_ENTRY_MS);
+        let id = self.workers[index].id.clone();
+        self.replace_worker(index);
         let back = self.now + down;
         let clock = self.random.random_range(0..8) * self.random.random_range(0..CLOCK_RANGE_MS);
         let listed_from = back + self.random.random_range(0..1_500);
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -16,6 +16,8 @@
     /// Of a thousand crashed workers, how many restart under the same name; their clocks and
     /// counters start again.
     pub same_name: u32,
+    /// Each second: all workers go down at one moment and restart under their names at one moment.
+    pub mass_restarts: u32,
     /// Of a thousand calls, and of a thousand answers, how many are delayed by up to 0.4 s, so that
     /// others overtake them.
     pub slow_paths: u32,
--- a/crates/jobs/tests/support/plans.rs
+++ b/crates/jobs/tests/support/plans.rs
@@ -210,6 +210,35 @@
     }
 }
 
+/// All workers restart at one moment, again and again, often right after their standing tasks have
+/// begun; there is no other fault.
+pub fn mass_restarts() -> FaultPlan {
+    FaultPlan {
+        workers: 8,
+        mass_restarts: 300,
+        same_name: 1_000,
+        guards: true,
+        standing: true,
+        max_lease_ms: 10_000,
+        ..FaultPlan::default()
+    }
+}
+
+/// All workers restart at one moment while owners die, hand over and freeze, and calls and answers
+/// are lost or overtake each other.
+pub fn mass_restarts_and_other_faults() -> FaultPlan {
+    FaultPlan {
+        deaths: 80,
+        hand_overs: 50,
+        freezes: 30,
+        lost_calls: 5,
+        lost_answers: 5,
+        late_orders: 20,
+        slow_paths: 50,
+        ..mass_restarts()
+    }
+}
+
 /// Tasks that crash their workers, which restart under their names.
 pub fn restarting_workers_and_crashing_tasks() -> FaultPlan {
     FaultPlan {
