A task is given up only once what came at the moment of its newest crash is known

What callers saw: a standing job shown as failed in the same millisecond in which the first of several reports came in.

Cause: a task was given up in the event that recorded its last crash. What takes a crash back, or its certainty, comes right after it: the refusal of an order under way, or the reports of the other workers that went down at the same moment. A verdict is final, so that it could not be taken back.

Change: a blamed task is not started, and is given up 750 ms later if it is still blamed: by then failed renewals were retried and answered. The record of a crash no longer returns a verdict through five callers.

Why it works: the evidence is the same and so are all bounds; it is weighed when it is complete. A task that waits for its verdict isn't started, so that a crasher gets no start more.

Ruled out on the way: counting the fleet by the workers that are known at the moment.

--- a/crates/jobs/src/crash/caution.rs
+++ b/crates/jobs/src/crash/caution.rs
@@ -127,11 +127,12 @@
         }
     }
 
-    /// Releases tasks whose crash notes are durable: they may be started.
+    /// Releases tasks whose crash notes are durable, unless they are blamed: they may be started.
     pub(crate) fn release_noted(&mut self, now: Millis, tasks: Vec<TaskKey>) {
         for key in tasks {
             // Another crash may have been recorded after that write was requested.
-            if !self.crashes.unwritten.contains(&key) {
+            let undecided = self.crashes.verdicts.contains_key(&key);
+            if !undecided && !self.crashes.unwritten.contains(&key) {
                 self.hold_back(now, &key, now);
             }
         }
--- a/crates/jobs/src/crash/losses.rs
+++ b/crates/jobs/src/crash/losses.rs
@@ -14,7 +14,7 @@
 use crate::limits::{
     ISOLATE_FROM_CRASHES, MASS_FAILURE_FLEET_DIVISOR, MASS_FAILURE_MAJORITY_DIVISOR,
     MASS_FAILURE_WINDOW_MS, MAX_CRASH_NOTE_WAIT_MS, MAX_WATCHED_UNFOUND_TASKS,
-    MIN_MASS_FAILURE_WORKERS,
+    MIN_MASS_FAILURE_WORKERS, VERDICT_WAIT_MS,
 };
 use crate::note::{JobNote, LossCause};
 use crate::scheduler::JobScheduler;
@@ -22,45 +22,37 @@
 use crate::worker::WorkerState;
 
 impl JobScheduler {
-    /// Handles the loss of a worker: records the crash, gives up the worker's runs, and gives up
-    /// the task that is blamed for the crash.
+    /// Handles the loss of a worker: records the crash and gives up the worker's runs.
     pub(crate) fn handle_worker_loss(&mut self, now: Millis, worker: &WorkerId, cause: LossCause) {
-        let blamed = self.note_worker_loss(now, worker, cause);
+        self.note_worker_loss(now, worker, cause);
         self.lose_runs(now, worker, cause);
-        if let Some(task) = blamed {
-            self.give_up_task(now, task);
-        }
     }
 
-    /// Records the loss of a worker as a crash if it may be one. Returns the task that is blamed
-    /// for it.
-    pub(crate) fn note_worker_loss(
-        &mut self,
-        now: Millis,
-        worker: &WorkerId,
-        cause: LossCause,
-    ) -> Option<TaskKey> {
+    /// Records the loss of a worker as a crash if it may be one.
+    pub(crate) fn note_worker_loss(&mut self, now: Millis, worker: &WorkerId, cause: LossCause) {
         let state = self.workers.get(worker);
-        let planned = state.is_none_or(|state| state.entry.draining);
+        if state.is_none_or(|state| state.entry.draining) {
+            return;
+        }
         match cause {
-            _ if planned => None,
             LossCause::Replaced | LossCause::Restarted => {
                 self.crashes.presumed.remove(worker);
-                self.note_crash(now, worker)
+                self.note_crash(now, worker);
             }
             LossCause::LeaseOver => {
                 // The worker may be healthy but cut off. Then it answers later.
                 self.remember_presumed_crash(worker);
-                self.note_crash(now, worker)
+                self.note_crash(now, worker);
             }
-            LossCause::Left | LossCause::NotThere => None,
+            LossCause::Left | LossCause::NotThere => {}
         }
     }
 
-    /// Records a crash under all runs that may have caused it. Returns the task that is blamed if
-    /// the cause is certain.
-    pub(crate) fn note_crash(&mut self, now: Millis, worker: &WorkerId) -> Option<TaskKey> {
-        let state = self.workers.get(worker)?;
+    /// Records a crash under all runs that may have caused it.
+    fn note_crash(&mut self, now: Millis, worker: &WorkerId) {
+        let Some(state) = self.workers.get(worker) else {
+            return;
+        };
         let address = state.entry.address;
         let suspects = self.crash_suspects(state);
         let uncleared = suspects.iter().filter(|suspect| self.is_uncleared(suspect));
@@ -79,7 +71,6 @@
         self.crashes.note_failure(now, failure);
         self.crashes.note_crash_address(now, address);
         self.revise_certain_crashes();
-        let mut blamed = None;
         for suspect in suspects {
             let key = suspect.key;
             let note = CrashNote {
@@ -88,14 +79,11 @@
                 alone: sole_suspect == Some(key),
                 sudden: suspect.sudden,
             };
-            if self.record_crash_under(now, worker, key.task, note) {
-                blamed = Some(key.task);
-            }
+            self.record_crash_under(now, worker, key.task, note);
         }
         if let Some(state) = self.workers.get_mut(worker) {
             state.suspects.clear();
         }
-        blamed
     }
 
     /// Whether several other workers have gone down or stopped answering at about the same time
@@ -118,14 +106,23 @@
     /// of the fleet the lost tasks have just begun on all workers. Where many tasks that crash their
     /// workers begin at one moment, most of the workers go down right with a start.
     fn is_fleet_failure(&self, failure: &WorkerFailure, others: &[FailureSign]) -> bool {
-        let most = self.workers.len() / MASS_FAILURE_MAJORITY_DIVISOR;
         let sudden = others.iter();
         let sudden = sudden.filter(|sign| **sign == FailureSign::SuddenStart);
         let mostly_sudden = sudden.count() * 2 > others.len();
         let by_start = failure.sign == FailureSign::SuddenStart && mostly_sudden;
+        let most = self.fleet_size() / MASS_FAILURE_MAJORITY_DIVISOR;
         others.len() >= most.max(self.mass_failure_workers()) && !by_start
     }
 
+    /// The number of workers, with those that went down recently and are not listed any more.
+    fn fleet_size(&self) -> usize {
+        let known = self.workers.len();
+        known
+            + self
+                .crashes
+                .count_gone(|worker| !self.workers.contains_key(worker))
+    }
+
     /// The other workers that went down or stopped answering at about the same time as a worker
     /// that went down.
     fn simultaneous_failures(&self, failure: &WorkerFailure) -> Vec<FailureSign> {
@@ -176,28 +173,30 @@
         }
     }
 
-    /// Records a crash under a task. Returns whether the task is now blamed.
+    /// Records a crash under a task, and schedules a verdict if the task is now blamed.
     fn record_crash_under(
         &mut self,
         now: Millis,
         worker: &WorkerId,
         key: TaskKey,
         note: CrashNote,
-    ) -> bool {
+    ) {
         if self.state_pending {
             let worker = worker.clone();
             let pending = PendingCrash { worker, key, note };
             self.crashes.pending.push(pending);
-            return false;
+            return;
         }
         let job = self.jobs.get_mut(&key.job);
         let Some(task) = job.and_then(|job| job.task_mut(&key)) else {
-            return false;
+            return;
         };
         if task.stage == TaskStage::Done || !task.crashes.add(note) {
-            return false;
+            return;
+        }
+        if task.crashes.is_blamed() {
+            self.crashes.verdicts.insert(key, now + VERDICT_WAIT_MS);
         }
-        let blamed = task.crashes.is_blamed();
         let crashes = task.crashes.count();
         if crashes > 0 {
             task.not_before = latest_start(now, crashes);
@@ -216,7 +215,22 @@
             alone: note.alone,
             crashes,
         });
-        blamed
+    }
+
+    /// Gives up the tasks that are still blamed some time after their newest crash was recorded.
+    ///
+    /// A verdict is final. What was learned since may have taken the crash back, or its certainty:
+    /// the answer to an order that was under way, or the failures of other workers at that moment.
+    pub(crate) fn settle_verdicts(&mut self, now: Millis) {
+        for task in self.crashes.take_due_verdicts(now) {
+            let job = self.jobs.get(&task.job);
+            let state = job.and_then(|job| job.task(&task));
+            if state.is_some_and(|state| state.crashes.is_blamed()) {
+                self.give_up_task(now, task);
+            } else if !self.crashes.unwritten.contains(&task) {
+                self.hold_back(now, &task, now);
+            }
+        }
     }
 
     /// Records the crashes under the tasks of a job that were found before the job was read.
@@ -226,9 +240,7 @@
         let of_job: Vec<PendingCrash> = of_job;
         self.crashes.pending = others;
         for crash in of_job {
-            if self.record_crash_under(now, &crash.worker, crash.key, crash.note) {
-                self.give_up_task(now, crash.key);
-            }
+            self.record_crash_under(now, &crash.worker, crash.key, crash.note);
         }
     }
 
@@ -301,15 +313,12 @@
     /// have crashed.
     pub(crate) fn forget_silent(&mut self, now: Millis, id: &WorkerId) {
         self.remember_presumed_crash(id);
-        let blamed = self.note_crash(now, id);
+        self.note_crash(now, id);
         self.workers.remove(id);
         self.foreign.forget_running(id);
         self.worker_order = None;
         self.quarantine.forget(id);
         self.roster_changed |= self.roster.remove(id);
-        if let Some(task) = blamed {
-            self.give_up_task(now, task);
-        }
     }
 
     /// Handles the tasks that a new owner finds nowhere, when workers were lost that an earlier
@@ -368,13 +377,11 @@
             alone: ordered_alone && !self.is_mass_failure(&failure),
             sudden: false,
         };
-        if self.record_crash_under(now, &place.worker, key.task, note) {
-            self.give_up_task(now, key.task);
-        }
+        self.record_crash_under(now, &place.worker, key.task, note);
     }
 
     /// Gives up a task under which workers crash, and its job with it.
-    pub(crate) fn give_up_task(&mut self, now: Millis, task: TaskKey) {
+    fn give_up_task(&mut self, now: Millis, task: TaskKey) {
         let job = self.jobs.get(&task.job);
         let crashes = job.and_then(|job| job.task(&task));
         let crashes = crashes.map_or(0, |state| state.crashes.count());
--- a/crates/jobs/src/crash/tracker.rs
+++ b/crates/jobs/src/crash/tracker.rs
@@ -54,6 +54,8 @@
     pub(super) noted: BTreeSet<TaskKey>,
     /// The tasks whose newest crash note is not durable yet.
     pub(super) unwritten: BTreeSet<TaskKey>,
+    /// When to decide on the tasks that are blamed.
+    pub(super) verdicts: BTreeMap<TaskKey, Millis>,
     /// Workers on which only one task may be started, with the task and the time at which the
     /// reservation lapses if the task is still waiting.
     pub(super) reserved: BTreeMap<WorkerId, (TaskKey, Millis)>,
@@ -92,6 +94,7 @@
     pub(crate) fn forget_job(&mut self, job: JobNumber) {
         self.noted.retain(|task| task.job != job);
         self.unwritten.retain(|task| task.job != job);
+        self.verdicts.retain(|task, _| task.job != job);
         self.reserved.retain(|_, (task, _)| task.job != job);
         self.presumed.retain(|_, crash| {
             crash.runs.retain(|run| run.task.job != job);
@@ -118,6 +121,13 @@
         near.filter(move |known| known.heard_at.abs_diff(heard_at) <= MASS_FAILURE_WINDOW_MS)
     }
 
+    /// How many of the workers that went down recently are gone.
+    pub(super) fn count_gone(&self, is_gone: impl Fn(&WorkerId) -> bool) -> usize {
+        let gone = self.failures.iter().map(|known| &known.worker);
+        let gone: BTreeSet<&WorkerId> = gone.filter(|worker| is_gone(worker)).collect();
+        gone.len()
+    }
+
     /// The recent failures for which one run alone was recorded as the cause.
     pub(super) fn certain_failures(&self) -> Vec<WorkerFailure> {
         let certain = self.failures.iter();
@@ -136,6 +146,7 @@
     pub(super) fn forget_task(&mut self, task: &TaskKey) {
         self.noted.remove(task);
         self.unwritten.remove(task);
+        self.verdicts.remove(task);
         self.reserved
             .retain(|_, (reserved_for, _)| reserved_for != task);
     }
@@ -147,6 +158,12 @@
         self.crashed_at.insert(address, now);
     }
 
+    /// Removes and returns the tasks on which to decide now.
+    pub(super) fn take_due_verdicts(&mut self, now: Millis) -> Vec<TaskKey> {
+        let due = self.verdicts.extract_if(.., |_, at| *at <= now);
+        due.map(|(task, _)| task).collect()
+    }
+
     /// Removes and returns the tasks of these jobs whose crash notes are about to be written.
     pub(crate) fn take_unwritten(&mut self, jobs: &[JobNumber]) -> Vec<TaskKey> {
         if self.unwritten.is_empty() {
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -106,6 +106,9 @@
 /// The number of recorded crashes for which a task is blamed if its workers crash some time after its start. It is the last start but
 /// one that the platform allows.
 pub const SLOW_CRASHES_TO_BLAME: usize = 4;
+/// How long after its newest crash a blamed task is given up: the pause before a failed renewal is retried, and the duration of a call.
+/// By then it is known which other workers went down at the same moment. The task is not started meanwhile.
+pub const VERDICT_WAIT_MS: Millis = 750;
 /// Workers that go down in the same mass failure were last heard within this time of one another: the longest wait before a poll, plus
 /// the duration of the poll.
 pub const MASS_FAILURE_WINDOW_MS: Millis = 1_500;
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -69,7 +69,7 @@
         });
         let listed = listed_runs(report);
         let listed = self.remove_runs_where(worker, |key, _| listed.contains(key));
-        let blamed = self.note_worker_loss(now, worker, LossCause::Restarted);
+        self.note_worker_loss(now, worker, LossCause::Restarted);
         let unsettled =
             self.remove_runs_where(worker, |_, record| !record.would_be_listed(sent_at));
         self.lose_runs(now, worker, LossCause::Restarted);
@@ -104,9 +104,6 @@
                 self.stop_run(now, worker, key, StopCause::Unsettled);
             }
         }
-        if let Some(task) = blamed {
-            self.give_up_task(now, task);
-        }
         self.room_changed = true;
     }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -343,6 +343,7 @@
         self.refresh_roster(now);
         self.forget_ended_sizes(now);
         self.resend_stops(now);
+        self.settle_verdicts(now);
         self.send_probes(now);
         if sure {
             self.move_slowed_tasks(now);
--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -290,6 +290,7 @@
     workers_restart_after_task_crashes => keeps_all_rules(1_700..1_730, restarting_workers_and_crashing_tasks());
     workers_restart_and_capacity_shrinks => keeps_safety_rules(1_800..1_830, restarting_workers_and_capacity());
     all_workers_restart_at_once => keeps_safety_rules(2_300..2_330, mass_restarts());
+    all_workers_restart_at_once_amid_other_faults => keeps_safety_rules(2_400..2_430, mass_restarts_and_other_faults());
     halls_are_cut => keeps_safety_rules(1_900..1_930, halls_cut());
     halls_are_cut_amid_other_faults => keeps_safety_rules(2_000..2_030, halls_cut_and_other_faults());
     halls_are_evacuated => keeps_safety_rules(2_100..2_130, halls_evacuated());
--- a/crates/jobs/tests/orders_not_carried_out.rs
+++ b/crates/jobs/tests/orders_not_carried_out.rs
@@ -315,6 +315,25 @@
     fleet.assert_runs_on();
 }
 
+/// Three workers have crashed under the task. The fourth order is refused after the report of a
+/// restart: the task is given up only once the answers to what was under way are in.
+fn an_order_refused_after_three_crashes() {
+    let mut fleet = RestartingFleet::with_standing_tasks(1);
+    for _ in 0..3 {
+        let (worker, run) = fleet.next_start();
+        fleet.accept(worker, run);
+        fleet.restart(worker);
+        fleet.report(worker);
+    }
+    let (worker, run) = fleet.next_start();
+    fleet.restart(worker);
+    fleet.report(worker);
+    assert_eq!(fleet.crash_notes().len(), 4);
+    fleet.refuse_as_late(worker, run);
+    fleet.next_start();
+    fleet.assert_runs_on();
+}
+
 /// As before, but the new incarnation carries the order out: the recorded crash is withdrawn.
 fn an_order_carried_out_by_the_next_incarnation() {
     let mut fleet = RestartingFleet::with_standing_tasks(1);
@@ -449,6 +468,7 @@
     not_ordered_from_an_unknown_incarnation => no_orders_to_an_unknown_incarnation();
     ordered_between_reports_of_a_mass_restart => orders_between_the_reports_of_a_mass_restart();
     refused_after_the_report => an_order_refused_after_the_report_of_the_restart();
+    refused_after_three_crashes => an_order_refused_after_three_crashes();
     carried_out_by_the_next_incarnation => an_order_carried_out_by_the_next_incarnation();
     answered_by_another_worker => an_order_answered_by_another_worker();
     turned_away_as_unhealthy => an_order_turned_away(OrderAnswer::Unhealthy);
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -73,8 +73,7 @@
     pub(super) fn crash_worker(&mut self, index: usize) {
         let restarts = self.plan.same_name > 0 && !self.workers[index].leaves_for_good;
         if restarts && self.chance(self.plan.same_name) {
-            let down = self.draw_downtime();
-            return self.restart_worker(index, down);
+            return self.restart_worker(index, None);
         }
         if self.plan.down_ms == 0 || self.workers[index].leaves_for_good {
             return self.replace_worker(index);
@@ -93,7 +92,7 @@
         let down = self.draw_downtime();
         for index in 0..self.workers.len() {
             if self.now >= self.workers[index].down_until {
-                self.restart_worker(index, down);
+                self.restart_worker(index, Some(down));
             }
         }
     }
@@ -107,12 +106,13 @@
         }
     }
 
-    /// A worker crashes and restarts under its name after `down` milliseconds: it has lost its
-    /// state, and its clock may show any time.
-    fn restart_worker(&mut self, index: usize, down: Millis) {
+    /// A worker crashes and restarts under its name after `down` milliseconds, or after a time that
+    /// is drawn: it has lost its state, and its clock may show any time.
+    fn restart_worker(&mut self, index: usize, down: Option<Millis>) {
         self.keep_stale_entry(index, self.now + STALE_ENTRY_MS);
         let id = self.workers[index].id.clone();
         self.replace_worker(index);
+        let down = down.unwrap_or_else(|| self.draw_downtime());
         let back = self.now + down;
         let clock = self.random.random_range(0..8) * self.random.random_range(0..CLOCK_RANGE_MS);
         let listed_from = back + self.random.random_range(0..1_500);
