--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -2,6 +2,7 @@
 
 use sandshelf_model::Millis;
 
+use crate::over_target::OverTargetStretch;
 use crate::run::RunRecord;
 use crate::scheduler::JobScheduler;
 
@@ -26,6 +27,8 @@
     pub serving: usize,
     /// Serving tasks that were over their target at the last reading.
     pub over_target: usize,
+    /// How long the serving task that has been over its target for longest has been so, in milliseconds.
+    pub longest_over_ms: Millis,
     /// Running filling tasks.
     pub filling: usize,
     /// Filling tasks that were ordered to run at less than full pace.
@@ -86,6 +89,9 @@
         if record.target_ms > 0 {
             self.serving += 1;
             self.over_target += usize::from(gauge > record.target_ms);
+            let stretch = record.over_stretch.as_ref();
+            let over_ms = stretch.map_or(0, OverTargetStretch::lasted_ms);
+            self.longest_over_ms = self.longest_over_ms.max(over_ms);
         }
         if record.fills {
             let pace = u64::from(record.pace.min(100));
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -170,6 +170,8 @@
     },
     /// A worker failed several runs and gets no new tasks for a while.
     WorkerQuarantined(WorkerId),
+    /// A serving task has been over its target for long.
+    OverTarget(OverTargetReport),
     /// An order was sent that sets the pace of a run to this many percent of its full speed.
     Paced(RunKey, WorkerId, u32),
     /// A worker crashed shortly after a run had begun on it.
@@ -230,3 +232,44 @@
     /// The run was slowed down for long and can run faster on another worker.
     Slowed,
 }
+
+/// What a serving task that was over its target had beside it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FillState {
+    /// The filling run.
+    pub run: RunKey,
+    /// The ordered pace, in percent; over 100 if it is not known whether the newest order was
+    /// carried out.
+    pub pace: u32,
+    /// How long ago that pace was sent, in milliseconds; `None` for the pace at the start.
+    pub sent_ago_ms: Option<Millis>,
+    /// How long ago the worker took it, in milliseconds; `None` if it has not answered.
+    pub taken_ago_ms: Option<Millis>,
+    /// The processors that it used at the newest reading, in thousandths of a core.
+    pub used: u64,
+    /// Whether it gets paces at all: it is known to run and is not being stopped.
+    pub paced: bool,
+}
+
+/// A stretch of time in which a serving task was over its target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OverTargetReport {
+    /// The serving run.
+    pub key: RunKey,
+    /// Its worker.
+    pub worker: WorkerId,
+    /// Its target, in milliseconds.
+    pub target_ms: Millis,
+    /// The time from the first reading over the target to the newest, in milliseconds.
+    pub lasted_ms: Millis,
+    /// Whether it lasts still.
+    pub lasts: bool,
+    /// The number of readings over the target.
+    pub readings: u32,
+    /// The number of single readings under the target in between.
+    pub dips: u32,
+    /// The highest tail latency, in milliseconds.
+    pub worst_ms: u64,
+    /// The filling tasks on the worker.
+    pub fills: Vec<FillState>,
+}
--- a/crates/jobs/src/pacing.rs
+++ b/crates/jobs/src/pacing.rs
@@ -93,6 +93,8 @@
     fn set_pace(&mut self, now: Millis, worker: &WorkerId, key: RunKey, pace: u32) {
         if let Some(record) = self.record_mut(worker, &key) {
             record.pace = pace;
+            record.pace_sent_at = Some(now);
+            record.pace_taken_at = None;
         }
         if let Some(state) = self.workers.get_mut(worker) {
             state.fills_changed_at = now;
@@ -194,6 +196,9 @@
             OrderAnswer::Done(clock) => {
                 let sent_at = now.saturating_sub(MAX_ORDER_AGE_MS);
                 self.record_order_clock(now, worker, ClockSample { clock, sent_at });
+                if let Some(record) = self.record_mut(worker, &key) {
+                    record.pace_taken_at = Some(now);
+                }
             }
             OrderAnswer::Refused(_, RefusalReason::Fenced) => self.deposed = true,
             OrderAnswer::Replaced => self.lose_worker(now, worker, LossCause::Replaced),
--- a/crates/jobs/src/readings.rs
+++ b/crates/jobs/src/readings.rs
@@ -121,6 +121,10 @@
             let over = record.target_ms > 0 && record.gauge.unwrap_or(0) >= record.target_ms;
             record.over_since = over.then(|| record.over_since.unwrap_or(now));
         }
+        self.note_tails(now, worker);
+        let Some(state) = self.workers.get_mut(worker) else {
+            return;
+        };
         let fills = state.fill_loads();
         let error = if settled { 0.0 } else { UNSETTLED_ERROR_SHARE };
         for reading in step_readings(state) {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -4,6 +4,7 @@
 
 use crate::due::{DueTimes, TaskChain};
 use crate::images::ImageId;
+use crate::over_target::OverTargetStretch;
 use crate::reports::WorkerClock;
 use crate::spec::StepSpec;
 
@@ -82,6 +83,12 @@
     pub(crate) slowed_since: Option<Millis>,
     /// Since when every reading has been over its latency target.
     pub(crate) over_since: Option<Millis>,
+    /// The readings over its latency target, for the log.
+    pub(crate) over_stretch: Option<OverTargetStretch>,
+    /// When the newest pace was sent.
+    pub(crate) pace_sent_at: Option<Millis>,
+    /// When the worker answered that it has taken the newest pace.
+    pub(crate) pace_taken_at: Option<Millis>,
 }
 
 impl RunRecord {
@@ -143,6 +150,9 @@
             off_pace: 0,
             slowed_since: None,
             over_since: None,
+            over_stretch: None,
+            pace_sent_at: None,
+            pace_taken_at: None,
         }
     }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -319,6 +319,11 @@
         removed
     }
 
+    /// The filling runs here.
+    pub(crate) fn filling_runs(&self) -> impl Iterator<Item = (&RunKey, &RunRecord)> {
+        self.runs.iter().filter(|(_, record)| record.fills)
+    }
+
     /// The processor use of the filling tasks here, by image, from the newest readings.
     pub(crate) fn fill_loads(&self) -> InterferenceLoads {
         let capacity = self.entry.capacity.cpu_millis.max(1) as f64;
--- a/crates/jobs/tests/pacing.rs
+++ b/crates/jobs/tests/pacing.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use sandshelf_jobs::{JobAction, RunKey, RunReport, StepSpec, TakeoverInfo, WorkerCall};
+use sandshelf_jobs::{
+    JobAction, JobNote, OverTargetReport, RunKey, RunReport, StepSpec, TakeoverInfo, WorkerCall,
+};
 use sandshelf_model::ResourceSize;
 use support::{job, step, SchedulerRig};
 
@@ -72,6 +74,33 @@
     assert_eq!(last_pace(&rig, filling), Some(0));
 }
 
+/// A stretch in which a serving task is over its target is reported once while it lasts and once at its end, with the paces of
+/// what fills beside it. A single reading under the target doesn't end it.
+fn a_long_stretch_over_the_target_is_reported() {
+    let (mut rig, serving, filling) = pair();
+    for tail in [55, 60, 49, 70, 52, 12, 12] {
+        rig.advance(500);
+        rig.report(
+            "w-1",
+            vec![report(serving, 100, tail), report(filling, 40, 500)],
+            vec![],
+        );
+    }
+    let reports = rig.actions.iter().filter_map(|action| match action {
+        JobAction::Note(JobNote::OverTarget(report)) => Some(report),
+        _ => None,
+    });
+    let reports: Vec<&OverTargetReport> = reports.collect();
+    let [first, last] = reports[..] else {
+        panic!("two reports: {reports:?}");
+    };
+    assert!(first.lasts && !last.lasts);
+    assert_eq!((first.lasted_ms, last.lasted_ms), (1_500, 2_000));
+    assert_eq!((last.readings, last.dips, last.worst_ms), (4, 1, 70));
+    let fills: Vec<RunKey> = last.fills.iter().map(|fill| fill.run).collect();
+    assert_eq!(fills, vec![filling]);
+}
+
 fn filling_runs_at_full_pace_beside_a_task_under_its_target() {
     let (mut rig, serving, filling) = pair();
     for _ in 0..6 {
@@ -135,6 +164,7 @@
 
 sandshelf_cases::cases! {
     kept_by_new_owner => a_new_owner_keeps_learned_interference();
+    reported_over_target => a_long_stretch_over_the_target_is_reported();
     over_target => filling_stops_beside_a_task_over_its_target();
     under_target => filling_runs_at_full_pace_beside_a_task_under_its_target();
 }
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -40,6 +40,8 @@
 const UNSURE: &str = "sandshelf_ownership_unsure_total";
 /// The worker crashes recorded for tasks that may have caused them; a crash counts once for each such task.
 const CRASHES: &str = "sandshelf_task_crashes_noted_total";
+/// How long serving tasks were over their targets, by whether anything filled beside them at the end; only from 1.5 s on.
+const OVER_TARGET_SECONDS: &str = "sandshelf_over_target_seconds";
 /// The tasks that were given up because they crash their workers.
 const GIVEN_UP: &str = "sandshelf_tasks_given_up_total";
 /// The finished jobs, by queue and state.
@@ -159,6 +161,11 @@
         JobNote::WorkerSilent(_) => counter!(BELIEFS, "belief" => "silent").increment(1),
         JobNote::WorkerGone { .. } => counter!(BELIEFS, "belief" => "gone").increment(1),
         JobNote::CrashNoted { .. } => counter!(CRASHES).increment(1),
+        JobNote::OverTarget(report) if !report.lasts => {
+            let lasted = Duration::from_millis(report.lasted_ms).as_secs_f64();
+            let filled = if report.fills.is_empty() { "no" } else { "yes" };
+            histogram!(OVER_TARGET_SECONDS, "filled" => filled).record(lasted);
+        }
         JobNote::TaskGivenUp { .. } => counter!(GIVEN_UP).increment(1),
         JobNote::WorkerQuarantined(_) => counter!(BELIEFS, "belief" => "failing").increment(1),
         JobNote::JobFinished {
@@ -179,6 +186,7 @@
         | JobNote::HallEvacuated { .. }
         | JobNote::HallBack { .. }
         | JobNote::CrashWithdrawn { .. }
+        | JobNote::OverTarget(_)
         | JobNote::Paced(..) => {}
     }
 }
@@ -209,6 +217,8 @@
     gauge!("sandshelf_owner_stretch_percent").set(counts.stretch as f64);
     gauge!("sandshelf_serving_tasks").set(counts.serving as f64);
     gauge!("sandshelf_serving_tasks_over_target").set(counts.over_target as f64);
+    let longest_over = Duration::from_millis(counts.longest_over_ms);
+    gauge!("sandshelf_longest_over_target_seconds").set(longest_over.as_secs_f64());
     gauge!("sandshelf_filling_tasks").set(counts.filling as f64);
     gauge!("sandshelf_filling_tasks_slowed").set(counts.slowed as f64);
 }
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -3,7 +3,7 @@
 use std::fmt::{Debug, Display};
 
 use sandshelf_jobs::relay::DispatcherStats;
-use sandshelf_jobs::{JobNote, SchedulerCounts};
+use sandshelf_jobs::{FillState, JobNote, OverTargetReport, SchedulerCounts};
 use sandshelf_model::{Epoch, HostId};
 
 use crate::jobs::meters;
@@ -240,6 +240,7 @@
         JobNote::TaskGivenUp { task, crashes } => {
             event_always("task_given_up", &[("task", task), ("crashes", crashes)]);
         }
+        JobNote::OverTarget(report) => log_over_target(report),
         JobNote::Paced(key, worker, percent) => event(
             "task_paced",
             &[
@@ -252,6 +253,40 @@
     }
 }
 
+/// Logs a stretch in which a serving task was over its target, with the filling tasks beside it, each as
+/// `run:pace:used:sent:taken`: the ordered pace in percent, the processors used in thousandths of a core, and how many milliseconds
+/// ago the pace was sent and taken (`-` for never). An exclamation mark stands before a run that gets no paces.
+fn log_over_target(report: &OverTargetReport) {
+    let ago = |ms: Option<u64>| ms.map_or("-".to_owned(), |ms| ms.to_string());
+    let shown = report.fills.iter().map(|fill| {
+        let mark = if fill.paced { "" } else { "!" };
+        let (sent, taken) = (ago(fill.sent_ago_ms), ago(fill.taken_ago_ms));
+        let FillState {
+            run, pace, used, ..
+        } = fill;
+        format!(
+            "{mark}{}#{}:{pace}:{used}:{sent}:{taken}",
+            run.task, run.run
+        )
+    });
+    event(
+        "over_target",
+        &[
+            ("task", &report.key.task),
+            ("run", &report.key.run),
+            ("worker", &report.worker),
+            ("target_ms", &report.target_ms),
+            ("lasted_ms", &report.lasted_ms),
+            ("lasts", &report.lasts),
+            ("readings", &report.readings),
+            ("dips", &report.dips),
+            ("worst_ms", &report.worst_ms),
+            ("fills", &report.fills.len()),
+            ("fill_states", &join_first(shown)),
+        ],
+    );
+}
+
 /// Logs an owner's load: its jobs, tasks, workers and relays.
 pub fn log_load(epoch: Epoch, counts: &SchedulerCounts, relays: &DispatcherStats) {
     event(
@@ -267,6 +302,7 @@
             ("stretch", &counts.stretch),
             ("serving", &counts.serving),
             ("over_target", &counts.over_target),
+            ("longest_over_ms", &counts.longest_over_ms),
             ("filling", &counts.filling),
             ("slowed", &counts.slowed),
             ("evacuated_halls", &counts.evacuated_halls),
