A single reading under the target does not let filling go on beside a task that is over it

What callers saw: the users of serving tasks wait too long while work of less worth fills beside them.

Cause: filling tasks are stopped beside a task that has been over its target for a second. Each reading under the target began that second anew, and let the filling tasks go on at once; readings are rough figures of half a second.

Change: the second counts from the beginning of the stretch, which ends with two readings in a row under the target. The value that was kept for the decision alone is gone.

--- a/crates/jobs/src/over_target.rs
+++ b/crates/jobs/src/over_target.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct OverTargetStretch {
     /// When the first of these readings arrived.
-    since: Millis,
+    pub(crate) since: Millis,
     /// When the newest reading over the target arrived.
     last_over: Millis,
     /// The number of readings over the target.
--- a/crates/jobs/src/pacing.rs
+++ b/crates/jobs/src/pacing.rs
@@ -23,7 +23,9 @@
 pub(crate) const UNKNOWN_PACE: u32 = 101;
 
 /// While a serving task has been over its target for this long, the filling tasks on its worker are set to a pace of 0, whatever
-/// the interference estimate says. A reading is half a second old, and a pace takes effect after a tenth of a second.
+/// the interference estimate says. A reading is half a second old, and a pace takes effect after a tenth of a second. A single
+/// reading under the target changes nothing: readings are rough, and filling that goes on after each of them keeps the task over its
+/// target for seconds.
 const STOP_FILLING_AFTER_MS: Millis = 1_000;
 
 /// The smallest raise of a pace that is worth a call.
@@ -65,8 +67,8 @@
             return;
         }
         let long_over_target = |record: &RunRecord| {
-            let since = record.over_since;
-            since.is_some_and(|since| now >= since + STOP_FILLING_AFTER_MS)
+            let stretch = record.over_stretch.as_ref();
+            stretch.is_some_and(|stretch| now >= stretch.since + STOP_FILLING_AFTER_MS)
         };
         let stop_filling = state.runs.values().any(long_over_target);
         let shares = state
--- a/crates/jobs/src/readings.rs
+++ b/crates/jobs/src/readings.rs
@@ -118,8 +118,6 @@
                 detect_off_pace(record);
             }
             update_use_ratio(record);
-            let over = record.target_ms > 0 && record.gauge.unwrap_or(0) >= record.target_ms;
-            record.over_since = over.then(|| record.over_since.unwrap_or(now));
         }
         self.note_tails(now, worker);
         let Some(state) = self.workers.get_mut(worker) else {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -81,9 +81,7 @@
     pub(crate) off_pace: u32,
     /// Since when it has been slowed down.
     pub(crate) slowed_since: Option<Millis>,
-    /// Since when every reading has been over its latency target.
-    pub(crate) over_since: Option<Millis>,
-    /// The readings over its latency target, for the log.
+    /// The newest readings over its latency target.
     pub(crate) over_stretch: Option<OverTargetStretch>,
     /// When the newest pace was sent.
     pub(crate) pace_sent_at: Option<Millis>,
@@ -149,7 +147,6 @@
             chain: TaskChain::default(),
             off_pace: 0,
             slowed_since: None,
-            over_since: None,
             over_stretch: None,
             pace_sent_at: None,
             pace_taken_at: None,
--- a/crates/jobs/src/tail_log.rs
+++ b/crates/jobs/src/tail_log.rs
@@ -1,7 +1,6 @@
-//! Logs for how long serving tasks are over their targets, and what fills beside them meanwhile.
-//!
-//! The decisions on paces go by other values. The log tells afterwards whether the readings, the
-//! paces or the answers to them were at fault.
+//! Records for how long serving tasks are over their targets, and logs what fills beside them
+//! meanwhile. The log tells afterwards whether the readings, the paces or the answers to them were at
+//! fault.
 
 use sandshelf_model::{Millis, WorkerId};
 
--- a/crates/jobs/tests/pacing.rs
+++ b/crates/jobs/tests/pacing.rs
@@ -74,6 +74,23 @@
     assert_eq!(last_pace(&rig, filling), Some(0));
 }
 
+/// Readings are rough: single ones under the target don't let filling go on beside a task that is over its target for seconds.
+///
+/// Guards against serving tasks that stay over their targets beside filling tasks at full pace. Only readings that were over the
+/// target without exception stopped the filling tasks, and the first one under it let all of them go on.
+fn filling_stops_despite_single_readings_under_the_target(tails: [u64; 3]) {
+    let (mut rig, serving, filling) = pair();
+    for tail in tails.into_iter().cycle().take(8) {
+        rig.advance(500);
+        rig.report(
+            "w-1",
+            vec![report(serving, 100, tail), report(filling, 40, 1_500)],
+            vec![],
+        );
+    }
+    assert_eq!(last_pace(&rig, filling), Some(0));
+}
+
 /// A stretch in which a serving task is over its target is reported once while it lasts and once at its end, with the paces of
 /// what fills beside it. A single reading under the target doesn't end it.
 fn a_long_stretch_over_the_target_is_reported() {
@@ -164,6 +181,9 @@
 
 sandshelf_cases::cases! {
     kept_by_new_owner => a_new_owner_keeps_learned_interference();
+    over_target_with_slight_dips => filling_stops_despite_single_readings_under_the_target([52, 52, 49]);
+    over_target_with_deep_dips => filling_stops_despite_single_readings_under_the_target([55, 70, 30]);
+    over_target_every_other_time => filling_stops_despite_single_readings_under_the_target([49, 90, 52]);
     reported_over_target => a_long_stretch_over_the_target_is_reported();
     over_target => filling_stops_beside_a_task_over_its_target();
     under_target => filling_runs_at_full_pace_beside_a_task_under_its_target();
