--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod plans;
 pub mod relaying;
+pub mod restarting;
 
 pub use sandshelf_emulator::oracle;
 
