--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -2,48 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use sandshelf_model::ResourceSize;
-
+use crate::draft::{NameDeclaration, SetDraft};
 use crate::fault::ConfigFault;
-use crate::parse::SetDraft;
 use crate::reader::SourceFile;
 
-/// The name of a service, job or team, and where it is declared.
-pub(crate) struct NameDeclaration {
-    /// `service`, `job` or `team`.
-    kind: &'static str,
-    name: String,
-    /// The name of the file with the declaration.
-    file: String,
-    /// The byte position at which the declaration starts in the file.
-    offset: usize,
-    /// The team that a job refers to; none for a service or a team.
-    pub(crate) team: Option<String>,
-    /// The size of one task of a job; none for a service or a team, and where the declared size has a fault.
-    pub(crate) size: Option<ResourceSize>,
-}
-
-impl NameDeclaration {
-    pub(crate) fn new(kind: &'static str, name: &str, file: &str, offset: usize) -> Self {
-        Self {
-            kind,
-            name: name.to_owned(),
-            file: file.to_owned(),
-            offset,
-            team: None,
-            size: None,
-        }
-    }
-
-    fn fault(&self, files: &[SourceFile], problem: String, remedy: &str) -> ConfigFault {
-        let file = files
-            .iter()
-            .find(|file| file.name == self.file)
-            .expect("a declaration comes from one of the files");
-        file.fault_at(self.offset, problem, remedy)
-    }
-}
-
 /// Adds a fault for each duplicate name, unknown team and task that is larger than its team's whole quota.
 pub(crate) fn check_references(files: &[SourceFile], draft: &mut SetDraft) {
     let mut faults = find_duplicates(files, &draft.declarations);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod check;
 mod diff;
+mod draft;
 mod fault;
 mod intent;
 mod job_settings;
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -1,12 +1,11 @@
 //! Parses files into a checked set or into the list of all their faults.
 
-use std::collections::BTreeMap;
-
 use jsonc_parser::ast::Value;
 use jsonc_parser::{parse_to_ast, CollectOptions, ParseOptions};
 use sandshelf_model::{JobId, ResourceSize, ServiceId, TeamId};
 
-use crate::check::{check_references, NameDeclaration};
+use crate::check::check_references;
+use crate::draft::{NameDeclaration, SetDraft};
 use crate::fault::{ConfigFault, FaultList};
 use crate::intent::{
     BackendLimits, ConfigSet, JobKind, JobSpec, PolicyWeights, ServiceSpec, TeamQuota, UrgencyLevel,
@@ -30,16 +29,6 @@
 /// The maximum number of slots, and of connections, of one backend server.
 const MAX_BACKEND_LIMIT: u64 = 10_000;
 
-/// Declarations and faults collected while the files of a set are parsed.
-#[derive(Default)]
-pub(crate) struct SetDraft {
-    pub(crate) set: ConfigSet,
-    pub(crate) declarations: Vec<NameDeclaration>,
-    pub(crate) faults: Vec<ConfigFault>,
-    /// For each field that only one file of a set may contain: the file that contains it.
-    pub(crate) single_fields: BTreeMap<&'static str, String>,
-}
-
 /// Parses and checks the files of one set.
 ///
 /// # Errors
--- a/crates/jobs/src/relay/dispatcher.rs
+++ b/crates/jobs/src/relay/dispatcher.rs
@@ -9,11 +9,10 @@
     OrderBatch, RelayFault, RelayHandshake, RelayMessage, RelayedAnswer, RelayedOrder,
     RELAY_VERSION,
 };
-use super::plan::{calls_alone, RelayCandidate, RelayPlan};
+use super::open_order::{OpenOrder, OrderKind};
+use super::plan::{calls_alone, RelayCandidate, RelayNumber, RelayPlan};
 use super::quorum::OutageQuorum;
 use crate::events::{JobEvent, WorkerCall};
-use crate::ids::RunKey;
-use crate::reports::{OrderAnswer, RenewalAnswer};
 
 /// The timeout of a relayed order, in addition to the wait that a lease renewal requests. A relay gives up on a worker after 0.5 s; its
 /// own processing and both network trips take some 10 ms, on a weak host under load up to 0.3 s.
@@ -32,10 +31,6 @@
 /// How long an excluded host gets no orders.
 const EXCLUSION_MS: Millis = 5_000;
 
-/// Identifies the connection of a relay.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RelayNumber(pub u64);
-
 /// The route of an order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OrderRoute {
@@ -79,24 +74,6 @@
     leaves: bool,
 }
 
-/// The kind of an order, from which the event of its answer is made.
-#[derive(Clone, Copy, Debug)]
-enum OrderKind {
-    Start(RunKey),
-    Stop(RunKey),
-    Pace(RunKey),
-    Renew,
-}
-
-#[derive(Clone, Debug)]
-struct OpenOrder {
-    relay: RelayNumber,
-    worker: WorkerId,
-    kind: OrderKind,
-    /// When the order times out.
-    until: Millis,
-}
-
 /// Routes the orders of one owner through its relays.
 #[derive(Clone, Debug)]
 pub struct RelayDispatcher {
@@ -424,33 +401,3 @@
         route
     }
 }
-
-impl OpenOrder {
-    fn unanswered(self) -> JobEvent {
-        let answer = match self.kind {
-            OrderKind::Renew => RenewalAnswer::Failed(OrderAnswer::Unknown).into(),
-            _ => OrderAnswer::Unknown.into(),
-        };
-        self.event(answer).expect("an answer of the order's kind")
-    }
-
-    /// The event for the scheduler; none if the answer is not of the kind of the order.
-    fn event(&self, answer: RelayedAnswer) -> Option<JobEvent> {
-        let worker = self.worker.clone();
-        Some(match (self.kind, answer) {
-            (OrderKind::Start(key), RelayedAnswer::Order(answer)) => {
-                JobEvent::StartAnswered(worker, key, answer)
-            }
-            (OrderKind::Stop(key), RelayedAnswer::Order(answer)) => {
-                JobEvent::StopAnswered(worker, key, answer)
-            }
-            (OrderKind::Pace(key), RelayedAnswer::Order(answer)) => {
-                JobEvent::PaceAnswered(worker, key, answer)
-            }
-            (OrderKind::Renew, RelayedAnswer::Renewal(answer)) => {
-                JobEvent::RenewalAnswered(worker, answer)
-            }
-            _ => return None,
-        })
-    }
-}
--- a/crates/jobs/src/relay/mod.rs
+++ b/crates/jobs/src/relay/mod.rs
@@ -38,14 +38,16 @@
 mod delay;
 mod dispatcher;
 mod messages;
+mod open_order;
 mod plan;
 mod quorum;
+mod shard_queries;
 
 pub use agent::RelayAgent;
-pub use dispatcher::{DispatcherStats, OrderRoute, RelayDispatcher, RelayNumber, RelayOutcome};
+pub use dispatcher::{DispatcherStats, OrderRoute, RelayDispatcher, RelayOutcome};
 pub use messages::{
     decode_handshake, decode_message, encode_handshake, encode_message, OrderBatch, RelayFault,
     RelayHandshake, RelayMessage, RelayedAnswer, RelayedOrder, ShardObservation,
     LARGEST_MESSAGE_BYTES, RELAY_VERSION,
 };
-pub use plan::waits_for_relays;
+pub use plan::{waits_for_relays, RelayNumber};
--- a/crates/jobs/src/relay/plan.rs
+++ b/crates/jobs/src/relay/plan.rs
@@ -6,7 +6,6 @@
 
 use sandshelf_model::{HallId, HostId, Millis, WorkerId};
 
-use super::dispatcher::RelayNumber;
 use super::messages::RelayHandshake;
 
 /// How many workers an owner calls without relays, in hundredths of a worker for each thousandth of a core that it has. The lease renewals
@@ -45,6 +44,10 @@
     (processor_millicores * RELAY_WORKERS_PERCENT / 100) as usize
 }
 
+/// Identifies the connection of a relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RelayNumber(pub u64);
+
 /// A relay that may be assigned workers.
 #[derive(Clone, Debug)]
 pub(super) struct RelayCandidate {
--- a/crates/lease/src/commit.rs
+++ b/crates/lease/src/commit.rs
@@ -11,7 +11,8 @@
 use crate::ownership::LeaseStage;
 use crate::recovery::{decode_snapshot, encode_snapshot};
 use crate::row::{RowVersion, ShardRow, StoredRow};
-use crate::state::{RecordEffect, ShardState, TaskStage};
+use crate::state::{RecordEffect, ShardState};
+use crate::task_state::TaskStage;
 
 /// The maximum number of journal records in one transaction.
 const MAX_RECORDS_PER_COMMIT: usize = 2_000;
--- a/crates/lease/src/intake.rs
+++ b/crates/lease/src/intake.rs
@@ -13,7 +13,7 @@
 use crate::owner::ShardOwner;
 use crate::ownership::LeaseStage;
 use crate::session::WorkerSession;
-use crate::state::TaskStage;
+use crate::task_state::TaskStage;
 
 /// The shard that a task belongs to until it is handed off, chosen by rendezvous hashing; none where `shards` is empty.
 pub fn home_shard<'a>(job: &JobId, index: u32, shards: &'a [ShardId]) -> Option<&'a ShardId> {
--- a/crates/lease/src/journal.rs
+++ b/crates/lease/src/journal.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::row::{RowVersion, ShardRow};
-use crate::state::{RequeueCause, TaskState};
+use crate::task_state::{RequeueCause, TaskState};
 
 /// One durable change of a shard's state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod commit;
 mod events;
+mod handoff;
 mod head;
 mod intake;
 mod journal;
@@ -33,12 +34,14 @@
 mod owner;
 mod ownership;
 mod placing;
+mod pressure;
 mod recovery;
 mod reports;
 mod row;
 mod session;
 mod slices;
 mod state;
+mod task_state;
 mod times;
 mod window;
 
@@ -58,7 +61,6 @@
 pub use row::{RowVersion, ShardRow, StoredRow};
 pub use session::WorkerSession;
 pub use slices::{QuotaRow, QuotaSlice, SlicePlan, SliceStep, SliceTracker};
-pub use state::{
-    JobState, RecordEffect, RecordStats, RequeueCause, ShardState, TaskStage, TaskState,
-};
+pub use state::{JobState, RecordEffect, RecordStats, ShardState};
+pub use task_state::{RequeueCause, TaskStage, TaskState};
 pub use times::LeaseTimes;
--- a/crates/lease/src/reports.rs
+++ b/crates/lease/src/reports.rs
@@ -9,7 +9,8 @@
 use crate::orders::{AttemptPhase, AttemptReport, OrderRefusal, WorkerReport};
 use crate::owner::ShardOwner;
 use crate::placing::reservation_of;
-use crate::state::{RecordEffect, RequeueCause, TaskStage};
+use crate::state::RecordEffect;
+use crate::task_state::{RequeueCause, TaskStage};
 
 /// A task is given up after this number of failed attempts; failures that quarantine the worker don't count.
 const MAX_TASK_FAILURES: u32 = 3;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -4,14 +4,17 @@
 //! take the task, it considers workers from an index by free processor capacity, those with the most first.
 
 mod choose;
+mod entry;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sandshelf_model::{AttemptId, HallId, RackId, ResourceSize, ServiceId, WorkerId};
+use sandshelf_model::{AttemptId, ResourceSize, WorkerId};
 
+use self::entry::RoomShape;
+pub use self::entry::WorkerEntry;
 use crate::estimate::{LoadBand, SlowdownEstimate};
 use crate::quarantine::QuarantineTracker;
 use crate::weights::PlaceWeights;
@@ -25,34 +28,6 @@
 /// Weight of a worker's leftover capacity relative to the predicted slowdown.
 const LEFTOVER_WEIGHT: f64 = 0.15;
 
-/// One worker as listed by the platform.
-#[derive(Clone, Debug, PartialEq)]
-pub struct WorkerEntry {
-    /// The worker's name.
-    pub worker: WorkerId,
-    /// The hall that it is in.
-    pub hall: HallId,
-    /// The rack that it is in.
-    pub rack: RackId,
-    /// Total capacity, including what its services use.
-    pub capacity: ResourceSize,
-    /// The services that run on it, with the resources that each of them holds.
-    pub services: Vec<(ServiceId, ResourceSize)>,
-}
-
-impl WorkerEntry {
-    /// Creates an entry for a worker without services, in a hall and a rack named `any`.
-    pub fn plain(name: &str, capacity: ResourceSize) -> Self {
-        Self {
-            worker: WorkerId::from(name),
-            hall: HallId::from("any"),
-            rack: RackId::from("any"),
-            capacity,
-            services: Vec::new(),
-        }
-    }
-}
-
 /// The placement requirements of a task.
 #[derive(Clone, Debug)]
 pub struct TaskNeed {
@@ -445,24 +420,3 @@
         })
     }
 }
-
-/// A worker's capacity minus what its services hold. Workers with equal values are counted together, since a fleet has only a
-/// few different ones.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct RoomShape {
-    cpu_millis: u64,
-    memory_mib: u64,
-    accelerators: u64,
-}
-
-impl RoomShape {
-    fn of(entry: &WorkerEntry) -> Self {
-        let services = entry.services.iter().map(|(_, size)| size);
-        let room = services.fold(entry.capacity, |room, size| room.saturating_minus(size));
-        Self {
-            cpu_millis: room.cpu_millis,
-            memory_mib: room.memory_mib,
-            accelerators: room.accelerators,
-        }
-    }
-}
--- a/crates/sandshelfd/src/jobs/health.rs
+++ b/crates/sandshelfd/src/jobs/health.rs
@@ -7,8 +7,8 @@
 use sandshelf_model::Millis;
 
 use crate::clock::{self, SteadyInstant};
+use crate::jobs::labels::label;
 use crate::jobs::meters::{self, StoreCall, StoreCallResult};
-use crate::jobs::notes::label;
 use crate::logging::event;
 
 /// After this many consecutive failed calls, callers are told that the store is out until a call of this host succeeds. Single answers are
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -10,7 +10,7 @@
 use sandshelf_jobs::relay::{DispatcherStats, RelayFault};
 use sandshelf_jobs::{JobEvent, JobNote, JobStage, OrderAnswer, RenewalAnswer, SchedulerCounts};
 
-use crate::jobs::notes::label;
+use crate::jobs::labels::label;
 
 /// The answers to callers, by HTTP method and status.
 const ANSWERS: &str = "sandshelf_job_answers_total";
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 mod halls;
 mod health;
 mod intake;
+mod labels;
 mod meters;
 mod notes;
 mod owner;
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -1,19 +1,15 @@
 //! Logs the decisions and observations of the scheduler.
 
-use std::fmt::{Debug, Display};
+use std::fmt::Display;
 
 use sandshelf_jobs::relay::DispatcherStats;
 use sandshelf_jobs::{FillState, JobNote, OverTargetReport, SchedulerCounts};
 use sandshelf_model::{Epoch, HostId};
 
+use crate::jobs::labels::label;
 use crate::jobs::meters;
 use crate::logging::{event, event_always};
 
-/// The name of an enum variant in lower case, as log values and metric labels have it.
-pub(super) fn label<T: Debug>(value: &T) -> String {
-    format!("{value:?}").to_ascii_lowercase()
-}
-
 /// The most workers or tasks that one log line lists.
 const MAX_LISTED_NAMES: usize = 8;
 
