A serving task without readings does not keep filling tasks stopped

No reading counts as one under the target, as it did before. tests/pacing.rs, `no_readings_any_more`, red before.

--- a/crates/jobs/src/tail_log.rs
+++ b/crates/jobs/src/tail_log.rs
@@ -17,7 +17,7 @@
     /// Adds the newest reading of a serving task to its stretch. Returns the stretch if it has to be
     /// logged: once while it lasts, and at its end.
     fn note_tail(&mut self, now: Millis) -> Option<OverTargetStretch> {
-        let tail_ms = self.gauge?;
+        let tail_ms = self.gauge.unwrap_or(0);
         let over = tail_ms >= self.target_ms;
         OverTargetStretch::add_reading(&mut self.over_stretch, now, tail_ms, over);
         let stretch = self.over_stretch.as_mut()?;
--- a/crates/jobs/tests/pacing.rs
+++ b/crates/jobs/tests/pacing.rs
@@ -91,6 +91,20 @@
     assert_eq!(last_pace(&rig, filling), Some(0));
 }
 
+/// A serving task over its target that gives no readings any more doesn't keep filling tasks stopped.
+fn filling_goes_on_beside_a_task_without_readings() {
+    let (mut rig, serving, filling) = pair();
+    for tail in [Some(60), Some(60), Some(60), None, None, None] {
+        rig.advance(500);
+        let serving = RunReport {
+            gauge: tail,
+            ..report(serving, 100, 0)
+        };
+        rig.report("w-1", vec![serving, report(filling, 40, 500)], vec![]);
+    }
+    assert_ne!(last_pace(&rig, filling), Some(0));
+}
+
 /// A stretch in which a serving task is over its target is reported once while it lasts and once at its end, with the paces of
 /// what fills beside it. A single reading under the target doesn't end it.
 fn a_long_stretch_over_the_target_is_reported() {
@@ -184,6 +198,7 @@
     over_target_with_slight_dips => filling_stops_despite_single_readings_under_the_target([52, 52, 49]);
     over_target_with_deep_dips => filling_stops_despite_single_readings_under_the_target([55, 70, 30]);
     over_target_every_other_time => filling_stops_despite_single_readings_under_the_target([49, 90, 52]);
+    no_readings_any_more => filling_goes_on_beside_a_task_without_readings();
     reported_over_target => a_long_stretch_over_the_target_is_reported();
     over_target => filling_stops_beside_a_task_over_its_target();
     under_target => filling_runs_at_full_pace_beside_a_task_under_its_target();
