--- a/crates/jobs/src/crash/losses.rs
+++ b/crates/jobs/src/crash/losses.rs
@@ -1,7 +1,4 @@
-//! Handles lost workers: records crashes under the runs that may have caused them, and gives up a
-//! task that is blamed.
-
-use std::collections::BTreeMap;
+//! Handles lost workers: records crashes under the runs that may have caused them.
 
 use sandshelf_model::{Millis, WorkerId};
 
@@ -12,13 +9,10 @@
 use crate::incarnation::certainly_differ;
 use crate::job::TaskStage;
 use crate::limits::{
-    ISOLATE_FROM_CRASHES, MASS_FAILURE_FLEET_DIVISOR, MASS_FAILURE_MAJORITY_DIVISOR,
-    MASS_FAILURE_WINDOW_MS, MAX_CRASH_NOTE_WAIT_MS, MAX_WATCHED_UNFOUND_TASKS,
-    MIN_MASS_FAILURE_WORKERS, VERDICT_WAIT_MS,
+    ISOLATE_FROM_CRASHES, MAX_CRASH_NOTE_WAIT_MS, MAX_WATCHED_UNFOUND_TASKS, VERDICT_WAIT_MS,
 };
 use crate::note::{JobNote, LossCause};
 use crate::scheduler::JobScheduler;
-use crate::stage::JobStage;
 use crate::worker::WorkerState;
 
 impl JobScheduler {
@@ -86,93 +80,6 @@
         }
     }
 
-    /// Whether several other workers have gone down or stopped answering at about the same time
-    /// without a task on them that explains it, or most of the fleet. This mass failure may have
-    /// brought this worker down as well, so no task can be called the only cause.
-    fn is_mass_failure(&self, failure: &WorkerFailure) -> bool {
-        let others = self.simultaneous_failures(failure);
-        let unexplained = others.iter();
-        let unexplained = unexplained.filter(|sign| **sign == FailureSign::Unexplained);
-        unexplained.count() >= self.mass_failure_workers()
-            || self.is_fleet_failure(failure, &others)
-    }
-
-    /// How many unexplained failures at the same moment are a mass failure.
-    fn mass_failure_workers(&self) -> usize {
-        MIN_MASS_FAILURE_WORKERS.max(self.workers.len() / MASS_FAILURE_FLEET_DIVISOR)
-    }
-
-    /// Whether a worker went down with most of the fleet, whatever runs there: right after a failure
-    /// of the fleet the lost tasks have just begun on all workers. Where many tasks that crash their
-    /// workers begin at one moment, most of the workers go down right with a start.
-    fn is_fleet_failure(&self, failure: &WorkerFailure, others: &[FailureSign]) -> bool {
-        let sudden = others.iter();
-        let sudden = sudden.filter(|sign| **sign == FailureSign::SuddenStart);
-        let mostly_sudden = sudden.count() * 2 > others.len();
-        let by_start = failure.sign == FailureSign::SuddenStart && mostly_sudden;
-        let most = self.fleet_size() / MASS_FAILURE_MAJORITY_DIVISOR;
-        others.len() >= most.max(self.mass_failure_workers()) && !by_start
-    }
-
-    /// The number of workers, with those that went down recently and are not listed any more.
-    fn fleet_size(&self) -> usize {
-        let known = self.workers.len();
-        known
-            + self
-                .crashes
-                .count_gone(|worker| !self.workers.contains_key(worker))
-    }
-
-    /// The other workers that went down or stopped answering at about the same time as a worker
-    /// that went down.
-    fn simultaneous_failures(&self, failure: &WorkerFailure) -> Vec<FailureSign> {
-        let heard_at = failure.heard_at;
-        let failing = self.workers.iter().filter(|(_, other)| {
-            let near = other.last_answer.abs_diff(heard_at) <= MASS_FAILURE_WINDOW_MS;
-            other.failed_renewals > 0 && near
-        });
-        let failing = failing.map(|(id, other)| (id, self.failure_sign(other)));
-        let down = self.crashes.failures_near(heard_at);
-        let down = down.map(|known| (&known.worker, known.sign));
-        let mut others: BTreeMap<&WorkerId, FailureSign> = failing.chain(down).collect();
-        others.remove(&failure.worker);
-        others.into_values().collect()
-    }
-
-    /// What the runs on a worker tell of the cause if it has gone down.
-    fn failure_sign(&self, worker: &WorkerState) -> FailureSign {
-        let suspects = self.begun_suspects(worker);
-        let uncleared = suspects.iter().filter(|suspect| self.is_uncleared(suspect));
-        let sudden = uncleared.map(|suspect| suspect.sudden);
-        match sudden.max() {
-            None => FailureSign::Unexplained,
-            Some(false) => FailureSign::RecentStart,
-            Some(true) => FailureSign::SuddenStart,
-        }
-    }
-
-    /// Takes the certainty from recorded crashes that turn out to be part of a mass failure: the
-    /// first workers of it that are known to be down look as if they had failed alone. Only a
-    /// failure of the fleet counts here, since where workers keep crashing by themselves, a few
-    /// others turn out in time to have failed at about any moment.
-    fn revise_certain_crashes(&mut self) {
-        for failure in self.crashes.certain_failures() {
-            let Some(run) = failure.sole_suspect else {
-                continue;
-            };
-            let others = self.simultaneous_failures(&failure);
-            if !self.is_fleet_failure(&failure, &others) {
-                continue;
-            }
-            self.crashes.clear_sole_suspect(&run);
-            let job = self.jobs.get_mut(&run.task.job);
-            let task = job.and_then(|job| job.task_mut(&run.task));
-            if task.is_some_and(|task| task.crashes.make_uncertain(run.run)) {
-                self.mark_dirty(run.task.job);
-            }
-        }
-    }
-
     /// Records a crash under a task, and schedules a verdict if the task is now blamed.
     fn record_crash_under(
         &mut self,
@@ -217,22 +124,6 @@
         });
     }
 
-    /// Gives up the tasks that are still blamed some time after their newest crash was recorded.
-    ///
-    /// A verdict is final. What was learned since may have taken the crash back, or its certainty:
-    /// the answer to an order that was under way, or the failures of other workers at that moment.
-    pub(crate) fn settle_verdicts(&mut self, now: Millis) {
-        for task in self.crashes.take_due_verdicts(now) {
-            let job = self.jobs.get(&task.job);
-            let state = job.and_then(|job| job.task(&task));
-            if state.is_some_and(|state| state.crashes.is_blamed()) {
-                self.give_up_task(now, task);
-            } else if !self.crashes.unwritten.contains(&task) {
-                self.hold_back(now, &task, now);
-            }
-        }
-    }
-
     /// Records the crashes under the tasks of a job that were found before the job was read.
     pub(crate) fn note_pending_crashes(&mut self, now: Millis, job: JobNumber) {
         let pending = self.crashes.pending.iter();
@@ -379,15 +270,6 @@
         };
         self.record_crash_under(now, &place.worker, key.task, note);
     }
-
-    /// Gives up a task under which workers crash, and its job with it.
-    fn give_up_task(&mut self, now: Millis, task: TaskKey) {
-        let job = self.jobs.get(&task.job);
-        let crashes = job.and_then(|job| job.task(&task));
-        let crashes = crashes.map_or(0, |state| state.crashes.count());
-        self.note(JobNote::TaskGivenUp { task, crashes });
-        self.finish_job(now, task.job, JobStage::Failed);
-    }
 }
 
 /// When a task with this many crashes may be started at the latest although its newest crash note
--- a/crates/jobs/src/crash/mod.rs
+++ b/crates/jobs/src/crash/mod.rs
@@ -22,6 +22,13 @@
 //! run on the worker: this happened in 8 of 4,000 simulated fleets of 16 workers of which one
 //! crashes every two seconds.
 //!
+//! A start order without an answer is a suspect only if the worker can have carried it out before it
+//! went down, by all that is known; an answer that shows otherwise withdraws the note. A worker that
+//! goes down together with many others is no certain crash: either several of them had no suspect,
+//! or it was most of the fleet, where every lost task begins again at one moment. All of this may
+//! become known shortly after the crash, so a blamed task is given up a little later, if it is
+//! still blamed then.
+//!
 //! The platform allows five starts: two more after three workers have crashed. So one or two
 //! crashes may go unrecorded, where owners die before they have written down what happened. Crash
 //! notes are part of the job's progress. A task is not started again before its note is durable,
@@ -30,9 +37,11 @@
 
 mod caution;
 mod losses;
+mod mass_failure;
 mod probes;
 mod record;
 mod tracker;
+mod verdict;
 
 pub(crate) use record::StartCaution;
 pub use record::{CrashNote, CrashRecord, CrashSuspect};
