--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -243,7 +243,8 @@
     pub pace: u32,
     /// How long ago that pace was sent, in milliseconds; `None` for the pace at the start.
     pub sent_ago_ms: Option<Millis>,
-    /// How long ago the worker took it, in milliseconds; `None` if it has not answered.
+    /// How long ago the worker last answered a pace order since then, in milliseconds; `None` if it has
+    /// not. Answers don't name their order, so that a late answer to an earlier one counts as well.
     pub taken_ago_ms: Option<Millis>,
     /// The processors that it used at the newest reading, in thousandths of a core.
     pub used: u64,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -85,7 +85,8 @@
     pub(crate) over_stretch: Option<OverTargetStretch>,
     /// When the newest pace was sent.
     pub(crate) pace_sent_at: Option<Millis>,
-    /// When the worker answered that it has taken the newest pace.
+    /// When the worker last answered a pace order since the newest pace was sent; the answer may be one
+    /// to an earlier order.
     pub(crate) pace_taken_at: Option<Millis>,
 }
 
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -251,7 +251,7 @@
 
 /// Logs a stretch in which a serving task was over its target, with the filling tasks beside it, each as
 /// `run:pace:used:sent:taken`: the ordered pace in percent, the processors used in thousandths of a core, and how many milliseconds
-/// ago the pace was sent and taken (`-` for never). An exclamation mark stands before a run that gets no paces.
+/// ago the pace was sent, and a pace order answered since (`-` for never). An exclamation mark stands before a run that gets no paces.
 fn log_over_target(report: &OverTargetReport) {
     let ago = |ms: Option<u64>| ms.map_or("-".to_owned(), |ms| ms.to_string());
     let shown = report.fills.iter().map(|fill| {
