A fleet's changes behind one slow write exceed what the store takes: red test

While one write is under way, 600 jobs progress, 45 % of the workers are replaced and then no worker answers. What the store refuses is sent again unchanged (OwnerStore::write repeats its request until another host's write came first), so that the owner renews nothing, loses the shard, and its successor finds the same changes to write.

--- /dev/null
+++ b/crates/jobs/tests/commit_limits.rs
@@ -0,0 +1,208 @@
+//! What one durable write of an owner holds stays within what the store takes, however many workers there are and however many
+//! of them change at once.
+//!
+//! In a fleet of 6,002 workers, of which 45 % were replaced within seconds beside a slow store, the store refused a write of
+//! more than 100 entries. An owner sends a refused write again unchanged until it loses the shard, and its successor finds the
+//! same changes to write.
+
+mod support;
+
+use sandshelf_jobs::{
+    CommitBatch, JobAction, JobEvent, OrderAnswer, RenewalAnswer, RenewalReport, RunOutcome,
+    TakeoverInfo, WorkerCall, WorkerListing,
+};
+use sandshelf_model::{ResourceSize, WorkerId};
+use serde::Serialize;
+use support::{end_report, job, listing, run_report, step, SchedulerRig};
+
+/// The most entries of a write: checked, written and removed rows.
+const MAX_ENTRIES: usize = 100;
+/// The most bytes of a write.
+const MAX_BYTES: usize = 1_000_000;
+/// The most bytes of a row's value; longer values take several rows.
+const MAX_VALUE_BYTES: usize = 60_000;
+/// Bytes of an entry besides its value: table, part and key with their names.
+const ENTRY_BYTES: usize = 100;
+/// The owner row, which each write checks and writes.
+const OWNER_ENTRIES: usize = 2;
+const OWNER_BYTES: usize = 1_000;
+
+/// The size of a write in the form in which the store counts it.
+#[derive(Default)]
+struct WriteSize {
+    entries: usize,
+    bytes: usize,
+}
+
+impl WriteSize {
+    fn add(&mut self, value: &impl Serialize) {
+        let bytes = serde_json::to_vec(value).expect("plain structures").len();
+        let pieces = bytes.div_ceil(MAX_VALUE_BYTES);
+        let rows = if pieces > 1 { pieces + 1 } else { 1 };
+        self.entries += rows;
+        self.bytes += rows * ENTRY_BYTES + bytes.div_ceil(3) * 4;
+    }
+
+    fn of(batch: &CommitBatch) -> Self {
+        let mut size = WriteSize {
+            entries: OWNER_ENTRIES + batch.forget.len(),
+            bytes: OWNER_BYTES + batch.forget.len() * ENTRY_BYTES,
+        };
+        for (_, row) in &batch.progress {
+            size.add(row);
+        }
+        batch.pending.iter().for_each(|counts| size.add(counts));
+        batch
+            .interference
+            .iter()
+            .for_each(|learnt| size.add(learnt));
+        batch.roster.iter().for_each(|roster| size.add(roster));
+        batch.silent.iter().for_each(|records| size.add(records));
+        size
+    }
+}
+
+/// The owner of a fleet whose workers have all answered.
+struct FleetOwner {
+    rig: SchedulerRig,
+    list: Vec<WorkerListing>,
+}
+
+fn fleet_listing(number: usize) -> WorkerListing {
+    WorkerListing {
+        worker: WorkerId::from(format!("i-{number:010x}").as_str()),
+        address: ([10, 1, (number >> 8) as u8, number as u8], 8_000).into(),
+        capacity: ResourceSize::new(16_000, 64_000, 0),
+        ..listing("w-1")
+    }
+}
+
+impl FleetOwner {
+    fn new(workers: usize) -> Self {
+        let mut owner = Self {
+            rig: SchedulerRig::new(TakeoverInfo::first(1, 1_000)),
+            list: (0..workers).map(fleet_listing).collect(),
+        };
+        owner.rig.handle(JobEvent::StoreClock {
+            at: 1_000,
+            at_most_ms: 500_000,
+        });
+        owner.list();
+        owner.answer_all();
+        owner.write_all();
+        owner
+    }
+
+    fn list(&mut self) {
+        self.rig.list_entries(self.list.clone());
+    }
+
+    fn handle_all(&mut self, events: Vec<JobEvent>) {
+        let actions = self.rig.scheduler.handle_all(self.rig.now, events);
+        self.rig.actions.extend(actions);
+    }
+
+    /// Takes the pending lease renewals; returns the workers.
+    fn take_renewals(&mut self) -> Vec<WorkerId> {
+        let mut renewed = Vec::new();
+        self.rig.actions.retain(|action| match action {
+            JobAction::Call {
+                worker,
+                call: WorkerCall::Renew(_),
+                ..
+            } => {
+                renewed.push(worker.clone());
+                false
+            }
+            _ => true,
+        });
+        renewed
+    }
+
+    /// All workers answer their lease renewals; none has any run.
+    fn answer_all(&mut self) {
+        let report = RenewalReport {
+            incarnation: None,
+            carrier_late_ms: 0,
+            clock: self.rig.now,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
+        let answer =
+            |worker| JobEvent::RenewalAnswered(worker, RenewalAnswer::Report(report.clone()));
+        let answers = self.take_renewals().into_iter().map(answer).collect();
+        self.handle_all(answers);
+    }
+
+    /// No worker answers its lease renewal, until all count as unresponsive.
+    fn silence_all(&mut self) {
+        for _ in 0..3 {
+            self.rig.advance(700);
+            let failed = |worker| {
+                let answer = RenewalAnswer::Failed(OrderAnswer::Unknown);
+                JobEvent::RenewalAnswered(worker, answer)
+            };
+            let failures = self.take_renewals().into_iter().map(failed).collect();
+            self.handle_all(failures);
+        }
+    }
+
+    /// Replaces this share of the workers, in percent, by new ones at other addresses.
+    fn replace(&mut self, percent: usize) {
+        let (before, gone) = (self.list.len(), self.list.len() * percent / 100);
+        self.list.drain(..gone);
+        self.list.extend((before..before + gone).map(fleet_listing));
+        self.list();
+    }
+
+    /// Each of these jobs has a task on a worker, and the first tasks have ended.
+    fn run_jobs(&mut self, jobs: std::ops::Range<u64>) {
+        for number in jobs {
+            self.rig.hand_in(number, 0, job(vec![step(2), step(1)]));
+        }
+        for (worker, start) in self.rig.take_starts() {
+            let (ends, runs) = match start.key.task.index {
+                0 => (vec![end_report(1, start.key, RunOutcome::Done)], vec![]),
+                _ => (vec![], vec![run_report(start.key)]),
+            };
+            self.rig.report(&worker, runs, ends);
+        }
+    }
+
+    /// Makes everything durable that the owner wants to write, and checks each write.
+    fn write_all(&mut self) -> usize {
+        let mut writes = 0;
+        self.rig.advance(100);
+        while let Some(batch) = self.rig.take_commit() {
+            let size = WriteSize::of(&batch);
+            assert!(
+                size.entries <= MAX_ENTRIES && size.bytes <= MAX_BYTES,
+                "{} entries, {} bytes",
+                size.entries,
+                size.bytes
+            );
+            writes += 1;
+            assert!(writes < 1_000, "the owner never ends to write");
+            self.rig.handle(JobEvent::Committed(batch.id));
+            self.rig.advance(50);
+        }
+        writes
+    }
+}
+
+/// While one write is under way at a slow store, jobs progress, a share of the workers is replaced, and then the owner reaches
+/// no worker any more.
+fn changes_behind_a_slow_write_fit(workers: usize) {
+    let mut owner = FleetOwner::new(workers);
+    owner.run_jobs(0..300);
+    owner.replace(45);
+    owner.answer_all();
+    owner.run_jobs(300..600);
+    owner.silence_all();
+    owner.write_all();
+}
+
+sandshelf_cases::cases! {
+    fleet_of_6002 => changes_behind_a_slow_write_fit(6_002);
+    fleet_of_17000 => changes_behind_a_slow_write_fit(17_000);
+}
