--- a/crates/emulator/src/sizes.rs
+++ b/crates/emulator/src/sizes.rs
@@ -1,8 +1,8 @@
 //! Estimates the encoded sizes of messages and rows, in bytes.
 
 use sandshelf_jobs::{
-    CommitBatch, EndReport, JobEvent, JobSpec, OrderAnswer, ProgressRow, RenewalAnswer,
-    RenewalReport, RunReport, TaskKey, WorkerCall,
+    CommitBatch, EndReport, InterferenceRow, JobEvent, JobSpec, OrderAnswer, ProgressRow,
+    RenewalAnswer, RenewalReport, RosterPage, RunReport, SilentWorkers, TaskKey, WorkerCall,
 };
 use serde_json::to_vec;
 
@@ -130,16 +130,26 @@
 
 /// Size of the roster, silence and interference rows in a batch, which the next owner reads.
 pub fn shard_rows(batch: &CommitBatch) -> u64 {
-    let roster = batch
-        .roster
-        .as_ref()
-        .map_or(0, |roster| row(6, encoded(roster)));
-    let silent = batch
-        .silent
-        .as_ref()
-        .map_or(0, |records| row(6, encoded(records)));
-    let interference = batch.interference.as_ref();
-    roster + silent + interference.map_or(0, |learnt| row(9, encoded(learnt)))
+    let head = batch.roster.head.iter().map(|head| row(6, encoded(head)));
+    let pages = batch.roster.pages.values().map(roster_page);
+    let silent = batch.silent.pages.values().map(silence_page);
+    let interference = batch.interference.iter().map(interference_row);
+    head.chain(pages).chain(silent).chain(interference).sum()
+}
+
+/// Size of a page of the roster.
+pub fn roster_page(page: &RosterPage) -> u64 {
+    row(10, encoded(page))
+}
+
+/// Size of a page of silence records.
+pub fn silence_page(page: &SilentWorkers) -> u64 {
+    row(10, encoded(page))
+}
+
+/// Size of the row of what was learnt about images.
+pub fn interference_row(learnt: &InterferenceRow) -> u64 {
+    row(9, encoded(learnt))
 }
 
 /// Size of an answer of the store without rows.
--- a/crates/emulator/src/store/mod.rs
+++ b/crates/emulator/src/store/mod.rs
@@ -7,7 +7,7 @@
 
 use sandshelf_jobs::{
     CommitBatch, InterferenceRow, JobNumber, JobSpec, ProgressRow, SilentWorkers, WorkerListing,
-    WorkerRoster,
+    WorkerPage, WorkerRoster,
 };
 use sandshelf_lease::{RowVersion, ShardRow, StoredRow};
 use sandshelf_model::Millis;
@@ -40,8 +40,36 @@
     pub silent: SilentWorkers,
     /// The learnt interference between images.
     pub interference: InterferenceRow,
-    /// The sizes of these three as rows, in bytes.
-    bytes: [u64; 3],
+    /// The sizes of the pages of the roster and of silence records as rows, in bytes.
+    page_bytes: BTreeMap<WorkerPage, [u64; 2]>,
+    /// The size of the learned interference as a row, in bytes.
+    interference_bytes: u64,
+}
+
+impl ShardState {
+    /// Applies what a write changes of it.
+    fn apply(&mut self, batch: &CommitBatch) {
+        batch.roster.apply_to(&mut self.roster);
+        batch.silent.apply_to(&mut self.silent);
+        for (number, page) in &batch.roster.pages {
+            let bytes = self.page_bytes.entry(*number).or_default();
+            bytes[0] = sizes::roster_page(page);
+        }
+        for (number, page) in &batch.silent.pages {
+            let bytes = self.page_bytes.entry(*number).or_default();
+            bytes[1] = sizes::silence_page(page);
+        }
+        if let Some(interference) = &batch.interference {
+            self.interference = interference.clone();
+            self.interference_bytes = sizes::interference_row(interference);
+        }
+    }
+
+    /// The size of its rows, in bytes.
+    fn bytes(&self) -> u64 {
+        let pages = self.page_bytes.values().flatten();
+        pages.sum::<u64>() + self.interference_bytes
+    }
 }
 
 /// An answer with its size and time.
@@ -190,7 +218,7 @@
             StoreCall::Write(write) => (self.write(write), sizes::plain_answer()),
             StoreCall::ReadProgress(behind) => self.progress_page(*behind),
             StoreCall::ReadShard => {
-                let bytes = sizes::owner_row() + self.shard.bytes.iter().sum::<u64>();
+                let bytes = sizes::owner_row() + self.shard.bytes();
                 let clock = Self::clock_ms(now);
                 (
                     StoreReply::Shard(Box::new(self.shard.clone()), clock),
@@ -247,29 +275,7 @@
             let bytes = sizes::progress_row(row);
             self.progress.insert(*number, (row.clone(), bytes));
         }
-        let written = |batch| sizes::shard_rows(&batch);
-        let batch = &write.batch;
-        if let Some(roster) = &batch.roster {
-            self.shard.roster = roster.clone();
-            self.shard.bytes[0] = written(CommitBatch {
-                roster: Some(roster.clone()),
-                ..CommitBatch::default()
-            });
-        }
-        if let Some(silent) = &batch.silent {
-            self.shard.silent = silent.clone();
-            self.shard.bytes[1] = written(CommitBatch {
-                silent: Some(silent.clone()),
-                ..CommitBatch::default()
-            });
-        }
-        if let Some(interference) = &batch.interference {
-            self.shard.interference = interference.clone();
-            self.shard.bytes[2] = written(CommitBatch {
-                interference: Some(interference.clone()),
-                ..CommitBatch::default()
-            });
-        }
+        self.shard.apply(&write.batch);
         StoreReply::Written(self.version)
     }
 
--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -1,19 +1,24 @@
 //! Builds commits: the progress of many jobs in one write, together with the counts of waiting
 //! jobs.
+//!
+//! A commit is filled up to a budget of rows and bytes. What doesn't fit stays marked as changed and
+//! follows with the next one.
 
 use std::collections::BTreeMap;
 
 use sandshelf_model::Millis;
 
+use crate::commit_budget::CommitBudget;
+use crate::dirty::UnwrittenEnds;
 use crate::events::{CommitBatch, JobAction};
 use crate::ids::JobNumber;
 use crate::interference::InterferenceRow;
 use crate::limits::{
-    INTERFERENCE_WRITE_INTERVAL_MS, MAX_FORGOTTEN_JOBS_PER_COMMIT, MAX_JOBS_PER_COMMIT,
+    INTERFERENCE_WRITE_INTERVAL_MS, MAX_FORGOTTEN_JOBS_PER_COMMIT, MAX_PAGE_ROWS_PER_COMMIT,
     MIN_COMMIT_INTERVAL_MS, PENDING_PUBLISH_INTERVAL_MS,
 };
 use crate::progress::ProgressRow;
-use crate::roster::WorkerRoster;
+use crate::roster::{RosterChange, RosterHead};
 use crate::scheduler::{JobScheduler, NotedEnds, PendingCommit};
 use crate::stage::JobStage;
 
@@ -30,47 +35,48 @@
         if !due {
             return;
         }
+        self.update_silence_records(now);
+        let ends = self.unwritten_ends.take();
+        let ends = ends.unwrap_or_else(|| UnwrittenEnds::new(self.noted_ends(), &self.dirty));
         // Everything that is taken from here on must be written: it can't be put back.
-        let pending = self.changed_pending(now);
-        let forget = self.outdated_jobs(now);
-        let silent = self.update_silence_records(now, self.commit_count + 1);
-        let wanted = !self.dirty.is_empty()
-            || silent.is_some()
-            || self.roster_changed
+        let id = self.commit_count + 1;
+        let mut budget = CommitBudget::new();
+        let forget = self.outdated_jobs(now, &mut budget);
+        let mut page_budget = budget.with_rows(MAX_PAGE_ROWS_PER_COMMIT);
+        let whole = page_budget;
+        let roster = self.changed_roster(&mut page_budget);
+        let silent = self.changed_silence_records(id, &mut page_budget);
+        budget.take_used(whole, page_budget);
+        let pending = self.changed_pending(now, &mut budget);
+        let progress = self.changed_progress(&mut budget);
+        let wanted = !progress.is_empty()
+            || !forget.is_empty()
             || pending.is_some()
-            || !forget.is_empty();
+            || !roster.is_empty()
+            || !silent.is_empty();
+        let noted = match ends.into_written(&self.dirty) {
+            Ok(ends) => ends,
+            Err(unwritten) => {
+                self.unwritten_ends = Some(unwritten);
+                Vec::new()
+            }
+        };
         if !wanted {
             return;
         }
-        self.commit_count += 1;
-        let capacity = MAX_JOBS_PER_COMMIT - forget.len();
-        let numbers: Vec<JobNumber> = self.dirty.iter().take(capacity).copied().collect();
-        self.dirty.drain(..numbers.len());
-        let complete = self.dirty.is_empty();
-        let crashed = self.crashes.take_unwritten(&numbers);
-        let mut progress = Vec::with_capacity(numbers.len());
-        for number in numbers {
-            self.dirty_set.remove(&number);
-            if let Some(row) = self.progress_of(number) {
-                progress.push((number, row));
-            }
-        }
-        self.urgent = self.urgent && !complete;
+        self.commit_count = id;
+        self.urgent = self.urgent && !self.dirty.is_empty();
         self.last_commit = now;
-        let roster = std::mem::take(&mut self.roster_changed).then(|| self.roster_entries());
+        let numbers: Vec<JobNumber> = progress.iter().map(|(number, _)| *number).collect();
         self.commit = Some(PendingCommit {
-            id: self.commit_count,
-            roster: roster.is_some(),
-            noted: if complete {
-                self.noted_ends()
-            } else {
-                Vec::new()
-            },
-            crashed,
+            id,
+            roster_head: roster.head.is_some(),
+            noted,
+            crashed: self.crashes.take_unwritten(&numbers),
         });
-        let interference = self.due_interference(now);
+        let interference = self.due_interference(now, &mut budget);
         self.actions.push(JobAction::Commit(CommitBatch {
-            id: self.commit_count,
+            id,
             progress,
             pending,
             interference,
@@ -80,32 +86,79 @@
         }));
     }
 
+    /// The progress of the jobs that changed first, as much as fits.
+    fn changed_progress(&mut self, budget: &mut CommitBudget) -> Vec<(JobNumber, ProgressRow)> {
+        let mut progress = Vec::new();
+        while let Some(number) = self.dirty.first() {
+            if let Some(row) = self.progress_of(number) {
+                if !budget.take(&row) {
+                    break;
+                }
+                progress.push((number, row));
+            }
+            self.final_rows.remove(&number);
+            self.dirty.remove_first();
+        }
+        progress
+    }
+
+    /// The head of the roster if it changed, and the changed pages, as many as fit.
+    fn changed_roster(&mut self, budget: &mut CommitBudget) -> RosterChange {
+        let mut change = RosterChange::default();
+        let head = RosterHead {
+            epoch: self.epoch,
+            lease_ms: Some(self.roster_lease_ms),
+        };
+        if self.roster.head_changed && budget.take(&head) {
+            self.roster.head_changed = false;
+            change.head = Some(head);
+        }
+        for page in self.roster.changed_pages() {
+            let content = self.roster.content(page, &self.workers);
+            if !budget.take(&content) {
+                break;
+            }
+            self.roster.note_requested(page);
+            change.pages.insert(page, content);
+        }
+        change
+    }
+
     /// What was learnt about images, if it was last written long enough ago. It is only written
     /// along with other changes.
-    fn due_interference(&mut self, now: Millis) -> Option<InterferenceRow> {
+    fn due_interference(
+        &mut self,
+        now: Millis,
+        budget: &mut CommitBudget,
+    ) -> Option<InterferenceRow> {
         if now < self.interference_written_at + INTERFERENCE_WRITE_INTERVAL_MS {
             return None;
         }
+        let learnt = self.interference.to_row(&self.images);
+        if !learnt.pairs.is_empty() && !budget.take(&learnt) {
+            return None;
+        }
         self.interference_written_at = now;
-        Some(self.interference.to_row(&self.images)).filter(|row| !row.pairs.is_empty())
+        Some(learnt).filter(|learnt| !learnt.pairs.is_empty())
     }
 
     /// A limited number of jobs that ended long ago. They stay known here until the write is
     /// requested.
-    fn outdated_jobs(&mut self, now: Millis) -> Vec<JobNumber> {
+    fn outdated_jobs(&mut self, now: Millis, budget: &mut CommitBudget) -> Vec<JobNumber> {
         let old = |at: Millis| now > at + self.limits.keep_finished_ms;
         let count = self.finished_at.iter().take(MAX_FORGOTTEN_JOBS_PER_COMMIT);
-        let count = count.take_while(|(at, _)| old(*at)).count();
+        let count = count.take_while(|(at, _)| old(*at) && budget.take_removal());
+        let count = count.count();
         self.finished_at
             .drain(..count)
             .map(|(_, number)| number)
             .collect()
     }
 
-    fn progress_of(&mut self, number: JobNumber) -> Option<ProgressRow> {
+    fn progress_of(&self, number: JobNumber) -> Option<ProgressRow> {
         match self.jobs.get(&number) {
             Some(job) => Some(job.progress()),
-            None => self.final_rows.remove(&number),
+            None => self.final_rows.get(&number).cloned(),
         }
     }
 
@@ -120,23 +173,6 @@
         ends.collect()
     }
 
-    fn roster_entries(&self) -> WorkerRoster {
-        let known = self.workers.iter();
-        let named: Vec<_> = known.filter(|(id, _)| self.roster.contains(*id)).collect();
-        let workers = named.iter();
-        let workers = workers.map(|(id, worker)| ((*id).clone(), worker.entry.address));
-        let any_known = named
-            .iter()
-            .any(|(_, worker)| worker.incarnation.id.is_some());
-        let lives = named.iter().filter(|_| any_known);
-        WorkerRoster {
-            epoch: self.epoch,
-            workers: workers.collect(),
-            lives: lives.map(|(_, worker)| worker.incarnation.id).collect(),
-            lease_ms: Some(self.roster_lease_ms),
-        }
-    }
-
     /// Acknowledges all processed ends, since no change waits to be written.
     fn acknowledge_all(&mut self, now: Millis) {
         let gap = self.backlog.renewal_gap_ms();
@@ -154,7 +190,7 @@
             return;
         };
         self.note_records_removed(now, id);
-        self.lease_published |= commit.roster;
+        self.lease_published |= commit.roster_head;
         self.release_noted(now, commit.crashed);
         let gap = self.backlog.renewal_gap_ms();
         for ends in commit.noted {
@@ -171,7 +207,11 @@
     }
 
     /// The counts of waiting jobs by queue, if they changed and may be published again.
-    fn changed_pending(&mut self, now: Millis) -> Option<BTreeMap<String, u64>> {
+    fn changed_pending(
+        &mut self,
+        now: Millis,
+        budget: &mut CommitBudget,
+    ) -> Option<BTreeMap<String, u64>> {
         if self.state_pending || now < self.pending_published_at + PENDING_PUBLISH_INTERVAL_MS {
             return None;
         }
@@ -181,7 +221,7 @@
                 *counts.entry(job.spec.queue.clone()).or_default() += 1;
             }
         }
-        if counts == self.pending_counts {
+        if counts == self.pending_counts || !budget.take(&counts) {
             return None;
         }
         self.pending_published_at = now;
--- a/crates/jobs/src/crash/losses.rs
+++ b/crates/jobs/src/crash/losses.rs
@@ -209,7 +209,7 @@
         self.foreign.forget_running(id);
         self.worker_order = None;
         self.quarantine.forget(id);
-        self.roster_changed |= self.roster.remove(id);
+        self.roster.remove(id);
     }
 
     /// Handles the tasks that a new owner finds nowhere, when workers were lost that an earlier
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -11,8 +11,8 @@
 use crate::note::JobNote;
 use crate::progress::ProgressRow;
 use crate::reports::{OrderAnswer, RenewalAnswer, WorkerClock, WorkerListing};
-use crate::roster::WorkerRoster;
-use crate::silent::SilentWorkers;
+use crate::roster::RosterChange;
+use crate::silent::SilenceChange;
 use crate::spec::{JobSpec, QueueRules};
 
 /// An event that a scheduler handles.
@@ -107,7 +107,8 @@
     Renew(RenewalCall),
 }
 
-/// A set of changes that is written durably and atomically.
+/// A set of changes that is written durably and atomically. However much changes at once, it is within what the store takes
+/// in one write; the rest follows with later batches.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CommitBatch {
     /// Identifies the batch in [`JobEvent::Committed`].
@@ -120,10 +121,10 @@
     pub interference: Option<InterferenceRow>,
     /// Finished jobs whose rows are to be removed.
     pub forget: Vec<JobNumber>,
-    /// The workers that may run tasks; none if unchanged.
-    pub roster: Option<WorkerRoster>,
-    /// The records of silent workers; none if unchanged.
-    pub silent: Option<SilentWorkers>,
+    /// What changes in the roster of the workers that may run tasks.
+    pub roster: RosterChange,
+    /// What changes in the records of silent workers.
+    pub silent: SilenceChange,
 }
 
 /// An action that a scheduler requests.
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -191,7 +191,7 @@
         self.workers.insert(worker.clone(), state);
         self.worker_order = None;
         self.schedule_renewal(&worker, now);
-        self.roster.insert(worker.clone());
+        self.roster.restore(&worker);
         if let Some(recovery) = &mut self.recovery {
             recovery.unanswered.insert(worker, recovery.until);
         }
@@ -273,7 +273,7 @@
             state.note_doubt(now);
         }
         if !known {
-            self.roster_changed |= self.roster.insert(id.clone());
+            self.roster.add(&id);
             self.worker_order = None;
             self.renewal_queue.insert((now, id.clone()));
         }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,8 +19,10 @@
 mod backlog;
 mod capacity;
 mod commit;
+mod commit_budget;
 mod cost;
 mod crash;
+mod dirty;
 mod due;
 mod events;
 mod fill;
@@ -62,13 +64,14 @@
 mod takeover;
 mod tenure;
 mod worker;
+mod worker_page;
 
 pub use crash::{CrashNote, CrashRecord, CrashSuspect};
 pub use events::{CommitBatch, JobAction, JobEvent, RenewalCall, StartCall, WorkerCall};
 pub use gauges::SchedulerCounts;
 pub use ids::{BadIdentifier, JobNumber, RunKey, TaskKey, WorkerIncarnation};
 pub use interference::{InterferencePair, InterferenceRow};
-pub use limits::SchedulerLimits;
+pub use limits::{SchedulerLimits, MAX_ROW_VALUE_BYTES};
 pub use note::{FillState, JobNote, LossCause, OverTargetReport, StopCause};
 pub use progress::{ProgressRow, TaskProgress};
 pub use queues::{QueueEntry, QueueTable};
@@ -76,11 +79,12 @@
     EndReport, OrderAnswer, RefusalReason, RenewalAnswer, RenewalReport, RunOutcome, RunReport,
     WorkerClock, WorkerListing,
 };
-pub use roster::WorkerRoster;
+pub use roster::{RosterChange, RosterHead, RosterPage, WorkerRoster};
 pub use scheduler::JobScheduler;
-pub use silent::SilentWorkers;
+pub use silent::{SilenceChange, SilentWorkers};
 pub use spec::{JobSpec, QueueRules, RepeatRule, SpecFault, StepSpec, MAX_PAYLOAD_BYTES};
 pub use stage::JobStage;
 pub use summary::JobSummaries;
 pub use takeover::TakeoverInfo;
 pub use tenure::OwnerTenure;
+pub use worker_page::{WorkerPage, WORKER_PAGES};
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -160,8 +160,16 @@
 pub const ROSTER_CHECK_INTERVAL_MS: Millis = 100;
 /// The shortest time between two commits that no caller waits for.
 pub const MIN_COMMIT_INTERVAL_MS: Millis = 40;
-/// The most jobs in one commit. The store accepts 100 entries in a write, a few of which are the owner's own.
-pub const MAX_JOBS_PER_COMMIT: usize = 90;
+/// The most rows in one commit. The store accepts 100 entries in a write, two of which are the owner row and its check.
+pub const MAX_COMMIT_ROWS: usize = 96;
+/// The most bytes in one commit, in the form in which the store counts them; it accepts 1 MB in a write.
+pub const MAX_COMMIT_BYTES: usize = 900_000;
+/// The most rows of a commit that are pages of workers. The rest is left to jobs, so that neither holds up the other.
+pub const MAX_PAGE_ROWS_PER_COMMIT: usize = 48;
+/// The most bytes of a value in one row, before base64. Longer values are stored in several rows. The store accepts 65,536.
+pub const MAX_ROW_VALUE_BYTES: usize = 60_000;
+/// The bytes of a row in a write besides its value, with the names of the fields.
+pub const ROW_FRAME_BYTES: usize = 160;
 /// How often the learnt interference between images is written. Without it a new owner places filling tasks as badly as the first one.
 pub const INTERFERENCE_WRITE_INTERVAL_MS: Millis = 1_500;
 /// The most finished jobs that one commit removes.
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -58,7 +58,7 @@
         let lease_ms = self.limits.lease_ms();
         if now >= self.inherited_until && self.roster_lease_ms != lease_ms {
             self.roster_lease_ms = lease_ms;
-            self.roster_changed = true;
+            self.roster.head_changed = true;
         }
     }
 
@@ -100,11 +100,11 @@
         }
         self.roster_checked_at = now;
         for (id, worker) in &self.workers {
-            let changed = match worker.may_hold_tasks() || self.foreign.has_reports_of(id) {
-                true => !self.roster.contains(id) && self.roster.insert(id.clone()),
+            match worker.may_hold_tasks() || self.foreign.has_reports_of(id) {
+                true if self.roster.contains(id) => {}
+                true => self.roster.add(id),
                 false => self.roster.remove(id),
-            };
-            self.roster_changed |= changed;
+            }
         }
     }
 
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -37,7 +37,7 @@
             self.begin_incarnation(now, worker, sent_at, report);
         } else if state.incarnation.id.is_none() && report.incarnation.is_some() {
             state.incarnation.id = report.incarnation;
-            self.roster_changed |= self.roster.contains(worker);
+            self.roster.note_changed(worker);
         }
     }
 
@@ -75,7 +75,7 @@
         self.lose_runs(now, worker, LossCause::Restarted);
         self.foreign.forget_running(worker);
         self.quarantine.forget(worker);
-        self.roster_changed |= self.roster.contains(worker);
+        self.roster.note_changed(worker);
         if let Some(recovery) = &mut self.recovery {
             recovery.worker_lost |= recovery.unanswered.contains_key(worker);
         }
--- a/crates/jobs/src/roster.rs
+++ b/crates/jobs/src/roster.rs
@@ -1,24 +1,179 @@
 //! The durable list of the workers that may hold tasks.
+//!
+//! It is stored in pages of workers and a head with what holds for all of them. A commit contains the pages that have changed.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use sandshelf_model::{Epoch, Millis, WorkerId};
 use serde::{Deserialize, Serialize};
 
 use crate::ids::WorkerIncarnation;
+use crate::worker::WorkerState;
+use crate::worker_page::WorkerPage;
 
 /// The workers that may hold tasks, and the longest lease that they hold.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct WorkerRoster {
-    /// The epoch of the owner that wrote it.
+    /// The epoch of the owner that wrote its head.
     #[serde(default)]
     pub epoch: Epoch,
     /// The name and address of each worker.
+    #[serde(default)]
     pub workers: Vec<(WorkerId, SocketAddr)>,
     /// The incarnation of each worker that the owner has heard from, in the order of `workers`.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default)]
     pub lives: Vec<Option<WorkerIncarnation>>,
     /// The longest lease in milliseconds; `None` means the longest that the platform allows.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
+    pub lease_ms: Option<Millis>,
+}
+
+/// What holds for all workers of a roster.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterHead {
+    /// The epoch of the owner that wrote it.
+    pub epoch: Epoch,
+    /// The longest lease in milliseconds.
     pub lease_ms: Option<Millis>,
 }
+
+/// The workers of one page of a roster.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterPage {
+    /// The name and address of each worker.
+    pub workers: Vec<(WorkerId, SocketAddr)>,
+    /// The incarnation of each worker that the owner has heard from, in the order of `workers`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lives: Vec<Option<WorkerIncarnation>>,
+}
+
+/// A change of the stored roster.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RosterChange {
+    /// The new head; none if it is unchanged.
+    pub head: Option<RosterHead>,
+    /// The new content of each changed page.
+    pub pages: BTreeMap<WorkerPage, RosterPage>,
+}
+
+impl RosterChange {
+    /// Whether nothing changes.
+    pub fn is_empty(&self) -> bool {
+        self.head.is_none() && self.pages.is_empty()
+    }
+
+    /// Applies the change to a roster.
+    pub fn apply_to(&self, roster: &mut WorkerRoster) {
+        if let Some(head) = &self.head {
+            roster.epoch = head.epoch;
+            roster.lease_ms = head.lease_ms;
+        }
+        roster.remove_pages(&self.pages);
+        for page in self.pages.values() {
+            roster.add_page(page.clone());
+        }
+    }
+}
+
+impl WorkerRoster {
+    /// Adds the workers of a page.
+    pub fn add_page(&mut self, page: RosterPage) {
+        // Without any known incarnation the list of incarnations is empty.
+        self.lives.resize(self.workers.len(), None);
+        let workers = page.workers.len();
+        self.workers.extend(page.workers);
+        let lives = page.lives.into_iter().chain(std::iter::repeat(None));
+        self.lives.extend(lives.take(workers));
+    }
+
+    fn remove_pages(&mut self, pages: &BTreeMap<WorkerPage, RosterPage>) {
+        let lives = std::mem::take(&mut self.lives).into_iter();
+        let lives = lives.chain(std::iter::repeat(None));
+        let entries = std::mem::take(&mut self.workers).into_iter().zip(lives);
+        let stay = entries.filter(|((worker, _), _)| !pages.contains_key(&WorkerPage::of(worker)));
+        (self.workers, self.lives) = stay.unzip();
+    }
+}
+
+/// The workers that belong in the stored roster, and what of it has to be written.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RosterMembers {
+    pages: BTreeMap<WorkerPage, BTreeSet<WorkerId>>,
+    changed: BTreeSet<WorkerPage>,
+    pub(crate) head_changed: bool,
+}
+
+impl RosterMembers {
+    pub(crate) fn contains(&self, worker: &WorkerId) -> bool {
+        let page = self.pages.get(&WorkerPage::of(worker));
+        page.is_some_and(|workers| workers.contains(worker))
+    }
+
+    /// Adds a worker that was read from the store.
+    pub(crate) fn restore(&mut self, worker: &WorkerId) -> WorkerPage {
+        let page = WorkerPage::of(worker);
+        self.pages.entry(page).or_default().insert(worker.clone());
+        page
+    }
+
+    /// Adds a worker that is not contained.
+    pub(crate) fn add(&mut self, worker: &WorkerId) {
+        let page = self.restore(worker);
+        self.changed.insert(page);
+    }
+
+    /// Removes a worker if it is contained.
+    pub(crate) fn remove(&mut self, worker: &WorkerId) {
+        let page = WorkerPage::of(worker);
+        let workers = self.pages.get_mut(&page);
+        if workers.is_some_and(|workers| workers.remove(worker)) {
+            self.changed.insert(page);
+        }
+    }
+
+    /// Records that the entry of a worker has changed, if the worker is contained.
+    pub(crate) fn note_changed(&mut self, worker: &WorkerId) {
+        if self.contains(worker) {
+            self.changed.insert(WorkerPage::of(worker));
+        }
+    }
+
+    /// Has all pages written again.
+    pub(crate) fn rewrite(&mut self) {
+        self.changed.extend(WorkerPage::all());
+    }
+
+    /// The pages that have to be written.
+    pub(crate) fn changed_pages(&self) -> Vec<WorkerPage> {
+        self.changed.iter().copied().collect()
+    }
+
+    /// Records that a page is written with the next commit.
+    pub(crate) fn note_requested(&mut self, page: WorkerPage) {
+        self.changed.remove(&page);
+    }
+
+    /// The present content of a page.
+    pub(crate) fn content(
+        &self,
+        page: WorkerPage,
+        known: &BTreeMap<WorkerId, WorkerState>,
+    ) -> RosterPage {
+        let members = self.pages.get(&page).into_iter().flatten();
+        let named: Vec<(&WorkerId, &WorkerState)> = members
+            .filter_map(|worker| known.get_key_value(worker))
+            .collect();
+        let address =
+            |(worker, state): &(&WorkerId, &WorkerState)| ((*worker).clone(), state.entry.address);
+        let lives: Vec<Option<WorkerIncarnation>> = named
+            .iter()
+            .map(|(_, state)| state.incarnation.id)
+            .collect();
+        let any_known = lives.iter().any(Option::is_some);
+        RosterPage {
+            workers: named.iter().map(address).collect(),
+            lives: if any_known { lives } else { Vec::new() },
+        }
+    }
+}
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::backlog::BacklogMonitor;
 use crate::capacity::EndedJobSizes;
 use crate::crash::CrashTracker;
+use crate::dirty::{DirtyJobs, UnwrittenEnds};
 use crate::events::{JobAction, JobEvent, WorkerCall};
 use crate::foreign::ForeignRuns;
 use crate::halls::EvacuatedHalls;
@@ -24,6 +25,7 @@
 use crate::note::JobNote;
 use crate::progress::ProgressRow;
 use crate::rank::FailedPlacements;
+use crate::roster::RosterMembers;
 use crate::silent::{SilenceRecords, StoreClock};
 use crate::spec::{JobSpec, QueueRules};
 use crate::takeover::{RecoveryState, TakeoverInfo, FIRST_EPOCH};
@@ -53,8 +55,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PendingCommit {
     pub(crate) id: u64,
-    /// Whether the commit publishes the roster, and with it the length of leases.
-    pub(crate) roster: bool,
+    /// Whether the commit publishes the head of the roster, and with it the length of leases.
+    pub(crate) roster_head: bool,
     /// The ends that are durable once the commit has taken effect.
     pub(crate) noted: Vec<NotedEnds>,
     /// The tasks whose newest crash record is durable once the commit has taken effect.
@@ -90,9 +92,9 @@
     pub(crate) delayed: BTreeSet<(Millis, TaskKey)>,
     pub(crate) queues: BTreeMap<String, QueueRules>,
     pub(crate) evacuated: EvacuatedHalls,
-    /// Jobs whose changed progress has not been written yet, in the order of the changes.
-    pub(crate) dirty: VecDeque<JobNumber>,
-    pub(crate) dirty_set: HashSet<JobNumber>,
+    pub(crate) dirty: DirtyJobs,
+    /// Ends that wait until all jobs are written that had changed when they were noted.
+    pub(crate) unwritten_ends: Option<UnwrittenEnds>,
     /// Whether the next commit must not wait for the shortest interval between commits.
     pub(crate) urgent: bool,
     pub(crate) commit: Option<PendingCommit>,
@@ -101,8 +103,7 @@
     /// The published number of waiting jobs by queue.
     pub(crate) pending_counts: BTreeMap<String, u64>,
     pub(crate) pending_published_at: Millis,
-    pub(crate) roster: BTreeSet<WorkerId>,
-    pub(crate) roster_changed: bool,
+    pub(crate) roster: RosterMembers,
     pub(crate) roster_checked_at: Millis,
     /// The stop orders that were sent, each with the time at which it is checked again.
     pub(crate) stop_queue: VecDeque<(Millis, WorkerId, RunKey)>,
@@ -178,8 +179,8 @@
             delayed: BTreeSet::new(),
             queues: BTreeMap::new(),
             evacuated: EvacuatedHalls::default(),
-            dirty: VecDeque::new(),
-            dirty_set: HashSet::new(),
+            dirty: DirtyJobs::default(),
+            unwritten_ends: None,
             urgent: false,
             commit: None,
             commit_count: 0,
@@ -187,8 +188,7 @@
             pending_counts: BTreeMap::new(),
             // Jobs are handled one by one, so the number of waiting jobs is published only once all are known.
             pending_published_at: info.claimed_at,
-            roster: BTreeSet::new(),
-            roster_changed: false,
+            roster: RosterMembers::default(),
             roster_checked_at: 0,
             stop_queue: VecDeque::new(),
             worker_order: None,
@@ -242,8 +242,12 @@
         if info.rules_since > 0 && info.silent.epoch >= info.rules_since {
             scheduler.inherit_silence_records(info.claimed_at, info.store_ms, info.silent);
         }
-        // The roster in the store carries the epoch of its own writer, so this owner writes it again.
-        scheduler.roster_changed = true;
+        // The head of the roster carries the epoch of its own writer, so this owner writes it again.
+        scheduler.roster.head_changed = true;
+        if info.rules_since == 0 && info.epoch > FIRST_EPOCH {
+            // An owner of another version may have written the roster in another form.
+            scheduler.roster.rewrite();
+        }
         scheduler
     }
 
@@ -438,8 +442,6 @@
 
     /// Marks a job's progress as changed, to be written with a later commit.
     pub(crate) fn mark_dirty(&mut self, number: JobNumber) {
-        if self.dirty_set.insert(number) {
-            self.dirty.push_back(number);
-        }
+        self.dirty.add(number);
     }
 }
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -340,7 +340,7 @@
         self.foreign.forget_running(worker);
         self.worker_order = None;
         self.quarantine.forget(worker);
-        self.roster_changed |= self.roster.remove(worker);
+        self.roster.remove(worker);
         if let Some(recovery) = &mut self.recovery {
             recovery.worker_lost |= recovery.unanswered.remove(worker).is_some();
         }
--- a/crates/jobs/src/silent.rs
+++ b/crates/jobs/src/silent.rs
@@ -7,15 +7,17 @@
 //! From then on nothing extends the lease until the worker has answered and the record is certainly
 //! removed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sandshelf_model::{Epoch, Millis, WorkerId};
 use serde::{Deserialize, Serialize};
 
+use crate::commit_budget::CommitBudget;
 use crate::crash::CrashSuspect;
 use crate::ids::WorkerIncarnation;
 use crate::scheduler::JobScheduler;
 use crate::worker::{SilenceRecord, WorkerState};
+use crate::worker_page::WorkerPage;
 
 /// Unresponsive workers get a silence record before they count as silent if at most one worker in
 /// this many is unresponsive. Where many answer late, the network to them is at fault, and the
@@ -65,24 +67,104 @@
     }
 }
 
+/// A change of the stored silence records.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SilenceChange {
+    /// The new content of each changed page.
+    pub pages: BTreeMap<WorkerPage, SilentWorkers>,
+}
+
+impl SilenceChange {
+    /// Whether nothing changes.
+    pub fn is_empty(&self) -> bool {
+        self.pages.is_empty()
+    }
+
+    /// Applies the change to the records of all workers.
+    pub fn apply_to(&self, records: &mut SilentWorkers) {
+        let stays = |worker: &WorkerId| !self.pages.contains_key(&WorkerPage::of(worker));
+        records.over_at.retain(|worker, _| stays(worker));
+        records.suspects.retain(|worker, _| stays(worker));
+        records.lives.retain(|worker, _| stays(worker));
+        for page in self.pages.values() {
+            records.add_page(page.clone());
+        }
+    }
+}
+
+impl SilentWorkers {
+    /// Adds the records of a page.
+    pub fn add_page(&mut self, page: SilentWorkers) {
+        self.epoch = self.epoch.max(page.epoch);
+        self.over_at.extend(page.over_at);
+        self.suspects.extend(page.suspects);
+        self.lives.extend(page.lives);
+    }
+
+    fn remove(&mut self, worker: &WorkerId) {
+        self.over_at.remove(worker);
+        self.suspects.remove(worker);
+        self.lives.remove(worker);
+    }
+
+    /// Splits the records into pages.
+    fn into_pages(self) -> BTreeMap<WorkerPage, SilentWorkers> {
+        let mut pages: BTreeMap<WorkerPage, SilentWorkers> = BTreeMap::new();
+        for (worker, over_at) in self.over_at {
+            let page = pages.entry(WorkerPage::of(&worker)).or_default();
+            page.over_at.insert(worker, over_at);
+        }
+        for (worker, suspects) in self.suspects {
+            let page = pages.entry(WorkerPage::of(&worker)).or_default();
+            page.suspects.insert(worker, suspects);
+        }
+        for (worker, incarnation) in self.lives {
+            let page = pages.entry(WorkerPage::of(&worker)).or_default();
+            page.lives.insert(worker, incarnation);
+        }
+        pages
+    }
+}
+
+/// When a removed record can no longer be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordRemoval {
+    /// No commit that removes it was requested yet.
+    Wanted,
+    /// Once the commit with this number has taken effect.
+    Requested(u64),
+}
+
 /// The silence records of all workers.
 ///
 /// They are kept apart from the state of the workers: a worker that lists omit for a while is
 /// forgotten, and may come back while its record can still be read.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SilenceRecords {
-    /// The records as the last commit request contained them.
-    requested: SilentWorkers,
-    /// Records that the commit with this number removes.
-    being_removed: BTreeMap<WorkerId, u64>,
+    /// The records that belong in the store.
+    pages: BTreeMap<WorkerPage, SilentWorkers>,
+    /// The pages whose stored content differs.
+    changed: BTreeSet<WorkerPage>,
+    /// Records that don't belong in the store any more, but that a successor could still read.
+    removals: BTreeMap<WorkerId, RecordRemoval>,
 }
 
 impl SilenceRecords {
+    fn contains(&self, worker: &WorkerId) -> bool {
+        let page = self.pages.get(&WorkerPage::of(worker));
+        page.is_some_and(|page| page.over_at.contains_key(worker))
+    }
+
+    fn workers(&self) -> impl Iterator<Item = &WorkerId> {
+        self.pages.values().flat_map(|page| page.over_at.keys())
+    }
+
     /// Whether a successor could read a silence record of a worker.
     pub(crate) fn state_of(&self, worker: &WorkerId) -> SilenceRecord {
-        match self.being_removed.get(worker) {
-            _ if self.requested.over_at.contains_key(worker) => SilenceRecord::Written,
-            Some(commit) => SilenceRecord::Removed(*commit),
+        match self.removals.get(worker) {
+            _ if self.contains(worker) => SilenceRecord::Written,
+            Some(RecordRemoval::Wanted) => SilenceRecord::Written,
+            Some(RecordRemoval::Requested(commit)) => SilenceRecord::Removed(*commit),
             None => SilenceRecord::None,
         }
     }
@@ -94,46 +176,74 @@
         incarnation: Option<WorkerIncarnation>,
         suspects: Vec<CrashSuspect>,
     ) {
-        self.being_removed.remove(worker);
-        self.requested.over_at.insert(worker.clone(), over_at);
+        self.removals.remove(worker);
+        let number = WorkerPage::of(worker);
+        self.changed.insert(number);
+        let page = self.pages.entry(number).or_default();
+        page.over_at.insert(worker.clone(), over_at);
         if suspects.is_empty() {
             return;
         }
-        self.requested.suspects.insert(worker.clone(), suspects);
+        page.suspects.insert(worker.clone(), suspects);
         if let Some(incarnation) = incarnation {
-            self.requested.lives.insert(worker.clone(), incarnation);
+            page.lives.insert(worker.clone(), incarnation);
         }
     }
 
-    fn remove_record(&mut self, worker: &WorkerId, commit: u64) {
-        self.requested.over_at.remove(worker);
-        self.requested.suspects.remove(worker);
-        self.requested.lives.remove(worker);
-        self.being_removed.insert(worker.clone(), commit);
+    fn remove_record(&mut self, worker: &WorkerId) {
+        let number = WorkerPage::of(worker);
+        if let Some(page) = self.pages.get_mut(&number) {
+            page.remove(worker);
+        }
+        self.changed.insert(number);
+        self.removals.insert(worker.clone(), RecordRemoval::Wanted);
     }
 
-    /// Removes the records of workers that are not known any more. Returns whether there were any.
-    fn remove_unknown(&mut self, known: &BTreeMap<WorkerId, WorkerState>, commit: u64) -> bool {
-        let recorded = self.requested.over_at.keys();
-        let unknown: Vec<WorkerId> = recorded
-            .filter(|id| !known.contains_key(id))
-            .cloned()
-            .collect();
+    /// Removes the records of workers that are not known any more.
+    fn remove_unknown(&mut self, known: &BTreeMap<WorkerId, WorkerState>) {
+        let unknown = self.workers().filter(|id| !known.contains_key(*id));
+        let unknown: Vec<WorkerId> = unknown.cloned().collect();
         for worker in &unknown {
-            self.remove_record(worker, commit);
+            self.remove_record(worker);
         }
-        !unknown.is_empty()
+    }
+
+    /// The changed pages, as many as fit into the commit with this number. Returns them with the
+    /// workers whose records the commit removes.
+    fn request_changes(
+        &mut self,
+        epoch: Epoch,
+        commit: u64,
+        budget: &mut CommitBudget,
+    ) -> (SilenceChange, Vec<WorkerId>) {
+        let mut change = SilenceChange::default();
+        for number in self.changed.iter().copied().collect::<Vec<_>>() {
+            let page = self.pages.entry(number).or_default();
+            page.epoch = epoch;
+            if !budget.take(page) {
+                break;
+            }
+            change.pages.insert(number, page.clone());
+            self.changed.remove(&number);
+        }
+        let mut removed = Vec::new();
+        for (worker, removal) in &mut self.removals {
+            let requested = change.pages.contains_key(&WorkerPage::of(worker));
+            if *removal == RecordRemoval::Wanted && requested {
+                *removal = RecordRemoval::Requested(commit);
+                removed.push(worker.clone());
+            }
+        }
+        (change, removed)
     }
 
     /// Handles a commit that took effect. Returns the workers whose records are certainly removed.
     fn note_committed(&mut self, commit: u64) -> Vec<WorkerId> {
-        let removed = self
-            .being_removed
-            .iter()
-            .filter(|(_, with)| **with == commit);
+        let removed = self.removals.iter();
+        let removed = removed.filter(|(_, removal)| **removal == RecordRemoval::Requested(commit));
         let removed: Vec<WorkerId> = removed.map(|(worker, _)| worker.clone()).collect();
         for worker in &removed {
-            self.being_removed.remove(worker);
+            self.removals.remove(worker);
         }
         removed
     }
@@ -141,13 +251,9 @@
 
 impl JobScheduler {
     /// Adds records of workers that have become silent and removes those of workers that answer
-    /// again, with the commit of this number. Returns all records if any changed.
-    pub(crate) fn update_silence_records(
-        &mut self,
-        now: Millis,
-        commit: u64,
-    ) -> Option<SilentWorkers> {
-        let mut changed = self.silence_records.remove_unknown(&self.workers, commit);
+    /// again.
+    pub(crate) fn update_silence_records(&mut self, now: Millis) {
+        self.silence_records.remove_unknown(&self.workers);
         for id in self.silent_without_record(now) {
             let over_at = self.lease_expires_at(now, &id);
             if let Some(over_at) = self.store_clock.max_clock_at(over_at) {
@@ -156,24 +262,32 @@
                 let suspects = state.map_or_else(Vec::new, |state| self.crash_suspects(state));
                 self.silence_records
                     .add_record(&id, over_at, incarnation, suspects);
-                changed = true;
                 self.sync_silence_record(&id);
             }
         }
         let answers =
             |worker: &WorkerState| worker.incarnation.fenced && worker.failed_renewals == 0;
-        let answering = self.workers.iter();
-        let answering = answering.filter(|(_, worker)| {
-            worker.silence_record == SilenceRecord::Written && answers(worker)
-        });
-        let answering: Vec<WorkerId> = answering.map(|(id, _)| id.clone()).collect();
+        let answering = self.silence_records.workers();
+        let answering = answering.filter(|id| self.workers.get(*id).is_some_and(answers));
+        let answering: Vec<WorkerId> = answering.cloned().collect();
         for id in answering {
-            self.silence_records.remove_record(&id, commit);
-            changed = true;
-            self.sync_silence_record(&id);
+            self.silence_records.remove_record(&id);
+        }
+    }
+
+    /// The changed pages of silence records, as many as fit into the commit with this number.
+    pub(crate) fn changed_silence_records(
+        &mut self,
+        commit: u64,
+        budget: &mut CommitBudget,
+    ) -> SilenceChange {
+        let (change, removed) = self
+            .silence_records
+            .request_changes(self.epoch, commit, budget);
+        for worker in removed {
+            self.sync_silence_record(&worker);
         }
-        self.silence_records.requested.epoch = self.epoch;
-        changed.then(|| self.silence_records.requested.clone())
+        change
     }
 
     /// Workers without a record that are silent, or that are unresponsive while few workers are.
@@ -225,7 +339,7 @@
                 state.incarnation.id = records.lives.get(id).copied().or(state.incarnation.id);
             }
         }
-        self.silence_records.requested = records;
+        self.silence_records.pages = records.into_pages();
         for (id, over_at) in workers {
             self.sync_silence_record(&id);
             let until = now + over_at.saturating_sub(store_ms);
--- a/crates/jobs/tests/commit_limits.rs
+++ b/crates/jobs/tests/commit_limits.rs
@@ -9,7 +9,7 @@
 
 use sandshelf_jobs::{
     CommitBatch, JobAction, JobEvent, OrderAnswer, RenewalAnswer, RenewalReport, RunOutcome,
-    TakeoverInfo, WorkerCall, WorkerListing,
+    SilentWorkers, TakeoverInfo, WorkerCall, WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{ResourceSize, WorkerId};
 use serde::Serialize;
@@ -56,16 +56,19 @@
             .interference
             .iter()
             .for_each(|learnt| size.add(learnt));
-        batch.roster.iter().for_each(|roster| size.add(roster));
-        batch.silent.iter().for_each(|records| size.add(records));
+        batch.roster.head.iter().for_each(|head| size.add(head));
+        batch.roster.pages.values().for_each(|page| size.add(page));
+        batch.silent.pages.values().for_each(|page| size.add(page));
         size
     }
 }
 
-/// The owner of a fleet whose workers have all answered.
+/// The owner of a fleet whose workers have all answered, and what it has made durable about them.
 struct FleetOwner {
     rig: SchedulerRig,
     list: Vec<WorkerListing>,
+    roster: WorkerRoster,
+    silent: SilentWorkers,
 }
 
 fn fleet_listing(number: usize) -> WorkerListing {
@@ -82,6 +85,8 @@
         let mut owner = Self {
             rig: SchedulerRig::new(TakeoverInfo::first(1, 1_000)),
             list: (0..workers).map(fleet_listing).collect(),
+            roster: WorkerRoster::default(),
+            silent: SilentWorkers::default(),
         };
         owner.rig.handle(JobEvent::StoreClock {
             at: 1_000,
@@ -183,11 +188,27 @@
             );
             writes += 1;
             assert!(writes < 1_000, "the owner never ends to write");
+            batch.roster.apply_to(&mut self.roster);
+            batch.silent.apply_to(&mut self.silent);
             self.rig.handle(JobEvent::Committed(batch.id));
             self.rig.advance(50);
         }
         writes
     }
+
+    /// The workers of the current list, in order.
+    fn listed(&self) -> Vec<&WorkerId> {
+        let mut listed: Vec<&WorkerId> = self.list.iter().map(|entry| &entry.worker).collect();
+        listed.sort_unstable();
+        listed
+    }
+
+    /// The workers in the durable roster, in order.
+    fn rostered(&self) -> Vec<&WorkerId> {
+        let mut rostered: Vec<&WorkerId> = self.roster.workers.iter().map(|(id, _)| id).collect();
+        rostered.sort_unstable();
+        rostered
+    }
 }
 
 /// While one write is under way at a slow store, jobs progress, a share of the workers is replaced, and then the owner reaches
@@ -200,9 +221,29 @@
     owner.run_jobs(300..600);
     owner.silence_all();
     owner.write_all();
+    assert!(owner.rig.scheduler.is_written());
+    let rostered = owner.rostered();
+    assert!(owner.listed().iter().all(|id| rostered.contains(id)));
+    let recorded: Vec<&WorkerId> = owner.silent.over_at.keys().collect();
+    assert_eq!(recorded, rostered, "each silent worker has its record");
+}
+
+/// A worker that comes or goes costs a write of its page, whatever the number of workers.
+fn one_replacement_writes_little(workers: usize) {
+    let mut owner = FleetOwner::new(workers);
+    owner.list.remove(0);
+    owner.list.push(fleet_listing(workers));
+    owner.list();
+    owner.rig.advance(100);
+    let batch = owner.rig.take_commit().expect("a write");
+    let size = WriteSize::of(&batch);
+    let most = OWNER_BYTES + 2 * (ENTRY_BYTES + 10_000);
+    assert!(size.bytes <= most, "{} bytes", size.bytes);
 }
 
 sandshelf_cases::cases! {
     fleet_of_6002 => changes_behind_a_slow_write_fit(6_002);
     fleet_of_17000 => changes_behind_a_slow_write_fit(17_000);
+    replacement_among_6002 => one_replacement_writes_little(6_002);
+    replacement_among_17000 => one_replacement_writes_little(17_000);
 }
--- a/crates/jobs/tests/handover.rs
+++ b/crates/jobs/tests/handover.rs
@@ -86,15 +86,20 @@
     assert_eq!(rig.stops(), [("w-1".to_owned(), key(11))]);
 }
 
+/// Makes everything durable that the owner wants to write; returns how many writes changed the roster.
+fn apply_writes(rig: &mut SchedulerRig, roster: &mut WorkerRoster) -> usize {
+    let changes = rig.commit_all().into_iter().map(|batch| batch.roster);
+    let changes = changes.filter(|change| !change.is_empty());
+    changes.map(|change| change.apply_to(roster)).count()
+}
+
 /// A draining worker without runs is removed from the roster: a new owner need not wait for its
 /// answer, even if it is gone by then.
 fn a_draining_worker_without_tasks_leaves_the_roster() {
     let mut rig = SchedulerRig::with_workers(&["w-1", "w-2"]);
-    let before = rig
-        .commit_all()
-        .into_iter()
-        .filter_map(|batch| batch.roster);
-    let both = before.last().expect("a roster").workers.len();
+    let mut roster = WorkerRoster::default();
+    apply_writes(&mut rig, &mut roster);
+    let both = roster.workers.len();
     rig.list_entries(vec![
         WorkerListing {
             draining: true,
@@ -103,12 +108,9 @@
         listing("w-2"),
     ]);
     rig.advance(100);
-    let after = rig
-        .commit_all()
-        .into_iter()
-        .filter_map(|batch| batch.roster);
-    let left = after.last().expect("a roster").workers;
-    let left: Vec<&str> = left.iter().map(|(worker, _)| worker.as_str()).collect();
+    apply_writes(&mut rig, &mut roster);
+    let left = roster.workers.iter();
+    let left: Vec<&str> = left.map(|(worker, _)| worker.as_str()).collect();
     assert_eq!((both, left), (2, vec!["w-2"]));
 }
 
@@ -118,28 +120,27 @@
     let mut rig = SchedulerRig::with_workers(&["w-1"]);
     rig.hand_in(7, 0, job(vec![step(1)]));
     let (_, start) = rig.take_starts().pop().expect("a start");
-    rig.commit_all();
+    let mut roster = WorkerRoster::default();
+    apply_writes(&mut rig, &mut roster);
     rig.list_entries(vec![WorkerListing {
         draining: true,
         ..listing("w-1")
     }]);
     rig.advance(100);
-    let rosters = rig
-        .commit_all()
-        .into_iter()
-        .filter_map(|batch| batch.roster);
-    assert_eq!(rosters.count(), 0, "the task runs there");
+    assert_eq!(
+        apply_writes(&mut rig, &mut roster),
+        0,
+        "the task runs there"
+    );
+    assert_eq!(roster.workers.len(), 1);
     rig.report(
         "w-1",
         vec![],
         vec![end_report(1, start.key, RunOutcome::Done)],
     );
     rig.advance(100);
-    let rosters = rig
-        .commit_all()
-        .into_iter()
-        .filter_map(|batch| batch.roster);
-    assert!(rosters.last().expect("a roster").workers.is_empty());
+    apply_writes(&mut rig, &mut roster);
+    assert!(roster.workers.is_empty());
 }
 
 /// The length of leases that an owner publishes for its successor.
@@ -147,12 +148,9 @@
     let mut rig = SchedulerRig::with_limits(long_leases(), TakeoverInfo::first(1, 1_000));
     rig.list(&["w-1"]);
     rig.report("w-1", vec![], vec![]);
-    let rosters = rig
-        .commit_all()
-        .into_iter()
-        .filter_map(|batch| batch.roster);
-    let lease_ms = rosters.last().expect("a roster").lease_ms;
-    lease_ms.expect("a length of leases")
+    let mut roster = WorkerRoster::default();
+    apply_writes(&mut rig, &mut roster);
+    roster.lease_ms.expect("a length of leases")
 }
 
 /// No renewal and no start order grants a lease longer than the published one.
@@ -229,11 +227,10 @@
         rig.report(other, vec![], vec![]);
         rig.fail_renewal(&silent);
     }
-    let records = rig
-        .commit_all()
-        .into_iter()
-        .filter_map(|batch| batch.silent);
-    let records = records.last().expect("silence records");
+    let mut records = SilentWorkers::default();
+    for batch in rig.commit_all() {
+        batch.silent.apply_to(&mut records);
+    }
     (rig, silent, last_answer, records)
 }
 
@@ -271,7 +268,8 @@
     }
     assert!(!renewed(&rig), "the record still exists");
     let batch = rig.take_commit().expect("a write");
-    assert!(batch.silent.expect("silence records").over_at.is_empty());
+    let mut pages = batch.silent.pages.values();
+    assert!(pages.len() > 0 && pages.all(|page| page.over_at.is_empty()));
     rig.report(&silent, vec![], vec![]);
     assert!(!renewed(&rig), "the write may not have taken effect");
     rig.handle(JobEvent::Committed(batch.id));
--- a/crates/jobs/tests/silence_records.rs
+++ b/crates/jobs/tests/silence_records.rs
@@ -58,12 +58,21 @@
 
     fn write(&mut self, rig: &mut SchedulerRig) {
         for batch in rig.commit_all() {
-            self.roster = batch.roster.unwrap_or(std::mem::take(&mut self.roster));
-            self.silent = batch.silent.unwrap_or(std::mem::take(&mut self.silent));
+            batch.roster.apply_to(&mut self.roster);
+            batch.silent.apply_to(&mut self.silent);
         }
     }
 }
 
+/// Makes everything durable that the owner wants to write, and returns the silence records in it.
+fn written_records(rig: &mut SchedulerRig) -> SilentWorkers {
+    let mut records = SilentWorkers::default();
+    for batch in rig.commit_all() {
+        batch.silent.apply_to(&mut records);
+    }
+    records
+}
+
 fn report_store_clock(rig: &mut SchedulerRig, at: Millis) {
     rig.handle(JobEvent::StoreClock {
         at,
@@ -123,11 +132,8 @@
 /// The first roster that is written states the length of the owner's leases.
 fn the_first_roster_states_the_lease_length() {
     let mut rig = first_owner();
-    let first = rig
-        .take_commit()
-        .expect("a write")
-        .roster
-        .expect("a roster");
+    let first = rig.take_commit().expect("a write").roster;
+    let first = first.head.expect("the head of a roster");
     assert_eq!((first.epoch, first.lease_ms), (1, Some(4_000)));
 }
 
@@ -148,11 +154,7 @@
             rig.report("w-2", vec![], vec![]);
             rig.fail_renewal("w-1");
         }
-        let records = rig
-            .commit_all()
-            .into_iter()
-            .filter_map(|batch| batch.silent);
-        records.last().expect("silence records").over_at[&id("w-1")]
+        written_records(rig).over_at[&id("w-1")]
     };
     assert_eq!(over_at(&mut late), over_at(&mut early));
 }
@@ -293,11 +295,7 @@
             rig.report("w-2", vec![], vec![]);
             rig.fail_renewal("w-1");
         }
-        let records = rig
-            .commit_all()
-            .into_iter()
-            .filter_map(|batch| batch.silent);
-        records.last().expect("silence records").over_at[&id("w-1")]
+        written_records(&mut rig).over_at[&id("w-1")]
     };
     assert_eq!(over_at(400), over_at(0));
 }
@@ -337,14 +335,10 @@
     rig.commit_all();
     rig.fail_renewal("w-1");
     rig.advance(200);
-    assert!(rig.commit_all().iter().all(|batch| batch.silent.is_none()));
+    assert!(rig.commit_all().iter().all(|batch| batch.silent.is_empty()));
     rig.advance(100);
     rig.fail_renewal("w-1");
-    let records = rig
-        .commit_all()
-        .into_iter()
-        .filter_map(|batch| batch.silent);
-    assert_eq!(records.last().expect("silence records").over_at.len(), 1);
+    assert_eq!(written_records(&mut rig).over_at.len(), 1);
     rig.actions.clear();
     rig.report("w-1", vec![], vec![]);
     rig.advance(75);
--- a/crates/jobs/tests/support/crashing/orders.rs
+++ b/crates/jobs/tests/support/crashing/orders.rs
@@ -63,12 +63,8 @@
             return;
         }
         self.rows.extend(batch.progress);
-        if let Some(roster) = batch.roster {
-            self.roster = roster;
-        }
-        if let Some(silent) = batch.silent {
-            self.silent = silent;
-        }
+        batch.roster.apply_to(&mut self.roster);
+        batch.silent.apply_to(&mut self.silent);
         self.answers
             .push((self.rig.now, JobEvent::Committed(batch.id)));
     }
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -257,12 +257,8 @@
             self.oracle.shown(self.now, number, row.stage);
             self.progress.insert(number, row);
         }
-        if let Some(roster) = batch.roster {
-            self.roster = roster;
-        }
-        if let Some(silent) = batch.silent {
-            self.silent = silent;
-        }
+        batch.roster.apply_to(&mut self.roster);
+        batch.silent.apply_to(&mut self.silent);
         self.deliver_event(epoch, JobEvent::Committed(batch.id));
     }
 }
--- a/crates/jobs/tests/support/restarting.rs
+++ b/crates/jobs/tests/support/restarting.rs
@@ -119,9 +119,7 @@
             if let Some((_, row)) = rows.find(|(number, _)| *number == JobNumber(JOB)) {
                 self.row = row;
             }
-            if let Some(roster) = batch.roster {
-                self.roster = roster;
-            }
+            batch.roster.apply_to(&mut self.roster);
             self.rig.handle(JobEvent::Committed(batch.id));
         }
     }
--- a/crates/lease/src/row.rs
+++ b/crates/lease/src/row.rs
@@ -29,8 +29,9 @@
     /// were renewed before.
     pub silence_ms: Millis,
     /// The epoch since which all owners have kept to the lease rules that they publish. 0 where an owner of an earlier
-    /// version, which doesn't know this field and drops it, has written the row since.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    /// version, which doesn't know this field and drops it, has written the row since. Its stored name changes with the
+    /// form in which owners publish what they know of workers.
+    #[serde(rename = "paged_since", default, skip_serializing_if = "is_zero")]
     pub rules_since: Epoch,
     /// The address at which the owner accepts connections of other hosts; none where it accepts none, or runs a
     /// version that doesn't know this field.
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -14,8 +14,8 @@
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters::StoreCall;
 use crate::jobs::records::{
-    cancel_row, encode, job_range, job_row, progress_row, row_range, shard_row, PendingRow,
-    CANCEL_SUFFIX, PENDING_KEY, SHARDS_TABLE,
+    cancel_row, encode, job_range, job_row, progress_row, shard_row, PendingRow, CANCEL_SUFFIX,
+    PENDING_KEY, SHARDS_TABLE,
 };
 use crate::logging::event;
 
@@ -203,8 +203,11 @@
         queue: &QueueEntry,
         number: JobNumber,
     ) -> Result<Option<JobStage>, StoreFault> {
-        let rows = self.read(&row_range(&progress_row(number))).await?;
-        let progress = rows.first().and_then(decode_progress);
+        let row = progress_row(number);
+        let rows = self.read(&value_range(&row)).await?;
+        let progress = join_value(&rows, &row.key)
+            .as_ref()
+            .and_then(decode_progress);
         if let Some(progress) = &progress {
             if progress.queue != queue.name {
                 return Ok(None);
--- a/crates/sandshelfd/src/jobs/owner/recover.rs
+++ b/crates/sandshelfd/src/jobs/owner/recover.rs
@@ -52,8 +52,10 @@
         let reader = Rc::new(takeover_reader());
         let task_reader = reader.clone();
         let halls = self.halls.clone();
+        let rules_since = self.rules_since;
         let read_task = spawn_local(async move {
-            let published = Box::new(store.read_published(&task_reader, &halls).await);
+            let published = store.read_published(&task_reader, &halls, rules_since);
+            let published = Box::new(published.await);
             let _ = messages.send(OwnerMessage::PublishedRead(epoch, published));
             let recorded = Box::new(store.read_recorded(&task_reader).await);
             let _ = messages.send(OwnerMessage::RecordedRead(epoch, recorded));
--- a/crates/sandshelfd/src/jobs/records.rs
+++ b/crates/sandshelfd/src/jobs/records.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use sandshelf_adapter::{RowKey, RowRange};
-use sandshelf_jobs::JobNumber;
+use sandshelf_jobs::{JobNumber, WorkerPage};
 use serde::{Deserialize, Serialize};
 
 /// The table of submitted jobs and cancellations.
@@ -21,10 +21,8 @@
 pub const OWNER_KEY: &str = "owner";
 /// The key of the counts of waiting jobs.
 pub const PENDING_KEY: &str = "pending";
-/// The key of the roster: the workers that may have leased tasks.
+/// The key of the head of the roster: what holds for all workers that may have leased tasks.
 pub const ROSTER_KEY: &str = "roster";
-/// The key of the silence records of workers.
-pub const SILENT_KEY: &str = "silent";
 /// The key of the learned interference between images.
 pub const INTERFERENCE_KEY: &str = "strengths";
 /// The suffix to a job's number in the key of its cancellation row.
@@ -53,6 +51,16 @@
     format!("j{}", number.0 % JOB_PARTS)
 }
 
+/// The key of a page of the roster.
+pub fn roster_page_key(page: WorkerPage) -> String {
+    format!("roster-{:03}", page.0)
+}
+
+/// The key of a page of the silence records of workers.
+pub fn silence_page_key(page: WorkerPage) -> String {
+    format!("silent-{:03}", page.0)
+}
+
 /// The key of a job's row.
 pub fn job_row(number: JobNumber) -> RowKey {
     RowKey {
--- a/crates/sandshelfd/src/jobs/takeover.rs
+++ b/crates/sandshelfd/src/jobs/takeover.rs
@@ -5,24 +5,28 @@
 
 use futures::future::join;
 use futures::{stream, StreamExt};
-use sandshelf_adapter::{join_value, CallTimeout, StoredValue};
+use sandshelf_adapter::{join_values, leftover_pieces, CallTimeout, RowWrite, StoredValue};
 use sandshelf_jobs::{
-    InterferenceRow, JobEvent, JobNumber, JobSpec, ProgressRow, SilentWorkers, WorkerRoster,
+    InterferenceRow, JobEvent, JobNumber, JobSpec, ProgressRow, SilentWorkers, WorkerPage,
+    WorkerRoster,
 };
+use sandshelf_model::Epoch;
 
 use crate::jobs::accept::decode_row;
 use crate::jobs::halls::{evacuation_range, HallView};
 use crate::jobs::meters::StoreCall;
 use crate::jobs::pages::{PageReader, PartRows};
 use crate::jobs::records::{
-    job_ranges, shard_range, CANCEL_SUFFIX, INTERFERENCE_KEY, PROGRESS_TABLE, ROSTER_KEY,
-    SHARDS_TABLE, SILENT_KEY,
+    job_ranges, roster_page_key, shard_range, shard_row, silence_page_key, CANCEL_SUFFIX,
+    INTERFERENCE_KEY, PROGRESS_TABLE, ROSTER_KEY, SHARDS_TABLE,
 };
 use crate::jobs::writer::OwnerStore;
 use crate::logging::event;
 
 /// The idle timeout of a page read: how long the store may send nothing.
 const PAGE_TIMEOUT: CallTimeout = CallTimeout::Idle(Duration::from_millis(1_500));
+/// How many leftover rows are removed in one write. The store accepts 100 entries.
+const LEFTOVERS_PER_WRITE: usize = 90;
 /// How many parts of the jobs table are read concurrently.
 const PARTS_AT_ONCE: usize = 8;
 
@@ -66,34 +70,65 @@
 }
 
 impl OwnerStore {
-    /// Reads what earlier owners published, and updates the evacuated halls. Failed reads are retried until they succeed.
-    pub async fn read_published(&self, reader: &PageReader, halls: &HallView) -> PublishedState {
+    /// Reads what earlier owners published, and updates the evacuated halls. Silence records of owners before epoch `rules_since` are left
+    /// out, and all where that is 0. Failed reads are retried until they succeed.
+    pub async fn read_published(
+        &self,
+        reader: &PageReader,
+        halls: &HallView,
+        rules_since: Epoch,
+    ) -> PublishedState {
         let (shards, evacuations) = (shard_range(SHARDS_TABLE), evacuation_range());
         let published = reader.read_part(self, &shards);
         let evacuated = reader.read_part(self, &evacuations);
         let (published, evacuated) = join(published, evacuated).await;
         halls.replace_all(&evacuated.rows, evacuated.last_version);
-        let row_of = |key: &str| join_value(&published.rows, key);
-        let roster = row_of(ROSTER_KEY).and_then(|row| decode_row(&row, "roster"));
-        let silent = row_of(SILENT_KEY).and_then(|row| decode_row(&row, "silent"));
-        let interference = row_of(INTERFERENCE_KEY).and_then(|row| decode_row(&row, "strengths"));
+        let rows: BTreeMap<String, StoredValue> = join_values(&published.rows)
+            .into_iter()
+            .map(|row| (row.key.clone(), row))
+            .collect();
+        let interference = rows.get(INTERFERENCE_KEY);
+        let interference = interference.and_then(|row| decode_row(row, "strengths"));
         PublishedState {
-            roster: roster.unwrap_or_default(),
-            silent: silent.unwrap_or_default(),
+            roster: decode_roster(&rows),
+            silent: decode_silence_records(&rows, rules_since),
             interference: interference.unwrap_or_default(),
             store_ms: published.store_ms,
         }
     }
 
-    /// Reads the durable state of jobs. Failed reads are retried until they succeed.
+    /// Reads the durable state of jobs, and removes leftover pieces of rows that were longer before. Failed reads are retried until they
+    /// succeed.
     pub async fn read_recorded(&self, reader: &PageReader) -> RecordedState {
         let progress = reader.read_part(self, &shard_range(PROGRESS_TABLE)).await;
+        self.remove_leftovers(&leftover_pieces(&progress.rows))
+            .await;
         RecordedState {
-            progress: decode_all(&progress.rows),
+            progress: decode_all(&join_values(&progress.rows)),
             jobs: self.read_jobs(reader).await,
         }
     }
 
+    /// Removes progress rows, some in each write. The claim keeps an earlier owner from writing them again, and this owner has not begun to
+    /// write. Rows whose removal fails are left to the next owner.
+    async fn remove_leftovers(&self, keys: &[String]) {
+        for some in keys.chunks(LEFTOVERS_PER_WRITE) {
+            let removes = some.iter().map(|key| shard_row(PROGRESS_TABLE, key));
+            let removal = RowWrite {
+                removes: removes.collect(),
+                ..RowWrite::default()
+            };
+            let write = self.client.write(&removal, PAGE_TIMEOUT);
+            if let Err(fault) = self.health.observe(StoreCall::TakeOver, write).await {
+                event(
+                    "leftovers_kept",
+                    &[("rows", &keys.len()), ("fault", &fault)],
+                );
+                return;
+            }
+        }
+    }
+
     /// Reads all jobs and cancellations, a few parts at a time. Failed reads are retried until they succeed.
     pub async fn read_jobs(&self, reader: &PageReader) -> ListedJobs {
         let parts = job_ranges().map(|range| async move { reader.read_part(self, &range).await });
@@ -119,6 +154,31 @@
     }
 }
 
+fn decode_roster(rows: &BTreeMap<String, StoredValue>) -> WorkerRoster {
+    let head = rows.get(ROSTER_KEY);
+    let head = head.and_then(|row| decode_row::<WorkerRoster>(row, "roster"));
+    let mut roster = head.unwrap_or_default();
+    let pages = WorkerPage::all().filter_map(|page| rows.get(&roster_page_key(page)));
+    for page in pages.filter_map(|row| decode_row(row, "roster")) {
+        roster.add_page(page);
+    }
+    roster
+}
+
+fn decode_silence_records(
+    rows: &BTreeMap<String, StoredValue>,
+    rules_since: Epoch,
+) -> SilentWorkers {
+    let mut records = SilentWorkers::default();
+    let pages = WorkerPage::all().filter_map(|page| rows.get(&silence_page_key(page)));
+    for page in pages.filter_map(|row| decode_row::<SilentWorkers>(row, "silent")) {
+        if rules_since > 0 && page.epoch >= rules_since {
+            records.add_page(page);
+        }
+    }
+    records
+}
+
 fn decode_all(rows: &[StoredValue]) -> BTreeMap<JobNumber, ProgressRow> {
     let mut progress = BTreeMap::new();
     for row in rows {
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -19,8 +19,9 @@
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters::StoreCall;
 use crate::jobs::records::{
-    cancel_row, encode, job_row, progress_row, row_range, shard_row, PendingRow, INTERFERENCE_KEY,
-    OWNER_KEY, PENDING_KEY, ROSTER_KEY, SHARDS_TABLE, SILENT_KEY,
+    cancel_row, encode, job_row, progress_row, roster_page_key, row_range, shard_row,
+    silence_page_key, PendingRow, INTERFERENCE_KEY, OWNER_KEY, PENDING_KEY, ROSTER_KEY,
+    SHARDS_TABLE,
 };
 use crate::logging::event;
 
@@ -110,7 +111,11 @@
                 Err(fault) => {
                     event(
                         "write_retried",
-                        &[("fault", &fault), ("batch", &write.batch.id)],
+                        &[
+                            ("fault", &fault),
+                            ("batch", &write.batch.id),
+                            ("rows", &request.puts.len()),
+                        ],
                     );
                     sleep(RETRY_PAUSE).await;
                     match self.read_owner().await {
@@ -159,31 +164,43 @@
     }
 }
 
-/// The rows of a published value, which is split since it grows with the workers, queues and images.
+/// The rows of a published value, which is split if it is longer than a row.
 fn split_rows<T: Serialize>(key: &str, value: &T) -> Vec<(RowKey, Vec<u8>)> {
     split_value(shard_row(SHARDS_TABLE, key), encode(value))
 }
 
 fn row_write(write: &OwnerWrite) -> RowWrite {
     let owner = shard_row(SHARDS_TABLE, OWNER_KEY);
+    let CommitBatch {
+        progress,
+        pending,
+        interference,
+        forget,
+        roster,
+        silent,
+        ..
+    } = &write.batch;
     let mut puts = vec![(owner.clone(), encode(&write.row))];
-    for (number, progress) in &write.batch.progress {
-        puts.push((progress_row(*number), encode(progress)));
+    for (number, progress) in progress {
+        puts.extend(split_value(progress_row(*number), encode(progress)));
     }
-    if let Some(counts) = &write.batch.pending {
+    if let Some(counts) = pending {
         let row = PendingRow {
             counts: counts.clone(),
         };
         puts.extend(split_rows(PENDING_KEY, &row));
     }
-    if let Some(interference) = &write.batch.interference {
+    if let Some(interference) = interference {
         puts.extend(split_rows(INTERFERENCE_KEY, interference));
     }
-    if let Some(roster) = &write.batch.roster {
-        puts.extend(split_rows(ROSTER_KEY, roster));
+    if let Some(head) = &roster.head {
+        puts.extend(split_rows(ROSTER_KEY, head));
     }
-    if let Some(silent_workers) = &write.batch.silent {
-        puts.extend(split_rows(SILENT_KEY, silent_workers));
+    for (number, page) in &roster.pages {
+        puts.extend(split_rows(&roster_page_key(*number), page));
+    }
+    for (number, page) in &silent.pages {
+        puts.extend(split_rows(&silence_page_key(*number), page));
     }
     RowWrite {
         checks: vec![RowCheck {
@@ -191,12 +208,6 @@
             version: write.version,
         }],
         puts,
-        removes: write
-            .batch
-            .forget
-            .iter()
-            .copied()
-            .map(progress_row)
-            .collect(),
+        removes: forget.iter().copied().map(progress_row).collect(),
     }
 }
