The owner follows the changes of the worker list, and takes in what has changed

Each new entry was compared with all known workers for its address, so that the first list of a fleet took the square of its length.

The scheduler gets what changed (WorkersChanged), an empty change says that the list is known as of now. Addresses of workers without an entry are looked up in an index. The dispatcher keeps its routes while the same relays are used.

Result: an owner that is told changes does the same as one that gets whole lists: four random histories of 60 steps with workers that come, go, drain, are replaced at their address or become unreadable, and gaps (worker_changes).

--- a/crates/emulator/src/costs.rs
+++ b/crates/emulator/src/costs.rs
@@ -101,6 +101,9 @@
             }
             JobEvent::JobListed { .. } => JOB_US,
             JobEvent::WorkersListed(list) => list.len() as u64 * WORKER_NS / 1_000,
+            JobEvent::WorkersChanged(changes) => {
+                ORDER_ANSWER_US + changes.listed.len() as u64 * WORKER_NS / 1_000
+            }
             JobEvent::Tick { .. } => workers as u64 * TICK_WORKER_NS / 1_000,
             JobEvent::RenewalAnswered(..)
             | JobEvent::StartAnswered(..)
--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -1,13 +1,16 @@
 //! Emulates the control thread: claims the shard when it has no owner, and runs its scheduler while this host owns it.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
     CommitBatch, JobAction, JobEvent, JobScheduler, OwnerTenure, SchedulerCounts, SchedulerLimits,
-    TakeoverInfo, WorkerCall,
+    TakeoverInfo, WorkerCall, WorkerChanges, WorkerListing,
 };
 use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease};
-use sandshelf_model::{HostId, Millis};
+use sandshelf_model::{HostId, Millis, WorkerId};
 
 use super::takeover::TakeoverReading;
 use super::writes::{WriteState, READ_TIMEOUT_MS};
@@ -27,6 +30,9 @@
 const FIRST_CLAIM_RANK_FACTOR: u32 = 5;
 const KEEP_FINISHED_MS: Millis = 130_000;
 
+/// The list of workers by name.
+type WorkerList = Arc<BTreeMap<WorkerId, WorkerListing>>;
+
 /// Wall-clock time at the start of a simulation, in milliseconds since 1970.
 pub const WALL_START_MS: Millis = 1_764_700_000_000;
 
@@ -50,6 +56,8 @@
     tenure: OwnerTenure,
     /// The last time sent to the scheduler up to which no other host can have become the owner, in milliseconds.
     sure_until: Millis,
+    /// The list of workers as read; `None` before the first one.
+    list: Option<WorkerList>,
 }
 
 /// State of the control thread of one process of a host.
@@ -108,6 +116,34 @@
         self.owned.as_ref().map(|owned| owned.scheduler.epoch())
     }
 
+    /// The list of workers as this owner knows it; `None` before it has read it.
+    pub(super) fn owned_list(&self) -> Option<WorkerList> {
+        self.owned.as_ref()?.list.clone()
+    }
+
+    /// Replaces that list.
+    pub(super) fn set_list(&mut self, list: BTreeMap<WorkerId, WorkerListing>) {
+        if let Some(owned) = &mut self.owned {
+            owned.workers = list.len();
+            owned.list = Some(Arc::new(list));
+        }
+    }
+
+    /// Applies changes to that list.
+    pub(super) fn change_list(&mut self, changes: &WorkerChanges) {
+        let Some(owned) = &mut self.owned else {
+            return;
+        };
+        let list = Arc::make_mut(owned.list.get_or_insert_with(Arc::default));
+        for entry in &changes.listed {
+            list.insert(entry.worker.clone(), entry.clone());
+        }
+        for worker in &changes.removed {
+            list.remove(worker);
+        }
+        owned.workers = list.len();
+    }
+
     pub(super) fn is_owner(&self) -> bool {
         self.owned.is_some()
     }
@@ -211,11 +247,6 @@
             .iter()
             .map(|event| EventWeight::of(event, owned.workers))
             .collect();
-        for event in &events {
-            if let JobEvent::WorkersListed(list) = event {
-                owned.workers = list.len();
-            }
-        }
         let measured = self.meter.begin(&events);
         let (_, before) = owned.scheduler.last_pass();
         let began = self.meter.processor_time();
@@ -349,6 +380,7 @@
             workers: 0,
             tenure: OwnerTenure::new(SHARD_LEASE_MS, self.control.claimed_at),
             sure_until: 0,
+            list: None,
         });
         self.list_workers(at);
         self.refresh_queues(at);
--- a/crates/emulator/src/host/follow.rs
+++ b/crates/emulator/src/host/follow.rs
@@ -67,7 +67,7 @@
                 self.handle_page(at, reply);
             }
             StoreCall::FollowJobs(after) => self.handle_jobs(at, after, reply),
-            StoreCall::ListWorkers => self.handle_workers(at, reply),
+            StoreCall::ListWorkers | StoreCall::FollowWorkers(_) => self.handle_workers(at, reply),
             StoreCall::ReadConfig | StoreCall::FollowConfig(_) => self.handle_config(at, reply),
             StoreCall::PutJob(request, ..)
             | StoreCall::PutCancel(request, _)
@@ -143,18 +143,34 @@
         }
     }
 
-    /// Reads the list of workers.
+    /// Reads the list of workers, or what has changed in it since this owner knows it.
     pub(super) fn list_workers(&mut self, at: Micros) {
         self.listed_at = at;
-        self.call_store(at, StoreCall::ListWorkers, FOLLOW_TIMEOUT_MS);
+        let known = self.control.owned_list();
+        let store_call = match known {
+            Some(known) => StoreCall::FollowWorkers(known),
+            None => StoreCall::ListWorkers,
+        };
+        self.call_store(at, store_call, FOLLOW_TIMEOUT_MS);
     }
 
     fn handle_workers(&mut self, at: Micros, reply: Option<StoreReply>) {
         let Some(epoch) = self.control.epoch() else {
             return;
         };
-        let Some(StoreReply::Workers(list, store_ms)) = reply else {
-            return self.pause(at, HostPause::Workers(epoch), FOLLOW_RETRY_DELAY);
+        let (changes, store_ms) = match reply {
+            Some(StoreReply::Workers(list, store_ms)) => {
+                let listed = list
+                    .iter()
+                    .map(|entry| (entry.worker.clone(), entry.clone()));
+                self.control.set_list(listed.collect());
+                (JobEvent::WorkersListed(list), store_ms)
+            }
+            Some(StoreReply::WorkerChanges(changes, store_ms)) => {
+                self.control.change_list(&changes);
+                (JobEvent::WorkersChanged(changes), store_ms)
+            }
+            _ => return self.pause(at, HostPause::Workers(epoch), FOLLOW_RETRY_DELAY),
         };
         let at_most_ms = store_ms + (at - self.listed_at) / MS;
         self.handle_events(
@@ -164,7 +180,7 @@
                     at: at / MS,
                     at_most_ms,
                 },
-                JobEvent::WorkersListed(list),
+                changes,
             ],
         );
         self.pause(at, HostPause::Workers(epoch), LIST_INTERVAL);
--- a/crates/emulator/src/meter.rs
+++ b/crates/emulator/src/meter.rs
@@ -82,7 +82,8 @@
                 | JobEvent::WorkersUnreadable(_)
                 | JobEvent::QueuesChanged(_)
                 | JobEvent::HallsEvacuated(_)
-                | JobEvent::SureUntil(_) => {}
+                | JobEvent::SureUntil(_)
+                | JobEvent::WorkersChanged(_) => {}
             }
         }
         Some(MeasuredStep {
--- a/crates/emulator/src/store/calls.rs
+++ b/crates/emulator/src/store/calls.rs
@@ -1,10 +1,11 @@
 //! Calls of hosts to the store, and the store's answers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use sandshelf_jobs::{CommitBatch, JobNumber, JobSpec, ProgressRow, WorkerListing};
+use sandshelf_jobs::{CommitBatch, JobNumber, JobSpec, ProgressRow, WorkerChanges, WorkerListing};
 use sandshelf_lease::{RowVersion, ShardRow, StoredRow};
-use sandshelf_model::Millis;
+use sandshelf_model::{Millis, WorkerId};
 
 use super::ShardState;
 use crate::sizes;
@@ -48,6 +49,8 @@
     FollowJobs(RowVersion),
     /// Reads the list of workers.
     ListWorkers,
+    /// Reads what has changed in the list of workers since the caller knew it so.
+    FollowWorkers(Arc<BTreeMap<WorkerId, WorkerListing>>),
     /// Reads the configuration.
     ReadConfig,
     /// Waits for a configuration newer than a version.
@@ -107,6 +110,8 @@
     Jobs(Vec<(RowVersion, JobRow)>, RowVersion),
     /// The list of workers, and the store's clock in milliseconds.
     Workers(Vec<WorkerListing>, Millis),
+    /// The changes of the list of workers, and the store's clock in milliseconds.
+    WorkerChanges(WorkerChanges, Millis),
     /// The configuration, and the store version to follow it from.
     Config(ConfigRow, RowVersion),
     /// Success, for calls whose answer contains no row.
--- a/crates/emulator/src/store/mod.rs
+++ b/crates/emulator/src/store/mod.rs
@@ -2,15 +2,15 @@
 
 mod calls;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use sandshelf_jobs::{
-    CommitBatch, InterferenceRow, JobNumber, JobSpec, ProgressRow, SilentWorkers, WorkerListing,
-    WorkerPage, WorkerRoster,
+    CommitBatch, InterferenceRow, JobNumber, JobSpec, ProgressRow, SilentWorkers, WorkerChanges,
+    WorkerListing, WorkerPage, WorkerRoster,
 };
 use sandshelf_lease::{RowVersion, ShardRow, StoredRow};
-use sandshelf_model::Millis;
+use sandshelf_model::{Millis, WorkerId};
 
 use crate::queue::{Micros, MS};
 use crate::sizes;
@@ -231,6 +231,12 @@
                 let first = self.jobs.get(newer).map_or(RowVersion::MAX, |row| row.0);
                 self.job_rows(|row| row.0 >= first)
             }
+            StoreCall::FollowWorkers(known) => {
+                let changes = worker_changes(known, workers);
+                let bytes = sizes::worker_list(changes.listed.len() + changes.removed.len());
+                let clock = Self::clock_ms(now);
+                (StoreReply::WorkerChanges(changes, clock), bytes)
+            }
             StoreCall::ListWorkers => {
                 let bytes = sizes::worker_list(workers.len());
                 (
@@ -327,3 +333,20 @@
 fn job_part(number: JobNumber) -> u32 {
     (number.0 % u64::from(JOB_PARTS)) as u32
 }
+
+/// What differs in the list of workers from what a host knows.
+fn worker_changes(
+    known: &BTreeMap<WorkerId, WorkerListing>,
+    workers: &[WorkerListing],
+) -> WorkerChanges {
+    let named: BTreeSet<&WorkerId> = workers.iter().map(|entry| &entry.worker).collect();
+    let changed = workers
+        .iter()
+        .filter(|entry| known.get(&entry.worker) != Some(*entry));
+    let removed = known.keys().filter(|id| !named.contains(id));
+    WorkerChanges {
+        listed: changed.cloned().collect(),
+        removed: removed.cloned().collect(),
+        unreadable: Vec::new(),
+    }
+}
--- a/crates/emulator/src/world/transport.rs
+++ b/crates/emulator/src/world/transport.rs
@@ -261,7 +261,7 @@
 
     fn answer_ask(&mut self, incarnation: HostIncarnation, call: u64, ask: &StoreCall) {
         let workers = match ask {
-            StoreCall::ListWorkers => self.fleet.listed(self.now),
+            StoreCall::ListWorkers | StoreCall::FollowWorkers(_) => self.fleet.listed(self.now),
             _ => Vec::new(),
         };
         let answer = self.store.answer(self.now, ask, &workers);
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -40,6 +40,8 @@
     WorkersUnreadable(Vec<WorkerId>),
     /// The list of workers was read.
     WorkersListed(Vec<WorkerListing>),
+    /// What has changed in the list of workers since it was read, or that nothing has.
+    WorkersChanged(WorkerChanges),
     /// An upper bound on the store's clock, taken from an answer of the store.
     StoreClock {
         /// When the answer arrived, on the scheduler's clock; the event may be handled much later.
@@ -70,6 +72,17 @@
     },
 }
 
+/// Changes of the list of workers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WorkerChanges {
+    /// The new and changed entries.
+    pub listed: Vec<WorkerListing>,
+    /// The workers whose entries were removed.
+    pub removed: Vec<WorkerId>,
+    /// All workers whose entries can't be read at present, also those that were named before.
+    pub unreadable: Vec<WorkerId>,
+}
+
 /// An order to start a run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StartCall {
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -1,6 +1,6 @@
-//! Handles new jobs, cancellations and worker lists.
+//! Handles new jobs and cancellations, and the workers of an earlier owner.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
@@ -9,8 +9,7 @@
 use crate::ids::{JobNumber, RunKey, WorkerIncarnation};
 use crate::incarnation::IncarnationState;
 use crate::job::{objective_ms, JobState, TaskStage};
-use crate::limits::{LIST_RECOVERY_MS, MAX_LIST_GAP_MS};
-use crate::note::{JobNote, LossCause, StopCause};
+use crate::note::{JobNote, StopCause};
 use crate::progress::ProgressRow;
 use crate::reports::WorkerListing;
 use crate::scheduler::JobScheduler;
@@ -192,111 +191,12 @@
         self.worker_order = None;
         self.schedule_renewal(&worker, now);
         self.roster.restore(&worker);
+        self.unlisted.insert(worker.clone());
         if let Some(recovery) = &mut self.recovery {
             recovery.unanswered.insert(worker, recovery.until);
         }
     }
 
-    /// Marks the workers whose entries can't be read. Such a worker gets no new tasks, since its entry can't be used. The leases of its
-    /// runs are renewed as long as the worker answers, since an entry overwritten by another program says nothing about the worker itself.
-    pub(crate) fn mark_unreadable(&mut self, unreadable: &[WorkerId]) {
-        for id in unreadable {
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.unreadable = true;
-            }
-        }
-    }
-
-    /// Whether any configured queue, or the queue of any job, uses the service of a worker; entries of other workers are ignored.
-    /// Before a configuration is known, every worker is used.
-    fn serves_a_queue(&self, entry: &WorkerListing) -> bool {
-        let configured = self.queues.values().map(|rules| &rules.service);
-        let accepted = self.jobs.values().map(|job| &self.rules(&job.spec).service);
-        let mut services = configured.chain(accepted);
-        self.queues.is_empty() || services.any(|service| *service == entry.service)
-    }
-
-    /// Handles a worker list.
-    pub(crate) fn handle_worker_list(&mut self, now: Millis, list: Vec<WorkerListing>) {
-        let named: BTreeSet<WorkerId> = list.iter().map(|entry| entry.worker.clone()).collect();
-        if now > self.last_list + MAX_LIST_GAP_MS {
-            self.lists_since = now;
-        }
-        self.last_list = now;
-        let settled = now >= self.lists_since + LIST_RECOVERY_MS;
-        for (id, worker) in &mut self.workers {
-            worker.listed = named.contains(id);
-            worker.unreadable &= !worker.listed;
-            worker.missing = !worker.listed && (settled || worker.unreadable);
-        }
-        for entry in list {
-            if self.workers.contains_key(&entry.worker) || self.serves_a_queue(&entry) {
-                self.apply_worker_entry(now, entry);
-            }
-        }
-        for worker in self.workers.values_mut() {
-            worker.unreadable = false;
-        }
-        if let Some(recovery) = &mut self.recovery {
-            recovery.listed = true;
-        }
-        self.room_changed = true;
-    }
-
-    fn apply_worker_entry(&mut self, now: Millis, entry: WorkerListing) {
-        let id = entry.worker.clone();
-        let known = self.workers.contains_key(&id);
-        let replaced = |(other, worker): (&WorkerId, &WorkerState)| {
-            let same_place = worker.entry.address == entry.address && *other != id;
-            (same_place && !worker.listed && !worker.unreadable).then(|| other.clone())
-        };
-        let old: Vec<WorkerId> = match known {
-            true => Vec::new(),
-            false => self.workers.iter().filter_map(replaced).collect(),
-        };
-        for worker in old {
-            self.lose_worker(now, &worker, LossCause::Replaced);
-        }
-        let draining = entry.draining;
-        let silence_record = self.silence_records.state_of(&id);
-        let state = self
-            .workers
-            .entry(id.clone())
-            .or_insert_with(|| WorkerState::new(entry.clone(), now, silence_record));
-        state.listed = true;
-        state.missing = false;
-        state.evacuated = self.evacuated.contains(&entry.hall);
-        let leaves_now = draining && !state.entry.draining;
-        state.entry = entry;
-        if state.entry_incarnation_differs() && state.entry.incarnation > state.incarnation.id {
-            // The worker has restarted, and no lease renewal has shown that yet.
-            state.note_doubt(now);
-        }
-        if !known {
-            self.roster.add(&id);
-            self.worker_order = None;
-            self.renewal_queue.insert((now, id.clone()));
-        }
-        if !known
-            && self
-                .recovery
-                .as_ref()
-                .is_some_and(|recovery| !recovery.listed)
-        {
-            if let Some(recovery) = &mut self.recovery {
-                recovery.unanswered.insert(id.clone(), recovery.until);
-            }
-        }
-        if leaves_now {
-            let standing = state.runs.values().filter(|record| record.standing);
-            let standing = standing.count();
-            self.note(JobNote::WorkerDraining {
-                worker: id,
-                standing,
-            });
-        }
-    }
-
     /// Stops the standing tasks of draining workers, so that they start again on other workers.
     ///
     /// This check is repeated, not done only when a list first shows the worker as draining: a new owner reads that list before it
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -64,10 +64,13 @@
 mod takeover;
 mod tenure;
 mod worker;
+mod worker_list;
 mod worker_page;
 
 pub use crash::{CrashNote, CrashRecord, CrashSuspect};
-pub use events::{CommitBatch, JobAction, JobEvent, RenewalCall, StartCall, WorkerCall};
+pub use events::{
+    CommitBatch, JobAction, JobEvent, RenewalCall, StartCall, WorkerCall, WorkerChanges,
+};
 pub use gauges::SchedulerCounts;
 pub use ids::{BadIdentifier, JobNumber, RunKey, TaskKey, WorkerIncarnation};
 pub use interference::{InterferencePair, InterferenceRow};
--- a/crates/jobs/src/relay/dispatcher.rs
+++ b/crates/jobs/src/relay/dispatcher.rs
@@ -86,7 +86,11 @@
     /// The hosts that get no orders, each with the time at which that ends.
     excluded: BTreeMap<HostId, Millis>,
     pub(super) halls: HashMap<WorkerId, HallId>,
-    /// Created again at the first order after a change of workers or relays.
+    /// The number of workers in each hall.
+    pub(super) hall_sizes: BTreeMap<HallId, usize>,
+    /// Whether workers have come or gone since the plan was made.
+    workers_changed: bool,
+    /// Created again at the first order after a change of relays, or of workers.
     plan: Option<RelayPlan>,
     routes: HashMap<WorkerId, Option<RelayNumber>>,
     open: HashMap<u64, OpenOrder>,
@@ -106,6 +110,8 @@
             lost_at: BTreeMap::new(),
             excluded: BTreeMap::new(),
             halls: HashMap::new(),
+            hall_sizes: BTreeMap::new(),
+            workers_changed: false,
             plan: None,
             routes: HashMap::new(),
             open: HashMap::new(),
@@ -119,11 +125,48 @@
     pub fn note_workers(&mut self, workers: impl IntoIterator<Item = (WorkerId, HallId)>) {
         let halls: HashMap<WorkerId, HallId> = workers.into_iter().collect();
         if halls != self.halls {
+            self.hall_sizes.clear();
+            for hall in halls.values() {
+                add_to_hall(&mut self.hall_sizes, hall);
+            }
             self.halls = halls;
             self.forget_plan();
         }
     }
 
+    /// Updates the known workers: adds some, with their halls, or changes their halls, and removes others.
+    pub fn note_worker_changes(
+        &mut self,
+        listed: impl IntoIterator<Item = (WorkerId, HallId)>,
+        removed: &[WorkerId],
+    ) {
+        for (worker, hall) in listed {
+            if self.halls.get(&worker) != Some(&hall) {
+                self.remove_worker(&worker);
+                add_to_hall(&mut self.hall_sizes, &hall);
+                self.halls.insert(worker, hall);
+                self.workers_changed = true;
+            }
+        }
+        for worker in removed {
+            self.remove_worker(worker);
+        }
+    }
+
+    fn remove_worker(&mut self, worker: &WorkerId) {
+        let Some(hall) = self.halls.remove(worker) else {
+            return;
+        };
+        self.routes.remove(worker);
+        self.workers_changed = true;
+        if let Some(size) = self.hall_sizes.get_mut(&hall) {
+            *size -= 1;
+            if *size == 0 {
+                self.hall_sizes.remove(&hall);
+            }
+        }
+    }
+
     /// Adds a relay. The caller has to close an earlier connection of the same host.
     ///
     /// # Errors
@@ -373,31 +416,52 @@
         self.routes.clear();
     }
 
+    /// Makes the plan for the present relays and workers.
+    fn make_plan(&self, now: Millis) -> RelayPlan {
+        let stay = self.relays.values().filter(|relay| !relay.leaves);
+        let relays = stay.map(|relay| relay.candidate.clone());
+        let fit = relays.filter(|relay| {
+            let excluded = self.excluded.get(&relay.host);
+            excluded.is_none_or(|until| now >= *until)
+        });
+        RelayPlan::new(fit.collect(), &self.hall_sizes)
+    }
+
+    /// Brings the plan up to date with the workers. Routes stay unless other relays are to be used.
+    fn refresh_plan(&mut self, now: Millis) {
+        if !std::mem::take(&mut self.workers_changed) || self.plan.is_none() {
+            return;
+        }
+        let plan = self.make_plan(now);
+        if self.plan.as_ref() != Some(&plan) {
+            self.routes.clear();
+            self.plan = Some(plan);
+        }
+    }
+
     fn relay_of(&mut self, now: Millis, worker: &WorkerId) -> Option<RelayNumber> {
         if self.relays.is_empty() || calls_alone(self.processor_millicores, self.halls.len()) {
             return None;
         }
+        self.refresh_plan(now);
         if let Some(known) = self.routes.get(worker) {
             return *known;
         }
-        let plan = match &mut self.plan {
-            Some(plan) => plan,
-            None => {
-                let mut by_hall: BTreeMap<HallId, usize> = BTreeMap::new();
-                for hall in self.halls.values() {
-                    *by_hall.entry(hall.clone()).or_default() += 1;
-                }
-                let stay = self.relays.values().filter(|relay| !relay.leaves);
-                let relays = stay.map(|relay| relay.candidate.clone());
-                let fit = relays.filter(|relay| {
-                    let excluded = self.excluded.get(&relay.host);
-                    excluded.is_none_or(|until| now >= *until)
-                });
-                self.plan.insert(RelayPlan::new(fit.collect(), &by_hall))
-            }
-        };
+        if self.plan.is_none() {
+            self.plan = Some(self.make_plan(now));
+        }
+        let plan = self.plan.as_ref()?;
         let route = plan.relay_of(worker, self.halls.get(worker));
         self.routes.insert(worker.clone(), route);
         route
     }
 }
+
+fn add_to_hall(hall_sizes: &mut BTreeMap<HallId, usize>, hall: &HallId) {
+    match hall_sizes.get_mut(hall) {
+        Some(size) => *size += 1,
+        None => {
+            hall_sizes.insert(hall.clone(), 1);
+        }
+    }
+}
--- a/crates/jobs/src/relay/plan.rs
+++ b/crates/jobs/src/relay/plan.rs
@@ -49,7 +49,7 @@
 pub struct RelayNumber(pub u64);
 
 /// A relay that may be assigned workers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct RelayCandidate {
     pub(super) relay: RelayNumber,
     pub(super) host: HostId,
@@ -80,7 +80,7 @@
 }
 
 /// The relays in use, by hall of the workers that they serve.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct RelayPlan {
     by_hall: BTreeMap<HallId, Vec<RelayCandidate>>,
     all: Vec<RelayCandidate>,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -83,6 +83,8 @@
     /// The final progress of ended jobs that has not been written yet.
     pub(crate) final_rows: BTreeMap<JobNumber, ProgressRow>,
     pub(crate) workers: BTreeMap<WorkerId, WorkerState>,
+    /// The known workers that the worker list doesn't contain.
+    pub(crate) unlisted: BTreeSet<WorkerId>,
     /// When the newest worker list arrived.
     pub(crate) last_list: Millis,
     /// Since when worker lists have arrived without a gap longer than `MAX_LIST_GAP_MS`.
@@ -173,6 +175,7 @@
             finished_at: VecDeque::new(),
             final_rows: BTreeMap::new(),
             workers: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
             last_list: 0,
             lists_since: info.claimed_at,
             waiting: BTreeSet::new(),
@@ -303,6 +306,7 @@
             JobEvent::CancelAsked(number) => self.cancel_job(now, number),
             JobEvent::WorkersUnreadable(workers) => self.mark_unreadable(&workers),
             JobEvent::WorkersListed(list) => self.handle_worker_list(now, list),
+            JobEvent::WorkersChanged(changes) => self.handle_worker_changes(now, changes),
             JobEvent::StoreClock { at, at_most_ms } => self.store_clock.note(at, at_most_ms),
             JobEvent::QueuesChanged(queues) => self.queues = queues,
             JobEvent::HallsEvacuated(halls) => self.apply_evacuated_halls(now, halls),
--- a/crates/sandshelfd/src/jobs/owner/relaying.rs
+++ b/crates/sandshelfd/src/jobs/owner/relaying.rs
@@ -8,7 +8,7 @@
 use sandshelf_jobs::relay::{
     DispatcherStats, OrderRoute, RelayDispatcher, RelayHandshake, RelayMessage, RelayOutcome,
 };
-use sandshelf_jobs::{JobEvent, JobNote, WorkerCall, WorkerRoster};
+use sandshelf_jobs::{JobEvent, JobNote, WorkerCall, WorkerListing, WorkerRoster};
 use sandshelf_lease::{LeaseStage, ShardRow};
 use sandshelf_model::{Epoch, HallId, Millis, WorkerId};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -62,10 +62,17 @@
     /// Records the workers of the lists among these events.
     pub(super) fn note_worker_lists(&mut self, events: &[JobEvent]) {
         for event in events {
-            if let JobEvent::WorkersListed(list) = event {
-                let workers = list.iter();
-                let workers = workers.map(|entry| (entry.worker.clone(), entry.hall.clone()));
-                self.dispatcher.note_workers(workers);
+            let place = |entry: &WorkerListing| (entry.worker.clone(), entry.hall.clone());
+            match event {
+                JobEvent::WorkersListed(list) => {
+                    self.dispatcher.note_workers(list.iter().map(place));
+                }
+                JobEvent::WorkersChanged(changes) => {
+                    let listed = changes.listed.iter().map(place);
+                    self.dispatcher
+                        .note_worker_changes(listed, &changes.removed);
+                }
+                _ => {}
             }
         }
     }
