Leases that an owner grants in an outage of the store last as long as a successor waits

Cause: with the store silent on all hosts for 4.5 s and the owner killed one second into that, 4,464 runs lapsed on the fleet: leases of 4 s ended half a second before the store was back, and nobody can succeed an owner before that.

Ruled out: longer leases at all times (a standing task of a worker that dies has to be back within nine seconds); the longest lease of the platform in an outage (a successor knows nothing of it and would start the tasks of workers that it can't reach beside their runs); hosts that go on prolonging after the owner's death (they don't know of a successor that others may have).

Change: while the ownership is overdue (0.75 s after the last renewal, which a store sixty times slower doesn't reach), each lease is granted up to the end of one that this owner might still grant in its last sure moment. A successor waits for such a lease anyway, so no promise to it changes: the newest bound is the time before which no other host claims, plus the sure margin and a lease of 4 s.

--- a/crates/emulator/src/costs.rs
+++ b/crates/emulator/src/costs.rs
@@ -115,6 +115,7 @@
             | JobEvent::QueuesChanged(_)
             | JobEvent::HallsEvacuated(_)
             | JobEvent::SureUntil(_)
+            | JobEvent::OwnershipOverdue(_)
             | JobEvent::StoreClock { .. }
             | JobEvent::StateRead { .. } => ORDER_ANSWER_US,
         })
--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -27,6 +27,7 @@
 const SHARD_LEASE_MS: Millis = 1_200;
 const CLAIM_STAGGER_MS: Millis = 60;
 const WATCH_INTERVAL_MS: Millis = 400;
+const OVERDUE_AFTER_MS: Millis = 750;
 const FIRST_CLAIM_RANK_FACTOR: u32 = 5;
 const KEEP_FINISHED_MS: Millis = 130_000;
 
@@ -58,6 +59,8 @@
     sure_until: Millis,
     /// The list of workers as read; `None` before the first one.
     list: Option<WorkerList>,
+    /// Whether the scheduler was told that the ownership is overdue.
+    overdue: bool,
 }
 
 /// State of the control thread of one process of a host.
@@ -219,10 +222,19 @@
             return;
         };
         owned.tenure.note_renewed(renewed_at);
+        let mut events = Vec::new();
         let until = owned.tenure.sure_until();
         if owned.sure_until != until && self.model.fault != HostFault::NeverUnsure {
             owned.sure_until = until;
-            self.handle_events(at, vec![JobEvent::SureUntil(until)]);
+            events.push(JobEvent::SureUntil(until));
+        }
+        let overdue = at / MS >= renewed_at + OVERDUE_AFTER_MS;
+        if owned.overdue != overdue {
+            owned.overdue = overdue;
+            events.push(JobEvent::OwnershipOverdue(overdue));
+        }
+        if !events.is_empty() {
+            self.handle_events(at, events);
         }
     }
 
@@ -381,6 +393,7 @@
             tenure: OwnerTenure::new(SHARD_LEASE_MS, self.control.claimed_at),
             sure_until: 0,
             list: None,
+            overdue: false,
         });
         self.list_workers(at);
         self.refresh_queues(at);
--- a/crates/emulator/src/meter.rs
+++ b/crates/emulator/src/meter.rs
@@ -83,6 +83,7 @@
                 | JobEvent::QueuesChanged(_)
                 | JobEvent::HallsEvacuated(_)
                 | JobEvent::SureUntil(_)
+                | JobEvent::OwnershipOverdue(_)
                 | JobEvent::WorkersChanged(_) => {}
             }
         }
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -65,6 +65,8 @@
     Committed(u64),
     /// The time on the scheduler's clock until which no other owner can have taken effect; see [`crate::OwnerTenure`].
     SureUntil(Millis),
+    /// Whether this owner can't renew its ownership at present, as in an outage of the store.
+    OwnershipOverdue(bool),
     /// The control loop ticks.
     Tick {
         /// The wall-clock time, in milliseconds since 1970.
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -64,12 +64,21 @@
 
     /// The length of the leases that this owner grants at present, in milliseconds. Until its
     /// roster is durable it grants no longer leases than the ones it inherited.
-    pub(crate) fn granted_lease_ms(&self) -> Millis {
+    ///
+    /// While it can't renew its ownership, it grants each lease up to the end of one that it might
+    /// still grant when it becomes unsure. A successor waits for such leases anyway, and if this
+    /// owner dies in an outage of the store, its runs outlast the outage by up to two seconds more.
+    pub(crate) fn granted_lease_ms(&self, now: Millis) -> Millis {
         let own = self.limits.lease_ms();
-        match self.lease_published {
+        let lease = match self.lease_published {
             true => own,
             false => own.min(self.inherited_lease_ms),
+        };
+        if !self.ownership_overdue || self.sure_until == Millis::MAX {
+            return lease;
         }
+        let longest = (self.sure_until + lease).saturating_sub(now);
+        longest.min(self.limits.max_lease_ms).max(lease)
     }
 
     /// Schedules the removal of progress rows without a job. An earlier owner may have ended after
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -26,7 +26,7 @@
 impl JobScheduler {
     /// Sends the renewals that are due.
     pub(crate) fn send_renewals(&mut self, now: Millis) {
-        let lease = (!self.may_be_succeeded(now)).then(|| self.granted_lease_ms());
+        let lease = (!self.may_be_succeeded(now)).then(|| self.granted_lease_ms(now));
         let mut due = Vec::new();
         while self.renewal_queue.first().is_some_and(|(at, _)| *at <= now) {
             due.extend(self.renewal_queue.pop_first().map(|(_, id)| id));
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -150,6 +150,8 @@
     pub(crate) last_tick: Millis,
     /// Until when this owner is sure that no other host owns the shard; `Millis::MAX` before the first [`JobEvent::SureUntil`].
     pub(crate) sure_until: Millis,
+    /// Whether this owner can't renew its ownership at present.
+    pub(crate) ownership_overdue: bool,
     /// Since when this owner has been unsure; none while it is sure.
     pub(crate) unsure_since: Option<Millis>,
     /// Whether this owner has lost its ownership: it handles no event any more.
@@ -231,6 +233,7 @@
             unanswered_starts: 0,
             last_tick: 0,
             sure_until: Millis::MAX,
+            ownership_overdue: false,
             unsure_since: None,
             deposed: false,
             actions: Vec::new(),
@@ -325,6 +328,7 @@
             }
             JobEvent::Committed(id) => self.handle_commit(now, id),
             JobEvent::SureUntil(until) => self.handle_tenure(now, until),
+            JobEvent::OwnershipOverdue(overdue) => self.ownership_overdue = overdue,
             JobEvent::Tick { wall_ms } => self.tick(now, wall_ms),
         }
     }
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -104,6 +104,8 @@
                     owner.tenure.note_unclaimed(now + SHARD_LEASE_MS);
                 }
                 events.push(JobEvent::SureUntil(owner.tenure.sure_until()));
+                let renews = reachable && epoch == self.epoch;
+                events.push(JobEvent::OwnershipOverdue(!renews));
             }
             let mut clock_shown = None;
             // Only the current owner reads the store; a superseded one learns of it from the
--- a/crates/sandshelfd/src/jobs/owner/tenure.rs
+++ b/crates/sandshelfd/src/jobs/owner/tenure.rs
@@ -13,6 +13,9 @@
 const QUERY_AFTER_MS: Millis = 550;
 /// The interval between queries. An answer is valid for 1.2 s, and the next query has to come within that time.
 const QUERY_INTERVAL_MS: Millis = 200;
+/// How long after the last durable renewal the ownership counts as overdue. Beside a store that is sixty times slower than usual,
+/// renewals are up to 0.7 s apart.
+const OVERDUE_AFTER_MS: Millis = 750;
 /// If a read of the owner row takes longer than this, the store is considered slow or out.
 const SLOW_READ_MS: Millis = 200;
 
@@ -20,6 +23,8 @@
 pub(super) struct ShardTenure {
     tenure: OwnerTenure,
     reported_until: Option<Millis>,
+    /// Whether the scheduler was told that the ownership is overdue.
+    overdue: bool,
     next_query_at: Millis,
 }
 
@@ -29,6 +34,7 @@
         Self {
             tenure: OwnerTenure::new(SHARD_LEASE_MS, claimed_at),
             reported_until: None,
+            overdue: false,
             next_query_at: 0,
         }
     }
@@ -56,11 +62,18 @@
                 owned.relays.query_relays(now, renewed_at, renewed_until);
             }
         }
+        let mut events = Vec::new();
         let until = owned.tenure.tenure.sure_until();
         if owned.tenure.reported_until != Some(until) {
             owned.tenure.reported_until = Some(until);
-            self.handle(JobEvent::SureUntil(until));
+            events.push(JobEvent::SureUntil(until));
         }
+        let overdue = now >= renewed_at + OVERDUE_AFTER_MS;
+        if owned.tenure.overdue != overdue {
+            owned.tenure.overdue = overdue;
+            events.push(JobEvent::OwnershipOverdue(overdue));
+        }
+        self.apply_events(events);
     }
 
     /// Answers the query of an owner that can't renew its ownership.
