--- a/crates/emulator/src/costs.rs
+++ b/crates/emulator/src/costs.rs
@@ -19,6 +19,8 @@
 pub const TICK_US: Micros = 25;
 /// Giving up a call that timed out.
 const GIVE_UP_US: Micros = 15;
+/// Reading or writing a notice of a renewal.
+pub const NOTICE_US: Micros = 20;
 /// A caller's request with its headers and its answer, without the calls to the store that it causes.
 pub const REQUEST_US: Micros = 120;
 /// Start of the process until it accepts connections.
--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -9,14 +9,14 @@
     CommitBatch, JobAction, JobEvent, JobScheduler, OwnerTenure, SchedulerCounts, SchedulerLimits,
     TakeoverInfo, WorkerCall, WorkerChanges, WorkerListing,
 };
-use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease};
+use sandshelf_lease::{LeaseStage, LeaseTimes, OwnerWatch, ShardLease};
 use sandshelf_model::{HostId, Millis, WorkerId};
 
 use super::takeover::TakeoverReading;
 use super::writes::{WriteState, READ_TIMEOUT_MS};
 use super::{
-    CallBody, CallPeer, EmulatedHost, HostAction, HostFault, HostModel, HostStrength, WorkItem,
-    WorkerOrder,
+    CallBody, CallPeer, EmulatedHost, HostAction, HostFault, HostModel, HostStrength,
+    RenewalNotice, WorkItem, WorkerOrder,
 };
 use crate::costs::{self, EventWeight};
 use crate::queue::{Micros, MS};
@@ -26,8 +26,8 @@
 // Same values as in the daemon: `jobs/owner.rs`, `jobs/owner/claim.rs`, `jobs/owner/strength.rs` and `jobs/writer.rs`.
 const SHARD_LEASE_MS: Millis = 1_200;
 const CLAIM_STAGGER_MS: Millis = 60;
-const WATCH_INTERVAL_MS: Millis = 400;
 const OVERDUE_AFTER_MS: Millis = 750;
+const NOTICE_INTERVAL_MS: Millis = 300;
 const FIRST_CLAIM_RANK_FACTOR: u32 = 5;
 const KEEP_FINISHED_MS: Millis = 130_000;
 
@@ -77,10 +77,11 @@
     pub(super) owned: Option<OwnedShard>,
     pub(super) pending_batch: Option<CommitBatch>,
     pub(super) writing: Option<WriteState>,
-    /// Whether a read of the owner's row is in progress.
-    reading: bool,
-    /// The time of the next such read, in milliseconds.
-    next_read: Millis,
+    watch: OwnerWatch,
+    /// Whether this host claimed the shard before the lease of its owner was over.
+    claimed_early: bool,
+    /// The time from which the other hosts are told of the next renewal, in milliseconds.
+    next_notice: Millis,
     pub(super) takeover: Option<TakeoverReading>,
 }
 
@@ -109,8 +110,9 @@
             owned: None,
             pending_batch: None,
             writing: None,
-            reading: false,
-            next_read: 0,
+            watch: OwnerWatch::default(),
+            claimed_early: false,
+            next_notice: 0,
             takeover: None,
         }
     }
@@ -178,6 +180,16 @@
         watching && earlier && self.strength != HostStrength::Weak
     }
 
+    /// Whether the owner's process has ended, and it is this host's turn to claim.
+    fn owner_has_ended(&self, now: Millis) -> bool {
+        let watching = *self.lease.stage() == LeaseStage::Watching;
+        let stagger_ms = CLAIM_STAGGER_MS * u64::from(self.rank);
+        watching
+            && self
+                .watch
+                .may_claim_early(now, self.lease.row(), stagger_ms)
+    }
+
     /// The rank for the next claim. It is larger before the first owner of the shard.
     fn claim_rank(&self) -> u32 {
         let owned_before = self.lease.row().is_some_and(|seen| seen.row.epoch > 0);
@@ -321,6 +333,47 @@
         self.control.lease.return_to_watching();
     }
 
+    /// Tells the other hosts of a renewal, unless they were told a moment ago.
+    pub(super) fn tell_renewal(&mut self, at: Micros) {
+        let (Some(epoch), Some(stored)) = (self.control.epoch(), self.control.lease.row()) else {
+            return;
+        };
+        if at / MS < self.control.next_notice {
+            return;
+        }
+        let notice = RenewalNotice {
+            epoch,
+            version: stored.version,
+            sequence: stored.row.sequence,
+        };
+        self.control.next_notice = at / MS + NOTICE_INTERVAL_MS;
+        self.actions.push((at, HostAction::Tell(notice)));
+    }
+
+    /// Handles a notice of the owner.
+    pub(super) fn handle_notice(&mut self, at: Micros, notice: &RenewalNotice) {
+        let now = at / MS;
+        let RenewalNotice {
+            epoch,
+            version,
+            sequence,
+        } = *notice;
+        if !self
+            .control
+            .lease
+            .note_renewed(now, epoch, version, sequence)
+        {
+            self.control.watch.read_soon(now);
+        } else if self.store_failures == 0 {
+            self.control.watch.note_renewed(now);
+        }
+    }
+
+    /// Handles that nobody listens any more at the address of the owner of an epoch.
+    pub(super) fn handle_ended_owner(&mut self, at: Micros, epoch: u64) {
+        self.control.watch.note_ended(at / MS, epoch);
+    }
+
     pub(super) fn token(&mut self) -> String {
         format!("{:016x}", self.random.next_u64())
     }
@@ -329,10 +382,17 @@
     fn watch(&mut self, at: Micros) {
         let now = at / MS;
         let control = &self.control;
-        let free = control.lease.may_claim(now, control.claim_rank())
-            || control.owner_is_earlier_incarnation();
+        let lease_over = control.lease.may_claim(now, control.claim_rank());
+        let free =
+            lease_over || control.owner_is_earlier_incarnation() || control.owner_has_ended(now);
         if free && control.writing.is_none() {
+            let released = control
+                .lease
+                .row()
+                .is_some_and(|seen| seen.row.owner.is_none());
+            let had_owner = control.lease.newest_epoch() > 0;
             let token = self.token();
+            self.control.claimed_early = had_owner && (released || !lease_over);
             self.control.claimed_at = now;
             let (version, row) = self.control.lease.begin_claim(token);
             self.write(
@@ -345,18 +405,21 @@
             );
             return;
         }
-        if !control.reading && now >= control.next_read && self.config.in_force().is_some() {
-            self.control.reading = true;
+        if control.watch.wants_read(now) && self.config.in_force().is_some() {
+            self.control.watch.begin_read(now);
             self.call_store(at, StoreCall::ReadOwner, READ_TIMEOUT_MS);
         }
     }
 
     pub(super) fn handle_owner_row(&mut self, at: Micros, reply: Option<StoreReply>) {
         let now = at / MS;
-        self.control.reading = false;
-        self.control.next_read = now + WATCH_INTERVAL_MS;
-        match reply {
-            Some(StoreReply::Owner(row)) => {
+        let row = match reply {
+            Some(StoreReply::Owner(row)) => Some(row),
+            _ => None,
+        };
+        self.control.watch.end_read(now, row.as_ref());
+        match row {
+            Some(row) => {
                 self.control.lease.note_read(now, row);
             }
             _ if *self.control.lease.stage() == LeaseStage::Watching => {
@@ -382,6 +445,10 @@
         let info = TakeoverInfo {
             epoch,
             claimed_at: at / MS,
+            earlier_orders_until: match self.control.claimed_early {
+                true => self.control.claimed_at + SHARD_LEASE_MS,
+                false => 0,
+            },
             wall_ms: WALL_START_MS + at / MS,
             ..info
         };
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -24,7 +24,9 @@
 pub use control::{OwnerStats, WALL_START_MS};
 use follow::ConfigFollower;
 pub use model::{HostFault, HostModel, HostStrength, TransferLimit};
-pub use work::{answer_event, CallAnswer, HostAction, HostPause, RequestBody, WorkItem};
+pub use work::{
+    answer_event, CallAnswer, HostAction, HostPause, RenewalNotice, RequestBody, WorkItem,
+};
 
 use crate::capacity::{LinkModel, ProcessorModel};
 use crate::costs;
@@ -39,6 +41,8 @@
 const ITEMS_PER_TURN: usize = 61;
 /// Timeout for a worker's answer, not counting the time that the worker may hold a renewal.
 const WORKER_TIMEOUT: Micros = 500 * MS;
+/// How long hosts keep a connection to the owner on which they hear nothing.
+const HOST_SILENCE: Micros = 6_000 * MS;
 /// Number of consecutive failed calls to the store after which callers are refused.
 const REFUSE_AFTER_FAILURES: u32 = 3;
 
@@ -71,6 +75,8 @@
     listed_at: Micros,
     /// Number of consecutive failed calls to the store.
     store_failures: u32,
+    /// Until when its connections to other hosts are silent.
+    hosts_silent_until: Micros,
     /// Measures the scheduler's processor time, if switched on.
     pub meter: SchedulerMeter,
     actions: Vec<(Micros, HostAction)>,
@@ -98,6 +104,7 @@
             jobs_after: 0,
             listed_at: 0,
             store_failures: 0,
+            hosts_silent_until: 0,
             meter: SchedulerMeter::default(),
             actions: Vec::new(),
             random,
@@ -115,6 +122,7 @@
         self.calls = CallTable::default();
         self.config = ConfigFollower::default();
         self.store_failures = 0;
+        self.hosts_silent_until = 0;
         let random = &mut self.random;
         self.control = OwnerControl::new(
             &self.name,
@@ -143,6 +151,11 @@
         self.up && self.config.in_force().is_some() && self.store_failures < REFUSE_AFTER_FAILURES
     }
 
+    /// The epoch in which it owns the shard; `None` if it does not own it.
+    pub fn owner_epoch(&self) -> Option<u64> {
+        self.control.epoch()
+    }
+
     /// Statistics of its scheduler; `None` if it does not own the shard.
     pub fn owner_stats(&self, now: Micros) -> Option<OwnerStats> {
         self.control.stats(now)
@@ -164,8 +177,14 @@
         self.calls.get_mut(call).map(|open| open.peer)
     }
 
+    /// Whether messages between this host and others arrive over their open connections.
+    pub fn hears_hosts(&self, now: Micros) -> bool {
+        now >= self.hosts_silent_until
+    }
+
     /// Makes all open connections stop delivering; returns the numbers of the calls that will get no answer.
-    pub fn silence_connections(&mut self) -> Vec<u64> {
+    pub fn silence_connections(&mut self, now: Micros) -> Vec<u64> {
+        self.hosts_silent_until = now + HOST_SILENCE;
         self.calls.silence_connections()
     }
 
@@ -271,6 +290,16 @@
                 self.handle_request(at, body);
                 at
             }
+            WorkItem::Notice(notice) => {
+                let at = self.spend(now, costs::NOTICE_US);
+                self.handle_notice(at, &notice);
+                at
+            }
+            WorkItem::OwnerEnded(epoch) => {
+                let at = self.spend(now, costs::CONNECT_US);
+                self.handle_ended_owner(at, epoch);
+                at
+            }
             WorkItem::Answered(call, answer, bytes) => {
                 let timeout = self.timeout_at(call);
                 let (Some(timeout), Some(open)) = (timeout, self.calls.close(call)) else {
--- a/crates/emulator/src/host/work.rs
+++ b/crates/emulator/src/host/work.rs
@@ -31,6 +31,21 @@
     GivenUp(u64),
     /// A caller's request has arrived.
     Request(RequestBody),
+    /// The owner tells of a renewal of its ownership.
+    Notice(RenewalNotice),
+    /// Nobody listens any more at the address of the owner of this epoch.
+    OwnerEnded(u64),
+}
+
+/// What an owner tells the other hosts of a renewal: its epoch, and the version and sequence of its row.
+#[derive(Clone, Copy, Debug)]
+pub struct RenewalNotice {
+    /// The owner's epoch.
+    pub epoch: u64,
+    /// The version of the owner's row.
+    pub version: u64,
+    /// The sequence in the owner's row.
+    pub sequence: u64,
 }
 
 /// The operation that a host continues with after a delay.
@@ -77,6 +92,8 @@
     CheckTimeout(u64, Micros),
     /// Continues an operation at a time.
     Pause(HostPause, Micros),
+    /// Tells all other hosts of a renewal.
+    Tell(RenewalNotice),
     /// Ticks again at a time.
     Tick(Micros),
     /// Answers a request, given by its number; `true` if the request was served.
--- a/crates/emulator/src/host/writes.rs
+++ b/crates/emulator/src/host/writes.rs
@@ -117,6 +117,7 @@
         } else if self.control.owned.is_some() && batch > 0 {
             self.handle_events(at, vec![JobEvent::Committed(batch)]);
         }
+        self.tell_renewal(at);
         self.write_next(at);
     }
 }
--- a/crates/emulator/src/world/cuts.rs
+++ b/crates/emulator/src/world/cuts.rs
@@ -64,6 +64,12 @@
         self.cuts.iter().map(|cut| cut.until).max()
     }
 
+    /// Whether messages of a host to another host arrive.
+    pub(super) fn reaches_host(&self, now: Micros, from: usize, to: usize) -> bool {
+        let (from, to) = (self.hall_of_host(from), self.hall_of_host(to));
+        from == to || self.passes(now, Some(from), Some(to))
+    }
+
     /// Whether messages of a host to a peer arrive.
     pub(super) fn reaches(&self, now: Micros, host: usize, peer: CallPeer) -> bool {
         let from = Some(self.hall_of_host(host));
--- a/crates/emulator/src/world/day_events.rs
+++ b/crates/emulator/src/world/day_events.rs
@@ -7,6 +7,7 @@
 use super::{EmulatedWorld, WorldEvent};
 use crate::day::{CutDirection, DayEvent, HallChoice, HostChoice};
 use crate::deployment::STRONG_HOST;
+use crate::host::WorkItem;
 use crate::queue::{Micros, MS};
 
 impl EmulatedWorld {
@@ -129,7 +130,7 @@
 
     fn kill_hosts(&mut self, choice: HostChoice, down_ms: Millis) {
         for host in self.select_hosts(choice) {
-            self.hosts[host].kill();
+            self.end_process(host);
             self.monitor.host_lost(self.now, host);
             let at: Micros = self.now + down_ms * MS;
             self.queue.push(at, WorldEvent::HostStarts(host));
@@ -139,6 +140,18 @@
         });
     }
 
+    /// Kills a host's process. If it owned the shard, the hosts that were connected to it find its address closed, unless the
+    /// machine lost power with it: of the moments at which hosts are killed, each second one is such.
+    fn end_process(&mut self, host: usize) {
+        let epoch = self.hosts[host].owner_epoch();
+        let incarnation = self.incarnation_of(host);
+        let powered = (self.now / MS).is_multiple_of(2);
+        if let Some(epoch) = epoch.filter(|_| powered) {
+            self.tell_hosts(incarnation, &WorkItem::OwnerEnded(epoch));
+        }
+        self.hosts[host].kill();
+    }
+
     fn remove_hosts(&mut self, choice: HostChoice) {
         for host in self.select_hosts(choice) {
             self.hosts[host].kill();
@@ -150,7 +163,7 @@
     fn silence_host(&mut self, host: usize) {
         let incarnation = self.incarnation_of(host);
         self.monitor.disturb_host(host, self.now);
-        let lost_calls = self.hosts[host].silence_connections();
+        let lost_calls = self.hosts[host].silence_connections(self.now);
         self.parked
             .retain(|(from, call, _)| *from != incarnation || !lost_calls.contains(call));
         self.fleet.drop_renewals(incarnation);
--- a/crates/emulator/tests/daemon.rs
+++ b/crates/emulator/tests/daemon.rs
@@ -1,10 +1,11 @@
 //! Checks that the constants of the emulated hosts equal those of the daemon's control thread. A constant that changes in the
 //! daemon has to change in `src/host` as well.
 
-const DAEMON: [&str; 6] = [
+const DAEMON: [&str; 7] = [
     include_str!("../../sandshelfd/src/jobs/owner.rs"),
     include_str!("../../sandshelfd/src/jobs/owner/claim.rs"),
     include_str!("../../sandshelfd/src/jobs/owner/strength.rs"),
+    include_str!("../../sandshelfd/src/jobs/owner/tenure.rs"),
     include_str!("../../sandshelfd/src/jobs/takeover.rs"),
     include_str!("../../sandshelfd/src/jobs/intake.rs"),
     include_str!("../../sandshelfd/src/jobs/calls.rs"),
@@ -37,7 +38,8 @@
 sandshelf_cases::cases! {
     shard_lease => check_equal("SHARD_LEASE_MS");
     stagger => check_equal("CLAIM_STAGGER_MS");
-    watch_period => check_equal("WATCH_INTERVAL_MS");
+    notice_interval => check_equal("NOTICE_INTERVAL_MS");
+    overdue_after => check_equal("OVERDUE_AFTER_MS");
     first_claim => check_equal("FIRST_CLAIM_RANK_FACTOR");
     strong_processor => check_equal("STRONG_PROCESSOR_MILLICORES");
     weak_processor => check_equal("WEAK_PROCESSOR_MILLICORES");
--- a/crates/jobs/src/relay/agent.rs
+++ b/crates/jobs/src/relay/agent.rs
@@ -6,7 +6,9 @@
 
 use super::delay::DelayBaseline;
 use super::dispatcher::ANSWER_TIMEOUT_MS;
-use super::messages::{RelayFault, RelayMessage, RelayedAnswer, RelayedOrder, ShardObservation};
+use super::messages::{
+    OwnerNotice, RelayFault, RelayMessage, RelayedAnswer, RelayedOrder, ShardObservation,
+};
 use crate::events::WorkerCall;
 use crate::reports::{OrderAnswer, RenewalAnswer};
 
@@ -50,6 +52,7 @@
         let batch = match message {
             RelayMessage::Orders(batch) => batch,
             RelayMessage::Answers(..)
+            | RelayMessage::Renewed(_)
             | RelayMessage::Leaves(_)
             | RelayMessage::ShardQuery(..)
             | RelayMessage::ShardReply(..) => return Err(RelayFault::Misdirected),
@@ -86,6 +89,17 @@
         Some(RelayMessage::Answers(self.epoch, answers))
     }
 
+    /// Checks a notice of the owner.
+    ///
+    /// # Errors
+    /// This agent serves the owner of another epoch.
+    pub fn check_notice(&self, notice: &OwnerNotice) -> Result<(), RelayFault> {
+        match notice.epoch == self.epoch {
+            true => Ok(()),
+            false => Err(RelayFault::OtherEpoch(notice.epoch)),
+        }
+    }
+
     /// Creates the reply to a query of the owner of an epoch.
     ///
     /// # Errors
--- a/crates/jobs/src/relay/dispatcher.rs
+++ b/crates/jobs/src/relay/dispatcher.rs
@@ -297,7 +297,7 @@
                 }
                 (epoch, Vec::new(), false)
             }
-            RelayMessage::Orders(..) | RelayMessage::ShardQuery(..) => {
+            RelayMessage::Orders(..) | RelayMessage::Renewed(_) | RelayMessage::ShardQuery(..) => {
                 outcome.faults.push(RelayFault::Misdirected);
                 return outcome;
             }
--- a/crates/jobs/src/relay/messages.rs
+++ b/crates/jobs/src/relay/messages.rs
@@ -14,7 +14,7 @@
 use crate::reports::{OrderAnswer, RenewalAnswer};
 
 /// The version of these messages. It must be raised with each change of a type in them.
-pub const RELAY_VERSION: u16 = 3;
+pub const RELAY_VERSION: u16 = 4;
 /// The most bytes in one message. 256 reports of 500 runs with 60 bytes each take 8 MB; a worker lists at most 500 runs at once.
 pub const LARGEST_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -108,11 +108,29 @@
     pub orders: Vec<RelayedOrder>,
 }
 
+/// What an owner tells the connected hosts about once for each renewal of its ownership, so that they needn't read it from the
+/// store themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerNotice {
+    /// The owner's epoch.
+    pub epoch: Epoch,
+    /// The version of the owner row after the renewal.
+    pub version: u64,
+    /// The sequence in the owner row after the renewal.
+    pub sequence: u64,
+    /// The version of the newest change of the operators' rows that the owner knows.
+    pub operator_version: u64,
+    /// How long the store took for the renewal, in milliseconds.
+    pub store_took_ms: Millis,
+}
+
 /// A message between an owner and a relay after the handshake. A batch of orders or answers without entries is a heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RelayMessage {
     /// Orders of the owner.
     Orders(OrderBatch),
+    /// The owner has renewed its ownership. Relays don't answer this.
+    Renewed(OwnerNotice),
     /// The answers to orders of an epoch, each with the number of its order.
     Answers(Epoch, Vec<(u64, RelayedAnswer)>),
     /// The relay of an epoch is about to stop: it carries out the orders that it has, and must get no more.
--- a/crates/jobs/src/relay/mod.rs
+++ b/crates/jobs/src/relay/mod.rs
@@ -46,8 +46,8 @@
 pub use agent::RelayAgent;
 pub use dispatcher::{DispatcherStats, OrderRoute, RelayDispatcher, RelayOutcome};
 pub use messages::{
-    decode_handshake, decode_message, encode_handshake, encode_message, OrderBatch, RelayFault,
-    RelayHandshake, RelayMessage, RelayedAnswer, RelayedOrder, ShardObservation,
+    decode_handshake, decode_message, encode_handshake, encode_message, OrderBatch, OwnerNotice,
+    RelayFault, RelayHandshake, RelayMessage, RelayedAnswer, RelayedOrder, ShardObservation,
     LARGEST_MESSAGE_BYTES, RELAY_VERSION,
 };
 pub use plan::{waits_for_relays, RelayNumber};
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -165,6 +165,8 @@
         let inherited_lease_ms = info.inherited_lease_ms(&limits);
         let own_lease_ms = limits.lease_ms();
         let lease = inherited_lease_ms * 100 / MIN_CLOCK_RATE_PERCENT;
+        let last_orders_at = info.claimed_at.max(info.earlier_orders_until);
+        let inherited_until = last_orders_at + lease + TAKEOVER_MARGIN_MS;
         let mut scheduler = Self {
             limits,
             epoch: info.epoch,
@@ -203,7 +205,7 @@
             // a lease is never shortened.
             roster_lease_ms: inherited_lease_ms.max(own_lease_ms),
             inherited_lease_ms,
-            inherited_until: info.claimed_at + lease + TAKEOVER_MARGIN_MS,
+            inherited_until,
             lease_published: info.epoch == FIRST_EPOCH || inherited_lease_ms >= own_lease_ms,
             store_clock: StoreClock::default(),
             silence_records: SilenceRecords::default(),
@@ -212,7 +214,7 @@
             ended_job_sizes: EndedJobSizes::default(),
             recovery: Some(RecoveryState {
                 unanswered: BTreeMap::new(),
-                until: info.claimed_at + lease + TAKEOVER_MARGIN_MS,
+                until: inherited_until,
                 new_jobs_wait_until: info.claimed_at + NEW_JOB_TAKEOVER_WAIT_MS,
                 listed: false,
                 worker_lost: false,
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -21,6 +21,9 @@
     pub epoch: Epoch,
     /// When the claim took effect, on the scheduler's clock in milliseconds.
     pub claimed_at: Millis,
+    /// The time from which no earlier owner gives orders, if that is after the claim: a shard whose owner has certainly ended is
+    /// claimed before the ownership of that owner would have been over. 0 otherwise.
+    pub earlier_orders_until: Millis,
     /// The store version at which the jobs were read. An earlier owner may know jobs up to this
     /// version.
     pub claim_version: u64,
--- a/crates/jobs/tests/outage_leases.rs
+++ b/crates/jobs/tests/outage_leases.rs
@@ -6,9 +6,9 @@
 
 mod support;
 
-use sandshelf_jobs::{JobEvent, SchedulerLimits, TakeoverInfo};
-use sandshelf_model::Millis;
-use support::SchedulerRig;
+use sandshelf_jobs::{JobEvent, SchedulerLimits, TakeoverInfo, WorkerRoster};
+use sandshelf_model::{Millis, WorkerId};
+use support::{job, listing, step, SchedulerRig};
 
 /// How long nobody claims the shard after a renewal, and how long an owner is sure after that.
 const OWNERSHIP_MS: Millis = 1_200;
@@ -71,9 +71,44 @@
     assert_eq!(rig.now + lease, earliest_claim + SURE_MARGIN_MS + 4_000);
 }
 
+/// An owner that takes over early waits for leases that its predecessor granted in its last moments.
+fn an_early_successor_waits_from_the_end_of_the_ownership(early: bool) {
+    let info = TakeoverInfo {
+        epoch: 2,
+        rules_since: 1,
+        claimed_at: 1_000,
+        earlier_orders_until: if early { 1_000 + OWNERSHIP_MS } else { 0 },
+        claim_version: 100,
+        roster: WorkerRoster {
+            epoch: 1,
+            workers: vec![(WorkerId::from("w-1"), listing("w-1").address)],
+            lease_ms: Some(4_000),
+            ..WorkerRoster::default()
+        },
+        ..TakeoverInfo::default()
+    };
+    let mut rig = SchedulerRig::with_limits(long_leases(), info);
+    rig.hand_in(7, 50, job(vec![step(1)]));
+    rig.list(&["w-2"]);
+    while rig.peek_starts().is_empty() {
+        rig.advance(25);
+        rig.fail_renewal("w-1");
+        rig.report("w-2", vec![], vec![]);
+        assert!(rig.now < 20_000, "the task is never started");
+    }
+    let waited = rig.now - 1_000;
+    let expected = SUCCESSOR_WAIT_MS + if early { OWNERSHIP_MS } else { 0 };
+    assert!(
+        (expected..expected + 200).contains(&waited),
+        "waited {waited} ms"
+    );
+}
+
 sandshelf_cases::cases! {
     short_otherwise => leases_are_short_otherwise();
     at_750_ms => a_successor_waits_for_each_lease(750);
     at_1000_ms => a_successor_waits_for_each_lease(1_000);
     at_1900_ms => a_successor_waits_for_each_lease(1_900);
+    early_successor => an_early_successor_waits_from_the_end_of_the_ownership(true);
+    usual_successor => an_early_successor_waits_from_the_end_of_the_ownership(false);
 }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -43,6 +43,7 @@
 mod state;
 mod task_state;
 mod times;
+mod watch;
 mod window;
 
 pub use events::{
@@ -64,3 +65,4 @@
 pub use state::{JobState, RecordEffect, RecordStats, ShardState};
 pub use task_state::{RequeueCause, TaskStage, TaskState};
 pub use times::LeaseTimes;
+pub use watch::{OwnerWatch, NOTICE_SILENCE_MS, READ_INTERVAL_MS};
--- a/crates/lease/src/ownership.rs
+++ b/crates/lease/src/ownership.rs
@@ -4,7 +4,7 @@
 //! shard only after it has seen the row unchanged for a whole lease on its own clock, and its
 //! claim is conditional on the row's version that it saw.
 
-use sandshelf_model::{Epoch, HostId, Millis};
+use sandshelf_model::{Epoch, HostId, Millis, Sequence};
 
 use crate::row::{RowVersion, ShardRow, StoredRow};
 use crate::times::LeaseTimes;
@@ -145,6 +145,31 @@
         held && !own
     }
 
+    /// Records that the owner of an epoch has told this host of a renewal, which gave the row this version and sequence. It
+    /// counts like a read of the row at `now`. Returns false where this host doesn't know the row of that owner: then only a
+    /// read helps.
+    pub fn note_renewed(
+        &mut self,
+        now: Millis,
+        epoch: Epoch,
+        version: RowVersion,
+        sequence: Sequence,
+    ) -> bool {
+        let Some(seen) = &mut self.seen else {
+            return false;
+        };
+        let same_owner = seen.row.epoch == epoch && seen.row.owner.is_some();
+        if self.stage != LeaseStage::Watching || !same_owner {
+            return false;
+        }
+        if version > seen.version {
+            seen.version = version;
+            seen.row.sequence = sequence;
+            self.seen_since = now;
+        }
+        true
+    }
+
     /// Whether this host may claim the shard now; `rank` is its position among the candidates, from 0.
     ///
     /// Each further rank waits one stagger time longer, so that candidates don't claim at the same time.
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -13,9 +13,10 @@
 use crate::clock;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters::StoreCall;
+use crate::jobs::news::OwnerNews;
 use crate::jobs::records::{
-    cancel_row, encode, job_range, job_row, progress_row, shard_row, PendingRow, CANCEL_SUFFIX,
-    PENDING_KEY, SHARDS_TABLE,
+    cancel_row, encode, job_range, job_row, progress_row, row_range, shard_row, PendingRow,
+    CANCEL_SUFFIX, OWNER_KEY, PENDING_KEY, SHARDS_TABLE,
 };
 use crate::logging::event;
 
@@ -27,6 +28,11 @@
 const STORE_TIMEOUT_PERCENT: Millis = 40;
 /// After how many milliseconds a caller is asked to retry while the store is out.
 const RETRY_AFTER_MS: Millis = 1_000;
+/// A request may go to the store without a probe this long after the latest successful call, in milliseconds.
+const PROBE_AFTER_MS: Millis = 500;
+/// The timeout of a probe, which a store that works as usual answers in 5 ms. A host whose share of the processor is used up pauses for up
+/// to 90 ms.
+const PROBE_TIMEOUT: CallTimeout = CallTimeout::Idle(Duration::from_millis(250));
 /// The largest row of a job, in bytes; the store accepts at most 65,536.
 const MAX_JOB_BYTES: usize = 60_000;
 
@@ -84,6 +90,8 @@
     pub store: &'a StoreClient,
     /// The health of the store as seen by this host's calls.
     pub health: &'a StoreHealth,
+    /// What the owner last told this host.
+    pub news: OwnerNews,
     /// The timeout of each store call.
     pub timeout: CallTimeout,
 }
@@ -111,7 +119,7 @@
             let reason = format!("a job of {} bytes; {MAX_JOB_BYTES} at most", value.len());
             return self.refuse(number, Status::PayloadTooLarge, &reason);
         }
-        if let Some(answer) = self.refuse_while_out() {
+        if let Some(answer) = self.refuse_without_store().await {
             event("job_refused", &[("job", &number), ("cause", &"store_out")]);
             return answer;
         }
@@ -180,7 +188,38 @@
     /// The answer while the store is out, none otherwise. It is given without a call, so that callers needn't wait for a timeout.
     fn refuse_while_out(&self) -> Option<JobAnswer> {
         let out = self.health.is_out();
-        out.then(|| JobAnswer::not_run("the store is out"))
+        out.then(|| self.without_store())
+    }
+
+    /// The answer while the store is out, or doesn't answer this host though it answers the owner as usual; none otherwise.
+    ///
+    /// A host that hears from the owner calls the store seldom, so it may not know yet that its calls fail. A write that gets no answer
+    /// may have taken effect, so the caller could not be told to go elsewhere; after a read that gets none, it can.
+    async fn refuse_without_store(&self) -> Option<JobAnswer> {
+        if let Some(answer) = self.refuse_while_out() {
+            return Some(answer);
+        }
+        let recent = self.health.has_succeeded_within(PROBE_AFTER_MS);
+        if recent || !self.news.store_is_usual(clock::now()) {
+            return None;
+        }
+        let range = row_range(&shard_row(SHARDS_TABLE, OWNER_KEY));
+        let read = self.store.read(&range, PROBE_TIMEOUT);
+        let probe = self.health.observe(StoreCall::Probe, read).await;
+        probe.is_err().then(|| self.without_store())
+    }
+
+    /// The answer to a request that can't be handled without the store. If the store answers the owner, other hosts can take the request
+    /// at once.
+    fn without_store(&self) -> JobAnswer {
+        let retry_after_ms = match self.news.store_is_usual(clock::now()) {
+            true => 0,
+            false => RETRY_AFTER_MS,
+        };
+        JobAnswer {
+            retry_after_ms: Some(retry_after_ms),
+            ..JobAnswer::not_run("the store is out")
+        }
     }
 
     /// Answers with a job's state.
--- a/crates/sandshelfd/src/jobs/agent.rs
+++ b/crates/sandshelfd/src/jobs/agent.rs
@@ -1,6 +1,7 @@
 //! Relays orders to workers for the host that owns the shard.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,8 +11,8 @@
 use sandshelf_adapter::WorkerClient;
 use sandshelf_config::JobSettings;
 use sandshelf_jobs::relay::{
-    decode_message, encode_handshake, encode_message, RelayAgent, RelayFault, RelayHandshake,
-    RelayMessage, RelayedAnswer, RelayedOrder, ShardObservation,
+    decode_message, encode_handshake, encode_message, OwnerNotice, RelayAgent, RelayFault,
+    RelayHandshake, RelayMessage, RelayedAnswer, RelayedOrder, ShardObservation,
 };
 use sandshelf_jobs::WorkerCall;
 use sandshelf_model::{Epoch, HostId};
@@ -32,6 +33,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// The pause before the next connection to an owner, which may not have read its state yet.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// The pause before the next connection to an owner that has been heard on the last one.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(30);
 /// The silence timeout of an owner that has sent orders; it sends two heartbeats a second.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The silence timeout of an owner that has sent no orders yet; it sends a heartbeat every two seconds.
@@ -42,8 +45,30 @@
 /// handles received messages only every few milliseconds.
 const ANSWER_COLLECTION_TIME: Duration = Duration::from_millis(4);
 
-/// Requests from the control thread what this host knows of the shard.
-pub type ObservationRequests = UnboundedSender<oneshot::Sender<ShardObservation>>;
+/// What the connection to the owner tells the control thread.
+#[derive(Debug)]
+pub enum AgentEvent {
+    /// The owner can't renew its ownership, and asks what this host knows of the shard.
+    ShardQuery(oneshot::Sender<ShardObservation>),
+    /// The owner has renewed its ownership.
+    OwnerRenewed(OwnerNotice),
+    /// The owner of this epoch was heard here before, and nobody listens at its address any more: its process has ended.
+    OwnerEnded(Epoch),
+}
+
+/// Passes events to the control thread.
+pub type AgentEvents = UnboundedSender<AgentEvent>;
+
+/// How a connection to the owner ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SessionEnd {
+    /// Nobody listens at the owner's address.
+    Refused,
+    /// The owner was not reached, or was not heard.
+    Unheard,
+    /// The connection ended after the owner was heard on it.
+    Heard,
+}
 
 /// The address at which the owner of an epoch accepts relays.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,17 +86,30 @@
     settings: JobSettings,
     client: WorkerClient,
     mut endpoint_changes: watch::Receiver<Option<OwnerEndpoint>>,
-    shard_queries: ObservationRequests,
+    events: AgentEvents,
     stopping: watch::Receiver<bool>,
 ) {
+    // The owner that was heard last. Its listener was open then, and stays open until its process ends.
+    let mut heard: Option<OwnerEndpoint> = None;
     while !*stopping.borrow() {
         let current = endpoint_changes.borrow_and_update().clone();
         let serve = async {
             match &current {
                 Some(owner) => {
                     let client = client.for_epoch(owner.epoch);
-                    serve_owner(&settings, owner, client, &shard_queries, stopping.clone()).await;
-                    sleep(RETRY_PAUSE).await;
+                    let end =
+                        serve_owner(&settings, owner, client, &events, stopping.clone()).await;
+                    match end {
+                        SessionEnd::Heard => {
+                            heard = Some(owner.clone());
+                            sleep(RECONNECT_PAUSE).await;
+                        }
+                        SessionEnd::Refused if heard.as_ref() == Some(owner) => {
+                            let _ = events.send(AgentEvent::OwnerEnded(owner.epoch));
+                            sleep(RETRY_PAUSE).await;
+                        }
+                        SessionEnd::Refused | SessionEnd::Unheard => sleep(RETRY_PAUSE).await,
+                    }
                     true
                 }
                 None => std::future::pending().await,
@@ -92,12 +130,16 @@
     settings: &JobSettings,
     owner: &OwnerEndpoint,
     client: WorkerClient,
-    shard_queries: &ObservationRequests,
+    events: &AgentEvents,
     stopping: watch::Receiver<bool>,
-) {
+) -> SessionEnd {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(owner.address)).await;
-    let Ok(Ok(stream)) = connected else {
-        return;
+    let stream = match connected {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return SessionEnd::Refused
+        }
+        Ok(Err(_)) | Err(_) => return SessionEnd::Unheard,
     };
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
@@ -110,14 +152,15 @@
     );
     let handshake_sent = handshake_writer.send(Bytes::from(encode_handshake(&handshake)));
     if handshake_sent.await.is_err() {
-        return;
+        return SessionEnd::Unheard;
     }
     let (outbox, outgoing) = unbounded_channel();
     let session = OwnerSession {
         agent: Rc::new(RefCell::new(RelayAgent::new(owner.epoch))),
         calls: RefCell::new(WorkerCalls::new(client)),
         answered: Rc::new(Notify::new()),
-        shard_queries,
+        heard: Cell::new(false),
+        events,
     };
     event(
         "relay_serves",
@@ -137,6 +180,10 @@
             ("cause", &cause),
         ],
     );
+    match session.heard.get() {
+        true => SessionEnd::Heard,
+        false => SessionEnd::Unheard,
+    }
 }
 
 /// Waits for a planned stop.
@@ -150,7 +197,9 @@
     agent: Rc<RefCell<RelayAgent>>,
     calls: RefCell<WorkerCalls>,
     answered: Rc<Notify>,
-    shard_queries: &'a ObservationRequests,
+    /// Whether the owner has sent a message of its epoch.
+    heard: Cell<bool>,
+    events: &'a AgentEvents,
 }
 
 impl OwnerSession<'_> {
@@ -167,36 +216,58 @@
                 Ok(_) => return "the connection ended",
                 Err(_) => return "the owner is silent",
             };
-            let message = match decode_message(&frame) {
+            let handled = match decode_message(&frame) {
                 Ok(RelayMessage::ShardQuery(epoch, number)) => {
-                    if let Err(fault) = self.answer_query(epoch, number, outbox).await {
-                        event("relay_refused", &[("link", &"owner"), ("fault", &fault)]);
-                        return "a message was refused";
-                    }
-                    continue;
+                    self.answer_query(epoch, number, outbox).await
                 }
-                other => other,
+                Ok(RelayMessage::Renewed(notice)) => self.pass_notice(notice),
+                Ok(message) => self.take_orders(message, outbox).map(|has_orders| {
+                    if has_orders {
+                        silence_timeout = SILENCE_TIMEOUT;
+                    }
+                }),
+                Err(fault) => Err(fault),
             };
-            let now = clock::now();
-            let orders =
-                message.and_then(|message| self.agent.borrow_mut().handle_message(now, message));
-            match orders {
-                Ok(orders) if orders.is_empty() => {
-                    let heartbeat = self.agent.borrow().heartbeat();
-                    let _ = outbox.send(encode_message(&heartbeat).into());
-                }
-                Ok(orders) => {
-                    silence_timeout = SILENCE_TIMEOUT;
-                    orders.into_iter().for_each(|order| self.carry_out(order));
-                }
-                Err(fault) => {
-                    event("relay_refused", &[("link", &"owner"), ("fault", &fault)]);
-                    return "a message was refused";
-                }
+            if let Err(fault) = handled {
+                event("relay_refused", &[("link", &"owner"), ("fault", &fault)]);
+                return "a message was refused";
             }
+            self.heard.set(true);
         }
     }
 
+    /// Carries out the orders in a message; a message without orders is answered at once. Returns whether there were orders.
+    ///
+    /// # Errors
+    /// The message is of another epoch, or not for a relay.
+    fn take_orders(
+        &self,
+        message: RelayMessage,
+        outbox: &UnboundedSender<Bytes>,
+    ) -> Result<bool, RelayFault> {
+        let orders = self
+            .agent
+            .borrow_mut()
+            .handle_message(clock::now(), message)?;
+        let has_orders = !orders.is_empty();
+        if !has_orders {
+            let heartbeat = self.agent.borrow().heartbeat();
+            let _ = outbox.send(encode_message(&heartbeat).into());
+        }
+        orders.into_iter().for_each(|order| self.carry_out(order));
+        Ok(has_orders)
+    }
+
+    /// Passes the owner's notice to the control thread.
+    ///
+    /// # Errors
+    /// The notice is of another epoch.
+    fn pass_notice(&self, notice: OwnerNotice) -> Result<(), RelayFault> {
+        self.agent.borrow().check_notice(&notice)?;
+        let _ = self.events.send(AgentEvent::OwnerRenewed(notice));
+        Ok(())
+    }
+
     /// Sends the owner what this host knows of the shard.
     ///
     /// # Errors
@@ -208,7 +279,7 @@
         outbox: &UnboundedSender<Bytes>,
     ) -> Result<(), RelayFault> {
         let (reply, observation) = oneshot::channel();
-        let _ = self.shard_queries.send(reply);
+        let _ = self.events.send(AgentEvent::ShardQuery(reply));
         // Without a control thread this host is about to stop, and sends no answer.
         let Ok(observation) = observation.await else {
             return Ok(());
--- a/crates/sandshelfd/src/jobs/endpoints.rs
+++ b/crates/sandshelfd/src/jobs/endpoints.rs
@@ -13,11 +13,13 @@
 use sandshelf_adapter::{StoreClient, DEADLINE_HEADER, READY_PATH};
 use sandshelf_jobs::{JobNumber, QueueEntry};
 use sandshelf_model::Millis;
+use tokio::sync::watch;
 
 use crate::clock::SteadyInstant;
 use crate::jobs::accept::{store_timeout, JobAnswer, JobService};
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters;
+use crate::jobs::news::OwnerNews;
 use crate::jobs::queues::QueueView;
 
 /// The timeout for reading the body of a request.
@@ -29,6 +31,8 @@
     pub store: StoreClient,
     /// The health of the store as seen by this host's calls.
     pub health: Arc<StoreHealth>,
+    /// What the owner last told this host.
+    pub news: watch::Receiver<OwnerNews>,
     /// The current configuration of queues.
     pub queues: QueueView,
     /// Whether the daemon is stopping.
@@ -84,7 +88,7 @@
             response.set_header(ContentType::JSON);
         }
         if let Some(retry_after_ms) = answer.retry_after_ms {
-            let seconds = retry_after_ms.div_ceil(1_000).max(1);
+            let seconds = retry_after_ms.div_ceil(1_000);
             response.set_header(Header::new("retry-after", seconds.to_string()));
         }
         if shared.stopping.load(Ordering::Relaxed) {
@@ -108,6 +112,7 @@
     let service = JobService {
         store: &shared.store,
         health: &shared.health,
+        news: *shared.news.borrow(),
         timeout: store_timeout(deadline_ms(request)),
     };
     if rest.is_empty() {
--- a/crates/sandshelfd/src/jobs/health.rs
+++ b/crates/sandshelfd/src/jobs/health.rs
@@ -22,6 +22,8 @@
     /// When the first failed call since the last successful one ended; none if the latest call succeeded.
     failing_since: Option<Millis>,
     failures: u32,
+    /// When the latest successful call ended.
+    succeeded_at: Option<Millis>,
 }
 
 /// The health of the store as seen by the latest calls of this host. All tasks that call the store share it.
@@ -60,6 +62,7 @@
         let mut state = self.lock();
         let Some(fault) = call_result.fault else {
             state.failures = 0;
+            state.succeeded_at = Some(clock::now());
             if let Some(since) = state.failing_since.take() {
                 let lasted = clock::now().saturating_sub(since);
                 event("store_regained", &[("lasted_ms", &lasted)]);
@@ -86,6 +89,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a call has succeeded in the last `age_ms` milliseconds.
+    pub fn has_succeeded_within(&self, age_ms: Millis) -> bool {
+        let state = self.lock();
+        let succeeded_at = state.succeeded_at;
+        succeeded_at.is_some_and(|at| clock::now() <= at + age_ms)
+    }
+
     /// Whether so many of the latest calls failed that callers shouldn't wait for another.
     pub fn is_out(&self) -> bool {
         let state = self.lock();
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -67,6 +67,8 @@
     ReadOwner,
     /// Reads rows of the shard for a new owner, or for one whose feed of changes has a gap.
     TakeOver,
+    /// Finds out for a caller whether the store answers this host.
+    Probe,
     /// Waits for changes.
     Follow,
     /// Reads the list of workers.
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod intake;
 mod labels;
 mod meters;
+mod news;
 mod notes;
 mod owner;
 mod pages;
@@ -32,13 +33,14 @@
 use sandshelf_config::{parse_job_settings, JobSettings, OrderWay, SourceFile};
 use sandshelf_model::HostId;
 use tokio::runtime;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
 use crate::daemon::{launch, quiet_rocket, wait_for_signal, DaemonFailure};
 use crate::jobs::endpoints::{job_routes, metrics_routes, ready_routes, JobShared};
 use crate::jobs::halls::HallView;
 use crate::jobs::health::StoreHealth;
+use crate::jobs::news::OwnerNews;
 use crate::jobs::owner::{run_owner, OwnerParts};
 use crate::jobs::queues::{follow_operator_rows, QueueView};
 use crate::jobs::relays::RelayListener;
@@ -91,9 +93,11 @@
     let health = Arc::new(StoreHealth::default());
     let queues = QueueView::default();
     let halls = HallView::default();
+    let (news, news_changes) = watch::channel(OwnerNews::default());
     let shared = Arc::new(JobShared {
         store: store.clone(),
         health: health.clone(),
+        news: news_changes.clone(),
         queues: queues.clone(),
         stopping: AtomicBool::new(false),
         open_requests: Default::default(),
@@ -130,6 +134,7 @@
         queues.clone(),
         halls.clone(),
         health.clone(),
+        news_changes,
     ));
     tokio::spawn(watch_settings(path, settings.clone()));
     let (stop, stop_in) = mpsc::channel(1);
@@ -145,6 +150,7 @@
         queues,
         halls,
         health,
+        news,
         stop: stop_in,
         stopped,
     })?;
--- /dev/null
+++ b/crates/sandshelfd/src/jobs/news.rs
@@ -0,0 +1,68 @@
+//! What the owner tells the other hosts with each renewal of its ownership.
+
+use std::time::Duration;
+
+use sandshelf_jobs::relay::OwnerNotice;
+use sandshelf_model::Millis;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::clock;
+
+/// How long after the owner was heard its news count: more than three intervals between renewals.
+const FRESH_MS: Millis = 1_500;
+/// How long the operators' rows may take to arrive here after the owner has told of their change.
+const ARRIVAL_TIME: Duration = Duration::from_millis(150);
+/// A store that takes at most this long for a renewal, in milliseconds, answers as usual.
+const USUAL_WRITE_MS: Millis = 100;
+
+/// The newest news of the owner, and when they were heard.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnerNews {
+    heard_at: Option<Millis>,
+    operator_version: u64,
+    store_took_ms: Millis,
+}
+
+impl OwnerNews {
+    /// The news in a notice that was heard at `now`.
+    pub fn new(now: Millis, notice: &OwnerNotice) -> Self {
+        Self {
+            heard_at: Some(now),
+            operator_version: notice.operator_version,
+            store_took_ms: notice.store_took_ms,
+        }
+    }
+
+    /// Whether the owner was heard a moment ago.
+    pub fn are_fresh(&self, now: Millis) -> bool {
+        self.heard_at.is_some_and(|at| now < at + FRESH_MS)
+    }
+
+    /// Whether the store answers the owner as fast as usual, by fresh news.
+    pub fn store_is_usual(&self, now: Millis) -> bool {
+        self.are_fresh(now) && self.store_took_ms <= USUAL_WRITE_MS
+    }
+
+    fn expires_at(&self) -> Millis {
+        self.heard_at.map_or(0, |at| at + FRESH_MS)
+    }
+}
+
+/// Waits until the operators' rows, known here up to a version, should be asked for with a call of their own: the owner knows a newer change
+/// that has not arrived, or it isn't heard any more.
+pub async fn wait_for_reason(news: &mut watch::Receiver<OwnerNews>, known_version: u64) {
+    loop {
+        let current = *news.borrow_and_update();
+        if current.operator_version > known_version {
+            return sleep(ARRIVAL_TIME).await;
+        }
+        let expired = sleep(clock::until(current.expires_at()));
+        tokio::select! {
+            () = expired => return,
+            changed = news.changed() => if changed.is_err() {
+                return std::future::pending().await;
+            },
+        }
+    }
+}
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -16,18 +16,19 @@
 use sandshelf_adapter::{StoreClient, StoreFault, WorkerClient};
 use sandshelf_config::{JobSettings, OrderWay};
 use sandshelf_jobs::{CommitBatch, JobAction, JobEvent, JobScheduler, JobSummaries, WorkerCall};
-use sandshelf_lease::{LeaseStage, LeaseTimes, ShardLease, StoredRow};
+use sandshelf_lease::{LeaseStage, LeaseTimes, OwnerWatch, ShardLease, StoredRow};
 use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{interval, timeout, MissedTickBehavior};
 
 use crate::clock;
-use crate::jobs::agent::{run_agent, OwnerEndpoint};
+use crate::jobs::agent::{run_agent, AgentEvent, OwnerEndpoint};
 use crate::jobs::calls::WorkerCalls;
 use crate::jobs::halls::HallView;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters;
+use crate::jobs::news::OwnerNews;
 use crate::jobs::notes::log_load;
 use crate::jobs::owner::recover::RunningTakeover;
 use crate::jobs::owner::relaying::{RelayOffers, RelayPool};
@@ -73,6 +74,8 @@
     pub halls: HallView,
     /// The health of the store as seen by this host's calls.
     pub health: Arc<StoreHealth>,
+    /// Where the owner's news go.
+    pub news: watch::Sender<OwnerNews>,
     /// Receives the request for a planned stop.
     pub stop: mpsc::Receiver<()>,
     /// Notified once this host owns nothing any more.
@@ -136,9 +139,12 @@
     owned: Option<OwnedShard>,
     pending_batch: Option<CommitBatch>,
     write_in_flight: bool,
-    /// When the read of the owner row in progress began; none if there is none.
-    read_started_at: Option<Millis>,
-    next_read_at: Millis,
+    watch: OwnerWatch,
+    /// Whether this host claimed the shard before the lease of its owner was over.
+    claimed_early: bool,
+    /// What the owner last told this host; shared with the tasks that serve callers and follow the operators' rows.
+    news: watch::Sender<OwnerNews>,
+    next_notice_at: Millis,
     next_load_at: Millis,
     stop_deadline: Option<Millis>,
     released: bool,
@@ -156,6 +162,7 @@
         queues,
         halls,
         health,
+        news,
         mut stop,
         stopped,
     } = parts;
@@ -168,14 +175,14 @@
     let rank = HostStrength::of(&settings).draw_rank();
     let (relay_events, mut relay_inbox) = mpsc::unbounded_channel();
     let (served_owner, served_owner_changes) = watch::channel(None);
-    let (shard_queries, mut shard_query_inbox) = mpsc::unbounded_channel();
+    let (agent_events, mut agent_inbox) = mpsc::unbounded_channel();
     let (stopping, stop_changes) = watch::channel(false);
     let agent = match WorkerClient::new(0, WORKER_TIMEOUT) {
         Ok(client) => Some(spawn_local(run_agent(
             settings.clone(),
             client,
             served_owner_changes,
-            shard_queries,
+            agent_events,
             stop_changes,
         ))),
         Err(error) => {
@@ -208,8 +215,10 @@
         owned: None,
         pending_batch: None,
         write_in_flight: false,
-        read_started_at: None,
-        next_read_at: 0,
+        watch: OwnerWatch::default(),
+        claimed_early: false,
+        news,
+        next_notice_at: 0,
         next_load_at: 0,
         stop_deadline: None,
         released: false,
@@ -223,7 +232,7 @@
             Some(message) = inbox.recv() => owner.handle_messages(message, &mut inbox),
             Some(events) = feed_inbox.recv() => owner.handle_feed_events(events),
             Some(relay_event) = relay_inbox.recv() => owner.handle_relay_events(relay_event, &mut relay_inbox),
-            Some(reply) = shard_query_inbox.recv() => owner.answer_shard_query(reply),
+            Some(agent_event) = agent_inbox.recv() => owner.handle_agent_event(agent_event),
             _ = ticks.tick() => owner.tick(),
             Some(()) = stop.recv() => owner.begin_stop(),
         }
@@ -266,6 +275,15 @@
         self.apply_events(events);
     }
 
+    /// Handles what this host's connection to the owner tells.
+    fn handle_agent_event(&mut self, agent_event: AgentEvent) {
+        match agent_event {
+            AgentEvent::ShardQuery(reply) => self.answer_shard_query(reply),
+            AgentEvent::OwnerRenewed(notice) => self.handle_notice(&notice),
+            AgentEvent::OwnerEnded(epoch) => self.handle_ended_owner(epoch),
+        }
+    }
+
     fn handle_store_message(&mut self, message: OwnerMessage) {
         match message {
             OwnerMessage::RowRead(read) => self.handle_owner_row(read),
@@ -395,6 +413,7 @@
                 } else if self.owned.is_some() && batch > 0 {
                     self.handle(JobEvent::Committed(batch));
                 }
+                self.tell_renewal(now, sent);
             }
         }
         // These checks run between two writes: where much changes, writes follow one another without a pause.
--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -2,20 +2,22 @@
 
 use rand::RngExt;
 use sandshelf_adapter::StoreFault;
+use sandshelf_jobs::relay::{OwnerNotice, RelayMessage};
 use sandshelf_jobs::CommitBatch;
 use sandshelf_lease::{LeaseStage, StoredRow};
-use sandshelf_model::Millis;
+use sandshelf_model::{Epoch, Millis};
 use tokio::task::spawn_local;
 
 use super::strength::HostStrength;
-use super::{OwnerLoop, OwnerMessage};
+use super::{OwnerLoop, OwnerMessage, CLAIM_STAGGER_MS};
 use crate::clock;
+use crate::jobs::news::OwnerNews;
 use crate::jobs::writer::OwnerWrite;
 use crate::logging::event;
 
-/// The pause between a read of the owner row and the next, on a host that is not the owner.
-const WATCH_INTERVAL_MS: Millis = 400;
-
+/// The shortest interval between two notices of renewals to the connected hosts. Renewals are sent every 0.4 s, and hosts read the owner
+/// row 0.6 s after the last notice.
+const NOTICE_INTERVAL_MS: Millis = 300;
 /// The factor by which ranks are multiplied for the very first claim of the shard. Hosts start within 0.3 s of each other, some of
 /// them slowly, and nothing depends on an owner yet.
 const FIRST_CLAIM_RANK_FACTOR: u32 = 5;
@@ -45,16 +47,15 @@
 
     /// Reads the owner row when that is due, and claims the shard if its owner is gone.
     pub(super) fn watch(&mut self, now: Millis) {
-        let free =
-            self.lease.may_claim(now, self.claim_rank()) || self.owner_is_earlier_incarnation();
+        let lease_over = self.lease.may_claim(now, self.claim_rank());
+        let free = lease_over || self.owner_is_earlier_incarnation() || self.owner_has_ended(now);
         let free = free && now >= self.claims_paused_until;
         if free && !self.write_in_flight && self.stop_deadline.is_none() {
             self.claim(now);
             return;
         }
-        if self.read_started_at.is_none() && now >= self.next_read_at && self.queues.get().is_some()
-        {
-            self.read_started_at = Some(now);
+        if self.watch.wants_read(now) && self.queues.get().is_some() {
+            self.watch.begin_read(now);
             let store = self.store.clone();
             let messages = self.messages.clone();
             spawn_local(async move {
@@ -66,8 +67,7 @@
 
     pub(super) fn handle_owner_row(&mut self, read: Result<StoredRow, StoreFault>) {
         let now = clock::now();
-        self.read_started_at = None;
-        self.next_read_at = now + WATCH_INTERVAL_MS;
+        self.watch.end_read(now, read.as_ref().ok());
         match read {
             Ok(row) => {
                 self.lease.note_read(now, row);
@@ -80,7 +80,66 @@
         }
     }
 
+    /// Whether the owner's process has certainly ended, and it is this host's turn to claim the shard.
+    fn owner_has_ended(&self, now: Millis) -> bool {
+        let watching = *self.lease.stage() == LeaseStage::Watching;
+        let stagger_ms = CLAIM_STAGGER_MS * u64::from(self.rank);
+        watching
+            && self
+                .watch
+                .may_claim_early(now, self.lease.row(), stagger_ms)
+    }
+
+    /// Takes in that the owner has renewed its ownership: there is no need to read the owner row.
+    pub(super) fn handle_notice(&mut self, notice: &OwnerNotice) {
+        let now = clock::now();
+        let OwnerNotice {
+            epoch,
+            version,
+            sequence,
+            ..
+        } = *notice;
+        if !self.lease.note_renewed(now, epoch, version, sequence) {
+            self.watch.read_soon(now);
+        } else if !self.store.health.is_failing() {
+            self.watch.note_renewed(now);
+        }
+        self.news.send_replace(OwnerNews::new(now, notice));
+    }
+
+    /// Takes in that nobody listens any more at the address of the owner that this host was connected to.
+    pub(super) fn handle_ended_owner(&mut self, epoch: Epoch) {
+        event("owner_ended", &[("epoch", &epoch)]);
+        self.watch.note_ended(clock::now(), epoch);
+    }
+
+    /// Tells the connected hosts of a renewal that was sent at `sent`, unless they were told a moment ago.
+    pub(super) fn tell_renewal(&mut self, now: Millis, sent: Millis) {
+        let (Some(owned), Some(stored)) = (&self.owned, self.lease.row()) else {
+            return;
+        };
+        if now < self.next_notice_at || stored.row.owner.as_ref() != Some(&self.host) {
+            return;
+        }
+        self.next_notice_at = now + NOTICE_INTERVAL_MS;
+        owned.relays.tell_all(&RelayMessage::Renewed(OwnerNotice {
+            epoch: stored.row.epoch,
+            version: stored.version,
+            sequence: stored.row.sequence,
+            operator_version: self.queues.newest_change(),
+            store_took_ms: now.saturating_sub(sent),
+        }));
+    }
+
     pub(super) fn claim(&mut self, now: Millis) {
+        let lease_over = self.lease.may_claim(now, self.claim_rank());
+        let released = self
+            .lease
+            .row()
+            .is_some_and(|seen| seen.row.owner.is_none());
+        // Before the first owner nobody gave any orders.
+        let had_owner = self.lease.newest_epoch() > 0;
+        self.claimed_early = had_owner && (released || !lease_over);
         let owner_is_earlier_incarnation = self.owner_is_earlier_incarnation();
         let (version, mut row) = self.lease.begin_claim(self.token());
         self.rules_since = row.rules_since;
@@ -94,6 +153,7 @@
                 ("epoch", &row.epoch),
                 ("rank", &self.rank),
                 ("own_earlier_life", &owner_is_earlier_incarnation),
+                ("early", &self.claimed_early),
                 ("version", &version),
             ],
         );
--- a/crates/sandshelfd/src/jobs/owner/relaying.rs
+++ b/crates/sandshelfd/src/jobs/owner/relaying.rs
@@ -170,6 +170,11 @@
         self.dispatcher.unclaimed_until(now, own_hall)
     }
 
+    /// Sends a message to all connected hosts.
+    pub(super) fn tell_all(&self, message: &RelayMessage) {
+        self.links.send_to_all(message);
+    }
+
     fn send_orders(&mut self, now: Millis) {
         for (relay, message) in self.dispatcher.take_messages(now) {
             self.links.send(relay, &message);
--- a/crates/sandshelfd/src/jobs/owner/tenure.rs
+++ b/crates/sandshelfd/src/jobs/owner/tenure.rs
@@ -83,11 +83,13 @@
     pub(super) fn answer_shard_query(&mut self, reply: oneshot::Sender<ShardObservation>) {
         let now = clock::now();
         let is_slow = |since: Millis| now >= since + SLOW_READ_MS;
-        let store_fails =
-            self.store.health.is_failing() || self.read_started_at.is_some_and(is_slow);
+        let read_started_at = self.watch.read_started_at();
+        let store_fails = self.store.health.is_failing() || read_started_at.is_some_and(is_slow);
         if store_fails && *self.lease.stage() == LeaseStage::Watching {
             self.lease.return_to_watching();
         }
+        // The owner asks because it can't renew its ownership: whether this host reaches the store is known at the next query.
+        self.watch.read_soon(now);
         let _ = reply.send(ShardObservation {
             epoch: self.lease.newest_epoch(),
             claims_after_ms: self.lease.claims_after(now),
--- a/crates/sandshelfd/src/jobs/queues.rs
+++ b/crates/sandshelfd/src/jobs/queues.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration of queues and keeps its newest version.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
@@ -9,15 +10,20 @@
 };
 use sandshelf_jobs::QueueTable;
 use sandshelf_model::Millis;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::clock;
 use crate::jobs::halls::{evacuation_range, HallView};
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters::StoreCall;
+use crate::jobs::news::{wait_for_reason, OwnerNews};
 use crate::logging::event;
 
 /// How long a call that waits for changes may wait at the store, in milliseconds. A silent connection is noticed soon after.
 const CHANGES_WAIT_MS: Millis = 900;
+/// The same while the owner is heard, which tells of changes as well.
+const HEARD_CHANGES_WAIT_MS: Millis = 2_000;
 /// The idle timeout in addition to that wait, in milliseconds, while calls succeed. It doesn't limit the whole answer: over 10 Mbit/s a
 /// configuration of 3,000 queues takes 0.7 s, so with 0.5 s for the whole answer it never arrived.
 const IDLE_TIMEOUT_MS: Millis = 500;
@@ -31,6 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct QueueView {
     table: Arc<RwLock<Option<Arc<QueueTable>>>>,
+    newest_change: Arc<AtomicU64>,
 }
 
 impl QueueView {
@@ -42,6 +49,16 @@
             .clone()
     }
 
+    /// The version of the newest known change of the operators' rows: the configuration and the evacuated halls.
+    pub fn newest_change(&self) -> u64 {
+        self.newest_change.load(Ordering::Relaxed)
+    }
+
+    fn note_changes(&self, rows: &[StoredValue]) {
+        let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+        self.newest_change.fetch_max(newest, Ordering::Relaxed);
+    }
+
     /// Puts a configuration in force unless the current one is as new or newer.
     fn replace_if_newer(&self, table: QueueTable) {
         let mut current = self
@@ -78,6 +95,7 @@
     view: QueueView,
     halls: HallView,
     health: Arc<StoreHealth>,
+    mut news: watch::Receiver<OwnerNews>,
 ) {
     let mut calls = ConfigCalls {
         store,
@@ -90,7 +108,7 @@
     let mut after = None;
     loop {
         let known = match after {
-            Some(version) => calls.follow(version).await,
+            Some(version) => calls.follow_heard(version, &mut news).await,
             None => calls.read().await.map(Some),
         };
         match known {
@@ -112,14 +130,30 @@
         CallTimeout::Idle(Duration::from_millis(IDLE_TIMEOUT_MS << doublings))
     }
 
+    /// Waits for changes, longer while the owner is heard, unless it tells of a change that doesn't arrive. Returns like
+    /// [`ConfigCalls::follow`].
+    async fn follow_heard(
+        &self,
+        after: u64,
+        news: &mut watch::Receiver<OwnerNews>,
+    ) -> Result<Option<u64>, StoreFault> {
+        let heard = news.borrow().are_fresh(clock::now()) && self.failures == 0;
+        if heard {
+            tokio::select! {
+                known = self.follow(after, HEARD_CHANGES_WAIT_MS) => return known,
+                () = wait_for_reason(news, after) => {}
+            }
+        }
+        self.follow(after, CHANGES_WAIT_MS).await
+    }
+
     /// Waits for changes. Returns the version up to which they are known, or none if the store no longer has the changes since `after`.
-    async fn follow(&self, after: u64) -> Result<Option<u64>, StoreFault> {
+    async fn follow(&self, after: u64, wait_ms: Millis) -> Result<Option<u64>, StoreFault> {
         let timeout = self.timeout();
-        let follow = self
-            .store
-            .follow(CONFIG_TABLE, after, CHANGES_WAIT_MS, timeout);
+        let follow = self.store.follow(CONFIG_TABLE, after, wait_ms, timeout);
         match self.health.observe(StoreCall::Follow, follow).await? {
             FeedPage::Changes(rows, version) => {
+                self.view.note_changes(&rows);
                 apply_config_rows(&self.view, &rows);
                 self.halls.apply_changes(&rows, version);
                 Ok(Some(after.max(version)))
@@ -137,6 +171,7 @@
         let range = evacuation_range();
         let read = self.store.read(&range, self.timeout());
         let halls = self.health.observe(StoreCall::ReadConfig, read).await?;
+        self.view.note_changes(&halls.rows);
         self.halls.replace_all(&halls.rows, halls.version);
         let range = RowRange {
             table: CONFIG_TABLE,
@@ -146,6 +181,7 @@
         };
         let read = self.store.read(&range, self.timeout());
         let page = self.health.observe(StoreCall::ReadConfig, read).await?;
+        self.view.note_changes(&page.rows);
         apply_config_rows(&self.view, &page.rows);
         Ok(halls.version)
     }
--- a/crates/sandshelfd/src/jobs/relays.rs
+++ b/crates/sandshelfd/src/jobs/relays.rs
@@ -239,6 +239,14 @@
         self.links.retain(|_, known| known.relay != relay);
     }
 
+    /// Sends a message to all relays; it is encoded once.
+    pub fn send_to_all(&self, message: &RelayMessage) {
+        let encoded = Bytes::from(encode_message(message));
+        for link in self.links.values() {
+            let _ = link.outbox.send(encoded.clone());
+        }
+    }
+
     /// Sends a message to a relay.
     pub fn send(&self, relay: RelayNumber, message: &RelayMessage) {
         let link = self.links.values().find(|known| known.relay == relay);
