Hosts tell how many jobs wait from the owner's notices, and refuse at once while their calls fail

Change: the owner's notice holds the published counts, if at most 64 queues have waiting jobs; a host answers from it while it is fresh (1.5 s; a count may be 2 s old). A host whose latest call failed, while the owner says that the store answers as usual, refuses at once; it reads the owner row every 0.4 s meanwhile and learns so of its return.

An empty change of the worker list has waiting tasks tried again where the list had become too old to be trusted in full.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -221,11 +221,12 @@
                 *counts.entry(job.spec.queue.clone()).or_default() += 1;
             }
         }
-        if counts == self.pending_counts || !budget.take(&counts) {
+        let published = self.pending_counts.get_or_insert_default();
+        if counts == *published || !budget.take(&counts) {
             return None;
         }
+        published.clone_from(&counts);
         self.pending_published_at = now;
-        self.pending_counts = counts.clone();
         Some(counts)
     }
 }
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -1,5 +1,7 @@
 //! Counts of jobs, tasks and workers, for metrics and the log.
 
+use std::collections::BTreeMap;
+
 use sandshelf_model::Millis;
 
 use crate::over_target::OverTargetStretch;
@@ -51,6 +53,11 @@
         self.dirty.is_empty()
     }
 
+    /// The published number of waiting jobs by queue; none before this owner has counted them.
+    pub fn pending_counts(&self) -> Option<&BTreeMap<String, u64>> {
+        self.pending_counts.as_ref()
+    }
+
     /// The number of waiting tasks and gangs, and the time of the last placement pass.
     pub fn last_pass(&self) -> (usize, Millis) {
         (self.waiting.len(), self.last_pass)
--- a/crates/jobs/src/relay/messages.rs
+++ b/crates/jobs/src/relay/messages.rs
@@ -18,6 +18,9 @@
 /// The most bytes in one message. 256 reports of 500 runs with 60 bytes each take 8 MB; a worker lists at most 500 runs at once.
 pub const LARGEST_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
+/// The most queues whose waiting jobs an owner tells in a notice.
+pub const MAX_NOTICE_QUEUES: usize = 64;
+
 /// The first message on a connection, sent by the relay.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayHandshake {
@@ -110,7 +113,7 @@
 
 /// What an owner tells the connected hosts about once for each renewal of its ownership, so that they needn't read it from the
 /// store themselves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerNotice {
     /// The owner's epoch.
     pub epoch: Epoch,
@@ -122,6 +125,9 @@
     pub operator_version: u64,
     /// How long the store took for the renewal, in milliseconds.
     pub store_took_ms: Millis,
+    /// The number of waiting jobs of each queue that has any; none if the owner doesn't know them yet, or there are more than
+    /// [`MAX_NOTICE_QUEUES`] such queues.
+    pub pending: Option<Vec<(String, u64)>>,
 }
 
 /// A message between an owner and a relay after the handshake. A batch of orders or answers without entries is a heartbeat.
--- a/crates/jobs/src/relay/mod.rs
+++ b/crates/jobs/src/relay/mod.rs
@@ -48,6 +48,6 @@
 pub use messages::{
     decode_handshake, decode_message, encode_handshake, encode_message, OrderBatch, OwnerNotice,
     RelayFault, RelayHandshake, RelayMessage, RelayedAnswer, RelayedOrder, ShardObservation,
-    LARGEST_MESSAGE_BYTES, RELAY_VERSION,
+    LARGEST_MESSAGE_BYTES, MAX_NOTICE_QUEUES, RELAY_VERSION,
 };
 pub use plan::{waits_for_relays, RelayNumber};
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -102,8 +102,8 @@
     pub(crate) commit: Option<PendingCommit>,
     pub(crate) commit_count: u64,
     pub(crate) last_commit: Millis,
-    /// The published number of waiting jobs by queue.
-    pub(crate) pending_counts: BTreeMap<String, u64>,
+    /// The published number of waiting jobs by queue; none before this owner has counted them.
+    pub(crate) pending_counts: Option<BTreeMap<String, u64>>,
     pub(crate) pending_published_at: Millis,
     pub(crate) roster: RosterMembers,
     pub(crate) roster_checked_at: Millis,
@@ -192,7 +192,7 @@
             commit: None,
             commit_count: 0,
             last_commit: 0,
-            pending_counts: BTreeMap::new(),
+            pending_counts: None,
             // Jobs are handled one by one, so the number of waiting jobs is published only once all are known.
             pending_published_at: info.claimed_at,
             roster: RosterMembers::default(),
--- a/crates/jobs/src/worker_list.rs
+++ b/crates/jobs/src/worker_list.rs
@@ -6,7 +6,7 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use crate::events::WorkerChanges;
-use crate::limits::{LIST_RECOVERY_MS, MAX_LIST_GAP_MS};
+use crate::limits::{LISTED_CAPACITY_FRESH_MS, LIST_RECOVERY_MS, MAX_LIST_GAP_MS};
 use crate::note::{JobNote, LossCause};
 use crate::reports::WorkerListing;
 use crate::scheduler::JobScheduler;
@@ -48,6 +48,8 @@
 
     /// Handles the changes of the list since it was last read as a whole, or that nothing has changed. Costs as much as has changed.
     pub(crate) fn handle_worker_changes(&mut self, now: Millis, changes: WorkerChanges) {
+        // The capacity in a list that has become old is used in part only; see `LISTED_CAPACITY_FRESH_MS`.
+        self.room_changed |= now > self.last_list + LISTED_CAPACITY_FRESH_MS;
         self.note_list(now);
         for id in changes.removed.iter().chain(&changes.unreadable) {
             if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/jobs/tests/worker_changes.rs
+++ b/crates/jobs/tests/worker_changes.rs
@@ -6,7 +6,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sandshelf_jobs::{JobEvent, StepSpec, TakeoverInfo, WorkerChanges, WorkerListing};
+use sandshelf_jobs::{JobEvent, JobNumber, StepSpec, TakeoverInfo, WorkerChanges, WorkerListing};
 use sandshelf_model::WorkerId;
 use support::{job, listing, step, SchedulerRig};
 
@@ -59,7 +59,10 @@
     }
 
     fn compare(&self, when: &str) {
-        assert_eq!(self.whole.actions, self.changes.actions, "{when}");
+        let mut pairs = self.whole.actions.iter().zip(&self.changes.actions);
+        let difference = pairs.find(|(whole, change)| whole != change);
+        assert_eq!(difference, None, "{when}, at {}", self.whole.now);
+        assert_eq!(self.whole.actions.len(), self.changes.actions.len());
     }
 }
 
@@ -142,6 +145,11 @@
                     ..step(2)
                 }]),
             );
+            // Old jobs are cancelled, so that no task waits for room: each whole list has waiting tasks tried again, changes only those
+            // that may free room.
+            if let Some(old) = number.checked_sub(3) {
+                rig.handle(JobEvent::CancelAsked(JobNumber(old)));
+            }
             for id in &answering {
                 rig.report(id.as_str(), vec![], vec![]);
             }
@@ -158,4 +166,8 @@
     seed_2 => changes_equal_whole_lists(2);
     seed_3 => changes_equal_whole_lists(3);
     seed_4 => changes_equal_whole_lists(4);
+    seed_5 => changes_equal_whole_lists(5);
+    seed_6 => changes_equal_whole_lists(6);
+    seed_7 => changes_equal_whole_lists(7);
+    seed_8 => changes_equal_whole_lists(8);
 }
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -194,13 +194,19 @@
     /// The answer while the store is out, or doesn't answer this host though it answers the owner as usual; none otherwise.
     ///
     /// A host that hears from the owner calls the store seldom, so it may not know yet that its calls fail. A write that gets no answer
-    /// may have taken effect, so the caller could not be told to go elsewhere; after a read that gets none, it can.
+    /// may have taken effect, so the caller could not be told to go elsewhere; after a read that gets none, it can. Once a call has failed
+    /// this host reads the owner row in short intervals, and callers needn't wait for another.
     async fn refuse_without_store(&self) -> Option<JobAnswer> {
         if let Some(answer) = self.refuse_while_out() {
             return Some(answer);
         }
-        let recent = self.health.has_succeeded_within(PROBE_AFTER_MS);
-        if recent || !self.news.store_is_usual(clock::now()) {
+        if !self.news.store_is_usual(clock::now()) {
+            return None;
+        }
+        if self.health.is_failing() {
+            return Some(self.without_store());
+        }
+        if self.health.has_succeeded_within(PROBE_AFTER_MS) {
             return None;
         }
         let range = row_range(&shard_row(SHARDS_TABLE, OWNER_KEY));
@@ -311,6 +317,9 @@
 
     /// Answers with the number of waiting jobs of a queue.
     pub async fn pending(&self, queue: &QueueEntry) -> JobAnswer {
+        if let Some(count) = self.news.pending(clock::now(), &queue.name) {
+            return JobAnswer::plain(Status::Ok, pending_body(count));
+        }
         if let Some(answer) = self.refuse_while_out() {
             return answer;
         }
--- a/crates/sandshelfd/src/jobs/endpoints.rs
+++ b/crates/sandshelfd/src/jobs/endpoints.rs
@@ -112,7 +112,7 @@
     let service = JobService {
         store: &shared.store,
         health: &shared.health,
-        news: *shared.news.borrow(),
+        news: shared.news.borrow().clone(),
         timeout: store_timeout(deadline_ms(request)),
     };
     if rest.is_empty() {
--- a/crates/sandshelfd/src/jobs/news.rs
+++ b/crates/sandshelfd/src/jobs/news.rs
@@ -1,5 +1,6 @@
 //! What the owner tells the other hosts with each renewal of its ownership.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sandshelf_jobs::relay::OwnerNotice;
@@ -17,11 +18,12 @@
 const USUAL_WRITE_MS: Millis = 100;
 
 /// The newest news of the owner, and when they were heard.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct OwnerNews {
     heard_at: Option<Millis>,
     operator_version: u64,
     store_took_ms: Millis,
+    pending: Option<Arc<[(String, u64)]>>,
 }
 
 impl OwnerNews {
@@ -31,6 +33,7 @@
             heard_at: Some(now),
             operator_version: notice.operator_version,
             store_took_ms: notice.store_took_ms,
+            pending: notice.pending.as_deref().map(Arc::from),
         }
     }
 
@@ -44,6 +47,13 @@
         self.are_fresh(now) && self.store_took_ms <= USUAL_WRITE_MS
     }
 
+    /// The number of waiting jobs of a queue; none if the news are old or don't tell it.
+    pub fn pending(&self, now: Millis, queue: &str) -> Option<u64> {
+        let counts = self.pending.as_ref().filter(|_| self.are_fresh(now))?;
+        let told = counts.iter().find(|(name, _)| name == queue);
+        Some(told.map_or(0, |(_, count)| *count))
+    }
+
     fn expires_at(&self) -> Millis {
         self.heard_at.map_or(0, |at| at + FRESH_MS)
     }
@@ -53,11 +63,14 @@
 /// that has not arrived, or it isn't heard any more.
 pub async fn wait_for_reason(news: &mut watch::Receiver<OwnerNews>, known_version: u64) {
     loop {
-        let current = *news.borrow_and_update();
-        if current.operator_version > known_version {
+        let (operator_version, expires_at) = {
+            let current = news.borrow_and_update();
+            (current.operator_version, current.expires_at())
+        };
+        if operator_version > known_version {
             return sleep(ARRIVAL_TIME).await;
         }
-        let expired = sleep(clock::until(current.expires_at()));
+        let expired = sleep(clock::until(expires_at));
         tokio::select! {
             () = expired => return,
             changed = news.changed() => if changed.is_err() {
--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -1,8 +1,10 @@
 //! Watches the shard's owner, and claims the shard when the owner is gone.
 
+use std::collections::BTreeMap;
+
 use rand::RngExt;
 use sandshelf_adapter::StoreFault;
-use sandshelf_jobs::relay::{OwnerNotice, RelayMessage};
+use sandshelf_jobs::relay::{OwnerNotice, RelayMessage, MAX_NOTICE_QUEUES};
 use sandshelf_jobs::CommitBatch;
 use sandshelf_lease::{LeaseStage, StoredRow};
 use sandshelf_model::{Epoch, Millis};
@@ -98,8 +100,8 @@
             version,
             sequence,
             ..
-        } = *notice;
-        if !self.lease.note_renewed(now, epoch, version, sequence) {
+        } = notice;
+        if !self.lease.note_renewed(now, *epoch, *version, *sequence) {
             self.watch.read_soon(now);
         } else if !self.store.health.is_failing() {
             self.watch.note_renewed(now);
@@ -128,6 +130,7 @@
             sequence: stored.row.sequence,
             operator_version: self.queues.newest_change(),
             store_took_ms: now.saturating_sub(sent),
+            pending: told_counts(owned.scheduler.pending_counts()),
         }));
     }
 
@@ -170,3 +173,10 @@
         format!("{number:016x}")
     }
 }
+
+/// The counts of waiting jobs as a notice has them.
+fn told_counts(counts: Option<&BTreeMap<String, u64>>) -> Option<Vec<(String, u64)>> {
+    let counts = counts.filter(|counts| counts.len() <= MAX_NOTICE_QUEUES)?;
+    let told = counts.iter().map(|(queue, count)| (queue.clone(), *count));
+    Some(told.collect())
+}
