Explored ownership: hosts that hear of renewals

The model check of ownership plays hosts that hear the owner's notices and read the row only while they hear none, beside hosts that read it in intervals.

--- a/crates/jobs/tests/tenure_explored.rs
+++ b/crates/jobs/tests/tenure_explored.rs
@@ -6,7 +6,7 @@
     RelayDispatcher, RelayHandshake, RelayMessage, RelayNumber, ShardObservation,
 };
 use sandshelf_jobs::OwnerTenure;
-use sandshelf_lease::{LeaseTimes, ShardLease, ShardRow, StoredRow};
+use sandshelf_lease::{LeaseTimes, OwnerWatch, ShardLease, ShardRow, StoredRow};
 use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
 
 /// How many times the outage changes on each path, and how long each one lasts.
@@ -44,6 +44,15 @@
     Outage::CutBoth,
 ];
 
+/// How the other hosts watch the owner row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Watching {
+    /// They read it in intervals.
+    Reads,
+    /// They hear of renewals from the owner, and read it while they hear of none.
+    Notices,
+}
+
 /// A fault that is planted in a part of the model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlantedFault {
@@ -58,6 +67,7 @@
 #[derive(Clone)]
 struct OtherHost {
     lease: ShardLease,
+    watch: OwnerWatch,
     relay: RelayNumber,
     /// Whether it is in the owner's hall.
     in_owner_hall: bool,
@@ -71,6 +81,7 @@
 struct TenureModel {
     now: Millis,
     fault: PlantedFault,
+    watching: Watching,
     stored: StoredRow,
     /// When another host claimed.
     claimed_at: Option<Millis>,
@@ -86,7 +97,7 @@
 }
 
 impl TenureModel {
-    fn new(fault: PlantedFault) -> Self {
+    fn new(fault: PlantedFault, watching: Watching) -> Self {
         let row = ShardRow {
             owner: Some(HostId::from("owner")),
             epoch: EPOCH,
@@ -105,6 +116,7 @@
             let handshake = RelayHandshake::new(host.clone(), hall(in_owner_hall), 120);
             OtherHost {
                 lease: ShardLease::new(host, LeaseTimes::derive(SHARD_LEASE_MS, 4_000, 60_000)),
+                watch: OwnerWatch::default(),
                 relay: dispatcher.join(0, handshake).expect("the same version"),
                 in_owner_hall,
                 queries: Vec::new(),
@@ -115,6 +127,7 @@
         Self {
             now: 0,
             fault,
+            watching,
             stored: StoredRow { version: 1, row },
             claimed_at: None,
             tenure: OwnerTenure::new(SHARD_LEASE_MS, 0),
@@ -155,6 +168,20 @@
         if heard {
             self.renewed_at = self.now;
             self.tenure.note_renewed(self.now);
+            self.tell_renewal(outage);
+        }
+    }
+
+    /// Tells the hosts of a renewal, on paths that are not blocked.
+    fn tell_renewal(&mut self, outage: Outage) {
+        let out = !matches!(outage, Outage::CutOut | Outage::CutBoth);
+        let (now, version) = (self.now, self.stored.version);
+        for other in &mut self.others {
+            let arrives = self.watching == Watching::Notices && (other.in_owner_hall || out);
+            // A host whose reads fail goes on reading, whatever it hears.
+            if arrives && other.lease.note_renewed(now, EPOCH, version, 0) && !other.had_outage {
+                other.watch.note_renewed(now);
+            }
         }
     }
 
@@ -163,8 +190,15 @@
             let now = self.now;
             let other = &mut self.others[index];
             let store_up = Self::has_store(other.in_owner_hall, outage);
-            if (now + 200).is_multiple_of(RENEWAL_INTERVAL_MS) {
+            let reads = match self.watching {
+                Watching::Reads => (now + 200).is_multiple_of(RENEWAL_INTERVAL_MS),
+                Watching::Notices => other.watch.wants_read(now),
+            };
+            if reads {
                 other.had_outage = !store_up;
+                other.watch.begin_read(now);
+                let row = store_up.then_some(&self.stored);
+                other.watch.end_read(now, row);
                 match store_up {
                     true => _ = other.lease.note_read(now, self.stored.clone()),
                     false => other.lease.return_to_watching(),
@@ -214,6 +248,7 @@
                     if other.had_outage && other.lease.last_renewal().is_none() {
                         other.lease.return_to_watching();
                     }
+                    other.watch.read_soon(self.now);
                     let claims_after_ms = match self.fault {
                         PlantedFault::FalseReports => SHARD_LEASE_MS,
                         _ => other.lease.claims_after(self.now),
@@ -304,21 +339,25 @@
 
 /// On no path is the owner sure for longer than a successor waits, and on many paths other hosts
 /// keep it sure.
-fn holds_on_all_paths() {
+fn holds_on_all_paths(watching: Watching) {
     let mut counts = PathCounts::default();
-    let broken = TenureModel::new(PlantedFault::None).explore(depth(), &mut counts);
+    let model = TenureModel::new(PlantedFault::None, watching);
+    let broken = model.explore(depth(), &mut counts);
     println!("{counts:?}");
     assert_eq!(broken, None);
     assert!(counts.claims > 0 && counts.confirmed > 0, "{counts:?}");
 }
 
-fn finds_planted_fault(fault: PlantedFault) {
-    let found = TenureModel::new(fault).explore(depth(), &mut PathCounts::default());
+fn finds_planted_fault(fault: PlantedFault, watching: Watching) {
+    let found = TenureModel::new(fault, watching).explore(depth(), &mut PathCounts::default());
     assert!(found.is_some());
 }
 
 sandshelf_cases::cases! {
-    all_paths => holds_on_all_paths();
-    finds_false_reports => finds_planted_fault(PlantedFault::FalseReports);
-    finds_reliance_on_a_single_host => finds_planted_fault(PlantedFault::AnyReportSuffices);
+    all_paths => holds_on_all_paths(Watching::Reads);
+    finds_false_reports => finds_planted_fault(PlantedFault::FalseReports, Watching::Reads);
+    finds_reliance_on_a_single_host => finds_planted_fault(PlantedFault::AnyReportSuffices, Watching::Reads);
+    all_paths_with_notices => holds_on_all_paths(Watching::Notices);
+    finds_false_reports_with_notices => finds_planted_fault(PlantedFault::FalseReports, Watching::Notices);
+    finds_reliance_on_a_single_host_with_notices => finds_planted_fault(PlantedFault::AnyReportSuffices, Watching::Notices);
 }
