--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -36,8 +36,6 @@
             return;
         }
         self.update_silence_records(now);
-        let ends = self.unwritten_ends.take();
-        let ends = ends.unwrap_or_else(|| UnwrittenEnds::new(self.noted_ends(), &self.dirty));
         // Everything that is taken from here on must be written: it can't be put back.
         let id = self.commit_count + 1;
         let mut budget = CommitBudget::new();
@@ -54,16 +52,10 @@
             || pending.is_some()
             || !roster.is_empty()
             || !silent.is_empty();
-        let noted = match ends.into_written(&self.dirty) {
-            Ok(ends) => ends,
-            Err(unwritten) => {
-                self.unwritten_ends = Some(unwritten);
-                Vec::new()
-            }
-        };
         if !wanted {
             return;
         }
+        let noted = self.take_written_ends();
         self.commit_count = id;
         self.urgent = self.urgent && !self.dirty.is_empty();
         self.last_commit = now;
@@ -86,6 +78,19 @@
         }));
     }
 
+    /// The ends that are durable with the commit that is being built, if it writes the last of the jobs that they wait for.
+    fn take_written_ends(&mut self) -> Vec<NotedEnds> {
+        let ends = self.unwritten_ends.take();
+        let ends = ends.unwrap_or_else(|| UnwrittenEnds::new(self.noted_ends(), &self.dirty));
+        match ends.into_written(&self.dirty) {
+            Ok(ends) => ends,
+            Err(unwritten) => {
+                self.unwritten_ends = Some(unwritten);
+                Vec::new()
+            }
+        }
+    }
+
     /// The progress of the jobs that changed first, as much as fits.
     fn changed_progress(&mut self, budget: &mut CommitBudget) -> Vec<(JobNumber, ProgressRow)> {
         let mut progress = Vec::new();
--- a/crates/sandshelfd/src/jobs/relays.rs
+++ b/crates/sandshelfd/src/jobs/relays.rs
@@ -201,6 +201,8 @@
 #[derive(Debug, Default)]
 pub struct RelayLinks {
     links: BTreeMap<LinkNumber, RelayLink>,
+    /// The connection of each relay: an outage of the store has all of them asked five times a second.
+    by_relay: BTreeMap<RelayNumber, LinkNumber>,
 }
 
 impl RelayLinks {
@@ -221,6 +223,7 @@
             outbox,
         };
         self.links.insert(link, added);
+        self.by_relay.insert(relay, link);
         replaced
     }
 
@@ -231,12 +234,16 @@
 
     /// Ends a connection and returns its relay, if it was known.
     pub fn remove(&mut self, link: LinkNumber) -> Option<RelayNumber> {
-        self.links.remove(&link).map(|known| known.relay)
+        let removed = self.links.remove(&link)?;
+        self.by_relay.remove(&removed.relay);
+        Some(removed.relay)
     }
 
     /// Ends a relay's connection.
     pub fn close(&mut self, relay: RelayNumber) {
-        self.links.retain(|_, known| known.relay != relay);
+        if let Some(link) = self.by_relay.remove(&relay) {
+            self.links.remove(&link);
+        }
     }
 
     /// Sends a message to all relays; it is encoded once.
@@ -249,8 +256,8 @@
 
     /// Sends a message to a relay.
     pub fn send(&self, relay: RelayNumber, message: &RelayMessage) {
-        let link = self.links.values().find(|known| known.relay == relay);
-        if let Some(link) = link {
+        let link = self.by_relay.get(&relay);
+        if let Some(link) = link.and_then(|link| self.links.get(link)) {
             // Sending fails if the connection has ended; the event for that is already queued.
             let _ = link.outbox.send(encode_message(message).into());
         }
