A host that hears notices counts the ownership lease from the owner's last write, not from its next read

Cause: an owner under load writes its row 25 times a second and tells of that three times a second. When its host lost power, the others knew an older version than the last; they read the row 0.6 s after the last notice and counted the whole lease from that read.

Change: the owner row tells the latest time that the store's clock can have shown when the write was first sent, from which its owner counts as well. A host that has watched the row all along counts from there. One that has just begun to watch, or that has given up what it knew of the row, counts from its read as before: it may have said that it won't claim for that long. Since hosts now agree on when the lease is over, ranks are dealt ten times finer at the same total stagger, so that claims don't wait for one another at the store.

--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -20,12 +20,12 @@
 };
 use crate::costs::{self, EventWeight};
 use crate::queue::{Micros, MS};
-use crate::store::{OwnerWrite, StoreCall, StoreReply};
+use crate::store::{EmulatedStore, OwnerWrite, StoreCall, StoreReply};
 use crate::worker::place_of;
 
 // Same values as in the daemon: `jobs/owner.rs`, `jobs/owner/claim.rs`, `jobs/owner/strength.rs` and `jobs/writer.rs`.
 const SHARD_LEASE_MS: Millis = 1_200;
-const CLAIM_STAGGER_MS: Millis = 60;
+const CLAIM_STAGGER_MS: Millis = 6;
 const OVERDUE_AFTER_MS: Millis = 750;
 const NOTICE_INTERVAL_MS: Millis = 300;
 const FIRST_CLAIM_RANK_FACTOR: u32 = 5;
@@ -420,7 +420,11 @@
         self.control.watch.end_read(now, row.as_ref());
         match row {
             Some(row) => {
-                self.control.lease.note_read(now, row);
+                let age_ms = match row.row.sent_store_ms {
+                    0 => 0,
+                    sent_store_ms => EmulatedStore::clock_ms(at).saturating_sub(sent_store_ms),
+                };
+                self.control.lease.note_aged_read(now, row, age_ms);
             }
             _ if *self.control.lease.stage() == LeaseStage::Watching => {
                 self.control.lease.return_to_watching();
--- a/crates/emulator/src/host/model.rs
+++ b/crates/emulator/src/host/model.rs
@@ -72,9 +72,9 @@
     /// Draws a rank; hosts with lower ranks claim earlier.
     pub(super) fn draw_rank(self, random: &mut ChaCha8Rng) -> u32 {
         random.random_range(match self {
-            HostStrength::Strong => 0..3,
-            HostStrength::Medium => 3..8,
-            HostStrength::Weak => 12..17,
+            HostStrength::Strong => 0..30,
+            HostStrength::Medium => 30..80,
+            HostStrength::Weak => 120..170,
         })
     }
 }
--- a/crates/emulator/src/host/writes.rs
+++ b/crates/emulator/src/host/writes.rs
@@ -7,7 +7,7 @@
 
 use super::{EmulatedHost, HostAction, HostPause};
 use crate::queue::{Micros, MS};
-use crate::store::{OwnerWrite, StoreCall, StoreReply};
+use crate::store::{EmulatedStore, OwnerWrite, StoreCall, StoreReply};
 
 // Same values as in the daemon's `jobs/writer.rs`.
 const WRITE_TIMEOUT_MS: Millis = 900;
@@ -23,7 +23,8 @@
 }
 
 impl EmulatedHost {
-    pub(super) fn write(&mut self, at: Micros, write: OwnerWrite) {
+    pub(super) fn write(&mut self, at: Micros, mut write: OwnerWrite) {
+        write.row.sent_store_ms = EmulatedStore::clock_ms(at);
         self.control.writing = Some(WriteState {
             write: write.clone(),
             sent: at / MS,
--- a/crates/lease/src/ownership.rs
+++ b/crates/lease/src/ownership.rs
@@ -122,11 +122,20 @@
         self.recent_read_ms = took.max(self.recent_read_ms * 3 / 4);
     }
 
-    /// Records the row as read at `now`; a row with another owner returns this host to watching.
+    /// Records the row as read at `now`, as [`ShardLease::note_aged_read`] without an age.
+    pub fn note_read(&mut self, now: Millis, read: StoredRow) -> bool {
+        self.note_aged_read(now, read, 0)
+    }
+
+    /// Records the row as read at `now`; a row with another owner returns this host to watching. `age_ms` is a lower bound of the
+    /// time since the row's write was first sent.
+    ///
+    /// A host that has watched the row all along counts the lease from that sending, as the owner does. One that has just begun to
+    /// watch, or has begun anew, counts it from the read: it may have said that it won't claim for that long.
     ///
     /// A row that is older than the known one is ignored. Returns true if this host has
     /// just lost the shard or its claim.
-    pub fn note_read(&mut self, now: Millis, read: StoredRow) -> bool {
+    pub fn note_aged_read(&mut self, now: Millis, read: StoredRow, age_ms: Millis) -> bool {
         let known = self.seen.as_ref().map(|seen| seen.version);
         if known.is_some_and(|known| read.version < known) {
             return false;
@@ -138,9 +147,13 @@
             self.stage = LeaseStage::Watching;
         }
         self.newest_epoch = self.newest_epoch.max(read.row.epoch);
-        if changed || self.seen.is_none() {
+        if changed {
+            let sent_at = now.saturating_sub(age_ms);
+            self.seen_since = match &self.seen {
+                Some(_) if read.row.owner.is_some() => sent_at.max(self.seen_since),
+                _ => now,
+            };
             self.seen = Some(read);
-            self.seen_since = now;
         }
         held && !own
     }
--- a/crates/lease/src/row.rs
+++ b/crates/lease/src/row.rs
@@ -33,14 +33,18 @@
     /// form in which owners publish what they know of workers.
     #[serde(rename = "paged_since", default, skip_serializing_if = "is_zero")]
     pub rules_since: Epoch,
+    /// The latest time that the store's clock can have shown when this write was first sent, in milliseconds. The owner counts its
+    /// ownership from then on. 0 where it is not known.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub sent_store_ms: u64,
     /// The address at which the owner accepts connections of other hosts; none where it accepts none, or runs a
     /// version that doesn't know this field.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relay_address: Option<SocketAddr>,
 }
 
-fn is_zero(epoch: &Epoch) -> bool {
-    *epoch == 0
+fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
 
 /// A shard's row with its version.
--- a/crates/lease/tests/watch.rs
+++ b/crates/lease/tests/watch.rs
@@ -7,7 +7,12 @@
 
 const LEASE_MS: Millis = 1_200;
 const RENEWAL_INTERVAL_MS: Millis = 400;
+/// How often an owner under load writes, and how often it tells of that at most.
+const COMMIT_INTERVAL_MS: Millis = 40;
+const NOTICE_INTERVAL_MS: Millis = 300;
 const EPOCH: u64 = 7;
+/// By how much the store's clock is ahead of the hosts'.
+const STORE_AHEAD_MS: Millis = 500_000;
 /// How long a read of the row takes.
 const READ_MS: Millis = 10;
 
@@ -31,6 +36,7 @@
             row: ShardRow {
                 owner: Some(HostId::from("owner.1")),
                 epoch: EPOCH,
+                sent_store_ms: STORE_AHEAD_MS,
                 ..ShardRow::default()
             },
         };
@@ -46,9 +52,15 @@
         }
     }
 
-    fn renew(&mut self) {
+    /// The owner writes its row; hosts don't hear of that.
+    fn commit(&mut self) {
         self.stored.version += 1;
         self.stored.row.sequence += 1;
+        self.stored.row.sent_store_ms = STORE_AHEAD_MS + self.now;
+    }
+
+    fn renew(&mut self) {
+        self.commit();
         let (version, sequence) = (self.stored.version, self.stored.row.sequence);
         if self.hears && self.lease.note_renewed(self.now, EPOCH, version, sequence) {
             self.watch.note_renewed(self.now);
@@ -67,7 +79,9 @@
             self.watch.end_read(self.now, row.as_ref());
             match row {
                 Some(row) => {
-                    self.lease.note_read(self.now, row);
+                    let store_ms = STORE_AHEAD_MS + self.now;
+                    let age_ms = store_ms - row.row.sent_store_ms;
+                    self.lease.note_aged_read(self.now, row, age_ms);
                 }
                 None => self.lease.return_to_watching(),
             }
@@ -142,6 +156,33 @@
     assert!((LEASE_MS - 100..=latest).contains(&took), "{took} ms");
 }
 
+/// An owner under load writes its row far more often than it tells of that. When its host loses power, the shard is claimed a lease after
+/// its last write all the same: the row tells when that was.
+fn writes_between_notices_delay_nothing(after_notice_ms: Millis) {
+    let mut watcher = Watcher::new();
+    watcher.advance(1_000, true);
+    while watcher.now < 6_000 + after_notice_ms {
+        watcher.step();
+        if watcher.now.is_multiple_of(NOTICE_INTERVAL_MS) {
+            watcher.renew();
+        } else if watcher.now.is_multiple_of(COMMIT_INTERVAL_MS) {
+            watcher.commit();
+        }
+    }
+    let last_write_ms = watcher.now + STORE_AHEAD_MS - watcher.stored.row.sent_store_ms;
+    let took = watcher.advance_to_claim(0) + last_write_ms;
+    assert!((LEASE_MS..=LEASE_MS + 200).contains(&took), "{took} ms");
+}
+
+/// A host that begins to watch counts the lease from its first read, however old the row is: in an earlier life it may have said that it
+/// won't claim for that long.
+fn a_first_read_counts_from_itself() {
+    let mut watcher = Watcher::new();
+    watcher.now = 60_000;
+    let took = watcher.advance_to_claim(0);
+    assert!(took >= LEASE_MS, "{took} ms");
+}
+
 /// An owner whose process has ended is succeeded at once, by the hosts in the order of their ranks.
 fn an_ended_process_is_succeeded_at_once(rank: u32) {
     let mut watcher = Watcher::new();
@@ -203,4 +244,7 @@
     store_back_first_rank => turns_begin_when_the_store_is_back(0);
     store_back_third_rank => turns_begin_when_the_store_is_back(3);
     unknown_owner => a_notice_of_an_unknown_owner_is_ignored();
+    power_lost_right_after_a_notice => writes_between_notices_delay_nothing(20);
+    power_lost_before_the_next_notice => writes_between_notices_delay_nothing(290);
+    first_read => a_first_read_counts_from_itself();
 }
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -16,6 +16,7 @@
 mod queues;
 mod records;
 mod relays;
+mod store_clock;
 mod takeover;
 mod writer;
 
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -16,7 +16,7 @@
 use sandshelf_adapter::{StoreClient, StoreFault, WorkerClient};
 use sandshelf_config::{JobSettings, OrderWay};
 use sandshelf_jobs::{CommitBatch, JobAction, JobEvent, JobScheduler, JobSummaries, WorkerCall};
-use sandshelf_lease::{LeaseStage, LeaseTimes, OwnerWatch, ShardLease, StoredRow};
+use sandshelf_lease::{LeaseStage, LeaseTimes, OwnerWatch, ShardLease};
 use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, JoinHandle};
@@ -36,16 +36,18 @@
 use crate::jobs::owner::tenure::ShardTenure;
 use crate::jobs::queues::QueueView;
 use crate::jobs::relays::{serve_relays, RelayListener};
+use crate::jobs::store_clock::StoreClock;
 use crate::jobs::takeover::{PublishedState, RecordedState};
-use crate::jobs::writer::{OwnerStore, OwnerWrite, WriteResult};
+use crate::jobs::writer::{OwnerReading, OwnerStore, OwnerWrite, WriteResult};
 use crate::logging::event;
 
 /// The ownership lease: how long ownership lasts after a durable renewal. It allows for several answers of a store that is only loaded.
 const SHARD_LEASE_MS: Millis = 1_200;
 /// The interval at which the control thread runs without any event.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
-/// How much longer each further rank waits before it claims the shard.
-const CLAIM_STAGGER_MS: Millis = 60;
+/// How much longer each further rank waits before it claims the shard. Hosts learn of a renewal at the same moment, and their claims
+/// would wait for one another at the store.
+const CLAIM_STAGGER_MS: Millis = 6;
 /// How long to wait for a worker's answer.
 const WORKER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -83,7 +85,7 @@
 }
 
 enum OwnerMessage {
-    RowRead(Result<StoredRow, StoreFault>),
+    RowRead(Result<OwnerReading, StoreFault>),
     Written(WriteResult),
     /// What earlier owners published, read for the owner of this epoch.
     PublishedRead(u64, Box<PublishedState>),
@@ -200,6 +202,7 @@
         store: OwnerStore {
             client: store,
             health,
+            clock: Arc::new(StoreClock::default()),
         },
         queues,
         halls,
--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -6,7 +6,7 @@
 use sandshelf_adapter::StoreFault;
 use sandshelf_jobs::relay::{OwnerNotice, RelayMessage, MAX_NOTICE_QUEUES};
 use sandshelf_jobs::CommitBatch;
-use sandshelf_lease::{LeaseStage, StoredRow};
+use sandshelf_lease::LeaseStage;
 use sandshelf_model::{Epoch, Millis};
 use tokio::task::spawn_local;
 
@@ -14,7 +14,7 @@
 use super::{OwnerLoop, OwnerMessage, CLAIM_STAGGER_MS};
 use crate::clock;
 use crate::jobs::news::OwnerNews;
-use crate::jobs::writer::OwnerWrite;
+use crate::jobs::writer::{OwnerReading, OwnerWrite};
 use crate::logging::event;
 
 /// The shortest interval between two notices of renewals to the connected hosts. Renewals are sent every 0.4 s, and hosts read the owner
@@ -67,12 +67,13 @@
         }
     }
 
-    pub(super) fn handle_owner_row(&mut self, read: Result<StoredRow, StoreFault>) {
+    pub(super) fn handle_owner_row(&mut self, read: Result<OwnerReading, StoreFault>) {
         let now = clock::now();
-        self.watch.end_read(now, read.as_ref().ok());
+        self.watch
+            .end_read(now, read.as_ref().ok().map(|reading| &reading.row));
         match read {
-            Ok(row) => {
-                self.lease.note_read(now, row);
+            Ok(OwnerReading { row, age_ms }) => {
+                self.lease.note_aged_read(now, row, age_ms);
             }
             // While the store is out nobody can renew, so the row seen before doesn't show that the owner is gone.
             Err(_) if *self.lease.stage() == LeaseStage::Watching => {
--- a/crates/sandshelfd/src/jobs/owner/strength.rs
+++ b/crates/sandshelfd/src/jobs/owner/strength.rs
@@ -32,9 +32,9 @@
     /// Draws a random rank in the order in which hosts claim a free shard; hosts of equal strength seldom get the same rank.
     pub(super) fn draw_rank(self) -> u32 {
         let ranks = match self {
-            HostStrength::Strong => 0..3,
-            HostStrength::Medium => 3..8,
-            HostStrength::Weak => 12..17,
+            HostStrength::Strong => 0..30,
+            HostStrength::Medium => 30..80,
+            HostStrength::Weak => 120..170,
         };
         rand::rng().random_range(ranks)
     }
--- a/crates/sandshelfd/src/jobs/pages.rs
+++ b/crates/sandshelfd/src/jobs/pages.rs
@@ -114,6 +114,7 @@
                     let at = clock::now();
                     // The store read its clock at some time after the call was sent.
                     let at_most_ms = page.store_ms + at.saturating_sub(sent_at);
+                    store.clock.note(at, at_most_ms);
                     return TimedPage {
                         page,
                         clock_at_most: (at, at_most_ms),
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -23,6 +23,7 @@
     silence_page_key, PendingRow, INTERFERENCE_KEY, OWNER_KEY, PENDING_KEY, ROSTER_KEY,
     SHARDS_TABLE,
 };
+use crate::jobs::store_clock::StoreClock;
 use crate::logging::event;
 
 /// The idle timeout of a write: how long the store may send nothing once an attempt has had the time to reach it. A store that answers at
@@ -67,18 +68,38 @@
     pub client: StoreClient,
     /// The health of the store as seen by this host's calls.
     pub health: Arc<StoreHealth>,
+    /// The store's clock as seen by these calls.
+    pub clock: Arc<StoreClock>,
+}
+
+/// The owner row as read.
+#[derive(Clone, Debug)]
+pub struct OwnerReading {
+    /// The row; version 0 means that there is none.
+    pub row: StoredRow,
+    /// A lower bound of the time since the row's write was first sent, in milliseconds; 0 where it is not known.
+    pub age_ms: Millis,
 }
 
 impl OwnerStore {
-    /// Reads the owner row; version 0 means that there is none.
+    /// Reads the owner row.
     ///
     /// # Errors
     /// The store did not answer.
-    pub async fn read_owner(&self) -> Result<StoredRow, StoreFault> {
+    pub async fn read_owner(&self) -> Result<OwnerReading, StoreFault> {
         let range = row_range(&shard_row(SHARDS_TABLE, OWNER_KEY));
+        let sent = clock::now();
         let read = self.client.read(&range, READ_TIMEOUT);
         let page = self.health.observe(StoreCall::ReadOwner, read).await?;
-        Ok(decode_owner(&page.rows))
+        let now = clock::now();
+        self.clock
+            .note(now, page.store_ms + now.saturating_sub(sent));
+        let row = decode_owner(&page.rows);
+        let age_ms = match row.row.sent_store_ms {
+            0 => 0,
+            sent_store_ms => page.store_ms.saturating_sub(sent_store_ms),
+        };
+        Ok(OwnerReading { row, age_ms })
     }
 
     /// Removes the rows of the jobs to be forgotten. Jobs whose rows could not be removed are taken out of `forget`, so that their progress
@@ -100,8 +121,9 @@
     /// Retries a write until it is certain that it took effect or never will.
     pub async fn write(&self, mut write: OwnerWrite) -> WriteResult {
         self.remove_jobs(&mut write.batch.forget).await;
-        let request = row_write(&write);
         let sent = clock::now();
+        write.row.sent_store_ms = self.clock.at_most(sent);
+        let request = row_write(&write);
         loop {
             let attempt = self.client.write(&request, WRITE_TIMEOUT);
             let outcome = self.health.observe(StoreCall::Commit, attempt).await;
@@ -119,7 +141,7 @@
                     );
                     sleep(RETRY_PAUSE).await;
                     match self.read_owner().await {
-                        Ok(current) => current,
+                        Ok(current) => current.row,
                         Err(_) => continue,
                     }
                 }
