--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -194,19 +194,13 @@
     /// The answer while the store is out, or doesn't answer this host though it answers the owner as usual; none otherwise.
     ///
     /// A host that hears from the owner calls the store seldom, so it may not know yet that its calls fail. A write that gets no answer
-    /// may have taken effect, so the caller could not be told to go elsewhere; after a read that gets none, it can. Once a call has failed
-    /// this host reads the owner row in short intervals, and callers needn't wait for another.
+    /// may have taken effect, so the caller could not be told to go elsewhere; after a read that gets none, it can.
     async fn refuse_without_store(&self) -> Option<JobAnswer> {
         if let Some(answer) = self.refuse_while_out() {
             return Some(answer);
         }
-        if !self.news.store_is_usual(clock::now()) {
-            return None;
-        }
-        if self.health.is_failing() {
-            return Some(self.without_store());
-        }
-        if self.health.has_succeeded_within(PROBE_AFTER_MS) {
+        let recent = self.health.has_succeeded_within(PROBE_AFTER_MS) && !self.health.is_failing();
+        if recent || !self.news.store_is_usual(clock::now()) {
             return None;
         }
         let range = row_range(&shard_row(SHARDS_TABLE, OWNER_KEY));
