--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -15,8 +15,8 @@
 use super::takeover::TakeoverReading;
 use super::writes::{WriteState, READ_TIMEOUT_MS};
 use super::{
-    CallBody, CallPeer, EmulatedHost, HostAction, HostFault, HostModel, HostStrength,
-    RenewalNotice, WorkItem, WorkerOrder,
+    CallBody, CallPeer, EmulatedHost, HostAction, HostFault, HostModel, HostStrength, WorkItem,
+    WorkerOrder,
 };
 use crate::costs::{self, EventWeight};
 use crate::queue::{Micros, MS};
@@ -27,7 +27,6 @@
 const SHARD_LEASE_MS: Millis = 1_200;
 const CLAIM_STAGGER_MS: Millis = 6;
 const OVERDUE_AFTER_MS: Millis = 750;
-const NOTICE_INTERVAL_MS: Millis = 300;
 const FIRST_CLAIM_RANK_FACTOR: u32 = 5;
 const KEEP_FINISHED_MS: Millis = 130_000;
 
@@ -77,11 +76,11 @@
     pub(super) owned: Option<OwnedShard>,
     pub(super) pending_batch: Option<CommitBatch>,
     pub(super) writing: Option<WriteState>,
-    watch: OwnerWatch,
+    pub(super) watch: OwnerWatch,
     /// Whether this host claimed the shard before the lease of its owner was over.
     claimed_early: bool,
     /// The time from which the other hosts are told of the next renewal, in milliseconds.
-    next_notice: Millis,
+    pub(super) next_notice: Millis,
     pub(super) takeover: Option<TakeoverReading>,
 }
 
@@ -333,47 +332,6 @@
         self.control.lease.return_to_watching();
     }
 
-    /// Tells the other hosts of a renewal, unless they were told a moment ago.
-    pub(super) fn tell_renewal(&mut self, at: Micros) {
-        let (Some(epoch), Some(stored)) = (self.control.epoch(), self.control.lease.row()) else {
-            return;
-        };
-        if at / MS < self.control.next_notice {
-            return;
-        }
-        let notice = RenewalNotice {
-            epoch,
-            version: stored.version,
-            sequence: stored.row.sequence,
-        };
-        self.control.next_notice = at / MS + NOTICE_INTERVAL_MS;
-        self.actions.push((at, HostAction::Tell(notice)));
-    }
-
-    /// Handles a notice of the owner.
-    pub(super) fn handle_notice(&mut self, at: Micros, notice: &RenewalNotice) {
-        let now = at / MS;
-        let RenewalNotice {
-            epoch,
-            version,
-            sequence,
-        } = *notice;
-        if !self
-            .control
-            .lease
-            .note_renewed(now, epoch, version, sequence)
-        {
-            self.control.watch.read_soon(now);
-        } else if self.store_failures == 0 {
-            self.control.watch.note_renewed(now);
-        }
-    }
-
-    /// Handles that nobody listens any more at the address of the owner of an epoch.
-    pub(super) fn handle_ended_owner(&mut self, at: Micros, epoch: u64) {
-        self.control.watch.note_ended(at / MS, epoch);
-    }
-
     pub(super) fn token(&mut self) -> String {
         format!("{:016x}", self.random.next_u64())
     }
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod control;
 mod follow;
 mod model;
+mod notices;
 mod takeover;
 mod work;
 mod writes;
--- a/crates/emulator/tests/daemon.rs
+++ b/crates/emulator/tests/daemon.rs
@@ -1,18 +1,20 @@
 //! Checks that the constants of the emulated hosts equal those of the daemon's control thread. A constant that changes in the
 //! daemon has to change in `src/host` as well.
 
-const DAEMON: [&str; 7] = [
+const DAEMON: [&str; 8] = [
     include_str!("../../sandshelfd/src/jobs/owner.rs"),
     include_str!("../../sandshelfd/src/jobs/owner/claim.rs"),
+    include_str!("../../sandshelfd/src/jobs/owner/notices.rs"),
     include_str!("../../sandshelfd/src/jobs/owner/strength.rs"),
     include_str!("../../sandshelfd/src/jobs/owner/tenure.rs"),
     include_str!("../../sandshelfd/src/jobs/takeover.rs"),
     include_str!("../../sandshelfd/src/jobs/intake.rs"),
     include_str!("../../sandshelfd/src/jobs/calls.rs"),
 ];
-const EMULATOR: [&str; 5] = [
+const EMULATOR: [&str; 6] = [
     include_str!("../src/host/control.rs"),
     include_str!("../src/host/model.rs"),
+    include_str!("../src/host/notices.rs"),
     include_str!("../src/host/takeover.rs"),
     include_str!("../src/host/follow.rs"),
     include_str!("../src/host/calls.rs"),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -63,6 +63,8 @@
 mod tail_log;
 mod takeover;
 mod tenure;
+mod wait_key;
+mod waiting;
 mod worker;
 mod worker_list;
 mod worker_page;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -14,7 +14,8 @@
     is_mostly_used, place_rank, FailedPlacements, PassMemo, PlaceCost, PlaceRank, RankTier,
     WaitingGroup,
 };
-use crate::scheduler::{JobScheduler, WaitKey};
+use crate::scheduler::JobScheduler;
+use crate::wait_key::WaitKey;
 use crate::worker::WorkerState;
 
 impl JobScheduler {
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -8,9 +8,9 @@
 use crate::due::CompletionValue;
 use crate::ids::{JobNumber, TaskKey};
 use crate::job::JobState;
-use crate::scheduler::WaitKey;
 use crate::spec::StepSpec;
 use crate::stage::JobStage;
+use crate::wait_key::WaitKey;
 use crate::worker::WorkerState;
 
 /// A job of which nothing has been running for this long gets a first task started, even where that task will be slow. The
--- a/crates/jobs/src/relay/dispatcher.rs
+++ b/crates/jobs/src/relay/dispatcher.rs
@@ -12,6 +12,7 @@
 use super::open_order::{OpenOrder, OrderKind};
 use super::plan::{calls_alone, RelayCandidate, RelayNumber, RelayPlan};
 use super::quorum::OutageQuorum;
+use super::worker_halls::WorkerHalls;
 use crate::events::{JobEvent, WorkerCall};
 
 /// The timeout of a relayed order, in addition to the wait that a lease renewal requests. A relay gives up on a worker after 0.5 s; its
@@ -85,11 +86,7 @@
     lost_at: BTreeMap<HostId, Millis>,
     /// The hosts that get no orders, each with the time at which that ends.
     excluded: BTreeMap<HostId, Millis>,
-    pub(super) halls: HashMap<WorkerId, HallId>,
-    /// The number of workers in each hall.
-    pub(super) hall_sizes: BTreeMap<HallId, usize>,
-    /// Whether workers have come or gone since the plan was made.
-    workers_changed: bool,
+    pub(super) workers: WorkerHalls,
     /// Created again at the first order after a change of relays, or of workers.
     plan: Option<RelayPlan>,
     routes: HashMap<WorkerId, Option<RelayNumber>>,
@@ -109,9 +106,7 @@
             relay_count: 0,
             lost_at: BTreeMap::new(),
             excluded: BTreeMap::new(),
-            halls: HashMap::new(),
-            hall_sizes: BTreeMap::new(),
-            workers_changed: false,
+            workers: WorkerHalls::default(),
             plan: None,
             routes: HashMap::new(),
             open: HashMap::new(),
@@ -123,13 +118,7 @@
 
     /// Sets the known workers and their halls.
     pub fn note_workers(&mut self, workers: impl IntoIterator<Item = (WorkerId, HallId)>) {
-        let halls: HashMap<WorkerId, HallId> = workers.into_iter().collect();
-        if halls != self.halls {
-            self.hall_sizes.clear();
-            for hall in halls.values() {
-                add_to_hall(&mut self.hall_sizes, hall);
-            }
-            self.halls = halls;
+        if self.workers.replace_all(workers) {
             self.forget_plan();
         }
     }
@@ -141,29 +130,13 @@
         removed: &[WorkerId],
     ) {
         for (worker, hall) in listed {
-            if self.halls.get(&worker) != Some(&hall) {
-                self.remove_worker(&worker);
-                add_to_hall(&mut self.hall_sizes, &hall);
-                self.halls.insert(worker, hall);
-                self.workers_changed = true;
+            if self.workers.put(&worker, hall) {
+                self.routes.remove(&worker);
             }
         }
         for worker in removed {
-            self.remove_worker(worker);
-        }
-    }
-
-    fn remove_worker(&mut self, worker: &WorkerId) {
-        let Some(hall) = self.halls.remove(worker) else {
-            return;
-        };
-        self.routes.remove(worker);
-        self.workers_changed = true;
-        if let Some(size) = self.hall_sizes.get_mut(&hall) {
-            *size -= 1;
-            if *size == 0 {
-                self.hall_sizes.remove(&hall);
-            }
+            self.workers.remove(worker);
+            self.routes.remove(worker);
         }
     }
 
@@ -424,12 +397,12 @@
             let excluded = self.excluded.get(&relay.host);
             excluded.is_none_or(|until| now >= *until)
         });
-        RelayPlan::new(fit.collect(), &self.hall_sizes)
+        RelayPlan::new(fit.collect(), self.workers.hall_sizes())
     }
 
     /// Brings the plan up to date with the workers. Routes stay unless other relays are to be used.
     fn refresh_plan(&mut self, now: Millis) {
-        if !std::mem::take(&mut self.workers_changed) || self.plan.is_none() {
+        if !self.workers.take_changed() || self.plan.is_none() {
             return;
         }
         let plan = self.make_plan(now);
@@ -440,7 +413,7 @@
     }
 
     fn relay_of(&mut self, now: Millis, worker: &WorkerId) -> Option<RelayNumber> {
-        if self.relays.is_empty() || calls_alone(self.processor_millicores, self.halls.len()) {
+        if self.relays.is_empty() || calls_alone(self.processor_millicores, self.workers.len()) {
             return None;
         }
         self.refresh_plan(now);
@@ -451,17 +424,8 @@
             self.plan = Some(self.make_plan(now));
         }
         let plan = self.plan.as_ref()?;
-        let route = plan.relay_of(worker, self.halls.get(worker));
+        let route = plan.relay_of(worker, self.workers.hall_of(worker));
         self.routes.insert(worker.clone(), route);
         route
     }
 }
-
-fn add_to_hall(hall_sizes: &mut BTreeMap<HallId, usize>, hall: &HallId) {
-    match hall_sizes.get_mut(hall) {
-        Some(size) => *size += 1,
-        None => {
-            hall_sizes.insert(hall.clone(), 1);
-        }
-    }
-}
--- a/crates/jobs/src/relay/mod.rs
+++ b/crates/jobs/src/relay/mod.rs
@@ -42,6 +42,7 @@
 mod plan;
 mod quorum;
 mod shard_queries;
+mod worker_halls;
 
 pub use agent::RelayAgent;
 pub use dispatcher::{DispatcherStats, OrderRoute, RelayDispatcher, RelayOutcome};
--- a/crates/jobs/src/relay/shard_queries.rs
+++ b/crates/jobs/src/relay/shard_queries.rs
@@ -26,7 +26,7 @@
     /// The time before which no host claims the shard; none unless at least half of the hosts have replied in each hall with workers.
     /// `own_hall` is the hall of the owner itself.
     pub fn unclaimed_until(&self, now: Millis, own_hall: &HallId) -> Option<Millis> {
-        let halls: BTreeSet<&HallId> = self.hall_sizes.keys().collect();
+        let halls: BTreeSet<&HallId> = self.workers.hall_sizes().keys().collect();
         self.quorum.unclaimed_until(now, own_hall, halls)
     }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -16,7 +16,7 @@
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerIncarnation};
 use crate::images::ImageTable;
 use crate::interference::InterferenceEstimate;
-use crate::job::{JobState, TaskStage};
+use crate::job::JobState;
 use crate::limits::{
     SchedulerLimits, MAX_OWNER_PAUSE_MS, MAX_PASS_INTERVAL_MS, MIN_CLOCK_RATE_PERCENT,
     NEW_JOB_TAKEOVER_WAIT_MS, QUARANTINE_RULE, TAKEOVER_MARGIN_MS, WORKER_CHECK_INTERVAL_MS,
@@ -29,19 +29,12 @@
 use crate::silent::{SilenceRecords, StoreClock};
 use crate::spec::{JobSpec, QueueRules};
 use crate::takeover::{RecoveryState, TakeoverInfo, FIRST_EPOCH};
+use crate::wait_key::WaitKey;
 use crate::worker::WorkerState;
 
 /// Each owner numbers its runs from its epoch times this number, so that run numbers increase across owners without coordination.
 const RUNS_PER_EPOCH: u64 = 1 << 20;
 
-/// A task that waits for a worker; a gang is represented by its first task. The order is by urgency, most urgent first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct WaitKey {
-    pub(crate) priority: u32,
-    pub(crate) objective_at: Millis,
-    pub(crate) task: TaskKey,
-}
-
 /// The recorded ends of one incarnation of a worker, up to a number.
 #[derive(Clone, Debug)]
 pub(crate) struct NotedEnds {
@@ -392,64 +385,6 @@
         self.actions.push(JobAction::Note(note));
     }
 
-    /// Puts a task that may be started into the waiting queue; a gang is queued as a whole under its first task.
-    pub(crate) fn enqueue(&mut self, now: Millis, key: TaskKey) {
-        let Some(job) = self.jobs.get(&key.job) else {
-            return;
-        };
-        let priority = self.rules(&job.spec).priority;
-        let objective_at = job.due.objective_at;
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        let gang = job.step_spec(&key).is_some_and(|step| step.gang);
-        let Some(task) = job.task_mut(&key) else {
-            return;
-        };
-        task.stage = TaskStage::Waiting;
-        task.waiting_since = now;
-        let task = job.queued_as(&key);
-        let not_before = job.not_before(&key);
-        if gang && !self.whole_gang_waits(&task) {
-            return;
-        }
-        if not_before > now {
-            self.delayed.insert((not_before, task));
-            return;
-        }
-        self.waiting.insert(WaitKey {
-            priority,
-            objective_at,
-            task,
-        });
-        self.room_changed = true;
-        // A new task is tried at once, unless this owner is behind: with 1,000 tasks a second, a pass for each of them would also
-        // check all tasks that wait before it.
-        self.pass_left_tasks &= !self.backlog.keeps_up();
-    }
-
-    /// Removes tasks from the waiting queue. This scans the whole queue, so it is called only if a task of the step or job is waiting.
-    /// Called for each end with 3,400 waiting tasks, it took 0.1 ms, two thirds of an owner's processor time.
-    pub(crate) fn remove_waiting(&mut self, gone: impl Fn(&WaitKey) -> bool) {
-        self.waiting.retain(|wait| !gone(wait));
-    }
-
-    fn release_delayed(&mut self, now: Millis) {
-        while let Some((at, key)) = self.delayed.first().copied() {
-            if at > now {
-                return;
-            }
-            self.delayed.pop_first();
-            let waits = |job: &JobState| {
-                job.task(&key)
-                    .is_some_and(|task| task.stage == TaskStage::Waiting)
-            };
-            if self.jobs.get(&key.job).is_some_and(waits) {
-                self.enqueue(now, key);
-            }
-        }
-    }
-
     /// Marks a job's progress as changed, to be written with a later commit.
     pub(crate) fn mark_dirty(&mut self, number: JobNumber) {
         self.dirty.add(number);
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -1,12 +1,14 @@
 //! The control thread: claims the shard when nobody owns it, and runs its scheduler while this host owns it.
 
 mod claim;
+mod notices;
 mod operators;
 mod recover;
 mod relaying;
 mod release;
 mod strength;
 mod tenure;
+mod writes;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -38,7 +40,7 @@
 use crate::jobs::relays::{serve_relays, RelayListener};
 use crate::jobs::store_clock::StoreClock;
 use crate::jobs::takeover::{PublishedState, RecordedState};
-use crate::jobs::writer::{OwnerReading, OwnerStore, OwnerWrite, WriteResult};
+use crate::jobs::writer::{OwnerReading, OwnerStore, WriteResult};
 use crate::logging::event;
 
 /// The ownership lease: how long ownership lasts after a durable renewal. It allows for several answers of a store that is only loaded.
@@ -360,71 +362,6 @@
         }
     }
 
-    fn write(&mut self, write: OwnerWrite) {
-        self.write_in_flight = true;
-        let store = self.store.clone();
-        let messages = self.messages.clone();
-        spawn_local(async move {
-            let result = store.write(write).await;
-            let _ = messages.send(OwnerMessage::Written(result));
-        });
-    }
-
-    /// Writes the pending batch, or renews the ownership if that is due.
-    fn write_next(&mut self, now: Millis) {
-        let holding = matches!(
-            self.lease.stage(),
-            LeaseStage::Holding | LeaseStage::Recovering
-        );
-        if self.write_in_flight || !holding {
-            return;
-        }
-        let batch = match self.pending_batch.take() {
-            Some(batch) => batch,
-            None if self.lease.wants_renewal(now) => CommitBatch::default(),
-            None => return,
-        };
-        let (version, row) = self.lease.next_row(self.token());
-        self.write(OwnerWrite {
-            version,
-            row,
-            batch,
-        });
-    }
-
-    fn handle_write_result(&mut self, result: WriteResult) {
-        let now = clock::now();
-        self.write_in_flight = false;
-        match result {
-            WriteResult::Lost => self.lose("another host's write came first"),
-            WriteResult::Committed {
-                sent,
-                stored,
-                batch,
-            } => {
-                let claimed = *self.lease.stage() == LeaseStage::Claiming;
-                let released = stored.row.owner.is_none();
-                if released {
-                    event("shard_released", &[("epoch", &stored.row.epoch)]);
-                }
-                let version = stored.version;
-                self.lease.note_committed(now, sent, version, stored.row);
-                if released {
-                    self.released = self.stop_deadline.is_some();
-                } else if claimed {
-                    self.read_takeover();
-                } else if self.owned.is_some() && batch > 0 {
-                    self.handle(JobEvent::Committed(batch));
-                }
-                self.tell_renewal(now, sent);
-            }
-        }
-        // These checks run between two writes: where much changes, writes follow one another without a pause.
-        self.check_takeover(now);
-        self.check_stop(now);
-        self.write_next(now);
-    }
-
     fn handle(&mut self, job_event: JobEvent) {
         self.apply_events(vec![job_event]);
     }
--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -1,25 +1,18 @@
 //! Watches the shard's owner, and claims the shard when the owner is gone.
 
-use std::collections::BTreeMap;
-
 use rand::RngExt;
 use sandshelf_adapter::StoreFault;
-use sandshelf_jobs::relay::{OwnerNotice, RelayMessage, MAX_NOTICE_QUEUES};
 use sandshelf_jobs::CommitBatch;
 use sandshelf_lease::LeaseStage;
-use sandshelf_model::{Epoch, Millis};
+use sandshelf_model::Millis;
 use tokio::task::spawn_local;
 
 use super::strength::HostStrength;
 use super::{OwnerLoop, OwnerMessage, CLAIM_STAGGER_MS};
 use crate::clock;
-use crate::jobs::news::OwnerNews;
 use crate::jobs::writer::{OwnerReading, OwnerWrite};
 use crate::logging::event;
 
-/// The shortest interval between two notices of renewals to the connected hosts. Renewals are sent every 0.4 s, and hosts read the owner
-/// row 0.6 s after the last notice.
-const NOTICE_INTERVAL_MS: Millis = 300;
 /// The factor by which ranks are multiplied for the very first claim of the shard. Hosts start within 0.3 s of each other, some of
 /// them slowly, and nothing depends on an owner yet.
 const FIRST_CLAIM_RANK_FACTOR: u32 = 5;
@@ -93,48 +86,6 @@
                 .may_claim_early(now, self.lease.row(), stagger_ms)
     }
 
-    /// Takes in that the owner has renewed its ownership: there is no need to read the owner row.
-    pub(super) fn handle_notice(&mut self, notice: &OwnerNotice) {
-        let now = clock::now();
-        let OwnerNotice {
-            epoch,
-            version,
-            sequence,
-            ..
-        } = notice;
-        if !self.lease.note_renewed(now, *epoch, *version, *sequence) {
-            self.watch.read_soon(now);
-        } else if !self.store.health.is_failing() {
-            self.watch.note_renewed(now);
-        }
-        self.news.send_replace(OwnerNews::new(now, notice));
-    }
-
-    /// Takes in that nobody listens any more at the address of the owner that this host was connected to.
-    pub(super) fn handle_ended_owner(&mut self, epoch: Epoch) {
-        event("owner_ended", &[("epoch", &epoch)]);
-        self.watch.note_ended(clock::now(), epoch);
-    }
-
-    /// Tells the connected hosts of a renewal that was sent at `sent`, unless they were told a moment ago.
-    pub(super) fn tell_renewal(&mut self, now: Millis, sent: Millis) {
-        let (Some(owned), Some(stored)) = (&self.owned, self.lease.row()) else {
-            return;
-        };
-        if now < self.next_notice_at || stored.row.owner.as_ref() != Some(&self.host) {
-            return;
-        }
-        self.next_notice_at = now + NOTICE_INTERVAL_MS;
-        owned.relays.tell_all(&RelayMessage::Renewed(OwnerNotice {
-            epoch: stored.row.epoch,
-            version: stored.version,
-            sequence: stored.row.sequence,
-            operator_version: self.queues.newest_change(),
-            store_took_ms: now.saturating_sub(sent),
-            pending: told_counts(owned.scheduler.pending_counts()),
-        }));
-    }
-
     pub(super) fn claim(&mut self, now: Millis) {
         let lease_over = self.lease.may_claim(now, self.claim_rank());
         let released = self
@@ -174,10 +125,3 @@
         format!("{number:016x}")
     }
 }
-
-/// The counts of waiting jobs as a notice has them.
-fn told_counts(counts: Option<&BTreeMap<String, u64>>) -> Option<Vec<(String, u64)>> {
-    let counts = counts.filter(|counts| counts.len() <= MAX_NOTICE_QUEUES)?;
-    let told = counts.iter().map(|(queue, count)| (queue.clone(), *count));
-    Some(told.collect())
-}
