Decide early claims in one place

The daemon and the emulator each worked out when a host may claim after the owner's process ended, and how long the earlier owner's orders can last after such a claim. `OwnerWatch::may_claim_early` and `ShardLease::earlier_orders_until` now say so for both, with the stagger that the lease already knows. The bound of the store's clock was carried beside each page and kept in `StoreClock` as well: it is kept there only, and worked out once for reads and writes; the list of workers takes the best known bound in place of that of its last page. The emulator builds one message per host instead of copying variants by hand.

The test of the watch passes the stagger in the lease's times; its assertions are as they were.

--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -77,8 +77,8 @@
     pub(super) pending_batch: Option<CommitBatch>,
     pub(super) writing: Option<WriteState>,
     pub(super) watch: OwnerWatch,
-    /// Whether this host claimed the shard before the lease of its owner was over.
-    claimed_early: bool,
+    /// The time from which no earlier owner gives orders, if that is after this host's claim; otherwise 0.
+    earlier_orders_until: Millis,
     /// The time from which the other hosts are told of the next renewal, in milliseconds.
     pub(super) next_notice: Millis,
     pub(super) takeover: Option<TakeoverReading>,
@@ -110,7 +110,7 @@
             pending_batch: None,
             writing: None,
             watch: OwnerWatch::default(),
-            claimed_early: false,
+            earlier_orders_until: 0,
             next_notice: 0,
             takeover: None,
         }
@@ -179,16 +179,6 @@
         watching && earlier && self.strength != HostStrength::Weak
     }
 
-    /// Whether the owner's process has ended, and it is this host's turn to claim.
-    fn owner_has_ended(&self, now: Millis) -> bool {
-        let watching = *self.lease.stage() == LeaseStage::Watching;
-        let stagger_ms = CLAIM_STAGGER_MS * u64::from(self.rank);
-        watching
-            && self
-                .watch
-                .may_claim_early(now, self.lease.row(), stagger_ms)
-    }
-
     /// The rank for the next claim. It is larger before the first owner of the shard.
     fn claim_rank(&self) -> u32 {
         let owned_before = self.lease.row().is_some_and(|seen| seen.row.epoch > 0);
@@ -340,17 +330,15 @@
     fn watch(&mut self, at: Micros) {
         let now = at / MS;
         let control = &self.control;
-        let lease_over = control.lease.may_claim(now, control.claim_rank());
-        let free =
-            lease_over || control.owner_is_earlier_incarnation() || control.owner_has_ended(now);
+        let rank = control.claim_rank();
+        let free = control.lease.may_claim(now, rank)
+            || control.owner_is_earlier_incarnation()
+            || control
+                .watch
+                .may_claim_early(now, &control.lease, control.rank);
         if free && control.writing.is_none() {
-            let released = control
-                .lease
-                .row()
-                .is_some_and(|seen| seen.row.owner.is_none());
-            let had_owner = control.lease.newest_epoch() > 0;
             let token = self.token();
-            self.control.claimed_early = had_owner && (released || !lease_over);
+            self.control.earlier_orders_until = self.control.lease.earlier_orders_until(now, rank);
             self.control.claimed_at = now;
             let (version, row) = self.control.lease.begin_claim(token);
             self.write(
@@ -407,10 +395,7 @@
         let info = TakeoverInfo {
             epoch,
             claimed_at: at / MS,
-            earlier_orders_until: match self.control.claimed_early {
-                true => self.control.claimed_at + SHARD_LEASE_MS,
-                false => 0,
-            },
+            earlier_orders_until: self.control.earlier_orders_until,
             wall_ms: WALL_START_MS + at / MS,
             ..info
         };
--- a/crates/emulator/src/world/day_events.rs
+++ b/crates/emulator/src/world/day_events.rs
@@ -147,7 +147,7 @@
         let incarnation = self.incarnation_of(host);
         let powered = (self.now / MS).is_multiple_of(2);
         if let Some(epoch) = epoch.filter(|_| powered) {
-            self.tell_hosts(incarnation, &WorkItem::OwnerEnded(epoch));
+            self.tell_hosts(incarnation, || WorkItem::OwnerEnded(epoch));
         }
         self.hosts[host].kill();
     }
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -295,7 +295,7 @@
                 let tick = WorldEvent::HostReceives(incarnation, WorkItem::Tick);
                 self.queue.push(at, tick);
             }
-            HostAction::Tell(notice) => self.tell_hosts(incarnation, &WorkItem::Notice(notice)),
+            HostAction::Tell(notice) => self.tell_hosts(incarnation, || WorkItem::Notice(notice)),
             HostAction::Respond(request, served) => self.handle_response(request, served),
             HostAction::Owned(epoch, took_ms) => {
                 self.monitor
--- a/crates/emulator/src/world/transport.rs
+++ b/crates/emulator/src/world/transport.rs
@@ -116,20 +116,15 @@
     }
 
     /// Delivers a message of the owner to all other hosts whose connections to it work.
-    pub(super) fn tell_hosts(&mut self, from: HostIncarnation, message: &WorkItem) {
+    pub(super) fn tell_hosts(&mut self, from: HostIncarnation, message: impl Fn() -> WorkItem) {
         if !self.hosts[from.host].hears_hosts(self.now) {
             return;
         }
         for host in 0..self.hosts.len() {
             let hears = self.hosts[host].up && self.hosts[host].hears_hosts(self.now);
             let arrives = hears && self.halls.reaches_host(self.now, from.host, host);
-            let copy = match message {
-                WorkItem::Notice(notice) => WorkItem::Notice(*notice),
-                WorkItem::OwnerEnded(epoch) => WorkItem::OwnerEnded(*epoch),
-                _ => return,
-            };
             if host != from.host && arrives {
-                let receives = WorldEvent::HostReceives(self.incarnation_of(host), copy);
+                let receives = WorldEvent::HostReceives(self.incarnation_of(host), message());
                 self.queue.push(self.now + ONE_WAY_DELAY_US, receives);
             }
         }
--- a/crates/lease/src/ownership.rs
+++ b/crates/lease/src/ownership.rs
@@ -193,7 +193,7 @@
         let Some(seen) = &self.seen else {
             return false;
         };
-        let stagger = self.times.stagger_ms * u64::from(rank);
+        let stagger = self.stagger_ms(rank);
         let wait = match &seen.row.owner {
             None => 0,
             Some(_) => {
@@ -204,6 +204,27 @@
         now >= self.seen_since + wait + stagger
     }
 
+    /// How much longer than the first candidate one of this rank waits, in milliseconds.
+    pub(crate) fn stagger_ms(&self, rank: u32) -> Millis {
+        self.times.stagger_ms * u64::from(rank)
+    }
+
+    /// The time from which no earlier owner can give orders, where this host claims the shard at `now`; 0 where nobody does
+    /// after the claim. A claim that doesn't wait out the lease, since the owner has released the shard or has certainly ended,
+    /// counts what that owner leased from the end of the lease.
+    pub fn earlier_orders_until(&self, now: Millis, rank: u32) -> Millis {
+        let released = self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| seen.row.owner.is_none());
+        // Before the first owner nobody gave any orders.
+        let had_owner = self.newest_epoch > 0;
+        match had_owner && (released || !self.may_claim(now, rank)) {
+            true => now + self.times.shard_lease_ms,
+            false => 0,
+        }
+    }
+
     /// Builds the row of a claim and enters [`LeaseStage::Claiming`]; returns the row and the version that it expects.
     pub fn begin_claim(&mut self, token: String) -> (RowVersion, ShardRow) {
         let seen = self.seen.clone().expect("a claim follows a read");
--- a/crates/lease/src/watch.rs
+++ b/crates/lease/src/watch.rs
@@ -11,6 +11,7 @@
 
 use sandshelf_model::{Epoch, Millis};
 
+use crate::ownership::{LeaseStage, ShardLease};
 use crate::row::StoredRow;
 
 /// The interval between reads of the owner row while nothing is heard of renewals.
@@ -32,6 +33,13 @@
     read_at: Option<Millis>,
 }
 
+impl EndedOwner {
+    /// Whether a row names this owner.
+    fn is_owner(&self, seen: &StoredRow) -> bool {
+        seen.row.epoch == self.epoch && seen.row.owner.is_some()
+    }
+}
+
 /// The decisions of one host that watches the owner row.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OwnerWatch {
@@ -88,7 +96,7 @@
             ended.read_at = None;
         }
         if let (Some(ended), Some(seen)) = (&mut self.ended, row) {
-            if seen.row.epoch == ended.epoch && seen.row.owner.is_some() {
+            if ended.is_owner(seen) {
                 ended.read_at.get_or_insert(now);
                 if now < ended.found_at + GONE_READS_MS {
                     interval_ms = GONE_READ_INTERVAL_MS;
@@ -98,21 +106,16 @@
         self.next_read_at = now + interval_ms;
     }
 
-    /// Whether the process of the owner in the known row has ended, and this host's turn to claim has come: `stagger_ms` after
-    /// its first read of the row since.
-    pub fn may_claim_early(
-        &self,
-        now: Millis,
-        known: Option<&StoredRow>,
-        stagger_ms: Millis,
-    ) -> bool {
-        let (Some(ended), Some(seen)) = (self.ended, known) else {
+    /// Whether the process of the owner in the known row has ended, and this host's turn to claim has come: the stagger of its
+    /// rank after its first read of the row since.
+    pub fn may_claim_early(&self, now: Millis, lease: &ShardLease, rank: u32) -> bool {
+        let (Some(ended), Some(seen)) = (self.ended, lease.row()) else {
             return false;
         };
-        let same_owner = seen.row.epoch == ended.epoch && seen.row.owner.is_some();
-        let turn = ended
+        let watching = *lease.stage() == LeaseStage::Watching;
+        let turn_at = ended
             .read_at
-            .is_some_and(|read_at| now >= read_at + stagger_ms);
-        same_owner && turn
+            .map(|read_at| read_at + lease.stagger_ms(rank));
+        watching && ended.is_owner(seen) && turn_at.is_some_and(|turn_at| now >= turn_at)
     }
 }
--- a/crates/lease/tests/watch.rs
+++ b/crates/lease/tests/watch.rs
@@ -6,6 +6,7 @@
 use sandshelf_model::{HostId, Millis};
 
 const LEASE_MS: Millis = 1_200;
+const STAGGER_MS: Millis = 60;
 const RENEWAL_INTERVAL_MS: Millis = 400;
 /// How often an owner under load writes, and how often it tells of that at most.
 const COMMIT_INTERVAL_MS: Millis = 40;
@@ -40,7 +41,10 @@
                 ..ShardRow::default()
             },
         };
-        let times = LeaseTimes::derive(LEASE_MS, 4_000, 60_000);
+        let times = LeaseTimes {
+            stagger_ms: STAGGER_MS,
+            ..LeaseTimes::derive(LEASE_MS, 4_000, 60_000)
+        };
         Self {
             now: 0,
             lease: ShardLease::new(HostId::from("other.1"), times),
@@ -110,9 +114,7 @@
     }
 
     fn may_claim_early(&self, rank: u32) -> bool {
-        let stagger_ms = 60 * u64::from(rank);
-        self.watch
-            .may_claim_early(self.now, self.lease.row(), stagger_ms)
+        self.watch.may_claim_early(self.now, &self.lease, rank)
     }
 }
 
@@ -189,7 +191,7 @@
     watcher.advance(4_000, true);
     watcher.watch.note_ended(watcher.now, EPOCH);
     let took = watcher.advance_to_claim(rank);
-    let turn = 60 * u64::from(rank);
+    let turn = STAGGER_MS * u64::from(rank);
     assert!((turn..=turn + 30).contains(&took), "{took} ms");
 }
 
@@ -215,7 +217,7 @@
     assert!(!watcher.may_claim_early(rank));
     watcher.reaches_store = true;
     let took = watcher.advance_to_claim(rank);
-    let turn = 60 * u64::from(rank);
+    let turn = STAGGER_MS * u64::from(rank);
     let latest = turn + READ_INTERVAL_MS + 50;
     assert!((turn..=latest).contains(&took), "{took} ms");
 }
--- a/crates/sandshelfd/src/jobs/intake.rs
+++ b/crates/sandshelfd/src/jobs/intake.rs
@@ -81,7 +81,8 @@
         let listed = reader.read_part(&store, &range).await;
         let (list, faults) = decode_workers(&listed.rows);
         unreadable.replace_all(faults);
-        let (at, at_most_ms) = listed.clock_at_most;
+        let at = clock::now();
+        let at_most_ms = store.clock.at_most(at);
         let events = vec![
             JobEvent::StoreClock { at, at_most_ms },
             JobEvent::WorkersUnreadable(unreadable.workers()),
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -144,8 +144,8 @@
     pending_batch: Option<CommitBatch>,
     write_in_flight: bool,
     watch: OwnerWatch,
-    /// Whether this host claimed the shard before the lease of its owner was over.
-    claimed_early: bool,
+    /// The time from which no earlier owner gives orders, if that is after this host's claim; otherwise 0.
+    earlier_orders_until: Millis,
     /// What the owner last told this host; shared with the tasks that serve callers and follow the operators' rows.
     news: watch::Sender<OwnerNews>,
     next_notice_at: Millis,
@@ -221,7 +221,7 @@
         pending_batch: None,
         write_in_flight: false,
         watch: OwnerWatch::default(),
-        claimed_early: false,
+        earlier_orders_until: 0,
         news,
         next_notice_at: 0,
         next_load_at: 0,
--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -8,7 +8,7 @@
 use tokio::task::spawn_local;
 
 use super::strength::HostStrength;
-use super::{OwnerLoop, OwnerMessage, CLAIM_STAGGER_MS};
+use super::{OwnerLoop, OwnerMessage};
 use crate::clock;
 use crate::jobs::writer::{OwnerReading, OwnerWrite};
 use crate::logging::event;
@@ -42,8 +42,9 @@
 
     /// Reads the owner row when that is due, and claims the shard if its owner is gone.
     pub(super) fn watch(&mut self, now: Millis) {
-        let lease_over = self.lease.may_claim(now, self.claim_rank());
-        let free = lease_over || self.owner_is_earlier_incarnation() || self.owner_has_ended(now);
+        let free = self.lease.may_claim(now, self.claim_rank())
+            || self.owner_is_earlier_incarnation()
+            || self.watch.may_claim_early(now, &self.lease, self.rank);
         let free = free && now >= self.claims_paused_until;
         if free && !self.write_in_flight && self.stop_deadline.is_none() {
             self.claim(now);
@@ -76,25 +77,8 @@
         }
     }
 
-    /// Whether the owner's process has certainly ended, and it is this host's turn to claim the shard.
-    fn owner_has_ended(&self, now: Millis) -> bool {
-        let watching = *self.lease.stage() == LeaseStage::Watching;
-        let stagger_ms = CLAIM_STAGGER_MS * u64::from(self.rank);
-        watching
-            && self
-                .watch
-                .may_claim_early(now, self.lease.row(), stagger_ms)
-    }
-
     pub(super) fn claim(&mut self, now: Millis) {
-        let lease_over = self.lease.may_claim(now, self.claim_rank());
-        let released = self
-            .lease
-            .row()
-            .is_some_and(|seen| seen.row.owner.is_none());
-        // Before the first owner nobody gave any orders.
-        let had_owner = self.lease.newest_epoch() > 0;
-        self.claimed_early = had_owner && (released || !lease_over);
+        self.earlier_orders_until = self.lease.earlier_orders_until(now, self.claim_rank());
         let owner_is_earlier_incarnation = self.owner_is_earlier_incarnation();
         let (version, mut row) = self.lease.begin_claim(self.token());
         self.rules_since = row.rules_since;
@@ -108,7 +92,7 @@
                 ("epoch", &row.epoch),
                 ("rank", &self.rank),
                 ("own_earlier_life", &owner_is_earlier_incarnation),
-                ("early", &self.claimed_early),
+                ("early", &(self.earlier_orders_until > 0)),
                 ("version", &version),
             ],
         );
--- a/crates/sandshelfd/src/jobs/owner/recover.rs
+++ b/crates/sandshelfd/src/jobs/owner/recover.rs
@@ -128,10 +128,7 @@
         let info = TakeoverInfo {
             epoch,
             claimed_at: clock::now(),
-            earlier_orders_until: match self.claimed_early {
-                true => self.claimed_at + SHARD_LEASE_MS,
-                false => 0,
-            },
+            earlier_orders_until: self.earlier_orders_until,
             wall_ms: clock::wall_ms(),
             state_pending: true,
             rules_since: self.rules_since,
--- a/crates/sandshelfd/src/jobs/pages.rs
+++ b/crates/sandshelfd/src/jobs/pages.rs
@@ -29,14 +29,6 @@
     pub last_version: u64,
     /// The store's clock at the last page, in milliseconds.
     pub store_ms: u64,
-    /// The latest time that the store's clock can have shown when the last page arrived, in milliseconds, and when that was.
-    pub clock_at_most: (Millis, u64),
-}
-
-/// A page, and the reading of the store's clock in it.
-struct TimedPage {
-    page: RowPage,
-    clock_at_most: (Millis, u64),
 }
 
 /// Reads parts that belong together, and tracks whether the reads stall.
@@ -77,33 +69,25 @@
 
     /// Reads all rows of a range. Failed pages are read again until they succeed.
     pub async fn read_part(&self, store: &OwnerStore, range: &RowRange) -> PartRows {
-        let TimedPage {
-            page: first,
-            clock_at_most,
-        } = self.read_page(store, range).await;
+        let first = self.read_page(store, range).await;
         let mut next = first.next_range(range);
         let mut part = PartRows {
             first_version: first.version,
             last_version: first.version,
             store_ms: first.store_ms,
-            clock_at_most,
             rows: first.rows,
         };
         while let Some(rest) = next {
-            let TimedPage {
-                page,
-                clock_at_most,
-            } = self.read_page(store, &rest).await;
+            let page = self.read_page(store, &rest).await;
             next = page.next_range(&rest);
             part.last_version = page.version;
             part.store_ms = page.store_ms;
-            part.clock_at_most = clock_at_most;
             part.rows.extend(page.rows);
         }
         part
     }
 
-    async fn read_page(&self, store: &OwnerStore, range: &RowRange) -> TimedPage {
+    async fn read_page(&self, store: &OwnerStore, range: &RowRange) -> RowPage {
         loop {
             let sent_at = clock::now();
             let read = store.client.read(range, self.timeout);
@@ -111,14 +95,8 @@
             self.note(&page);
             match page {
                 Ok(page) => {
-                    let at = clock::now();
-                    // The store read its clock at some time after the call was sent.
-                    let at_most_ms = page.store_ms + at.saturating_sub(sent_at);
-                    store.clock.note(at, at_most_ms);
-                    return TimedPage {
-                        page,
-                        clock_at_most: (at, at_most_ms),
-                    };
+                    store.clock.note_answer(sent_at, page.store_ms);
+                    return page;
                 }
                 Err(fault) => event(
                     "page_retried",
--- a/crates/sandshelfd/src/jobs/store_clock.rs
+++ b/crates/sandshelfd/src/jobs/store_clock.rs
@@ -4,6 +4,8 @@
 
 use sandshelf_model::Millis;
 
+use crate::clock;
+
 /// How much faster the store's clock may run than this host's, as one part in this many.
 const CLOCK_RATE_TOLERANCE: Millis = 1_000;
 
@@ -29,8 +31,10 @@
 }
 
 impl StoreClock {
-    /// Records that the store's clock showed `at_most_ms` at most at `read_at`.
-    pub fn note(&self, read_at: Millis, at_most_ms: u64) {
+    /// Records the store's clock in an answer that has just arrived. The store read it at some time after the call was sent at `sent_at`.
+    pub fn note_answer(&self, sent_at: Millis, store_ms: u64) {
+        let read_at = clock::now();
+        let at_most_ms = store_ms + read_at.saturating_sub(sent_at);
         let mut lead = self.lead.lock().unwrap_or_else(PoisonError::into_inner);
         if lead.is_none_or(|known| at_most_ms <= known.at_most(read_at)) {
             *lead = Some(ClockLead {
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -91,9 +91,7 @@
         let sent = clock::now();
         let read = self.client.read(&range, READ_TIMEOUT);
         let page = self.health.observe(StoreCall::ReadOwner, read).await?;
-        let now = clock::now();
-        self.clock
-            .note(now, page.store_ms + now.saturating_sub(sent));
+        self.clock.note_answer(sent, page.store_ms);
         let row = decode_owner(&page.rows);
         let age_ms = match row.row.sent_store_ms {
             0 => 0,
