--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -26,7 +26,7 @@
 pub use intent::{
     BackendLimits, ConfigSet, JobKind, JobSpec, PolicyWeights, ServiceSpec, TeamQuota, UrgencyLevel,
 };
-pub use job_settings::{parse_job_settings, JobSettings, OrderWay};
+pub use job_settings::{parse_job_settings, JobSettings, MachineApi, OrderWay};
 pub use load::{read_directory, read_paths, MAX_SET_BYTES};
 pub use parse::parse_set;
 pub use reader::SourceFile;
--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -389,6 +389,7 @@
         let limits = SchedulerLimits {
             max_lease_ms: self.control.max_lease_ms,
             keep_finished_ms: KEEP_FINISHED_MS,
+            ..SchedulerLimits::default()
         };
         let took_ms = at / MS - self.control.claimed_at;
         self.actions.push((at, HostAction::Owned(epoch, took_ms)));
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -1,18 +1,26 @@
 //! Durations, thresholds and bounds of the job scheduler.
 
-use sandshelf_model::Millis;
+use sandshelf_model::{LoadPolicies, Millis};
 use sandshelf_place::QuarantineRule;
 
 /// The slowest rate at which a worker's clock may run, in percent of the owner's clock.
 pub const MIN_CLOCK_RATE_PERCENT: u64 = 98;
 
-/// Durations that come from the platform's settings, in milliseconds.
+/// Durations and switches that come from the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SchedulerLimits {
     /// The longest lease that a worker grants, in milliseconds.
     pub max_lease_ms: Millis,
     /// How long the state of a finished job is kept, in milliseconds.
     pub keep_finished_ms: Millis,
+    /// How long a worker takes at most to stop a run, in milliseconds.
+    pub stop_timeout_ms: Millis,
+    /// How long a run takes to resume from a checkpoint, in milliseconds.
+    pub restore_ms: Millis,
+    /// How long a standing task may be not running, for whatever reason, before it counts as away, in milliseconds.
+    pub away_after_ms: Millis,
+    /// The decisions under load that are switched on.
+    pub policies: LoadPolicies,
 }
 
 impl Default for SchedulerLimits {
@@ -20,6 +28,10 @@
         Self {
             max_lease_ms: 6_000,
             keep_finished_ms: 120_000,
+            stop_timeout_ms: 900,
+            restore_ms: 600,
+            away_after_ms: 4_500,
+            policies: LoadPolicies::default(),
         }
     }
 }
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -231,6 +231,16 @@
     Unsettled,
     /// The run was slowed down for long and can run faster on another worker.
     Slowed,
+    /// The run makes no progress and can end earlier on another worker.
+    Stuck,
+    /// Another copy of the task has ended first.
+    CopyLost,
+    /// A more urgent task needs the capacity.
+    Preempted,
+    /// The capacity is gathered for a large task.
+    Gathered,
+    /// The machine of the worker is to have its upkeep.
+    Upkeep,
 }
 
 /// What a serving task that was over its target had beside it.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod hash;
 mod ids;
+mod load_policies;
 mod sizes;
 mod units;
 mod verdict;
@@ -22,6 +23,7 @@
     AttemptId, HallId, HostId, JobId, RackId, ServerId, ServiceId, ShardId, TaskId, TeamId,
     WorkerId,
 };
+pub use load_policies::{LoadPolicies, LoadPolicy};
 pub use sizes::{ResourceSize, SizeError};
 pub use units::{Epoch, Millis, Revision, Sequence};
 pub use verdict::RunVerdict;
--- a/crates/sandshelfd/src/cli.rs
+++ b/crates/sandshelfd/src/cli.rs
@@ -55,7 +55,7 @@
     Version,
     Check(String),
     Run(DaemonSettings),
-    RunJobs(PathBuf, JobSettings),
+    RunJobs(PathBuf, Box<JobSettings>),
 }
 
 /// Parses the command line and performs the requested action.
@@ -65,7 +65,7 @@
         CliOptions::Version => println!("sandshelfd {}", env!("CARGO_PKG_VERSION")),
         CliOptions::Check(host) => println!("settings of {host} are sound"),
         CliOptions::Run(settings) => daemon::run(settings).map_err(failed)?,
-        CliOptions::RunJobs(path, settings) => jobs::run(path, settings).map_err(failed)?,
+        CliOptions::RunJobs(path, settings) => jobs::run(path, *settings).map_err(failed)?,
     }
     Ok(())
 }
@@ -116,7 +116,7 @@
             let settings = jobs::read_settings(&path).map_err(CliFailure::usage)?;
             match check {
                 true => CliOptions::Check(settings.host),
-                false => CliOptions::RunJobs(path, settings),
+                false => CliOptions::RunJobs(path, Box::new(settings)),
             }
         }
     })
--- a/crates/sandshelfd/src/jobs/owner/recover.rs
+++ b/crates/sandshelfd/src/jobs/owner/recover.rs
@@ -116,6 +116,10 @@
         let limits = SchedulerLimits {
             max_lease_ms: self.settings.max_lease_ms,
             keep_finished_ms: self.settings.keep_finished_ms + FINISHED_RETENTION_MARGIN_MS,
+            stop_timeout_ms: self.settings.stop_timeout_ms,
+            restore_ms: self.settings.restore_ms,
+            away_after_ms: self.settings.away_after_ms,
+            policies: self.settings.load_policies,
         };
         event(
             "shard_owned",
