Hedge calls for short tasks

A start order without an answer took 0.55 to 0.7 s to settle, and a lease renewal without an answer told of an end up to 1.25 s late; a short job has some 0.7 s beyond its work.

Change: an overdue start order of a short task is followed by a stop at once, an overdue renewal of a worker with short tasks is repeated beside the first; overdue is judged by the answers before. Switch `hedged_calls`, named in the settings of the platform.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -82,6 +82,7 @@
 
     fn run_began(&mut self, now: Millis, worker: &WorkerId, key: RunKey, clock: u64) {
         let sent_at = self.start_sent_at(now, worker, &key);
+        self.start_patience.note_answer(now.saturating_sub(sent_at));
         let known = self.record_order_clock(now, worker, ClockSample { clock, sent_at });
         if let Some(record) = self.record_mut(worker, &key) {
             let settles = matches!(record.phase, RunPhase::Ordered | RunPhase::Unsettled);
@@ -116,7 +117,7 @@
         }
     }
 
-    fn run_unsettled(&mut self, now: Millis, worker: &WorkerId, key: RunKey) {
+    pub(crate) fn run_unsettled(&mut self, now: Millis, worker: &WorkerId, key: RunKey) {
         if let Some(record) = self.record_mut(worker, &key) {
             if record.phase == RunPhase::Ordered {
                 record.phase = RunPhase::Unsettled;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(scheduler.handle(0, JobEvent::Tick { wall_ms: 0 }).is_empty());
 //! ```
 
+mod answer_patience;
 mod answers;
 mod backlog;
 mod capacity;
@@ -30,6 +31,7 @@
 mod gang;
 mod gauges;
 mod halls;
+mod hedge;
 mod ids;
 mod images;
 mod incarnation;
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -82,9 +82,14 @@
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
+        if state.take_stray(now, &answer) {
+            return;
+        }
         let sent = state.renewal_sent_at.take();
+        let sent = state.strays.earliest(sent);
         let waited = now.saturating_sub(sent.unwrap_or(now));
         match &answer {
+            _ if state.strays.exist() => {}
             // An end makes the worker answer before its wait is over. Such an answer doesn't show
             // how late it came.
             RenewalAnswer::Report(_) if waited < state.renewal_wait_ms => {}
@@ -92,6 +97,7 @@
                 // The delay at the host that relayed the call is not caused by this owner.
                 let late = waited - state.renewal_wait_ms;
                 let own = late.saturating_sub(report.carrier_late_ms);
+                self.renewal_patience.note_answer(late);
                 self.backlog.record_answer(own);
             }
             RenewalAnswer::Failed(OrderAnswer::Unknown) if !state.silence_logged => {
@@ -132,15 +138,14 @@
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
-        state.incarnation.acknowledged = state
-            .incarnation
-            .acknowledged
-            .max(state.renewal_acknowledges);
+        let acknowledges = state.strays.least_acknowledged(state.renewal_acknowledges);
+        state.incarnation.acknowledged = state.incarnation.acknowledged.max(acknowledges);
         let sample = ClockSample {
             clock: report.clock,
             sent_at,
         };
         state.note_answer(now, sample);
+        state.strays.note_report();
         state.suspects.clear();
         let first = !state.incarnation.fenced;
         state.incarnation.fenced = true;
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -80,8 +80,10 @@
             recovery.worker_lost |= recovery.unanswered.contains_key(worker);
         }
         if let Some(state) = self.workers.get_mut(worker) {
-            let may_be_leased =
-                state.renewal_extends_lease || !listed.is_empty() || !unsettled.is_empty();
+            let may_be_leased = state.renewal_extends_lease
+                || state.strays.extend_lease()
+                || !listed.is_empty()
+                || !unsettled.is_empty();
             // The deadline in an order that was meant for the previous incarnation is on the clock
             // of that incarnation. The worker limits the lease to its own maximum.
             let longest = report.clock + self.limits.max_lease_ms;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -6,6 +6,7 @@
 use sandshelf_model::{Epoch, Millis, WorkerId};
 use sandshelf_place::QuarantineTracker;
 
+use crate::answer_patience::AnswerPatience;
 use crate::backlog::BacklogMonitor;
 use crate::capacity::EndedJobSizes;
 use crate::crash::CrashTracker;
@@ -13,6 +14,7 @@
 use crate::events::{JobAction, JobEvent, WorkerCall};
 use crate::foreign::ForeignRuns;
 use crate::halls::EvacuatedHalls;
+use crate::hedge::StartOrders;
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerIncarnation};
 use crate::images::ImageTable;
 use crate::interference::InterferenceEstimate;
@@ -140,6 +142,12 @@
     pub(crate) backlog: BacklogMonitor,
     /// The number of start orders that were sent and have no answer yet.
     pub(crate) unanswered_starts: usize,
+    /// The start orders of short tasks that may be unanswered.
+    pub(crate) start_orders: StartOrders,
+    /// How long answers to start orders usually take.
+    pub(crate) start_patience: AnswerPatience,
+    /// How much longer than its wait the answer to a lease renewal usually takes.
+    pub(crate) renewal_patience: AnswerPatience,
     pub(crate) last_tick: Millis,
     /// Until when this owner is sure that no other host owns the shard; `Millis::MAX` before the first [`JobEvent::SureUntil`].
     pub(crate) sure_until: Millis,
@@ -226,6 +234,9 @@
             last_move: 0,
             backlog: BacklogMonitor::default(),
             unanswered_starts: 0,
+            start_orders: StartOrders::default(),
+            start_patience: AnswerPatience::default(),
+            renewal_patience: AnswerPatience::default(),
             last_tick: 0,
             sure_until: Millis::MAX,
             ownership_overdue: false,
@@ -344,12 +355,14 @@
         if sure && now >= self.workers_checked_at + WORKER_CHECK_INTERVAL_MS {
             self.workers_checked_at = now;
             self.check_workers(now);
+            self.hedge_renewals(now);
             self.move_standing_tasks(now);
             self.release_reserved(now);
         }
         self.refresh_roster(now);
         self.forget_ended_sizes(now);
         self.resend_stops(now);
+        self.settle_overdue_starts(now);
         self.settle_verdicts(now);
         self.send_probes(now);
         if sure {
--- a/crates/jobs/src/start.rs
+++ b/crates/jobs/src/start.rs
@@ -91,6 +91,9 @@
         }
         let resumed = checkpoint.is_some();
         self.unanswered_starts += 1;
+        if !step.fills && !step.standing {
+            self.start_orders.note(now, worker.clone(), run);
+        }
         self.call(
             &worker,
             WorkerCall::Start(StartCall {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::crash::CrashSuspect;
 use crate::fill::FillAllocator;
+use crate::hedge::StrayRenewals;
 use crate::ids::RunKey;
 use crate::incarnation::{ClockSample, IncarnationState};
 use crate::interference::{InterferenceEstimate, InterferenceLoads};
@@ -53,6 +54,8 @@
     /// Whether the renewal in flight extends the lease.
     pub(crate) renewal_extends_lease: bool,
     pub(crate) renewal_due_at: Millis,
+    /// Earlier renewals whose answers may still arrive.
+    pub(crate) strays: StrayRenewals,
     /// The pause between an answer and the next renewal, in milliseconds.
     pub(crate) renewal_gap_ms: Millis,
     pub(crate) last_answer: Millis,
@@ -99,6 +102,7 @@
             renewal_acknowledges: 0,
             renewal_extends_lease: false,
             renewal_due_at: now,
+            strays: StrayRenewals::default(),
             renewal_gap_ms: 0,
             last_answer: now,
             silence_logged: false,
--- a/crates/model/src/load_policies.rs
+++ b/crates/model/src/load_policies.rs
@@ -15,17 +15,21 @@
     Reservations,
     /// Stops less urgent runs where a more urgent task finds no capacity.
     Preemption,
+    /// Settles starts of short tasks, and repeats lease renewals of workers that run such tasks, if they get no answer as soon as
+    /// usual.
+    HedgedCalls,
 }
 
 impl LoadPolicy {
     /// All policies, in the order of their names in the settings.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Admission,
         Self::Copies,
         Self::StuckRuns,
         Self::FairOrder,
         Self::Reservations,
         Self::Preemption,
+        Self::HedgedCalls,
     ];
 
     /// The name of the policy in the settings.
@@ -37,6 +41,7 @@
             Self::FairOrder => "fair_order",
             Self::Reservations => "reservations",
             Self::Preemption => "preemption",
+            Self::HedgedCalls => "hedged_calls",
         }
     }
 
@@ -61,6 +66,8 @@
     pub reservations: bool,
     /// See [`LoadPolicy::Preemption`].
     pub preemption: bool,
+    /// See [`LoadPolicy::HedgedCalls`].
+    pub hedged_calls: bool,
 }
 
 impl LoadPolicies {
@@ -80,6 +87,7 @@
             LoadPolicy::FairOrder => self.fair_order = true,
             LoadPolicy::Reservations => self.reservations = true,
             LoadPolicy::Preemption => self.preemption = true,
+            LoadPolicy::HedgedCalls => self.hedged_calls = true,
         }
         self
     }
