Emulated faults under owners with all decisions under load switched on

Seven of them are now played with all switches on as well, 30 seeds each, and longer by hand (SANDSHELF_POLICY_SEEDS).

--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -233,6 +233,24 @@
     }
 }
 
+/// A longer run by hand with all decisions under load switched on: `SANDSHELF_POLICY_SEEDS=1:2000`.
+fn long_policy_run() {
+    let seeds = named_seeds("SANDSHELF_POLICY_SEEDS", "1:5");
+    let plans = [
+        unreliable_calls(),
+        unreliable_workers(),
+        unreliable_owners(),
+        all_faults(),
+        restarting_workers_and_owners(),
+        restarting_workers_and_all_faults(),
+        shrinking_capacity(),
+        halls_cut_and_other_faults(),
+    ];
+    for plan in plans {
+        keeps_safety_rules(seeds.clone(), with_policies(plan));
+    }
+}
+
 /// A longer run by hand with halls that are cut off or evacuated: `SANDSHELF_HALL_SEEDS=1:2000`.
 fn long_hall_run() {
     let seeds = named_seeds("SANDSHELF_HALL_SEEDS", "1:5");
@@ -295,6 +313,14 @@
     halls_are_cut_amid_other_faults => keeps_safety_rules(2_000..2_030, halls_cut_and_other_faults());
     halls_are_evacuated => keeps_safety_rules(2_100..2_130, halls_evacuated());
     halls_are_evacuated_and_cut => keeps_safety_rules(2_200..2_230, halls_evacuated_and_cut());
+    policies_with_unreliable_calls => keeps_all_rules(2_500..2_530, with_policies(unreliable_calls()));
+    policies_with_unreliable_workers => keeps_all_rules(2_600..2_630, with_policies(unreliable_workers()));
+    policies_with_unreliable_owners => keeps_all_rules(2_700..2_730, with_policies(unreliable_owners()));
+    policies_amid_all_faults => keeps_all_rules(2_800..2_830, with_policies(all_faults()));
+    policies_with_restarting_workers => keeps_safety_rules(2_900..2_930, with_policies(restarting_workers_and_all_faults()));
+    policies_with_shrinking_capacity => keeps_safety_rules(3_000..3_030, with_policies(shrinking_capacity()));
+    policies_with_halls_cut => keeps_safety_rules(3_100..3_130, with_policies(halls_cut_and_other_faults()));
+    policies_by_hand => long_policy_run();
     halls_by_hand => long_hall_run();
     restarts_by_hand => long_restart_run();
     seeds_by_hand => long_run();
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -62,6 +62,7 @@
         };
         let limits = SchedulerLimits {
             max_lease_ms: self.max_lease_ms(),
+            policies: self.plan.policies,
             ..SchedulerLimits::default()
         };
         let hall = self.pick_hall();
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -1,8 +1,12 @@
 //! The faults of the emulated platform.
 
+use sandshelf_model::LoadPolicies;
+
 /// Which faults are injected; the `u32` fields are probabilities in thousandths.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FaultPlan {
+    /// The decisions under load that the owners have switched on.
+    pub policies: LoadPolicies,
     /// A call to a worker is lost.
     pub lost_calls: u32,
     /// A worker's answer is lost.
--- a/crates/jobs/tests/support/plans.rs
+++ b/crates/jobs/tests/support/plans.rs
@@ -1,7 +1,17 @@
 //! Fault plans of the emulated runs: one for each kind of fault, and some that combine several.
 
+use sandshelf_model::LoadPolicies;
+
 use super::faults::FaultPlan;
 
+/// The same faults, under owners with all decisions under load switched on.
+pub fn with_policies(plan: FaultPlan) -> FaultPlan {
+    FaultPlan {
+        policies: LoadPolicies::all(),
+        ..plan
+    }
+}
+
 /// No faults; workers reject runs that exceed their capacity.
 pub fn no_faults() -> FaultPlan {
     FaultPlan {
