Forget repeated renewals whose answers never come

Where a worker is replaced, one of two renewals in flight gets no answer at all; the report of every later renewal then counted as the answer to the first one, so that a run which only a newer report settles was never settled.

--- a/crates/jobs/src/hedge.rs
+++ b/crates/jobs/src/hedge.rs
@@ -11,6 +11,7 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use crate::ids::RunKey;
+use crate::limits::MAX_ORDER_AGE_MS;
 use crate::reports::{OrderAnswer, RenewalAnswer};
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
@@ -52,9 +53,18 @@
     extend_lease: bool,
     /// Whether a report has arrived since the newest of them was repeated.
     reported: bool,
+    /// From this time on no answer to them can arrive.
+    until: Millis,
 }
 
 impl StrayRenewals {
+    /// Forgets them once no answer to them can arrive any more. An answer may be missing, for instance where the worker was replaced.
+    fn expire(&mut self, now: Millis) {
+        if now >= self.until {
+            *self = Self::default();
+        }
+    }
+
     /// Whether answers to earlier renewals may still arrive.
     pub(crate) fn exist(&self) -> bool {
         self.count > 0
@@ -93,6 +103,7 @@
     ///
     /// Where the worker has not reported since the renewal was repeated, its failure counts like any other.
     pub(crate) fn take_stray(&mut self, now: Millis, answer: &RenewalAnswer) -> bool {
+        self.strays.expire(now);
         if !self.strays.exist() {
             return false;
         }
@@ -115,7 +126,7 @@
     }
 
     /// Makes the renewal in flight a stray one, so that another can be sent.
-    fn set_renewal_aside(&mut self) {
+    fn set_renewal_aside(&mut self, now: Millis) {
         let Some(sent_at) = self.renewal_sent_at.take() else {
             return;
         };
@@ -126,6 +137,7 @@
             acknowledge: before.least_acknowledged(self.renewal_acknowledges),
             extend_lease: before.extend_lease() || self.renewal_extends_lease,
             reported: false,
+            until: now + MAX_ORDER_AGE_MS,
         };
     }
 
@@ -169,7 +181,7 @@
         let overdue: Vec<WorkerId> = overdue.map(|(id, _)| id.clone()).collect();
         for id in overdue {
             if let Some(state) = self.workers.get_mut(&id) {
-                state.set_renewal_aside();
+                state.set_renewal_aside(now);
             }
             self.schedule_renewal(&id, now);
         }
--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{JobSpec, JobStage, RunKey, RunOutcome, StepSpec, TaskKey};
-use sandshelf_model::{ResourceSize, WorkerId};
+use sandshelf_model::{LoadPolicies, LoadPolicy, ResourceSize, WorkerId};
 use support::emulator::PlatformEmulator;
 use support::faults::FaultPlan;
 use support::oracle::{BrokenRule, PlatformOracle, UsableCapacity};
@@ -233,7 +233,8 @@
     }
 }
 
-/// A longer run by hand with all decisions under load switched on: `SANDSHELF_POLICY_SEEDS=1:2000`.
+/// A longer run by hand with decisions under load switched on: `SANDSHELF_POLICY_SEEDS=1:2000`, `SANDSHELF_POLICY_PLAN=0` for a single
+/// plan, and `SANDSHELF_POLICIES=hedged_calls,copies` for some of the decisions; an empty list compares with none.
 fn long_policy_run() {
     let seeds = named_seeds("SANDSHELF_POLICY_SEEDS", "1:5");
     let plans = [
@@ -246,8 +247,19 @@
         shrinking_capacity(),
         halls_cut_and_other_faults(),
     ];
-    for plan in plans {
-        keeps_safety_rules(seeds.clone(), with_policies(plan));
+    let chosen = std::env::var("SANDSHELF_POLICY_PLAN").ok();
+    let policies = std::env::var("SANDSHELF_POLICIES").map_or(LoadPolicies::all(), |names| {
+        let names = names.split(',').filter(|name| !name.is_empty());
+        let policies = names.map(|name| LoadPolicy::from_name(name).expect("a policy's name"));
+        policies.fold(LoadPolicies::default(), LoadPolicies::with)
+    });
+    for (number, plan) in plans.into_iter().enumerate() {
+        if chosen
+            .as_ref()
+            .is_none_or(|chosen| *chosen == number.to_string())
+        {
+            keeps_safety_rules(seeds.clone(), FaultPlan { policies, ..plan });
+        }
     }
 }
 
--- a/crates/jobs/tests/hedged_renewals.rs
+++ b/crates/jobs/tests/hedged_renewals.rs
@@ -167,6 +167,21 @@
     assert_eq!(again.last().map(|renewal| renewal.last_seen), Some(1));
 }
 
+/// Guards against a run that is never settled: the answer to the first renewal never comes. What a later report says must count as
+/// said then, not when the first renewal was sent.
+fn a_first_renewal_that_never_ends() {
+    let (mut rig, run) = owner_with_repeated_renewal();
+    rig.report(WORKER, vec![run_report(run)], vec![]);
+    rig.advance(4_000);
+    take_renewals(&mut rig);
+    rig.report(WORKER, vec![run_report(run)], vec![]);
+    rig.advance(TICK_MS);
+    assert!(!take_renewals(&mut rig).is_empty());
+    fail_renewal(&mut rig);
+    let retried = renewals_within(&mut rig, 300);
+    assert_eq!(retried, 1, "the failure is that of the newest renewal");
+}
+
 sandshelf_cases::cases! {
     short_task => repeated_when_overdue(true, step(1), 1);
     short_task_without_the_policy => repeated_when_overdue(false, step(1), 0);
@@ -174,5 +189,6 @@
     end_told_by_the_repetition => an_end_that_the_repeated_renewal_tells();
     dead_worker => a_dead_worker();
     old_report => an_old_report_after_a_newer_one();
+    first_renewal_never_ends => a_first_renewal_that_never_ends();
     unanswered_acknowledgement => an_acknowledgement_in_an_unanswered_renewal();
 }
