Emulate two deployments on which callers compete for capacity

The parts of docs/design/decisions-under-load.md have to be measured at production size before any of them is switched on. The sites `camp` and `match` have the workers, hosts and traffic that the page names. Jobs of a class may now differ: steps that allow copies, stragglers, `may_miss`, estimates and sizes. Stops and resumptions take as long as the platform says. The default has no differences and draws no random numbers.

`--policies NAME,...|all|none` switches policies on; they reach `SchedulerLimits::policies` through `Deployment::load_settings`.

--- a/crates/emulator/src/bin/sandshelf-emulate.rs
+++ b/crates/emulator/src/bin/sandshelf-emulate.rs
@@ -10,10 +10,13 @@
 use sandshelf_emulator::deployment::Deployment;
 use sandshelf_emulator::report::SimulationReport;
 use sandshelf_emulator::world::EmulatedWorld;
+use sandshelf_model::{LoadPolicies, LoadPolicy};
 
 const USAGE: &str = "\
-sandshelf-emulate [--site auction|code-search|small] [--day NAME] [--seeds FIRST:LAST]
-                  [--seconds] [--measure] [--broken N]
+sandshelf-emulate [--site auction|code-search|small|camp|match] [--day NAME] [--seeds FIRST:LAST]
+                  [--policies NAME,...|all|none] [--seconds] [--measure] [--broken N]
+  --policies  the decisions under load that are switched on (default none): admission, copies,
+              stuck_runs, fair_order, reservations, preemption
   --seconds   prints the owner's stats second by second
   --measure   compares the scheduler's measured time with the cost model
   --broken N  prints the first N violations of rules in full (default 2)";
@@ -23,6 +26,7 @@
     day: String,
     first: u64,
     last: u64,
+    policies: LoadPolicies,
     seconds: bool,
     measure: bool,
     broken: usize,
@@ -37,12 +41,27 @@
     Ok((number(first)?, number(last)?))
 }
 
+fn parse_policies(text: &str) -> Result<LoadPolicies, lexopt::Error> {
+    match text {
+        "all" => return Ok(LoadPolicies::all()),
+        "none" => return Ok(LoadPolicies::default()),
+        _ => {}
+    }
+    text.split(',')
+        .try_fold(LoadPolicies::default(), |policies, name| {
+            let policy = LoadPolicy::from_name(name);
+            let unknown = || lexopt::Error::from(format!("no policy is called {name}"));
+            Ok(policies.with(policy.ok_or_else(unknown)?))
+        })
+}
+
 fn parse_arguments() -> Result<Option<EmulateOptions>, lexopt::Error> {
     let mut options = EmulateOptions {
         site: "auction".to_owned(),
         day: "burst".to_owned(),
         first: 1,
         last: 1,
+        policies: LoadPolicies::default(),
         seconds: false,
         measure: false,
         broken: 2,
@@ -55,6 +74,9 @@
             Arg::Long("seeds") => {
                 (options.first, options.last) = parse_seeds(&parser.value()?.string()?)?;
             }
+            Arg::Long("policies") => {
+                options.policies = parse_policies(&parser.value()?.string()?)?;
+            }
             Arg::Long("seconds") => options.seconds = true,
             Arg::Long("measure") => options.measure = true,
             Arg::Long("broken") => options.broken = parser.value()?.parse()?,
@@ -65,15 +87,6 @@
     Ok(Some(options))
 }
 
-fn deployment(site: &str) -> Option<Deployment> {
-    match site {
-        "auction" => Some(Deployment::auction()),
-        "code-search" => Some(Deployment::code_search()),
-        "small" => Some(Deployment::small()),
-        _ => None,
-    }
-}
-
 fn print_seconds(report: &SimulationReport) {
     println!(
         "second host epoch  cpu  kbit wait_ms  jobs waiting  runs open serving over filling slowed"
@@ -130,7 +143,9 @@
             return ExitCode::from(2);
         }
     };
-    let plan = deployment(&options.site).and_then(|site| day(&options.day, site));
+    let site = Deployment::from_name(&options.site);
+    let site = site.map(|site| site.with_policies(options.policies));
+    let plan = site.and_then(|site| day(&options.day, site));
     let Some(plan) = plan else {
         eprintln!("unknown site or day\n{USAGE}");
         return ExitCode::from(2);
--- a/crates/emulator/src/catalog.rs
+++ b/crates/emulator/src/catalog.rs
@@ -6,10 +6,13 @@
 use sandshelf_jobs::{JobNumber, JobSpec, RunKey, TaskKey};
 use sandshelf_model::{Millis, ResourceSize};
 
+use crate::deployment::StragglerRule;
 use crate::interference::ServingTask;
 
 /// The largest deviation of a task's run time from the run time of its job, up or down, in percent.
 const TASK_DEVIATION_PERCENT: u64 = 25;
+/// The shortest run time of a task at full pace, in milliseconds.
+const MIN_WORK_MS: Millis = 20;
 /// Time from the start of a standing task until it is running, in milliseconds.
 pub const STANDING_START_MS: Millis = 150;
 
@@ -22,6 +25,8 @@
     pub work_ms: Millis,
     /// Number of runs that fail, out of 1,000.
     pub failing: u64,
+    /// Its stragglers.
+    pub stragglers: StragglerRule,
 }
 
 /// The properties of a run that a worker needs to emulate it.
@@ -43,6 +48,8 @@
     pub serving: Option<ServingTask>,
     /// Work after which this run fails, in milliseconds at full pace; `None` if it does not fail.
     pub fails_after_ms: Option<Millis>,
+    /// The factor by which this run is slower than others with the same processor time; 1 unless it is a straggler.
+    pub slowness: u64,
 }
 
 /// All submitted jobs by number.
@@ -99,9 +106,7 @@
         let job = self.jobs.get(&task.job)?;
         let step = job.spec.steps.get(task.step as usize)?;
         let image = image_number(&step.image);
-        let percent =
-            100 - TASK_DEVIATION_PERCENT + self.drawn(task, 1) % (2 * TASK_DEVIATION_PERCENT + 1);
-        let work_ms = (job.work_ms * percent / 100).max(20);
+        let work_ms = self.work_ms(job, task);
         let drawn = mix(self.drawn(task, 2), key.run);
         let image_fails = step.fills && self.failing_images.contains(&image);
         let fails = image_fails || drawn % 1_000 < job.failing;
@@ -119,6 +124,23 @@
             checkpoints: step.checkpoints,
             serving: (step.target_ms > 0).then_some(serving),
             fails_after_ms: fails.then_some(work_ms * (drawn / 1_000 % 90) / 100 + 10),
+            slowness: self.slowness(job, key),
         })
     }
+
+    /// The run time of a task at full pace, in milliseconds.
+    fn work_ms(&self, job: &EmulatedJob, task: &TaskKey) -> Millis {
+        let percent =
+            100 - TASK_DEVIATION_PERCENT + self.drawn(task, 1) % (2 * TASK_DEVIATION_PERCENT + 1);
+        (job.work_ms * percent / 100).max(MIN_WORK_MS)
+    }
+
+    /// The factor by which a run is slowed; drawn anew for each run.
+    fn slowness(&self, job: &EmulatedJob, key: &RunKey) -> u64 {
+        let drawn = mix(self.drawn(&key.task, 3), key.run);
+        match drawn % 100 < job.stragglers.percent {
+            true => job.stragglers.factor.max(1),
+            false => 1,
+        }
+    }
 }
--- a/crates/emulator/src/deployment.rs
+++ b/crates/emulator/src/deployment.rs
@@ -1,10 +1,15 @@
 //! The emulated deployments: number and kind of workers and hosts, and the jobs that callers submit.
 
-use sandshelf_jobs::{JobSpec, QueueRules, StepSpec};
-use sandshelf_model::{Millis, ResourceSize};
+mod contended;
+mod variation;
+
+use sandshelf_jobs::{JobSpec, QueueRules, SchedulerLimits, StepSpec};
+use sandshelf_model::{LoadPolicies, Millis, ResourceSize};
 
 use crate::host::{HostFault, HostModel, TransferLimit};
 use crate::oracle::RuleBounds;
+use crate::worker::RunTiming;
+pub use variation::{JobVariation, StragglerRule};
 
 /// A strong host: half a processor core and a link of 200 Mbit/s.
 pub const STRONG_HOST: HostModel = HostModel {
@@ -49,6 +54,8 @@
     pub cancelled_percent: u32,
     /// The length of a job's payload, in bytes.
     pub payload_bytes: usize,
+    /// How its jobs differ from one another.
+    pub variation: JobVariation,
 }
 
 /// The kind of the tasks of a class.
@@ -130,6 +137,33 @@
     pub classes: Vec<JobClass>,
     /// The time limits of the rules.
     pub bounds: RuleBounds,
+    /// What the hosts' settings say about decisions under load.
+    pub load_settings: LoadSettings,
+    /// How long workers take to stop and to resume runs.
+    pub run_timing: RunTiming,
+}
+
+/// The settings of the hosts that concern decisions under load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadSettings {
+    /// The decisions under load that are switched on.
+    pub policies: LoadPolicies,
+    /// The longest time that a worker takes to stop a run, in milliseconds.
+    pub stop_timeout_ms: Millis,
+    /// The time that a run takes to resume from a checkpoint, in milliseconds.
+    pub restore_ms: Millis,
+}
+
+impl Default for LoadSettings {
+    /// The scheduler's own defaults, with all policies off.
+    fn default() -> Self {
+        let limits = SchedulerLimits::default();
+        Self {
+            policies: limits.policies,
+            stop_timeout_ms: limits.stop_timeout_ms,
+            restore_ms: limits.restore_ms,
+        }
+    }
 }
 
 fn hosts(strong: usize, weak: usize) -> Vec<HostModel> {
@@ -165,6 +199,7 @@
                     failing: 20,
                     cancelled_percent: 0,
                     payload_bytes: 500,
+                    variation: JobVariation::default(),
                 },
                 JobClass {
                     queue: "settlement",
@@ -180,6 +215,7 @@
                     failing: 20,
                     cancelled_percent: 5,
                     payload_bytes: 150,
+                    variation: JobVariation::default(),
                 },
                 JobClass {
                     queue: "watch",
@@ -195,9 +231,12 @@
                     failing: 30,
                     cancelled_percent: 0,
                     payload_bytes: 150,
+                    variation: JobVariation::default(),
                 },
             ],
             bounds: RuleBounds::LARGE,
+            load_settings: LoadSettings::default(),
+            run_timing: RunTiming::default(),
         }
     }
 
@@ -257,6 +296,35 @@
         small
     }
 
+    /// The deployment with this name; `None` for an unknown name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Some(match name {
+            "auction" => Self::auction(),
+            "code-search" => Self::code_search(),
+            "small" => Self::small(),
+            "camp" => Self::camp(),
+            "match" => Self::match_site(),
+            _ => return None,
+        })
+    }
+
+    /// The limits of the hosts' schedulers.
+    pub fn scheduler_limits(&self) -> SchedulerLimits {
+        SchedulerLimits {
+            max_lease_ms: self.max_lease_ms,
+            stop_timeout_ms: self.load_settings.stop_timeout_ms,
+            restore_ms: self.load_settings.restore_ms,
+            policies: self.load_settings.policies,
+            ..SchedulerLimits::default()
+        }
+    }
+
+    /// The same deployment with these decisions under load switched on.
+    pub fn with_policies(mut self, policies: LoadPolicies) -> Self {
+        self.load_settings.policies = policies;
+        self
+    }
+
     /// The same deployment with a change to each host.
     pub fn with_each_host(mut self, change: impl Fn(&mut HostModel)) -> Self {
         self.hosts.iter_mut().for_each(change);
--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -68,7 +68,7 @@
     id: HostId,
     name: String,
     strength: HostStrength,
-    max_lease_ms: Millis,
+    limits: SchedulerLimits,
     pub(super) lease: ShardLease,
     /// The drawn place in the order in which hosts claim; lower ranks claim earlier.
     rank: u32,
@@ -89,13 +89,13 @@
         name: &str,
         incarnation: u32,
         model: &HostModel,
-        max_lease_ms: Millis,
+        limits: SchedulerLimits,
         random: &mut ChaCha8Rng,
     ) -> Self {
         let id = HostId::from(format!("{name}.{incarnation:016x}"));
         let times = LeaseTimes {
             stagger_ms: CLAIM_STAGGER_MS,
-            ..LeaseTimes::derive(SHARD_LEASE_MS, max_lease_ms, Millis::MAX / 4)
+            ..LeaseTimes::derive(SHARD_LEASE_MS, limits.max_lease_ms, Millis::MAX / 4)
         };
         let strength = HostStrength::of(model);
         Self {
@@ -103,7 +103,7 @@
             id,
             name: name.to_owned(),
             strength,
-            max_lease_ms,
+            limits,
             rank: strength.draw_rank(random),
             claimed_at: 0,
             owned: None,
@@ -387,9 +387,8 @@
         self.control.lease.note_recovered();
         let epoch = self.control.lease.row().map_or(0, |row| row.row.epoch);
         let limits = SchedulerLimits {
-            max_lease_ms: self.control.max_lease_ms,
             keep_finished_ms: KEEP_FINISHED_MS,
-            ..SchedulerLimits::default()
+            ..self.control.limits
         };
         let took_ms = at / MS - self.control.claimed_at;
         self.actions.push((at, HostAction::Owned(epoch, took_ms)));
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -16,7 +16,7 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sandshelf_jobs::{JobEvent, OrderAnswer, WorkerCall};
+use sandshelf_jobs::{JobEvent, OrderAnswer, SchedulerLimits, WorkerCall};
 use sandshelf_model::Millis;
 
 pub use calls::{CallBody, CallPeer, WorkerOrder};
@@ -86,11 +86,11 @@
 
 impl EmulatedHost {
     /// Creates a host whose process does not run yet.
-    pub fn new(index: usize, seed: u64, model: HostModel, max_lease_ms: Millis) -> Self {
+    pub fn new(index: usize, seed: u64, model: HostModel, limits: SchedulerLimits) -> Self {
         let name = format!("host-{index}");
         let mut random = ChaCha8Rng::seed_from_u64(crate::catalog::mix(seed, index as u64 + 1));
         Self {
-            control: OwnerControl::new(&name, 0, &model, max_lease_ms, &mut random),
+            control: OwnerControl::new(&name, 0, &model, limits, &mut random),
             processor: ProcessorModel::new(model.processor_millis),
             uplink: LinkModel::new(model.link_kbit_per_s),
             downlink: LinkModel::new(model.link_kbit_per_s),
@@ -113,7 +113,7 @@
     }
 
     /// Starts its process.
-    pub fn launch(&mut self, now: Micros, max_lease_ms: Millis) {
+    pub fn launch(&mut self, now: Micros, limits: SchedulerLimits) {
         self.incarnation += 1;
         self.up = true;
         self.processor.reset(now);
@@ -125,13 +125,7 @@
         self.store_failures = 0;
         self.hosts_silent_until = 0;
         let random = &mut self.random;
-        self.control = OwnerControl::new(
-            &self.name,
-            self.incarnation,
-            &self.model,
-            max_lease_ms,
-            random,
-        );
+        self.control = OwnerControl::new(&self.name, self.incarnation, &self.model, limits, random);
     }
 
     /// Ends its process without notice to anyone.
--- a/crates/emulator/src/traffic.rs
+++ b/crates/emulator/src/traffic.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use sandshelf_jobs::{JobSpec, QueueRules};
+use sandshelf_jobs::{JobSpec, QueueRules, StepSpec};
 use sandshelf_model::Millis;
 
 use crate::catalog::EmulatedJob;
@@ -41,13 +41,22 @@
         let steps =
             self.steps.floor() as usize + usize::from(random.random_bool(self.steps.fract()));
         let image = random.random_range(0..self.images.max(1));
-        let step = |index| self.step(index, draw_count(self.width, random), image);
+        let copies_allowed = self.variation.draw_copies_allowed(random);
+        let step = |index| {
+            let step = self.step(index, draw_count(self.width, random), image);
+            let step = self.variation.vary(step, self.work_ms, random);
+            StepSpec {
+                copies_allowed,
+                ..step
+            }
+        };
         let steps = (0..steps.max(1)).map(step).collect();
         let spec: JobSpec = self.job(steps, wall_ms);
         EmulatedJob {
             spec: spec.into(),
             work_ms: self.work_ms,
             failing: self.failing,
+            stragglers: self.variation.stragglers,
         }
     }
 }
--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -1,6 +1,7 @@
 //! Emulates a worker of the platform: its handling of orders, its lease and the progress of its runs.
 
 mod run;
+mod timing;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -16,9 +17,8 @@
 use crate::oracle::PlatformOracle;
 use crate::queue::{Micros, MS};
 use run::LiveRun;
+pub use timing::RunTiming;
 
-/// Time from an order to stop a run until the run ends, in milliseconds.
-const STOP_MS: Millis = 300;
 /// Share of a worker's processors that ordinary and filling tasks divide between them, in thousandths: filling tasks get what
 /// ordinary tasks leave of it. Serving tasks don't count.
 const FILL_LIMIT_THOUSANDTHS: u64 = 950;
@@ -256,7 +256,8 @@
                 JobEvent::StartAnswered(id, start.key, answer)
             }
             WorkerCall::Stop(key) => {
-                self.stop(context.now, *key);
+                let stop_ms = context.run_timing.stop_ms(key);
+                self.stop(context.now + stop_ms * MS, *key);
                 JobEvent::StopAnswered(id, *key, OrderAnswer::Done(clock))
             }
             WorkerCall::Pace(key, percent) => {
@@ -321,6 +322,7 @@
             run: call.key.run,
             began: context.now,
             left: facts.work_ms.saturating_sub(saved) * MS,
+            restoring: context.run_timing.restore_us(saved),
             fails_at: facts.fails_after_ms.map(|after| after * MS),
             done: 0,
             pace: 100,
@@ -337,12 +339,13 @@
         OrderAnswer::Done(clock)
     }
 
-    fn stop(&mut self, now: Micros, key: RunKey) {
+    /// Has a run end at `ends_at`, unless an earlier order already ends it.
+    fn stop(&mut self, ends_at: Micros, key: RunKey) {
         let newest = self.newest.entry(key.task).or_default();
         *newest = key.run.max(*newest);
         if let Some(run) = self.runs.get_mut(&key.task) {
             if run.run == key.run {
-                run.stops_at.get_or_insert(now + STOP_MS * MS);
+                run.stops_at.get_or_insert(ends_at);
             }
         }
     }
@@ -411,6 +414,8 @@
     pub now: Micros,
     /// The longest lease that a worker accepts, in milliseconds.
     pub max_lease_ms: Millis,
+    /// How long it takes to stop and to resume runs.
+    pub run_timing: RunTiming,
     /// Time after the announcement of draining from which on a worker must not get new runs, in milliseconds.
     pub drain_ms: Millis,
     /// Whether nothing has disturbed the sender for some time.
--- a/crates/emulator/src/worker/run.rs
+++ b/crates/emulator/src/worker/run.rs
@@ -17,6 +17,8 @@
     pub(super) began: Micros,
     /// Remaining work, in microseconds at full pace.
     pub(super) left: u64,
+    /// Time that it still needs to resume from its checkpoint, in microseconds.
+    pub(super) restoring: Micros,
     /// Work after which this run fails, in microseconds at full pace, counted from its start; `None` if it does not fail.
     pub(super) fails_at: Option<u64>,
     /// Work done since its start, in microseconds at full pace.
@@ -32,7 +34,9 @@
 impl LiveRun {
     /// Does the work of a time span.
     pub(super) fn work(&mut self, passed: Micros) {
-        let worked = passed * self.speed / 1_000;
+        let restored = passed.min(self.restoring);
+        self.restoring -= restored;
+        let worked = (passed - restored) * self.speed / (1_000 * self.facts.slowness);
         self.done += worked;
         self.left = self.left.saturating_sub(worked);
     }
@@ -59,7 +63,8 @@
     pub(super) fn ends_at(&self, now: Micros) -> Option<Micros> {
         let work = self.until_end().filter(|_| self.speed > 0);
         // The additional microsecond rounds the division up.
-        let over = work.map(|left| now + left * 1_000 / self.speed.max(1) + 1);
+        let slowness = 1_000 * self.facts.slowness;
+        let over = work.map(|left| now + self.restoring + left * slowness / self.speed.max(1) + 1);
         over.into_iter().chain(self.stops_at).min()
     }
 
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -207,6 +207,7 @@
         let mut scene = WorkerContext {
             now: self.now,
             max_lease_ms: self.deployment.max_lease_ms,
+            run_timing: self.deployment.run_timing,
             drain_ms: self.deployment.bounds.drain_ms,
             in_touch,
             catalog: &self.catalog,
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -127,9 +127,9 @@
             events,
         } = day;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let limits = deployment.scheduler_limits();
         let hosts = deployment.hosts.iter().enumerate();
-        let hosts = hosts
-            .map(|(index, model)| EmulatedHost::new(index, seed, *model, deployment.max_lease_ms));
+        let hosts = hosts.map(|(index, model)| EmulatedHost::new(index, seed, *model, limits));
         let images = |index: usize| {
             deployment
                 .classes
@@ -313,8 +313,8 @@
 
     fn start_host(&mut self, host: usize) {
         self.monitor.host_back(self.now, host);
-        let max_lease_ms = self.deployment.max_lease_ms;
-        self.hosts[host].launch(self.now, max_lease_ms);
+        let limits = self.deployment.scheduler_limits();
+        self.hosts[host].launch(self.now, limits);
         let incarnation = self.incarnation_of(host);
         let host = &mut self.hosts[host];
         host.awake = true;
