Count what the callers of each emulated class get

The emulator only reported one share of served requests, which counts a job that ends too late like one in time. The report now has for each class the jobs in time, late, never in time, refused, not accepted, failed, cancelled and open, also for the largest tenth by work and the fifth below it, and for standing classes the share of the task time at work and under target. Objectives follow from the true run times. A host's answer now says whether a request was refused or may have taken effect, as in the daemon (503 and 504), so that refused jobs can be told from others.

--- a/crates/emulator/src/catalog.rs
+++ b/crates/emulator/src/catalog.rs
@@ -29,6 +29,15 @@
     pub stragglers: StragglerRule,
 }
 
+/// What a job asks for, by the true run times of its tasks at full pace.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct JobDemand {
+    /// Its work in core-milliseconds.
+    pub work: u64,
+    /// How long it may take: a multiple of its longest chain of tasks, plus a latency, in milliseconds.
+    pub objective_ms: Millis,
+}
+
 /// The properties of a run that a worker needs to emulate it.
 #[derive(Clone, Debug)]
 pub struct TaskFacts {
@@ -128,6 +137,33 @@
         })
     }
 
+    /// What a job asks for; `None` if it was never submitted.
+    pub fn demand(&self, number: JobNumber) -> Option<JobDemand> {
+        let job = self.jobs.get(&number)?;
+        let mut chains: Vec<Millis> = Vec::new();
+        let mut work = 0;
+        for (index, step) in job.spec.steps.iter().enumerate() {
+            let task = |index_in_step| TaskKey {
+                job: number,
+                time: 0,
+                step: index as u32,
+                index: index_in_step,
+            };
+            let times = (0..step.count).map(|place| self.work_ms(job, &task(place)));
+            let times: Vec<Millis> = times.collect();
+            work += times.iter().sum::<Millis>() * step.size.cpu_millis / 1_000;
+            let before = step.after.iter().map(|after| chains[*after]).max();
+            let longest = times.into_iter().max();
+            chains.push(before.unwrap_or(0) + longest.unwrap_or(0));
+        }
+        let chain_ms = chains.into_iter().max().unwrap_or(0);
+        let rules = &job.spec.rules;
+        Some(JobDemand {
+            work,
+            objective_ms: (chain_ms as f64 * rules.stretch) as Millis + rules.target_latency_ms,
+        })
+    }
+
     /// The run time of a task at full pace, in milliseconds.
     fn work_ms(&self, job: &EmulatedJob, task: &TaskKey) -> Millis {
         let percent =
--- a/crates/emulator/src/host/follow.rs
+++ b/crates/emulator/src/host/follow.rs
@@ -7,7 +7,7 @@
 
 use super::takeover::job_events;
 use super::{
-    CallBody, EmulatedHost, HostAction, HostPause, RequestBody, TransferLimit,
+    CallBody, EmulatedHost, HostAction, HostPause, RequestAnswer, RequestBody, TransferLimit,
     REFUSE_AFTER_FAILURES,
 };
 use crate::queue::{Micros, MS};
@@ -58,6 +58,7 @@
         at: Micros,
         store_call: StoreCall,
         reply: Option<StoreReply>,
+        rejected: bool,
     ) {
         match store_call {
             StoreCall::ReadOwner => self.handle_owner_row(at, reply),
@@ -72,8 +73,13 @@
             StoreCall::PutJob(request, ..)
             | StoreCall::PutCancel(request, _)
             | StoreCall::ReadJob(request, _) => {
-                let action = HostAction::Respond(request, reply.is_some());
-                self.actions.push((at, action));
+                let answer = match reply {
+                    Some(_) => RequestAnswer::Served,
+                    None if rejected => RequestAnswer::Refused,
+                    None => RequestAnswer::Unknown,
+                };
+                self.actions
+                    .push((at, HostAction::Respond(request, answer)));
             }
         }
     }
@@ -199,7 +205,8 @@
         };
         let known = self.config.in_force().is_some();
         if !known || self.store_failures >= REFUSE_AFTER_FAILURES {
-            self.actions.push((at, HostAction::Respond(request, false)));
+            let refused = HostAction::Respond(request, RequestAnswer::Refused);
+            self.actions.push((at, refused));
             return;
         }
         self.call_store(at, store_call, REQUEST_TIMEOUT_MS);
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -26,7 +26,8 @@
 use follow::ConfigFollower;
 pub use model::{HostFault, HostModel, HostStrength, TransferLimit};
 pub use work::{
-    answer_event, CallAnswer, HostAction, HostPause, RenewalNotice, RequestBody, WorkItem,
+    answer_event, CallAnswer, HostAction, HostPause, RenewalNotice, RequestAnswer, RequestBody,
+    WorkItem,
 };
 
 use crate::capacity::{LinkModel, ProcessorModel};
@@ -352,6 +353,7 @@
                 events.push((order.epoch, event));
             }
             CallBody::Store(store_call) => {
+                let rejected = matches!(answer, Some(CallAnswer::Store(StoreReply::Rejected)));
                 let reply = match answer {
                     Some(CallAnswer::Store(StoreReply::Rejected)) | None => None,
                     Some(CallAnswer::Store(reply)) => Some(reply),
@@ -362,7 +364,7 @@
                 } else {
                     self.store_failures + 1
                 };
-                self.handle_reply(at, store_call, reply);
+                self.handle_reply(at, store_call, reply, rejected);
             }
         }
     }
--- a/crates/emulator/src/host/work.rs
+++ b/crates/emulator/src/host/work.rs
@@ -81,6 +81,17 @@
     Show(usize, JobNumber),
 }
 
+/// A host's answer to a caller's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestAnswer {
+    /// The request was served.
+    Served,
+    /// The request certainly has no effect (429 or 503); the caller may retry.
+    Refused,
+    /// The store did not answer (504), so that the request may have taken effect.
+    Unknown,
+}
+
 /// An action of a host towards others.
 #[derive(Debug)]
 pub enum HostAction {
@@ -96,8 +107,8 @@
     Tell(RenewalNotice),
     /// Ticks again at a time.
     Tick(Micros),
-    /// Answers a request, given by its number; `true` if the request was served.
-    Respond(usize, bool),
+    /// Answers a request, given by its number.
+    Respond(usize, RequestAnswer),
     /// Has become the owner in an epoch; the second field is the time since its claim, in milliseconds.
     Owned(u64, Millis),
     /// The scheduler emitted a note.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod interference;
 pub mod meter;
 pub mod oracle;
+pub mod outcomes;
 pub mod queue;
 pub mod report;
 pub mod sizes;
--- a/crates/emulator/src/oracle/mod.rs
+++ b/crates/emulator/src/oracle/mod.rs
@@ -280,9 +280,14 @@
         self.jobs.contains_key(&number)
     }
 
+    /// A job's standing tasks, each with the capacity that it takes; none once it was cancelled.
+    pub fn standing_tasks_of(&self, number: JobNumber) -> &[(TaskKey, ResourceSize)] {
+        self.standing.get(&number).map_or(&[][..], Vec::as_slice)
+    }
+
     /// How many of a job's standing tasks are running, and how many there are.
     pub fn standing_running(&self, number: JobNumber) -> (usize, usize) {
-        let tasks = self.standing.get(&number).map_or(&[][..], Vec::as_slice);
+        let tasks = self.standing_tasks_of(number);
         let runs_now = |task| self.running.get(task).is_some_and(|runs| !runs.is_empty());
         let running = tasks.iter().filter(|(task, _)| runs_now(task));
         (running.count(), tasks.len())
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -9,6 +9,7 @@
 use crate::host::{CallAnswer, CallBody};
 use crate::meter::MeasuredStep;
 use crate::oracle::BrokenRule;
+use crate::outcomes::ClassOutcomes;
 use crate::queue::Micros;
 
 /// The stats of an owner in one second.
@@ -110,6 +111,8 @@
     pub hosts: Vec<(Micros, u64, u64)>,
     /// The share of requests that were served, in percent.
     pub served_percent: usize,
+    /// What the callers of each class got.
+    pub classes: Vec<ClassOutcomes>,
     /// The longest counted time that a standing task did not run, in milliseconds.
     pub longest_away_ms: Millis,
     /// The longest counted time that a job was idle, in milliseconds.
@@ -212,6 +215,9 @@
         for outage in &self.outages {
             writeln!(formatter, "{outage:?}")?;
         }
+        for class in &self.classes {
+            writeln!(formatter, "{class}")?;
+        }
         write!(formatter, "broken: {:?}", self.broken_by_rule())
     }
 }
--- /dev/null
+++ b/crates/emulator/src/worker/listing.rs
@@ -0,0 +1,68 @@
+//! What a worker lists of its runs, and the tail latencies of its serving tasks.
+
+use sandshelf_jobs::{JobEvent, RenewalAnswer, RenewalReport, RunKey, RunReport, TaskKey};
+
+use super::EmulatedWorker;
+use crate::interference::InterferenceModel;
+use crate::queue::{Micros, MS};
+
+impl EmulatedWorker {
+    /// The images of the filling runs, each with the share of all processors that it uses.
+    fn filling(&self) -> Vec<(usize, f64)> {
+        let whole = self.capacity.cpu_millis as f64 * 1_000.0;
+        let runs = self.runs.values();
+        let used = runs.filter_map(|run| {
+            let used = (run.facts.cpu_millis * run.speed) as f64 / whole;
+            Some((run.facts.fills?, used))
+        });
+        used.collect()
+    }
+
+    /// The serving tasks that are at work here, each with whether its tail latency is at most its target.
+    pub fn serving_tasks(
+        &self,
+        now: Micros,
+        interference: &InterferenceModel,
+    ) -> Vec<(TaskKey, bool)> {
+        let filling = self.filling();
+        let runs = self.runs.iter().filter(|(_, run)| run.is_at_work(now));
+        let tasks = runs.filter_map(|(task, run)| {
+            let serving = run.facts.serving.as_ref()?;
+            let tail = interference.tail_ms(serving, now / MS, &filling);
+            Some((*task, tail <= serving.target_ms as f64))
+        });
+        tasks.collect()
+    }
+
+    /// Reports the current runs and the ended runs that are not yet acknowledged.
+    pub fn report(&self, now: Micros, interference: &InterferenceModel) -> JobEvent {
+        let filling = self.filling();
+        let running = self.runs.iter().map(|(task, run)| {
+            let serving = run.facts.serving.as_ref();
+            let tail = serving.map(|task| interference.tail_ms(task, now / MS, &filling) as u64);
+            let used = run.facts.cpu_millis * run.speed / 1_000;
+            let total = (run.facts.work_ms * MS).max(1);
+            let percent = match run.facts.standing {
+                true => u64::from(run.is_at_work(now)) * 100,
+                false => (total.saturating_sub(run.left)) * 99 / total,
+            };
+            RunReport {
+                key: RunKey {
+                    task: *task,
+                    run: run.run,
+                },
+                checkpoint: run.checkpoint(),
+                percent: percent as u32,
+                gauge: Some(tail.unwrap_or(used)),
+            }
+        });
+        let report = RenewalReport {
+            incarnation: Some(self.incarnation_clock.incarnation),
+            carrier_late_ms: 0,
+            clock: self.clock(now),
+            running: running.collect(),
+            ended: self.ended.iter().map(|(_, end)| end.clone()).collect(),
+        };
+        JobEvent::RenewalAnswered(self.id.clone(), RenewalAnswer::Report(report))
+    }
+}
--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -1,5 +1,6 @@
 //! Emulates a worker of the platform: its handling of orders, its lease and the progress of its runs.
 
+mod listing;
 mod run;
 mod timing;
 
@@ -7,12 +8,12 @@
 use std::net::SocketAddr;
 
 use sandshelf_jobs::{
-    EndReport, JobEvent, OrderAnswer, RefusalReason, RenewalAnswer, RenewalCall, RenewalReport,
-    RunKey, RunOutcome, RunReport, StartCall, TaskKey, WorkerCall, WorkerIncarnation,
+    EndReport, JobEvent, OrderAnswer, RefusalReason, RenewalAnswer, RenewalCall, RunKey,
+    RunOutcome, StartCall, TaskKey, WorkerCall, WorkerIncarnation,
 };
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
-use crate::catalog::{JobCatalog, STANDING_START_MS};
+use crate::catalog::JobCatalog;
 use crate::interference::InterferenceModel;
 use crate::oracle::PlatformOracle;
 use crate::queue::{Micros, MS};
@@ -219,17 +220,6 @@
         }
     }
 
-    /// The images of the filling runs, each with the share of all processors that it uses.
-    fn filling(&self) -> Vec<(usize, f64)> {
-        let whole = self.capacity.cpu_millis as f64 * 1_000.0;
-        let runs = self.runs.values();
-        let used = runs.filter_map(|run| {
-            let used = (run.facts.cpu_millis * run.speed) as f64 / whole;
-            Some((run.facts.fills?, used))
-        });
-        used.collect()
-    }
-
     /// Carries out or refuses an order; returns the answer as the sender's scheduler event.
     pub fn handle_order(
         &mut self,
@@ -373,39 +363,6 @@
         }
         self.ended.retain(|(_, end)| end.number > renewal.last_seen);
     }
-
-    /// Reports the current runs and the ended runs that are not yet acknowledged.
-    pub fn report(&self, now: Micros, interference: &InterferenceModel) -> JobEvent {
-        let filling = self.filling();
-        let running = self.runs.iter().map(|(task, run)| {
-            let serving = run.facts.serving.as_ref();
-            let tail = serving.map(|task| interference.tail_ms(task, now / MS, &filling) as u64);
-            let used = run.facts.cpu_millis * run.speed / 1_000;
-            let total = (run.facts.work_ms * MS).max(1);
-            let running = now >= run.began + STANDING_START_MS * MS;
-            let percent = match run.facts.standing {
-                true => u64::from(running) * 100,
-                false => (total.saturating_sub(run.left)) * 99 / total,
-            };
-            RunReport {
-                key: RunKey {
-                    task: *task,
-                    run: run.run,
-                },
-                checkpoint: run.checkpoint(),
-                percent: percent as u32,
-                gauge: Some(tail.unwrap_or(used)),
-            }
-        });
-        let report = RenewalReport {
-            incarnation: Some(self.incarnation_clock.incarnation),
-            carrier_late_ms: 0,
-            clock: self.clock(now),
-            running: running.collect(),
-            ended: self.ended.iter().map(|(_, end)| end.clone()).collect(),
-        };
-        JobEvent::RenewalAnswered(self.id.clone(), RenewalAnswer::Report(report))
-    }
 }
 
 /// The surroundings of a worker while it handles an order.
--- a/crates/emulator/src/worker/run.rs
+++ b/crates/emulator/src/worker/run.rs
@@ -3,7 +3,7 @@
 use sandshelf_jobs::RunOutcome;
 use sandshelf_model::Millis;
 
-use crate::catalog::TaskFacts;
+use crate::catalog::{TaskFacts, STANDING_START_MS};
 use crate::queue::{Micros, MS};
 
 /// Work between two checkpoints, in milliseconds at full pace.
@@ -41,6 +41,11 @@
         self.left = self.left.saturating_sub(worked);
     }
 
+    /// Whether it has started up, where it is a standing task.
+    pub(super) fn is_at_work(&self, now: Micros) -> bool {
+        now >= self.began + STANDING_START_MS * MS
+    }
+
     /// Remaining work until it is done or fails; `None` for a standing task that does not fail.
     pub(super) fn until_end(&self) -> Option<u64> {
         let fails = self.fails_at.map(|at| at.saturating_sub(self.done));
--- a/crates/emulator/src/world/callers.rs
+++ b/crates/emulator/src/world/callers.rs
@@ -1,5 +1,7 @@
 //! Callers: they submit jobs, cancel some, and ask for their state.
 
+use std::collections::HashMap;
+
 use rand::RngExt;
 use sandshelf_jobs::{JobNumber, JobStage};
 use sandshelf_model::Millis;
@@ -7,7 +9,8 @@
 use super::{EmulatedWorld, WorldEvent};
 use crate::catalog::mix;
 use crate::deployment::TaskKind;
-use crate::host::{RequestBody, WorkItem};
+use crate::host::{RequestAnswer, RequestBody, WorkItem};
+use crate::outcomes::SubmissionEnd;
 use crate::queue::{Micros, MS};
 use crate::sizes;
 use crate::store::{StoreCall, StoreReply};
@@ -37,17 +40,26 @@
     sent: Micros,
     tries: u32,
     answered: bool,
+    /// How many of the tries were refused.
+    refusals: u32,
 }
 
 /// A job that a caller has submitted.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SubmittedJob {
     pub(super) number: JobNumber,
-    class: usize,
+    pub(super) class: usize,
+    /// When its caller first tried to submit it.
+    pub(super) submitted: Micros,
     /// Its index among the requests that the host oracle expects to be served.
     request: usize,
-    accepted: bool,
-    cancelled: bool,
+    /// The number of its submission among the callers' requests.
+    submission: usize,
+    pub(super) accepted: bool,
+    /// When it was first shown as completed.
+    pub(super) completed_at: Option<Micros>,
+    /// When its cancellation was acknowledged.
+    pub(super) cancelled_at: Option<Micros>,
 }
 
 /// The requests and jobs of all callers.
@@ -55,6 +67,20 @@
 pub(super) struct CallerState {
     requests: Vec<CallerRequest>,
     pub(super) jobs: Vec<SubmittedJob>,
+    /// The index of each job by its number.
+    indices: HashMap<JobNumber, usize>,
+}
+
+impl CallerState {
+    fn add_job(&mut self, job: SubmittedJob) {
+        self.indices.insert(job.number, self.jobs.len());
+        self.jobs.push(job);
+    }
+
+    fn job_mut(&mut self, number: JobNumber) -> Option<&mut SubmittedJob> {
+        let index = self.indices.get(&number)?;
+        self.jobs.get_mut(*index)
+    }
 }
 
 impl EmulatedWorld {
@@ -82,15 +108,18 @@
         let number = JobNumber(mix(0x7061, self.callers.jobs.len() as u64));
         let spec = job.spec.clone();
         self.catalog.add(number, job);
+        let request = self.callers.requests.len();
         let submitted = SubmittedJob {
             number,
             class,
+            submitted: self.now,
             request: self.host_oracle.requested(self.now / MS),
+            submission: request,
             accepted: false,
-            cancelled: false,
+            completed_at: None,
+            cancelled_at: None,
         };
-        self.callers.jobs.push(submitted);
-        let request = self.callers.requests.len();
+        self.callers.add_job(submitted);
         self.begin_request(RequestBody::Submit(request, number, spec), self.now);
     }
 
@@ -100,6 +129,7 @@
             sent: at,
             tries: 0,
             answered: false,
+            refusals: 0,
         });
         self.queue.push(at, WorldEvent::SendRequest(body, 1));
     }
@@ -138,13 +168,14 @@
             .push(self.now, WorldEvent::SendRequest(body, tries));
     }
 
-    /// Handles a host's answer to a request; `served` is false where the host refused it.
-    pub(super) fn handle_response(&mut self, request: usize, served: bool) {
+    /// Handles a host's answer to a request.
+    pub(super) fn handle_response(&mut self, request: usize, answer: RequestAnswer) {
         let known = &mut self.callers.requests[request];
         if known.answered {
             return;
         }
-        if !served {
+        known.refusals += u32::from(answer == RequestAnswer::Refused);
+        if answer != RequestAnswer::Served {
             self.queue
                 .push(self.now + RETRY_PAUSE_US, WorldEvent::RetryRequest(request));
             return;
@@ -157,13 +188,7 @@
 
     /// Schedules the state queries of an accepted job, and its cancellation where there is to be one.
     fn handle_accepted(&mut self, number: JobNumber) {
-        let Some(job) = self
-            .callers
-            .jobs
-            .iter_mut()
-            .rev()
-            .find(|job| job.number == number)
-        else {
+        let Some(job) = self.callers.job_mut(number) else {
             return;
         };
         job.accepted = true;
@@ -196,14 +221,17 @@
             }
             (StoreCall::PutCancel(_, number), _) => {
                 self.oracle.cancelled(now, *number);
-                let jobs = self.callers.jobs.iter_mut();
-                for job in jobs.filter(|job| job.number == *number) {
-                    job.cancelled = true;
+                if let Some(job) = self.callers.job_mut(*number) {
+                    job.cancelled_at.get_or_insert(self.now);
                 }
             }
             (StoreCall::Write(write), StoreReply::Written(_)) => {
                 for (number, row) in &write.batch.progress {
                     self.oracle.shown(now, *number, row.stage);
+                    let job = self.callers.job_mut(*number);
+                    if let (JobStage::Completed, Some(job)) = (row.stage, job) {
+                        job.completed_at.get_or_insert(self.now);
+                    }
                 }
             }
             _ => {}
@@ -218,7 +246,7 @@
                 self.deployment.classes[job.class].kind,
                 TaskKind::Serving(_)
             );
-            if !serves || !job.accepted || job.cancelled {
+            if !serves || !job.accepted || job.cancelled_at.is_some() {
                 continue;
             }
             let request = self.host_oracle.requested(self.now / MS);
@@ -229,6 +257,18 @@
         }
     }
 
+    /// How the submission of a job ended.
+    pub(super) fn submission_end(&self, job: &SubmittedJob) -> SubmissionEnd {
+        let request = &self.callers.requests[job.submission];
+        if job.accepted {
+            SubmissionEnd::Accepted
+        } else if request.tries > 0 && request.refusals == request.tries {
+            SubmissionEnd::Refused
+        } else {
+            SubmissionEnd::NotAccepted
+        }
+    }
+
     /// Counts, at the end, the submissions of jobs that were completed, failed or cancelled, or that serve, as served.
     pub(super) fn count_served(&mut self) {
         for job in &self.callers.jobs {
@@ -241,7 +281,7 @@
                 TaskKind::Serving(_)
             );
             let begun = stage.is_some_and(|stage| stage != JobStage::Queued);
-            if completed || failed || job.cancelled || serves && begun {
+            if completed || failed || job.cancelled_at.is_some() || serves && begun {
                 self.host_oracle.served(job.request);
             }
         }
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -1,13 +1,18 @@
 //! The workers of the platform: which worker is at which place, the store's list of them, and waiting lease renewals.
 
+use std::collections::HashMap;
+
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use sandshelf_jobs::{JobEvent, RenewalAnswer, WorkerCall, WorkerIncarnation, WorkerListing};
+use sandshelf_jobs::{
+    JobEvent, RenewalAnswer, TaskKey, WorkerCall, WorkerIncarnation, WorkerListing,
+};
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
 use super::{EmulatedWorld, HostIncarnation, WorldEvent};
 use crate::deployment::Deployment;
 use crate::host::WorkerOrder;
+use crate::interference::InterferenceModel;
 use crate::oracle::UsableCapacity;
 use crate::queue::{Micros, MS};
 use crate::worker::{address_of, EmulatedWorker, IncarnationClock, WorkerContext};
@@ -169,6 +174,17 @@
         }
     }
 
+    /// The serving tasks that are at work, each with whether its tail latency is at most its target.
+    pub(super) fn serving_tasks(
+        &self,
+        now: Micros,
+        interference: &InterferenceModel,
+    ) -> HashMap<TaskKey, bool> {
+        let workers = self.places.iter().filter_map(|place| place.worker.as_ref());
+        let tasks = workers.flat_map(|worker| worker.serving_tasks(now, interference));
+        tasks.collect()
+    }
+
     /// Drops the waiting renewals of a host whose connections are lost, since their answers would not arrive.
     pub(super) fn drop_renewals(&mut self, from: HostIncarnation) {
         for place in &mut self.places {
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -5,6 +5,7 @@
 mod day_events;
 mod fleet;
 mod monitor;
+mod outcomes;
 mod transport;
 
 use rand::{RngExt, SeedableRng};
@@ -296,7 +297,7 @@
                 self.queue.push(at, tick);
             }
             HostAction::Tell(notice) => self.tell_hosts(incarnation, || WorkItem::Notice(notice)),
-            HostAction::Respond(request, served) => self.handle_response(request, served),
+            HostAction::Respond(request, answer) => self.handle_response(request, answer),
             HostAction::Owned(epoch, took_ms) => {
                 self.monitor
                     .record_takeover(self.now, incarnation.host, epoch, took_ms);
--- a/crates/emulator/src/world/monitor.rs
+++ b/crates/emulator/src/world/monitor.rs
@@ -3,9 +3,11 @@
 use sandshelf_jobs::{JobNote, OrderAnswer, RefusalReason};
 use sandshelf_model::Millis;
 
+use super::outcomes::STANDING_SAMPLE_INTERVAL_MS;
 use super::{EmulatedWorld, CHECK_INTERVAL_MS, WARM_UP_MS};
 use crate::deployment::Deployment;
 use crate::oracle::HostObservation;
+use crate::outcomes::StandingTime;
 use crate::queue::{Micros, MS};
 use crate::report::{HostOutage, OwnerSecond, OwnerTakeover, SimulationReport};
 
@@ -30,6 +32,8 @@
     /// Since when all hosts have been lost; `None` again once all of them are back.
     all_lost: Option<Micros>,
     pub(super) report: SimulationReport,
+    /// The time of the standing tasks during the traffic, by class.
+    pub(super) standing_times: Vec<StandingTime>,
     last_used: Vec<Micros>,
     last_carried: Vec<u64>,
 }
@@ -46,6 +50,7 @@
                 contact_ms: deployment.bounds.contact_ms,
                 ..SimulationReport::default()
             },
+            standing_times: Vec::new(),
             last_used: vec![0; count],
             last_carried: vec![0; count],
         }
@@ -166,12 +171,13 @@
         if now.is_multiple_of(OWNER_STATS_INTERVAL_MS) {
             self.record_owner_stats();
         }
-        if now.is_multiple_of(SERVING_COUNT_INTERVAL_MS)
-            && now >= WARM_UP_MS
-            && self.now < self.traffic_until
-        {
+        let in_traffic = now >= WARM_UP_MS && self.now < self.traffic_until;
+        if in_traffic && now.is_multiple_of(SERVING_COUNT_INTERVAL_MS) {
             self.count_serving();
         }
+        if in_traffic && now.is_multiple_of(STANDING_SAMPLE_INTERVAL_MS) {
+            self.sample_standing();
+        }
     }
 
     /// Whether no hall has been cut off for `contact_ms`, as rules with a time limit require.
@@ -267,6 +273,7 @@
         report.longest_stop_ms = self.oracle.longest_stop;
         report.starts = self.oracle.starts;
         report.broken = self.oracle.broken.clone();
+        report.classes = self.class_outcomes();
         report.scheduler_steps = self
             .hosts
             .iter()
--- /dev/null
+++ b/crates/emulator/src/world/outcomes.rs
@@ -0,0 +1,107 @@
+//! Collects what callers get, for the report.
+
+use sandshelf_jobs::JobStage;
+use sandshelf_model::Millis;
+
+use super::callers::SubmittedJob;
+use super::{EmulatedWorld, WARM_UP_MS};
+use crate::deployment::TaskKind;
+use crate::outcomes::{
+    ClassOutcomes, JobEnd, JobRecord, OutcomeKind, SizedOutcomes, StandingOutcomes, StandingTime,
+    SubmissionEnd,
+};
+use crate::queue::MS;
+
+/// How often the serving tasks are looked at, in milliseconds.
+pub(super) const STANDING_SAMPLE_INTERVAL_MS: Millis = 500;
+
+impl EmulatedWorld {
+    /// Adds the time since the last sample to that of the standing tasks of accepted jobs, by class.
+    pub(super) fn sample_standing(&mut self) {
+        let serving = self.fleet.serving_tasks(self.now, &self.interference);
+        let times = &mut self.monitor.standing_times;
+        times.resize(self.deployment.classes.len(), StandingTime::default());
+        for job in &self.callers.jobs {
+            let class = &self.deployment.classes[job.class];
+            let serves = matches!(class.kind, TaskKind::Serving(_));
+            if !serves || !job.accepted || job.cancelled_at.is_some() {
+                continue;
+            }
+            let time = &mut times[job.class];
+            for (task, _) in self.oracle.standing_tasks_of(job.number) {
+                time.total_ms += STANDING_SAMPLE_INTERVAL_MS;
+                let Some(on_target) = serving.get(task) else {
+                    continue;
+                };
+                time.at_work_ms += STANDING_SAMPLE_INTERVAL_MS;
+                time.on_target_ms += STANDING_SAMPLE_INTERVAL_MS * u64::from(*on_target);
+            }
+        }
+    }
+
+    /// What the callers of each class got.
+    pub(super) fn class_outcomes(&self) -> Vec<ClassOutcomes> {
+        let classes = self.deployment.classes.iter().enumerate();
+        let outcomes = classes.map(|(index, class)| {
+            let jobs = self.callers.jobs.iter();
+            let jobs = jobs.filter(|job| job.class == index && job.submitted >= WARM_UP_MS * MS);
+            let kind = match class.kind {
+                TaskKind::Serving(_) => OutcomeKind::Standing(self.standing_outcomes(index, jobs)),
+                TaskKind::Ordinary | TaskKind::Filling => {
+                    let records = jobs.map(|job| self.job_record(job)).collect();
+                    OutcomeKind::Ending(SizedOutcomes::count(records, self.now / MS))
+                }
+            };
+            ClassOutcomes {
+                queue: class.queue,
+                kind,
+            }
+        });
+        outcomes.collect()
+    }
+
+    fn standing_outcomes<'a>(
+        &self,
+        class: usize,
+        jobs: impl Iterator<Item = &'a SubmittedJob>,
+    ) -> StandingOutcomes {
+        let times = &self.monitor.standing_times;
+        let mut outcomes = StandingOutcomes {
+            time: times.get(class).copied().unwrap_or_default(),
+            ..StandingOutcomes::default()
+        };
+        for job in jobs {
+            *match self.submission_end(job) {
+                SubmissionEnd::Accepted => &mut outcomes.accepted,
+                SubmissionEnd::Refused => &mut outcomes.refused,
+                SubmissionEnd::NotAccepted => &mut outcomes.not_accepted,
+            } += 1;
+        }
+        outcomes
+    }
+
+    fn job_record(&self, job: &SubmittedJob) -> JobRecord {
+        let demand = self.catalog.demand(job.number).unwrap_or_default();
+        JobRecord {
+            submitted_ms: job.submitted / MS,
+            objective_ms: demand.objective_ms,
+            work: demand.work,
+            submission: self.submission_end(job),
+            end: self.job_end(job),
+        }
+    }
+
+    fn job_end(&self, job: &SubmittedJob) -> JobEnd {
+        if let Some(at) = job.completed_at {
+            return JobEnd::Completed(at / MS);
+        }
+        if job.cancelled_at.is_some() {
+            return JobEnd::Cancelled;
+        }
+        let progress = self.store.progress.get(&job.number);
+        match progress.map(|(row, _)| row.stage) {
+            Some(JobStage::Failed) => JobEnd::Failed,
+            _ => JobEnd::None,
+        }
+    }
+}
