--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -3,6 +3,7 @@
 use sandshelf_model::Millis;
 
 use crate::deployment::Deployment;
+use crate::worker::RunProgress;
 
 /// Which hosts an event affects. Only running hosts are selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,6 +86,15 @@
     WorkersRestart(usize, Millis),
     /// This number of workers drain: they announce that they leave, keep running tasks for a while, and are gone.
     ScaleIn(usize),
+    /// This percentage of the workers is lost permanently.
+    WorkersLost(usize),
+    /// This percentage of the workers drains, and leaves permanently after this time.
+    WorkersReclaimed(usize, Millis),
+    /// Runs on this number of a thousand workers progress like this for this time. All such events of a day affect the same
+    /// workers, which the first one chooses.
+    RunsHindered(usize, RunProgress, Millis),
+    /// The store refuses all calls of these hosts for this time.
+    StoreRefuses(HostChoice, Millis),
     /// This number of workers carry out orders without an answer for this time.
     WorkersHang(usize, Millis),
 }
--- a/crates/emulator/src/days.rs
+++ b/crates/emulator/src/days.rs
@@ -2,12 +2,17 @@
 
 use crate::day::{CutDirection, DayEvent, DayPlan, HallChoice, HostChoice};
 use crate::deployment::{Deployment, WEAK_HOST};
+use crate::worker::RunProgress;
 
-/// The index of the class of filling jobs, which has the bursts of traffic.
+/// The index of the class of short jobs.
+const SHORT_CLASS: usize = 0;
+/// The index of the class of filling jobs, which has most of the bursts of traffic.
 const FILLING_CLASS: usize = 1;
+/// The index of the class of standing jobs.
+const STANDING_CLASS: usize = 2;
 
 /// The names of the days, each with a description.
-pub const DAYS: [(&str, &str); 16] = [
+pub const DAYS: [(&str, &str); 22] = [
     ("calm", "nothing goes wrong"),
     ("burst", "a burst of filling jobs with a strong owner; many orders are late"),
     ("long-burst", "2.6 times the usual rate of filling jobs for 12 s"),
@@ -42,6 +47,30 @@
         "cuts",
         "the owner's hall is cut off outward, inward and outward again, and hall 1 in both directions",
     ),
+    (
+        "overload",
+        "twice the usual rate of filling jobs from second 8 to the end",
+    ),
+    (
+        "quarter-lost",
+        "a quarter of the workers is lost permanently, with a burst of short jobs",
+    ),
+    (
+        "double",
+        "2.2 times all traffic for 10 s, while the owner is killed",
+    ),
+    (
+        "stuck",
+        "runs on an eighth of the workers make no progress for 5 s, with a burst of short jobs, and are five times slower later",
+    ),
+    (
+        "reclaimed",
+        "a fifth of the workers drains and leaves 2 s later, with a burst of short jobs",
+    ),
+    (
+        "store-refuses",
+        "the store refuses the calls of a third of the hosts for 9 s, with a burst of short jobs",
+    ),
 ];
 
 /// The day with this name on a deployment; `None` for an unknown name.
@@ -131,6 +160,34 @@
                 22_000,
                 DayEvent::CutHall(HallChoice::Number(1), CutDirection::Both, 4_000),
             ),
+        _ => return contended_day(name, calm),
+    })
+}
+
+/// The days on which callers compete for too little capacity.
+fn contended_day(name: &str, calm: DayPlan) -> Option<DayPlan> {
+    let length = calm.length_ms;
+    let short_burst = |day: DayPlan, at| day.with(at, DayEvent::Burst(SHORT_CLASS, 200, 6_000));
+    Some(match name {
+        "overload" => calm.with(8_000, DayEvent::Burst(FILLING_CLASS, 200, length - 8_000)),
+        "quarter-lost" => short_burst(calm, 6_000).with(6_000, DayEvent::WorkersLost(25)),
+        "double" => [SHORT_CLASS, FILLING_CLASS, STANDING_CLASS]
+            .into_iter()
+            .fold(calm, |day, class| {
+                day.with(8_000, DayEvent::Burst(class, 220, 10_000))
+            })
+            .with(10_000, DayEvent::Kill(HostChoice::Owner, 3_000)),
+        "stuck" => short_burst(calm, 8_000)
+            .with(8_000, DayEvent::RunsHindered(125, RunProgress::None, 5_000))
+            .with(
+                16_000,
+                DayEvent::RunsHindered(125, RunProgress::Slower(5), 5_000),
+            ),
+        "reclaimed" => short_burst(calm, 8_000).with(8_000, DayEvent::WorkersReclaimed(20, 2_000)),
+        "store-refuses" => short_burst(calm, 8_000).with(
+            8_000,
+            DayEvent::StoreRefuses(HostChoice::Percent(33), 9_000),
+        ),
         _ => return None,
     })
 }
--- a/crates/emulator/src/store/mod.rs
+++ b/crates/emulator/src/store/mod.rs
@@ -102,6 +102,8 @@
     pub silent_until: Micros,
     /// The time until which it is slow, and the factor by which its answers then take longer.
     pub slow: (Micros, u64),
+    /// The hosts whose calls it refuses, each with the time at which that ends.
+    refused_hosts: BTreeMap<usize, Micros>,
 }
 
 impl Default for EmulatedStore {
@@ -120,6 +122,7 @@
             parts_free: vec![0; OWNER_PART + 1],
             silent_until: 0,
             slow: (0, 1),
+            refused_hosts: BTreeMap::new(),
         }
     }
 }
@@ -167,6 +170,26 @@
         Some(*free)
     }
 
+    /// Refuses all calls of a host until a time.
+    pub fn refuse_host(&mut self, host: usize, until: Micros) {
+        self.refused_hosts.insert(host, until);
+    }
+
+    /// Whether it refuses the calls of a host.
+    pub fn refuses(&self, now: Micros, host: usize) -> bool {
+        let until = self.refused_hosts.get(&host);
+        until.is_some_and(|until| now < *until)
+    }
+
+    /// The answer to a call that is refused at once.
+    pub fn refusal(&self, now: Micros) -> StoreAnswer {
+        StoreAnswer {
+            reply: StoreReply::Rejected,
+            bytes: sizes::plain_answer(),
+            at: now + ANSWER_MS * MS * self.slowness(now),
+        }
+    }
+
     /// Whether a feed has changes to report; `true` for all other calls.
     pub fn has_changes(&self, call: &StoreCall) -> bool {
         match call {
--- a/crates/emulator/src/worker/listing.rs
+++ b/crates/emulator/src/worker/listing.rs
@@ -25,7 +25,10 @@
         interference: &InterferenceModel,
     ) -> Vec<(TaskKey, bool)> {
         let filling = self.filling();
-        let runs = self.runs.iter().filter(|(_, run)| run.is_at_work(now));
+        let runs = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.is_at_work(now, self.progress));
         let tasks = runs.filter_map(|(task, run)| {
             let serving = run.facts.serving.as_ref()?;
             let tail = interference.tail_ms(serving, now / MS, &filling);
@@ -43,7 +46,7 @@
             let used = run.facts.cpu_millis * run.speed / 1_000;
             let total = (run.facts.work_ms * MS).max(1);
             let percent = match run.facts.standing {
-                true => u64::from(run.is_at_work(now)) * 100,
+                true => u64::from(run.is_at_work(now, self.progress)) * 100,
                 false => (total.saturating_sub(run.left)) * 99 / total,
             };
             RunReport {
--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -18,7 +18,7 @@
 use crate::oracle::PlatformOracle;
 use crate::queue::{Micros, MS};
 use run::LiveRun;
-pub use timing::RunTiming;
+pub use timing::{RunProgress, RunTiming};
 
 /// Share of a worker's processors that ordinary and filling tasks divide between them, in thousandths: filling tasks get what
 /// ordinary tasks leave of it. Serving tasks don't count.
@@ -78,6 +78,8 @@
     pub draining_since: Option<Micros>,
     /// Whether it accepts orders without answering them.
     pub hangs: bool,
+    /// How its runs progress.
+    pub progress: RunProgress,
     /// The highest epoch seen; orders of lower epochs are refused.
     fence: u64,
     /// The end of its lease on its own clock, in milliseconds.
@@ -103,6 +105,7 @@
             capacity,
             draining_since: None,
             hangs: false,
+            progress: RunProgress::Usual,
             fence: 0,
             lease_until: 0,
             runs: BTreeMap::new(),
@@ -145,7 +148,7 @@
     /// The next time at which a run ends or the lease runs out if no order arrives; `None` if there are no runs.
     pub fn next_change(&self) -> Option<Micros> {
         let ends = self.runs.values();
-        let ends = ends.filter_map(|run| run.ends_at(self.advanced_at));
+        let ends = ends.filter_map(|run| run.ends_at(self.advanced_at, self.progress));
         let lapse = self.incarnation_clock.after(self.lease_until);
         let lapse = (!self.runs.is_empty()).then_some(lapse);
         ends.chain(lapse).min()
@@ -156,7 +159,7 @@
         let passed = now - self.advanced_at;
         self.advanced_at = now;
         for run in self.runs.values_mut() {
-            run.work(passed);
+            run.work(passed, self.progress);
         }
         let lapsed = self.clock(now) > self.lease_until;
         if lapsed {
--- a/crates/emulator/src/worker/run.rs
+++ b/crates/emulator/src/worker/run.rs
@@ -3,6 +3,7 @@
 use sandshelf_jobs::RunOutcome;
 use sandshelf_model::Millis;
 
+use super::RunProgress;
 use crate::catalog::{TaskFacts, STANDING_START_MS};
 use crate::queue::{Micros, MS};
 
@@ -33,17 +34,20 @@
 
 impl LiveRun {
     /// Does the work of a time span.
-    pub(super) fn work(&mut self, passed: Micros) {
+    pub(super) fn work(&mut self, passed: Micros, progress: RunProgress) {
+        let Some(slowness) = progress.slowness() else {
+            return;
+        };
         let restored = passed.min(self.restoring);
         self.restoring -= restored;
-        let worked = (passed - restored) * self.speed / (1_000 * self.facts.slowness);
+        let worked = (passed - restored) * self.speed / (1_000 * slowness * self.facts.slowness);
         self.done += worked;
         self.left = self.left.saturating_sub(worked);
     }
 
-    /// Whether it has started up, where it is a standing task.
-    pub(super) fn is_at_work(&self, now: Micros) -> bool {
-        now >= self.began + STANDING_START_MS * MS
+    /// Whether it has started up and progresses, where it is a standing task.
+    pub(super) fn is_at_work(&self, now: Micros, progress: RunProgress) -> bool {
+        progress != RunProgress::None && now >= self.began + STANDING_START_MS * MS
     }
 
     /// Remaining work until it is done or fails; `None` for a standing task that does not fail.
@@ -65,11 +69,14 @@
     }
 
     /// The time at which it ends if its speed stays the same; `None` if it does not end.
-    pub(super) fn ends_at(&self, now: Micros) -> Option<Micros> {
-        let work = self.until_end().filter(|_| self.speed > 0);
+    pub(super) fn ends_at(&self, now: Micros, progress: RunProgress) -> Option<Micros> {
+        let slowness = progress.slowness().filter(|_| self.speed > 0);
+        let work = self.until_end().zip(slowness);
         // The additional microsecond rounds the division up.
-        let slowness = 1_000 * self.facts.slowness;
-        let over = work.map(|left| now + self.restoring + left * slowness / self.speed.max(1) + 1);
+        let over = work.map(|(left, slowness)| {
+            let slowness = 1_000 * slowness * self.facts.slowness;
+            now + self.restoring + left * slowness / self.speed.max(1) + 1
+        });
         over.into_iter().chain(self.stops_at).min()
     }
 
--- a/crates/emulator/src/worker/timing.rs
+++ b/crates/emulator/src/worker/timing.rs
@@ -1,4 +1,4 @@
-//! How long a worker takes to stop and to resume a run.
+//! How long a worker takes to stop and to resume a run, and how its runs progress.
 
 use sandshelf_jobs::RunKey;
 use sandshelf_model::Millis;
@@ -15,6 +15,29 @@
     pub restore_ms: Millis,
 }
 
+/// How the runs on a worker progress, whatever processor time they get.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RunProgress {
+    /// At the speed that their processor time allows.
+    #[default]
+    Usual,
+    /// Slower by this factor. Standing tasks stay at work.
+    Slower(u64),
+    /// Not at all. Standing tasks are not at work.
+    None,
+}
+
+impl RunProgress {
+    /// The factor by which work takes longer; `None` if no work is done.
+    pub(super) fn slowness(self) -> Option<u64> {
+        match self {
+            RunProgress::Usual => Some(1),
+            RunProgress::Slower(factor) => Some(factor.max(1)),
+            RunProgress::None => None,
+        }
+    }
+}
+
 impl Default for RunTiming {
     /// Stops take 300 ms, and runs resume at once.
     fn default() -> Self {
--- a/crates/emulator/src/world/callers.rs
+++ b/crates/emulator/src/world/callers.rs
@@ -32,6 +32,17 @@
 /// When the caller of a serving job cancels it, in milliseconds after the job was accepted.
 const SERVING_CANCEL_AFTER_MS: std::ops::Range<Millis> = 25_000..140_000;
 
+/// A time span in which a class has more or less traffic than usual.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TrafficBurst {
+    /// The index of the class.
+    pub(super) class: usize,
+    /// Its rate in percent of the usual one.
+    pub(super) percent: u32,
+    /// When it ends.
+    pub(super) until: Micros,
+}
+
 /// One request of a caller.
 #[derive(Clone, Debug)]
 struct CallerRequest {
@@ -91,9 +102,11 @@
         }
         self.submit_job(class);
         let mut per_s = self.deployment.classes[class].per_s;
-        let (burst, percent, until) = self.burst;
-        if burst == class && self.now < until {
-            per_s *= f64::from(percent) / 100.0;
+        // Where several bursts of a class overlap, the newest counts.
+        let mut bursts = self.bursts.iter().rev();
+        let burst = bursts.find(|burst| burst.class == class && self.now < burst.until);
+        if let Some(burst) = burst {
+            per_s *= f64::from(burst.percent) / 100.0;
         }
         let drawn: f64 = self.random.random();
         let pause = -(1.0 - drawn).ln() / per_s * 1e6;
--- a/crates/emulator/src/world/day_events.rs
+++ b/crates/emulator/src/world/day_events.rs
@@ -4,11 +4,13 @@
 use rand::RngExt;
 use sandshelf_model::Millis;
 
+use super::callers::TrafficBurst;
 use super::{EmulatedWorld, WorldEvent};
 use crate::day::{CutDirection, DayEvent, HallChoice, HostChoice};
 use crate::deployment::STRONG_HOST;
 use crate::host::WorkItem;
 use crate::queue::{Micros, MS};
+use crate::worker::RunProgress;
 
 impl EmulatedWorld {
     pub(super) fn apply_day_event(&mut self, event: DayEvent) {
@@ -55,7 +57,11 @@
                 self.answer_feeds();
             }
             DayEvent::Burst(class, percent, for_ms) => {
-                self.burst = (class, percent, until(for_ms));
+                self.bursts.push(TrafficBurst {
+                    class,
+                    percent,
+                    until: until(for_ms),
+                });
             }
             DayEvent::LateOrders(of_thousand, for_ms) => {
                 self.late_orders = (until(for_ms), of_thousand);
@@ -72,6 +78,27 @@
                     self.drain_worker(place);
                 }
             }
+            DayEvent::WorkersLost(percent) => {
+                for place in self.draw_workers(self.fleet.count() * percent / 100) {
+                    self.lose_worker(place, false);
+                }
+                self.monitor.disturb_workers(self.now);
+            }
+            DayEvent::WorkersReclaimed(percent, notice_ms) => {
+                for place in self.draw_workers(self.fleet.count() * percent / 100) {
+                    self.drain_worker_for(place, notice_ms);
+                }
+            }
+            DayEvent::RunsHindered(of_thousand, progress, for_ms) => {
+                self.hinder_runs(of_thousand, progress, for_ms);
+            }
+            DayEvent::StoreRefuses(choice, for_ms) => {
+                let until = until(for_ms);
+                for host in self.select_hosts(choice) {
+                    self.store.refuse_host(host, until);
+                    self.monitor.disturb_host(host, until);
+                }
+            }
             DayEvent::WorkersHang(count, for_ms) => {
                 self.monitor.disturb_workers(until(for_ms));
                 for place in self.draw_workers(count) {
@@ -197,6 +224,16 @@
         self.monitor.disturb_workers(self.now);
     }
 
+    /// Changes the progress of runs on a share of the workers, which is chosen at random the first time.
+    fn hinder_runs(&mut self, of_thousand: usize, progress: RunProgress, for_ms: Millis) {
+        if self.hindered.is_empty() {
+            self.hindered = self.draw_workers(self.fleet.count() * of_thousand / 1_000);
+        }
+        for place in self.hindered.clone() {
+            self.hinder_worker(place, progress, for_ms);
+        }
+    }
+
     fn draw_workers(&mut self, count: usize) -> Vec<usize> {
         let mut places: Vec<usize> = (0..self.fleet.count()).collect();
         places.shuffle(&mut self.random);
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -15,7 +15,7 @@
 use crate::interference::InterferenceModel;
 use crate::oracle::UsableCapacity;
 use crate::queue::{Micros, MS};
-use crate::worker::{address_of, EmulatedWorker, IncarnationClock, WorkerContext};
+use crate::worker::{address_of, EmulatedWorker, IncarnationClock, RunProgress, WorkerContext};
 
 /// How long a worker that is gone stays listed: three report intervals.
 const GONE_LISTED_US: Micros = 3_300 * MS;
@@ -344,8 +344,16 @@
         slot.listed_until = Micros::MAX;
     }
 
-    /// Starts the draining of a worker, and schedules its departure.
+    /// Starts the draining of a worker, and schedules its departure after a random time.
     pub(super) fn drain_worker(&mut self, place: usize) {
+        if self.fleet.places[place].worker.is_some() {
+            let drain_ms = self.random.random_range(DRAIN_MS);
+            self.drain_worker_for(place, drain_ms);
+        }
+    }
+
+    /// Starts the draining of a worker, which leaves after `drain_ms`.
+    pub(super) fn drain_worker_for(&mut self, place: usize, drain_ms: Millis) {
         let slot = &mut self.fleet.places[place];
         let Some(worker) = &mut slot.worker else {
             return;
@@ -356,9 +364,9 @@
             place,
             number: slot.incarnation,
         };
-        let drain_us = self.random.random_range(DRAIN_MS) * MS;
+        let leaves_at = self.now + drain_ms * MS;
         self.queue
-            .push(self.now + drain_us, WorldEvent::WorkerLeaves(incarnation));
+            .push(leaves_at, WorldEvent::WorkerLeaves(incarnation));
     }
 
     pub(super) fn worker_leaves(&mut self, incarnation: PlaceIncarnation) {
@@ -368,6 +376,26 @@
         }
     }
 
+    /// Changes how the runs on a worker progress until `for_ms` have passed.
+    pub(super) fn hinder_worker(&mut self, place: usize, progress: RunProgress, for_ms: Millis) {
+        let incarnation = self.fleet.incarnation_at(place);
+        self.set_run_progress(incarnation, progress);
+        let recovers = WorldEvent::RunsProgress(incarnation, RunProgress::Usual);
+        self.queue.push(self.now + for_ms * MS, recovers);
+    }
+
+    /// Changes how the runs on a worker progress from now on, unless it is of a later incarnation.
+    pub(super) fn set_run_progress(&mut self, target: PlaceIncarnation, progress: RunProgress) {
+        let slot = &mut self.fleet.places[target.place];
+        let worker = slot.worker.as_mut();
+        let Some(worker) = worker.filter(|_| slot.incarnation == target.number) else {
+            return;
+        };
+        worker.advance(self.now, &mut self.oracle);
+        worker.progress = progress;
+        self.schedule_worker(target.place);
+    }
+
     /// Has a worker hang: it still carries out orders, but does not answer until `for_ms` have passed.
     pub(super) fn hang_worker(&mut self, place: usize, for_ms: Millis) {
         let incarnation = PlaceIncarnation {
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -20,7 +20,8 @@
 use crate::oracle::{HostOracle, PlatformOracle};
 use crate::queue::{EventQueue, Micros, MS};
 use crate::store::{EmulatedStore, StoreCall};
-use callers::CallerState;
+use crate::worker::RunProgress;
+use callers::{CallerState, TrafficBurst};
 use cuts::HallMap;
 use fleet::{PlaceIncarnation, WorkerFleet};
 use monitor::SimulationMonitor;
@@ -71,6 +72,8 @@
     WorkerLeaves(PlaceIncarnation),
     /// A worker that hung answers again.
     WorkerRecovers(PlaceIncarnation),
+    /// The runs on a worker progress differently from now on.
+    RunsProgress(PlaceIncarnation, RunProgress),
     /// A host's process starts.
     HostStarts(usize),
     /// The next job of a class is submitted.
@@ -111,8 +114,10 @@
     halls: HallMap,
     /// Until when orders may be delayed, and how many of a thousand are.
     late_orders: (Micros, u32),
-    /// The class with a burst of traffic, the burst's rate in percent of the usual one, and when it ends.
-    burst: (usize, u32, Micros),
+    /// The bursts of traffic so far.
+    bursts: Vec<TrafficBurst>,
+    /// The workers on which runs are hindered; empty before the first such event.
+    hindered: Vec<usize>,
     /// Checks what workers and callers observe.
     pub oracle: PlatformOracle,
     /// Checks what operators and callers observe of hosts.
@@ -154,7 +159,8 @@
             monitor: SimulationMonitor::new(&deployment),
             halls: HallMap::new(deployment.workers),
             late_orders: (0, 0),
-            burst: (0, 100, 0),
+            bursts: Vec::new(),
+            hindered: Vec::new(),
             oracle: PlatformOracle::with_bounds(deployment.bounds),
             host_oracle: HostOracle::new(deployment.bounds),
             random,
@@ -230,6 +236,9 @@
             WorldEvent::WorkerRestarts(place) => self.restart_worker(place),
             WorldEvent::WorkerLeaves(incarnation) => self.worker_leaves(incarnation),
             WorldEvent::WorkerRecovers(incarnation) => self.fleet.set_hangs(incarnation, false),
+            WorldEvent::RunsProgress(incarnation, progress) => {
+                self.set_run_progress(incarnation, progress)
+            }
             WorldEvent::HostStarts(host) => self.start_host(host),
             WorldEvent::NextJob(class) => self.next_job(class),
             WorldEvent::InitialJob(class) => self.submit_job(class),
--- a/crates/emulator/src/world/monitor.rs
+++ b/crates/emulator/src/world/monitor.rs
@@ -188,7 +188,8 @@
     }
 
     fn check_hosts(&mut self) {
-        let (_, _, burst_until) = self.burst;
+        let bursts = self.bursts.iter();
+        let burst_until = bursts.map(|burst| burst.until).max().unwrap_or(0);
         for index in 0..self.hosts.len() {
             let host = &self.hosts[index];
             if self.now < burst_until && host.downlink.queue_ms(self.now) > CONGESTED_QUEUE_MS {
--- a/crates/emulator/src/world/transport.rs
+++ b/crates/emulator/src/world/transport.rs
@@ -261,7 +261,8 @@
         if self.now < self.store.silent_until {
             return;
         }
-        if ask.is_parked() && !self.store.has_changes(&ask) {
+        let refuses = self.store.refuses(self.now, incarnation.host);
+        if ask.is_parked() && !refuses && !self.store.has_changes(&ask) {
             let wait_ms = match ask {
                 StoreCall::FollowJobs(_) => JOBS_FEED_TIMEOUT_MS,
                 _ => CONFIG_FEED_TIMEOUT_MS,
@@ -279,7 +280,10 @@
             StoreCall::ListWorkers | StoreCall::FollowWorkers(_) => self.fleet.listed(self.now),
             _ => Vec::new(),
         };
-        let answer = self.store.answer(self.now, ask, &workers);
+        let answer = match self.store.refuses(self.now, incarnation.host) {
+            true => self.store.refusal(self.now),
+            false => self.store.answer(self.now, ask, &workers),
+        };
         let rejected = matches!(answer.reply, crate::store::StoreReply::Rejected);
         if !rejected {
             self.note_stored(ask, &answer.reply);
--- a/crates/emulator/tests/grown.rs
+++ b/crates/emulator/tests/grown.rs
@@ -31,12 +31,7 @@
 }
 
 fn deployment(name: &str) -> Deployment {
-    match name {
-        "auction" => Deployment::auction(),
-        "code-search" => Deployment::code_search(),
-        "small" => Deployment::small(),
-        other => panic!("no site is called {other}"),
-    }
+    Deployment::from_name(name).unwrap_or_else(|| panic!("no site is called {name}"))
 }
 
 /// Longer manual runs. `SANDSHELF_SEEDS=1:20` sets the seeds, `SANDSHELF_DAYS=burst,weak` the days (default: all) and
@@ -68,5 +63,11 @@
     connections_stop_delivering => check_short_day("silent", Deployment::auction(), 1);
     workers_restart_under_their_names => check_short_day("restarts", Deployment::auction(), 1);
     the_owners_hall_is_cut_off => check_short_day("cuts", Deployment::auction(), 1);
+    a_quarter_of_the_workers_is_lost => check_short_day("quarter-lost", Deployment::camp(), 1);
+    twice_the_filling_jobs => check_short_day("overload", Deployment::camp(), 1);
+    an_owner_is_killed_in_double_traffic => check_short_day("double", Deployment::match_site(), 1);
+    runs_make_no_progress => check_short_day("stuck", Deployment::match_site(), 1);
+    workers_are_reclaimed => check_short_day("reclaimed", Deployment::camp(), 1);
+    the_store_refuses_a_third_of_the_hosts => check_short_day("store-refuses", Deployment::camp(), 1);
     manual_seeds => run_manual_seeds();
 }
