--- a/crates/emulator/src/deployment.rs
+++ b/crates/emulator/src/deployment.rs
@@ -319,6 +319,12 @@
         }
     }
 
+    /// Whether standing jobs say how many of their tasks may be unavailable at once.
+    pub fn limits_missing_tasks(&self) -> bool {
+        let mut classes = self.classes.iter();
+        classes.any(|class| class.variation.may_miss_percent.is_some())
+    }
+
     /// The same deployment with these decisions under load switched on.
     pub fn with_policies(mut self, policies: LoadPolicies) -> Self {
         self.load_settings.policies = policies;
--- a/crates/emulator/src/oracle/away.rs
+++ b/crates/emulator/src/oracle/away.rs
@@ -56,6 +56,7 @@
     /// `elapsed` is the time since the last check in milliseconds. Where at least half of all processor capacity is
     /// in use, a task counts only after `calm_ms` without a disturbance.
     pub fn check_away_tasks(&mut self, now: Millis, elapsed: Millis, room: &UsableCapacity) {
+        self.set_time(now);
         let bound = self.bounds.away_ms;
         let calm = room.calm_ms >= self.bounds.calm_ms;
         let mut late = Vec::new();
@@ -109,7 +110,7 @@
 }
 
 /// The lowest key that a task of this job can have.
-fn first_task(job: JobNumber) -> TaskKey {
+pub(super) fn first_task(job: JobNumber) -> TaskKey {
     TaskKey {
         job,
         time: 0,
--- a/crates/emulator/src/worker/listing.rs
+++ b/crates/emulator/src/worker/listing.rs
@@ -18,6 +18,15 @@
         used.collect()
     }
 
+    /// The standing tasks that are at work here.
+    pub fn standing_at_work(&self, now: Micros) -> impl Iterator<Item = TaskKey> + '_ {
+        let runs = self.runs.iter().filter(move |(_, run)| {
+            let at_work = run.is_at_work(now, self.progress);
+            run.facts.standing && at_work
+        });
+        runs.map(|(task, _)| *task)
+    }
+
     /// The serving tasks that are at work here, each with whether its tail latency is at most its target.
     pub fn serving_tasks(
         &self,
--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -199,6 +199,11 @@
             checkpoint,
         };
         self.ended.push((now, end));
+        if outcome == RunOutcome::Stopped && run.facts.standing {
+            let healthy = self.draining_since.is_none() && !self.hangs;
+            let at_work = run.is_at_work(now, self.progress);
+            oracle.standing_stopped(key, healthy && at_work);
+        }
         oracle.ended(&self.id, key, Some(outcome));
     }
 
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -1,6 +1,6 @@
 //! The workers of the platform: which worker is at which place, the store's list of them, and waiting lease renewals.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -174,6 +174,13 @@
         }
     }
 
+    /// The standing tasks that are at work.
+    pub(super) fn standing_at_work(&self, now: Micros) -> HashSet<TaskKey> {
+        let workers = self.places.iter().filter_map(|place| place.worker.as_ref());
+        let tasks = workers.flat_map(|worker| worker.standing_at_work(now));
+        tasks.collect()
+    }
+
     /// The serving tasks that are at work, each with whether its tail latency is at most its target.
     pub(super) fn serving_tasks(
         &self,
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -203,6 +203,7 @@
     pub fn run(&mut self) {
         while let Some((at, event)) = self.queue.pop_until(self.ends_at) {
             self.now = at;
+            self.oracle.set_time(at / MS);
             self.handle_event(event);
         }
         self.now = self.ends_at;
--- a/crates/emulator/src/world/monitor.rs
+++ b/crates/emulator/src/world/monitor.rs
@@ -165,6 +165,10 @@
                 self.oracle.check_idle_jobs(now, CHECK_INTERVAL_MS, &room);
             }
         }
+        if self.deployment.limits_missing_tasks() {
+            let at_work = self.fleet.standing_at_work(self.now);
+            self.oracle.note_at_work(CHECK_INTERVAL_MS, &at_work);
+        }
         let contact_ms = self.deployment.bounds.contact_ms;
         self.oracle.check_late_stops(now, calm_since + contact_ms);
         self.check_hosts();
@@ -243,6 +247,7 @@
     /// Runs the checks that need the whole simulation.
     pub(super) fn finish(&mut self) {
         self.count_served();
+        self.check_refusals();
         let until = self.traffic_until / MS;
         for outage in &self.monitor.report.outages {
             if let Some(back) = outage.back_ms {
--- a/crates/emulator/src/world/outcomes.rs
+++ b/crates/emulator/src/world/outcomes.rs
@@ -6,6 +6,7 @@
 use super::callers::SubmittedJob;
 use super::{EmulatedWorld, WARM_UP_MS};
 use crate::deployment::TaskKind;
+use crate::oracle::BrokenRule;
 use crate::outcomes::{
     ClassOutcomes, JobEnd, JobRecord, OutcomeKind, SizedOutcomes, StandingOutcomes, StandingTime,
     SubmissionEnd,
@@ -39,6 +40,17 @@
         }
     }
 
+    /// Reports jobs that ran although each try to submit them was refused.
+    pub(super) fn check_refusals(&mut self) {
+        let jobs = self.callers.jobs.iter();
+        let refused = jobs.filter(|job| self.submission_end(job) == SubmissionEnd::Refused);
+        let ran = refused.filter(|job| self.oracle.has_run(job.number));
+        for number in ran.map(|job| job.number).collect::<Vec<_>>() {
+            let what = format!("{number} was refused in each try, and ran");
+            self.oracle.report(self.now / MS, BrokenRule::Refused, what);
+        }
+    }
+
     /// What the callers of each class got.
     pub(super) fn class_outcomes(&self) -> Vec<ClassOutcomes> {
         let classes = self.deployment.classes.iter().enumerate();
