Check that filling tasks keep no serving task over its target

The oracle reports a serving task that filling tasks on its worker keep over its target for more than 4.5 s, the longest time that the platform takes to notice; the report has the longest such time.

--- a/crates/emulator/src/oracle/mod.rs
+++ b/crates/emulator/src/oracle/mod.rs
@@ -6,6 +6,7 @@
 mod hosts;
 mod idle;
 mod missing;
+mod serving;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -19,6 +20,7 @@
 pub use hosts::{HostObservation, HostOracle};
 use idle::OpenJob;
 use missing::MissingTasks;
+pub use serving::TailState;
 
 /// The time limits of the rules, in milliseconds.
 ///
@@ -114,6 +116,8 @@
     Missing,
     /// A run of a job of which each try to submit it was refused.
     Refused,
+    /// A serving task that filling tasks on the same worker keep over its target for more than 4.5 s.
+    Serving,
 }
 
 /// A job's standing tasks, each with the capacity that it takes.
@@ -161,6 +165,10 @@
     failures: BTreeMap<TaskKey, usize>,
     crashes: CrashCounts,
     missing: MissingTasks,
+    /// The serving tasks that filling tasks keep over their target, each with how long that has lasted, in milliseconds.
+    over_target: BTreeMap<TaskKey, Millis>,
+    /// The longest time that filling tasks kept a serving task over its target, in milliseconds.
+    pub longest_over_target: Millis,
     history: BTreeMap<TaskKey, Vec<String>>,
     /// The standing tasks that are not running, each with how long that has lasted.
     away: BTreeMap<TaskKey, AwayTimes>,
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -115,6 +115,8 @@
     pub classes: Vec<ClassOutcomes>,
     /// The longest counted time that a standing task did not run, in milliseconds.
     pub longest_away_ms: Millis,
+    /// The longest time that filling tasks kept a serving task over its target, in milliseconds.
+    pub longest_over_target_ms: Millis,
     /// The longest counted time that a job was idle, in milliseconds.
     pub longest_idle_ms: Millis,
     /// The longest time until a configuration was in force on a host in touch, in milliseconds.
@@ -215,6 +217,11 @@
         for outage in &self.outages {
             writeln!(formatter, "{outage:?}")?;
         }
+        writeln!(
+            formatter,
+            "longest time over target because of filling tasks: {} ms",
+            self.longest_over_target_ms
+        )?;
         for class in &self.classes {
             writeln!(formatter, "{class}")?;
         }
--- a/crates/emulator/src/worker/listing.rs
+++ b/crates/emulator/src/worker/listing.rs
@@ -4,6 +4,7 @@
 
 use super::EmulatedWorker;
 use crate::interference::InterferenceModel;
+use crate::oracle::TailState;
 use crate::queue::{Micros, MS};
 
 impl EmulatedWorker {
@@ -27,12 +28,12 @@
         runs.map(|(task, _)| *task)
     }
 
-    /// The serving tasks that are at work here, each with whether its tail latency is at most its target.
-    pub fn serving_tasks(
+    /// The serving tasks that are at work here, each with its tail latency compared with its target.
+    pub fn serving_tails(
         &self,
         now: Micros,
         interference: &InterferenceModel,
-    ) -> Vec<(TaskKey, bool)> {
+    ) -> Vec<(TaskKey, TailState)> {
         let filling = self.filling();
         let runs = self
             .runs
@@ -40,8 +41,15 @@
             .filter(|(_, run)| run.is_at_work(now, self.progress));
         let tasks = runs.filter_map(|(task, run)| {
             let serving = run.facts.serving.as_ref()?;
-            let tail = interference.tail_ms(serving, now / MS, &filling);
-            Some((*task, tail <= serving.target_ms as f64))
+            let is_over = |filling: &[(usize, f64)]| {
+                interference.tail_ms(serving, now / MS, filling) > serving.target_ms as f64
+            };
+            let state = match is_over(&filling) {
+                false => TailState::OnTarget,
+                true if is_over(&[]) => TailState::OverAlone,
+                true => TailState::OverByFilling,
+            };
+            Some((*task, state))
         });
         tasks.collect()
     }
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -13,7 +13,7 @@
 use crate::deployment::Deployment;
 use crate::host::WorkerOrder;
 use crate::interference::InterferenceModel;
-use crate::oracle::UsableCapacity;
+use crate::oracle::{TailState, UsableCapacity};
 use crate::queue::{Micros, MS};
 use crate::worker::{address_of, EmulatedWorker, IncarnationClock, RunProgress, WorkerContext};
 
@@ -181,14 +181,14 @@
         tasks.collect()
     }
 
-    /// The serving tasks that are at work, each with whether its tail latency is at most its target.
-    pub(super) fn serving_tasks(
+    /// The serving tasks that are at work, each with its tail latency compared with its target.
+    pub(super) fn serving_tails(
         &self,
         now: Micros,
         interference: &InterferenceModel,
-    ) -> HashMap<TaskKey, bool> {
+    ) -> HashMap<TaskKey, TailState> {
         let workers = self.places.iter().filter_map(|place| place.worker.as_ref());
-        let tasks = workers.flat_map(|worker| worker.serving_tasks(now, interference));
+        let tasks = workers.flat_map(|worker| worker.serving_tails(now, interference));
         tasks.collect()
     }
 
--- a/crates/emulator/src/world/monitor.rs
+++ b/crates/emulator/src/world/monitor.rs
@@ -175,12 +175,14 @@
         if now.is_multiple_of(OWNER_STATS_INTERVAL_MS) {
             self.record_owner_stats();
         }
+        let tails = self.fleet.serving_tails(self.now, &self.interference);
+        self.oracle.check_serving(now, CHECK_INTERVAL_MS, &tails);
         let in_traffic = now >= WARM_UP_MS && self.now < self.traffic_until;
         if in_traffic && now.is_multiple_of(SERVING_COUNT_INTERVAL_MS) {
             self.count_serving();
         }
         if in_traffic && now.is_multiple_of(STANDING_SAMPLE_INTERVAL_MS) {
-            self.sample_standing();
+            self.sample_standing(&tails);
         }
     }
 
@@ -274,6 +276,7 @@
         report.simulated_s = self.now / MS / 1_000;
         report.served_percent = self.host_oracle.served_percent(0, self.now / MS);
         report.longest_away_ms = self.oracle.longest_away;
+        report.longest_over_target_ms = self.oracle.longest_over_target;
         report.longest_idle_ms = self.oracle.longest_idle;
         report.longest_config_ms = self.host_oracle.longest_config;
         report.longest_stop_ms = self.oracle.longest_stop;
--- a/crates/emulator/src/world/outcomes.rs
+++ b/crates/emulator/src/world/outcomes.rs
@@ -1,12 +1,14 @@
 //! Collects what callers get, for the report.
 
-use sandshelf_jobs::JobStage;
+use std::collections::HashMap;
+
+use sandshelf_jobs::{JobStage, TaskKey};
 use sandshelf_model::Millis;
 
 use super::callers::SubmittedJob;
 use super::{EmulatedWorld, WARM_UP_MS};
 use crate::deployment::TaskKind;
-use crate::oracle::BrokenRule;
+use crate::oracle::{BrokenRule, TailState};
 use crate::outcomes::{
     ClassOutcomes, JobEnd, JobRecord, OutcomeKind, SizedOutcomes, StandingOutcomes, StandingTime,
     SubmissionEnd,
@@ -18,8 +20,7 @@
 
 impl EmulatedWorld {
     /// Adds the time since the last sample to that of the standing tasks of accepted jobs, by class.
-    pub(super) fn sample_standing(&mut self) {
-        let serving = self.fleet.serving_tasks(self.now, &self.interference);
+    pub(super) fn sample_standing(&mut self, tails: &HashMap<TaskKey, TailState>) {
         let times = &mut self.monitor.standing_times;
         times.resize(self.deployment.classes.len(), StandingTime::default());
         for job in &self.callers.jobs {
@@ -31,11 +32,12 @@
             let time = &mut times[job.class];
             for (task, _) in self.oracle.standing_tasks_of(job.number) {
                 time.total_ms += STANDING_SAMPLE_INTERVAL_MS;
-                let Some(on_target) = serving.get(task) else {
+                let Some(tail) = tails.get(task) else {
                     continue;
                 };
                 time.at_work_ms += STANDING_SAMPLE_INTERVAL_MS;
-                time.on_target_ms += STANDING_SAMPLE_INTERVAL_MS * u64::from(*on_target);
+                time.on_target_ms +=
+                    STANDING_SAMPLE_INTERVAL_MS * u64::from(*tail == TailState::OnTarget);
             }
         }
     }
