--- a/crates/emulator/tests/outcomes.rs
+++ b/crates/emulator/tests/outcomes.rs
@@ -1,8 +1,9 @@
 //! Tests how the outcomes of jobs are counted.
 
 use sandshelf_emulator::catalog::{EmulatedJob, JobCatalog};
-use sandshelf_emulator::day::DayPlan;
+use sandshelf_emulator::day::{DayEvent, DayPlan, HostChoice};
 use sandshelf_emulator::deployment::{Deployment, StragglerRule};
+use sandshelf_emulator::oracle::BrokenRule;
 use sandshelf_emulator::outcomes::{
     ClassOutcomes, JobEnd, JobOutcome, JobRecord, OutcomeCounts, OutcomeKind, SizedOutcomes,
     StandingTime, SubmissionEnd,
@@ -142,6 +143,28 @@
     }
 }
 
+/// The counts of the short jobs of a small deployment of which all hosts lose the store for 6 s.
+fn counts_without_store(event: DayEvent) -> OutcomeCounts {
+    let day = DayPlan::calm(Deployment::small(), 12_000).with(3_000, event);
+    let mut world = EmulatedWorld::new(1, day);
+    world.run();
+    let report = world.report();
+    let refused_that_ran = report.broken_by_rule().remove(&BrokenRule::Refused);
+    assert_eq!(refused_that_ran, None, "{report}");
+    let OutcomeKind::Ending(sized) = report.classes[0].kind else {
+        panic!("short jobs end: {report}");
+    };
+    sized.all
+}
+
+/// While the store refuses all hosts or does not answer, jobs are not accepted. They are not left out of the counts, and none of which
+/// each try was refused runs.
+fn unserved_without_store(event: DayEvent) {
+    let counts = counts_without_store(event);
+    assert!(counts.refused + counts.not_accepted > 0, "{counts}");
+    assert_eq!(counts.open, 0, "{counts}");
+}
+
 sandshelf_cases::cases! {
     completed_at_its_objective => assert_eq!(outcome(JobEnd::Completed(3_000), 30_000), JobOutcome::InTime);
     completed_after_its_objective => assert_eq!(outcome(JobEnd::Completed(3_001), 30_000), JobOutcome::Late);
@@ -159,5 +182,8 @@
     share_counts_only_decided_jobs => share_without_undecided_jobs();
     standing_time_is_shared_out => standing_shares();
     objectives_follow_from_true_times => objective_from_true_times();
+    the_store_refuses_all_hosts => unserved_without_store(
+        DayEvent::StoreRefuses(HostChoice::All, 6_000));
+    the_store_answers_no_host => unserved_without_store(DayEvent::StoreSilent(6_000));
     a_calm_day_serves_its_callers => calm_day_is_served();
 }
