Report copies and the causes of stops in the emulator

Whoever measures copies, stuck runs or preemption has to see how often they acted. The report counts the runs that started beside another run of their task, and stops by cause; causes that parts add are counted without a change here.

--- a/crates/emulator/src/oracle/copies.rs
+++ b/crates/emulator/src/oracle/copies.rs
@@ -19,6 +19,7 @@
         };
         let elsewhere = others.iter().all(|(other, _)| other != worker);
         if step.copies_allowed && elsewhere && others.len() < MAX_COPIED_RUNS {
+            self.copies += 1;
             return;
         }
         let what = format!("{key} on {worker} concurrent with {others:?}");
--- a/crates/emulator/src/oracle/mod.rs
+++ b/crates/emulator/src/oracle/mod.rs
@@ -184,6 +184,8 @@
     pub broken: Vec<(Millis, BrokenRule, String)>,
     /// How many runs have started.
     pub starts: usize,
+    /// How many runs have started beside another run of their task whose step allows copies.
+    pub copies: usize,
     /// How many runs have ended.
     pub ends: usize,
 }
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -101,6 +101,10 @@
     pub silent: usize,
     /// How many changes of pace owners decided on.
     pub paced: usize,
+    /// How many stops of runs owners decided on, by cause.
+    pub stops: BTreeMap<String, usize>,
+    /// How many runs started beside another run of their task whose step allows copies.
+    pub copies: usize,
     /// The takeovers, in order.
     pub takeovers: Vec<OwnerTakeover>,
     /// The stats of the newest owner, second by second.
@@ -222,6 +226,11 @@
             "longest time over target because of filling tasks: {} ms",
             self.longest_over_target_ms
         )?;
+        writeln!(
+            formatter,
+            "copies: {}, stops: {:?}",
+            self.copies, self.stops
+        )?;
         for class in &self.classes {
             writeln!(formatter, "{class}")?;
         }
--- a/crates/emulator/src/world/monitor.rs
+++ b/crates/emulator/src/world/monitor.rs
@@ -142,6 +142,9 @@
             },
             JobNote::WorkerSilent(_) => report.silent += 1,
             JobNote::Paced(..) => report.paced += 1,
+            JobNote::Stopped { cause, .. } => {
+                *report.stops.entry(format!("{cause:?}")).or_default() += 1;
+            }
             JobNote::TakeoverOver { waited_ms, .. } => {
                 if let Some(takeover) = report.takeovers.last_mut() {
                     takeover.waited_ms = Some(*waited_ms);
@@ -281,6 +284,7 @@
         report.longest_config_ms = self.host_oracle.longest_config;
         report.longest_stop_ms = self.oracle.longest_stop;
         report.starts = self.oracle.starts;
+        report.copies = self.oracle.copies;
         report.broken = self.oracle.broken.clone();
         report.classes = self.class_outcomes();
         report.scheduler_steps = self
--- a/crates/emulator/tests/copies.rs
+++ b/crates/emulator/tests/copies.rs
@@ -80,6 +80,10 @@
         self
     }
 
+    fn copies(self) -> usize {
+        self.0.copies
+    }
+
     fn broken(self) -> Vec<BrokenRule> {
         self.0.broken.iter().map(|(_, rule, _)| *rule).collect()
     }
@@ -195,6 +199,8 @@
 sandshelf_cases::cases! {
     a_second_run_without_copies => assert_eq!(two_at_once(false).broken(), [BrokenRule::Twice]);
     a_second_run_with_copies => assert_eq!(two_at_once(true).broken(), []);
+    a_copy_is_counted => assert_eq!(two_at_once(true).copies(), 1);
+    a_second_run_without_copies_is_no_copy => assert_eq!(two_at_once(false).copies(), 0);
     a_third_run_with_copies => assert_eq!(
         two_at_once(true).start(600, "c", 3, true).broken(), [BrokenRule::Twice]);
     a_copy_on_the_same_worker => assert_eq!(same_worker_twice().broken(), [BrokenRule::Twice]);
