--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -9,6 +9,7 @@
 use crate::host::{CallAnswer, CallBody};
 use crate::meter::MeasuredStep;
 use crate::oracle::BrokenRule;
+use crate::outcomes::ClassOutcomes;
 use crate::queue::Micros;
 
 /// The stats of an owner in one second.
@@ -100,6 +101,10 @@
     pub silent: usize,
     /// How many changes of pace owners decided on.
     pub paced: usize,
+    /// How many stops of runs owners decided on, by cause.
+    pub stops: BTreeMap<String, usize>,
+    /// How many runs started beside another run of their task whose step allows copies.
+    pub copies: usize,
     /// The takeovers, in order.
     pub takeovers: Vec<OwnerTakeover>,
     /// The stats of the newest owner, second by second.
@@ -110,8 +115,12 @@
     pub hosts: Vec<(Micros, u64, u64)>,
     /// The share of requests that were served, in percent.
     pub served_percent: usize,
+    /// What the callers of each class got.
+    pub classes: Vec<ClassOutcomes>,
     /// The longest counted time that a standing task did not run, in milliseconds.
     pub longest_away_ms: Millis,
+    /// The longest time that filling tasks kept a serving task over its target, in milliseconds.
+    pub longest_over_target_ms: Millis,
     /// The longest counted time that a job was idle, in milliseconds.
     pub longest_idle_ms: Millis,
     /// The longest time until a configuration was in force on a host in touch, in milliseconds.
@@ -212,6 +221,19 @@
         for outage in &self.outages {
             writeln!(formatter, "{outage:?}")?;
         }
+        writeln!(
+            formatter,
+            "longest time over target because of filling tasks: {} ms",
+            self.longest_over_target_ms
+        )?;
+        writeln!(
+            formatter,
+            "copies: {}, stops: {:?}",
+            self.copies, self.stops
+        )?;
+        for class in &self.classes {
+            writeln!(formatter, "{class}")?;
+        }
         write!(formatter, "broken: {:?}", self.broken_by_rule())
     }
 }
--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -1,24 +1,25 @@
 //! Emulates a worker of the platform: its handling of orders, its lease and the progress of its runs.
 
+mod listing;
 mod run;
+mod timing;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use sandshelf_jobs::{
-    EndReport, JobEvent, OrderAnswer, RefusalReason, RenewalAnswer, RenewalCall, RenewalReport,
-    RunKey, RunOutcome, RunReport, StartCall, TaskKey, WorkerCall, WorkerIncarnation,
+    EndReport, JobEvent, OrderAnswer, RefusalReason, RenewalAnswer, RenewalCall, RunKey,
+    RunOutcome, StartCall, TaskKey, WorkerCall, WorkerIncarnation,
 };
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
-use crate::catalog::{JobCatalog, STANDING_START_MS};
+use crate::catalog::JobCatalog;
 use crate::interference::InterferenceModel;
 use crate::oracle::PlatformOracle;
 use crate::queue::{Micros, MS};
 use run::LiveRun;
+pub use timing::{RunProgress, RunTiming};
 
-/// Time from an order to stop a run until the run ends, in milliseconds.
-const STOP_MS: Millis = 300;
 /// Share of a worker's processors that ordinary and filling tasks divide between them, in thousandths: filling tasks get what
 /// ordinary tasks leave of it. Serving tasks don't count.
 const FILL_LIMIT_THOUSANDTHS: u64 = 950;
@@ -77,6 +78,8 @@
     pub draining_since: Option<Micros>,
     /// Whether it accepts orders without answering them.
     pub hangs: bool,
+    /// How its runs progress.
+    pub progress: RunProgress,
     /// The highest epoch seen; orders of lower epochs are refused.
     fence: u64,
     /// The end of its lease on its own clock, in milliseconds.
@@ -102,6 +105,7 @@
             capacity,
             draining_since: None,
             hangs: false,
+            progress: RunProgress::Usual,
             fence: 0,
             lease_until: 0,
             runs: BTreeMap::new(),
@@ -144,7 +148,7 @@
     /// The next time at which a run ends or the lease runs out if no order arrives; `None` if there are no runs.
     pub fn next_change(&self) -> Option<Micros> {
         let ends = self.runs.values();
-        let ends = ends.filter_map(|run| run.ends_at(self.advanced_at));
+        let ends = ends.filter_map(|run| run.ends_at(self.advanced_at, self.progress));
         let lapse = self.incarnation_clock.after(self.lease_until);
         let lapse = (!self.runs.is_empty()).then_some(lapse);
         ends.chain(lapse).min()
@@ -155,7 +159,7 @@
         let passed = now - self.advanced_at;
         self.advanced_at = now;
         for run in self.runs.values_mut() {
-            run.work(passed);
+            run.work(passed, self.progress);
         }
         let lapsed = self.clock(now) > self.lease_until;
         if lapsed {
@@ -195,6 +199,11 @@
             checkpoint,
         };
         self.ended.push((now, end));
+        if outcome == RunOutcome::Stopped && run.facts.standing {
+            let healthy = self.draining_since.is_none() && !self.hangs;
+            let at_work = run.is_at_work(now, self.progress);
+            oracle.standing_stopped(key, healthy && at_work);
+        }
         oracle.ended(&self.id, key, Some(outcome));
     }
 
@@ -219,17 +228,6 @@
         }
     }
 
-    /// The images of the filling runs, each with the share of all processors that it uses.
-    fn filling(&self) -> Vec<(usize, f64)> {
-        let whole = self.capacity.cpu_millis as f64 * 1_000.0;
-        let runs = self.runs.values();
-        let used = runs.filter_map(|run| {
-            let used = (run.facts.cpu_millis * run.speed) as f64 / whole;
-            Some((run.facts.fills?, used))
-        });
-        used.collect()
-    }
-
     /// Carries out or refuses an order; returns the answer as the sender's scheduler event.
     pub fn handle_order(
         &mut self,
@@ -256,7 +254,8 @@
                 JobEvent::StartAnswered(id, start.key, answer)
             }
             WorkerCall::Stop(key) => {
-                self.stop(context.now, *key);
+                let stop_ms = context.run_timing.stop_ms(key);
+                self.stop(context.now + stop_ms * MS, *key);
                 JobEvent::StopAnswered(id, *key, OrderAnswer::Done(clock))
             }
             WorkerCall::Pace(key, percent) => {
@@ -321,6 +320,7 @@
             run: call.key.run,
             began: context.now,
             left: facts.work_ms.saturating_sub(saved) * MS,
+            restoring: context.run_timing.restore_us(saved),
             fails_at: facts.fails_after_ms.map(|after| after * MS),
             done: 0,
             pace: 100,
@@ -337,12 +337,13 @@
         OrderAnswer::Done(clock)
     }
 
-    fn stop(&mut self, now: Micros, key: RunKey) {
+    /// Has a run end at `ends_at`, unless an earlier order already ends it.
+    fn stop(&mut self, ends_at: Micros, key: RunKey) {
         let newest = self.newest.entry(key.task).or_default();
         *newest = key.run.max(*newest);
         if let Some(run) = self.runs.get_mut(&key.task) {
             if run.run == key.run {
-                run.stops_at.get_or_insert(now + STOP_MS * MS);
+                run.stops_at.get_or_insert(ends_at);
             }
         }
     }
@@ -370,39 +371,6 @@
         }
         self.ended.retain(|(_, end)| end.number > renewal.last_seen);
     }
-
-    /// Reports the current runs and the ended runs that are not yet acknowledged.
-    pub fn report(&self, now: Micros, interference: &InterferenceModel) -> JobEvent {
-        let filling = self.filling();
-        let running = self.runs.iter().map(|(task, run)| {
-            let serving = run.facts.serving.as_ref();
-            let tail = serving.map(|task| interference.tail_ms(task, now / MS, &filling) as u64);
-            let used = run.facts.cpu_millis * run.speed / 1_000;
-            let total = (run.facts.work_ms * MS).max(1);
-            let running = now >= run.began + STANDING_START_MS * MS;
-            let percent = match run.facts.standing {
-                true => u64::from(running) * 100,
-                false => (total.saturating_sub(run.left)) * 99 / total,
-            };
-            RunReport {
-                key: RunKey {
-                    task: *task,
-                    run: run.run,
-                },
-                checkpoint: run.checkpoint(),
-                percent: percent as u32,
-                gauge: Some(tail.unwrap_or(used)),
-            }
-        });
-        let report = RenewalReport {
-            incarnation: Some(self.incarnation_clock.incarnation),
-            carrier_late_ms: 0,
-            clock: self.clock(now),
-            running: running.collect(),
-            ended: self.ended.iter().map(|(_, end)| end.clone()).collect(),
-        };
-        JobEvent::RenewalAnswered(self.id.clone(), RenewalAnswer::Report(report))
-    }
 }
 
 /// The surroundings of a worker while it handles an order.
@@ -411,6 +379,8 @@
     pub now: Micros,
     /// The longest lease that a worker accepts, in milliseconds.
     pub max_lease_ms: Millis,
+    /// How long it takes to stop and to resume runs.
+    pub run_timing: RunTiming,
     /// Time after the announcement of draining from which on a worker must not get new runs, in milliseconds.
     pub drain_ms: Millis,
     /// Whether nothing has disturbed the sender for some time.
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -1,16 +1,21 @@
 //! The workers of the platform: which worker is at which place, the store's list of them, and waiting lease renewals.
 
+use std::collections::{HashMap, HashSet};
+
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use sandshelf_jobs::{JobEvent, RenewalAnswer, WorkerCall, WorkerIncarnation, WorkerListing};
+use sandshelf_jobs::{
+    JobEvent, RenewalAnswer, TaskKey, WorkerCall, WorkerIncarnation, WorkerListing,
+};
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
 use super::{EmulatedWorld, HostIncarnation, WorldEvent};
 use crate::deployment::Deployment;
 use crate::host::WorkerOrder;
-use crate::oracle::UsableCapacity;
+use crate::interference::InterferenceModel;
+use crate::oracle::{TailState, UsableCapacity};
 use crate::queue::{Micros, MS};
-use crate::worker::{address_of, EmulatedWorker, IncarnationClock, WorkerContext};
+use crate::worker::{address_of, EmulatedWorker, IncarnationClock, RunProgress, WorkerContext};
 
 /// How long a worker that is gone stays listed: three report intervals.
 const GONE_LISTED_US: Micros = 3_300 * MS;
@@ -169,6 +174,24 @@
         }
     }
 
+    /// The standing tasks that are at work.
+    pub(super) fn standing_at_work(&self, now: Micros) -> HashSet<TaskKey> {
+        let workers = self.places.iter().filter_map(|place| place.worker.as_ref());
+        let tasks = workers.flat_map(|worker| worker.standing_at_work(now));
+        tasks.collect()
+    }
+
+    /// The serving tasks that are at work, each with its tail latency compared with its target.
+    pub(super) fn serving_tails(
+        &self,
+        now: Micros,
+        interference: &InterferenceModel,
+    ) -> HashMap<TaskKey, TailState> {
+        let workers = self.places.iter().filter_map(|place| place.worker.as_ref());
+        let tasks = workers.flat_map(|worker| worker.serving_tails(now, interference));
+        tasks.collect()
+    }
+
     /// Drops the waiting renewals of a host whose connections are lost, since their answers would not arrive.
     pub(super) fn drop_renewals(&mut self, from: HostIncarnation) {
         for place in &mut self.places {
@@ -207,6 +230,7 @@
         let mut scene = WorkerContext {
             now: self.now,
             max_lease_ms: self.deployment.max_lease_ms,
+            run_timing: self.deployment.run_timing,
             drain_ms: self.deployment.bounds.drain_ms,
             in_touch,
             catalog: &self.catalog,
@@ -327,8 +351,16 @@
         slot.listed_until = Micros::MAX;
     }
 
-    /// Starts the draining of a worker, and schedules its departure.
+    /// Starts the draining of a worker, and schedules its departure after a random time.
     pub(super) fn drain_worker(&mut self, place: usize) {
+        if self.fleet.places[place].worker.is_some() {
+            let drain_ms = self.random.random_range(DRAIN_MS);
+            self.drain_worker_for(place, drain_ms);
+        }
+    }
+
+    /// Starts the draining of a worker, which leaves after `drain_ms`.
+    pub(super) fn drain_worker_for(&mut self, place: usize, drain_ms: Millis) {
         let slot = &mut self.fleet.places[place];
         let Some(worker) = &mut slot.worker else {
             return;
@@ -339,9 +371,9 @@
             place,
             number: slot.incarnation,
         };
-        let drain_us = self.random.random_range(DRAIN_MS) * MS;
+        let leaves_at = self.now + drain_ms * MS;
         self.queue
-            .push(self.now + drain_us, WorldEvent::WorkerLeaves(incarnation));
+            .push(leaves_at, WorldEvent::WorkerLeaves(incarnation));
     }
 
     pub(super) fn worker_leaves(&mut self, incarnation: PlaceIncarnation) {
@@ -351,6 +383,26 @@
         }
     }
 
+    /// Changes how the runs on a worker progress until `for_ms` have passed.
+    pub(super) fn hinder_worker(&mut self, place: usize, progress: RunProgress, for_ms: Millis) {
+        let incarnation = self.fleet.incarnation_at(place);
+        self.set_run_progress(incarnation, progress);
+        let recovers = WorldEvent::RunsProgress(incarnation, RunProgress::Usual);
+        self.queue.push(self.now + for_ms * MS, recovers);
+    }
+
+    /// Changes how the runs on a worker progress from now on, unless it is of a later incarnation.
+    pub(super) fn set_run_progress(&mut self, target: PlaceIncarnation, progress: RunProgress) {
+        let slot = &mut self.fleet.places[target.place];
+        let worker = slot.worker.as_mut();
+        let Some(worker) = worker.filter(|_| slot.incarnation == target.number) else {
+            return;
+        };
+        worker.advance(self.now, &mut self.oracle);
+        worker.progress = progress;
+        self.schedule_worker(target.place);
+    }
+
     /// Has a worker hang: it still carries out orders, but does not answer until `for_ms` have passed.
     pub(super) fn hang_worker(&mut self, place: usize, for_ms: Millis) {
         let incarnation = PlaceIncarnation {
--- a/crates/emulator/src/world/monitor.rs
+++ b/crates/emulator/src/world/monitor.rs
@@ -3,9 +3,11 @@
 use sandshelf_jobs::{JobNote, OrderAnswer, RefusalReason};
 use sandshelf_model::Millis;
 
+use super::outcomes::STANDING_SAMPLE_INTERVAL_MS;
 use super::{EmulatedWorld, CHECK_INTERVAL_MS, WARM_UP_MS};
 use crate::deployment::Deployment;
 use crate::oracle::HostObservation;
+use crate::outcomes::StandingTime;
 use crate::queue::{Micros, MS};
 use crate::report::{HostOutage, OwnerSecond, OwnerTakeover, SimulationReport};
 
@@ -30,6 +32,8 @@
     /// Since when all hosts have been lost; `None` again once all of them are back.
     all_lost: Option<Micros>,
     pub(super) report: SimulationReport,
+    /// The time of the standing tasks during the traffic, by class.
+    pub(super) standing_times: Vec<StandingTime>,
     last_used: Vec<Micros>,
     last_carried: Vec<u64>,
 }
@@ -46,6 +50,7 @@
                 contact_ms: deployment.bounds.contact_ms,
                 ..SimulationReport::default()
             },
+            standing_times: Vec::new(),
             last_used: vec![0; count],
             last_carried: vec![0; count],
         }
@@ -137,6 +142,9 @@
             },
             JobNote::WorkerSilent(_) => report.silent += 1,
             JobNote::Paced(..) => report.paced += 1,
+            JobNote::Stopped { cause, .. } => {
+                *report.stops.entry(format!("{cause:?}")).or_default() += 1;
+            }
             JobNote::TakeoverOver { waited_ms, .. } => {
                 if let Some(takeover) = report.takeovers.last_mut() {
                     takeover.waited_ms = Some(*waited_ms);
@@ -160,18 +168,25 @@
                 self.oracle.check_idle_jobs(now, CHECK_INTERVAL_MS, &room);
             }
         }
+        if self.deployment.limits_missing_tasks() {
+            let at_work = self.fleet.standing_at_work(self.now);
+            self.oracle.note_at_work(CHECK_INTERVAL_MS, &at_work);
+        }
         let contact_ms = self.deployment.bounds.contact_ms;
         self.oracle.check_late_stops(now, calm_since + contact_ms);
         self.check_hosts();
         if now.is_multiple_of(OWNER_STATS_INTERVAL_MS) {
             self.record_owner_stats();
         }
-        if now.is_multiple_of(SERVING_COUNT_INTERVAL_MS)
-            && now >= WARM_UP_MS
-            && self.now < self.traffic_until
-        {
+        let tails = self.fleet.serving_tails(self.now, &self.interference);
+        self.oracle.check_serving(now, CHECK_INTERVAL_MS, &tails);
+        let in_traffic = now >= WARM_UP_MS && self.now < self.traffic_until;
+        if in_traffic && now.is_multiple_of(SERVING_COUNT_INTERVAL_MS) {
             self.count_serving();
         }
+        if in_traffic && now.is_multiple_of(STANDING_SAMPLE_INTERVAL_MS) {
+            self.sample_standing(&tails);
+        }
     }
 
     /// Whether no hall has been cut off for `contact_ms`, as rules with a time limit require.
@@ -182,7 +197,8 @@
     }
 
     fn check_hosts(&mut self) {
-        let (_, _, burst_until) = self.burst;
+        let bursts = self.bursts.iter();
+        let burst_until = bursts.map(|burst| burst.until).max().unwrap_or(0);
         for index in 0..self.hosts.len() {
             let host = &self.hosts[index];
             if self.now < burst_until && host.downlink.queue_ms(self.now) > CONGESTED_QUEUE_MS {
@@ -236,6 +252,7 @@
     /// Runs the checks that need the whole simulation.
     pub(super) fn finish(&mut self) {
         self.count_served();
+        self.check_refusals();
         let until = self.traffic_until / MS;
         for outage in &self.monitor.report.outages {
             if let Some(back) = outage.back_ms {
@@ -262,11 +279,14 @@
         report.simulated_s = self.now / MS / 1_000;
         report.served_percent = self.host_oracle.served_percent(0, self.now / MS);
         report.longest_away_ms = self.oracle.longest_away;
+        report.longest_over_target_ms = self.oracle.longest_over_target;
         report.longest_idle_ms = self.oracle.longest_idle;
         report.longest_config_ms = self.host_oracle.longest_config;
         report.longest_stop_ms = self.oracle.longest_stop;
         report.starts = self.oracle.starts;
+        report.copies = self.oracle.copies;
         report.broken = self.oracle.broken.clone();
+        report.classes = self.class_outcomes();
         report.scheduler_steps = self
             .hosts
             .iter()
