Hold back filling jobs that do not fit, and let short tasks go before standing ones in a shortage

Cause: with more filling jobs than fit beside serving tasks, all jobs started at once and slowed each other down. In a shortage of processors, an overdue standing task took each core that a short task freed, and short jobs that had waited went first although they were late by then.

Change, all behind `fair_order`: a filling job begins only if the forecast capacity suffices for it and for what has begun; sizes and queues that are behind their share go first; serving tasks are kept 3 % under their target load; a filling task is placed where the headroom lasts for 1.5 s; waiting standing tasks start only where capacity exists twice over while short tasks have to wait.

--- a/crates/jobs/src/fill.rs
+++ b/crates/jobs/src/fill.rs
@@ -16,6 +16,14 @@
 /// The highest load allowed for a serving task, as a share of its target load. 0.94 costs filling tasks as much as it gains serving
 /// tasks (a tenth of their value), and 0.87 costs them more; higher values cost serving tasks more than filling tasks gain.
 const MAX_TARGET_LOAD_SHARE: f64 = 1.0;
+/// Like [`MAX_TARGET_LOAD_SHARE`] with fair order, where serving tasks are kept just below their targets in an overload: at 1.0 they
+/// were over their targets three times as long, and hardly more filling jobs ended in time.
+const FAIR_TARGET_LOAD_SHARE: f64 = 0.97;
+/// How far ahead the headroom at which a task is placed is forecast with fair order: most of a run of 2 s. Without it, tasks started
+/// before a peak of the serving loads were slowed down and moved twice as often.
+const PLACE_AHEAD_MS: Millis = 1_500;
+/// The share of the remaining headroom that tasks of jobs without value may use with fair order.
+const USELESS_HEADROOM_SHARE: f64 = 0.3;
 /// The delay after which a newly set pace takes effect.
 const PACE_EFFECT_START_MS: Millis = 150;
 /// The time after which a newly set pace is usually replaced at the latest: readings arrive twice a second.
@@ -29,19 +37,56 @@
 /// worker seldom has more than eight serving steps.
 type ServingHeadrooms = SmallVec<[ServingHeadroom; 8]>;
 
+/// The shares of the headroom that filling tasks may use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct FillRules {
+    /// The highest load allowed for a serving task, as a share of its target load.
+    max_target_load_share: f64,
+    /// The share of the remaining headroom that tasks of jobs without value may use.
+    useless_headroom_share: f64,
+    /// How far ahead the headroom at which a task is placed is forecast, besides the time until paces are next recomputed.
+    place_ahead_ms: Option<Millis>,
+}
+
+impl FillRules {
+    /// The rules with or without fair order.
+    pub(crate) fn new(fair_order: bool) -> Self {
+        match fair_order {
+            true => Self {
+                max_target_load_share: FAIR_TARGET_LOAD_SHARE,
+                useless_headroom_share: USELESS_HEADROOM_SHARE,
+                place_ahead_ms: Some(PLACE_AHEAD_MS),
+            },
+            false => Self {
+                max_target_load_share: MAX_TARGET_LOAD_SHARE,
+                useless_headroom_share: 1.0,
+                place_ahead_ms: None,
+            },
+        }
+    }
+}
+
 /// The load increase that the tasks of a serving step tolerate.
 #[derive(Clone, Copy, Debug)]
 struct ServingHeadroom {
     image: ImageId,
     /// By which share the load may rise over the load without filling tasks.
     allowed_increase: f64,
+    /// The same where a task is to be placed, which also has to be tolerated later during its run.
+    allowed_at_start: f64,
 }
 
 impl ServingHeadroom {
     /// The headroom until paces are next recomputed: the smaller one of the values at the start and at the end of the time in
     /// which a pace is in effect.
-    fn of(step: &TaskKey, image: ImageId, history: &LoadHistory, now: Millis) -> Self {
-        let max_load = target_load() * MAX_TARGET_LOAD_SHARE;
+    fn of(
+        step: &TaskKey,
+        image: ImageId,
+        history: &LoadHistory,
+        rules: FillRules,
+        now: Millis,
+    ) -> Self {
+        let max_load = target_load() * rules.max_target_load_share;
         let allowed_increase = |ahead: Millis| {
             let expected = history.forecast(step, now + ahead);
             (max_load / expected.load - 1.0).max(0.0)
@@ -50,6 +95,7 @@
             image,
             allowed_increase: allowed_increase(PACE_EFFECT_START_MS)
                 .min(allowed_increase(PACE_EFFECT_END_MS)),
+            allowed_at_start: rules.place_ahead_ms.map_or(f64::MAX, allowed_increase),
         }
     }
 }
@@ -121,6 +167,7 @@
     unreserved_cpu_millis: f64,
     /// The processors that the filling tasks use at full pace, in thousandths of a core.
     filling_cpu_millis: u64,
+    rules: FillRules,
 }
 
 impl FillAllocator {
@@ -129,6 +176,7 @@
         worker: &WorkerState,
         interference: &InterferenceEstimate,
         history: &LoadHistory,
+        rules: FillRules,
         now: Millis,
     ) -> Self {
         let capacity = worker.entry.capacity.cpu_millis;
@@ -141,13 +189,14 @@
             .collect();
         let headrooms = steps.iter();
         let headrooms =
-            headrooms.map(|(step, image)| ServingHeadroom::of(step, *image, history, now));
+            headrooms.map(|(step, image)| ServingHeadroom::of(step, *image, history, rules, now));
         let mut allocator = Self {
             headrooms: headrooms.collect(),
             demands: Vec::new(),
             capacity_cpu_millis: capacity.max(1) as f64,
             unreserved_cpu_millis: capacity.saturating_sub(worker.ordinary_cpu()) as f64,
             filling_cpu_millis: worker.filling_cpu(),
+            rules,
         };
         for (key, record) in worker.runs.iter().filter(|(_, record)| record.fills) {
             let request = FillRequest {
@@ -194,7 +243,7 @@
         let mut headrooms = self.headrooms.clone();
         let mut shares = Vec::with_capacity(self.demands.len());
         for demand in &self.demands {
-            let share = allocate_share(&mut headrooms, demand, interference);
+            let share = allocate_share(&mut headrooms, demand, self.rules, interference);
             shares.extend(demand.key.map(|key| (key, share)));
         }
         shares
@@ -209,14 +258,17 @@
     ) -> f64 {
         let new_demand = self.demand(interference, request, 1.0);
         let mut headrooms = self.headrooms.clone();
+        for headroom in &mut headrooms {
+            headroom.allowed_increase = headroom.allowed_increase.min(headroom.allowed_at_start);
+        }
         for demand in &self.demands {
             // Among equals, such as tasks of the same step, those already on the worker are served first.
             if new_demand.order(demand).is_lt() {
                 break;
             }
-            allocate_share(&mut headrooms, demand, interference);
+            allocate_share(&mut headrooms, demand, self.rules, interference);
         }
-        let share = allocate_share(&mut headrooms, &new_demand, interference);
+        let share = allocate_share(&mut headrooms, &new_demand, self.rules, interference);
         let total_cpu_millis = (self.filling_cpu_millis + request.cpu_millis).max(1) as f64;
         share.min(self.unreserved_cpu_millis / total_cpu_millis)
     }
@@ -255,14 +307,20 @@
 fn allocate_share(
     headrooms: &mut [ServingHeadroom],
     demand: &FillDemand,
+    rules: FillRules,
     interference: &InterferenceEstimate,
 ) -> f64 {
+    let usable = match demand.urgency.value {
+        CompletionValue::Zero => rules.useless_headroom_share,
+        CompletionValue::Full | CompletionValue::Reduced => 1.0,
+    };
     let mut share: f64 = 1.0;
     for headroom in headrooms.iter() {
         let coefficient = interference.coefficient(headroom.image, demand.image);
         if coefficient >= NEGLIGIBLE_COEFFICIENT {
             share = share.min(
-                headroom.allowed_increase / (coefficient * demand.load).max(f64::MIN_POSITIVE),
+                headroom.allowed_increase * usable
+                    / (coefficient * demand.load).max(f64::MIN_POSITIVE),
             );
         }
     }
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -45,6 +45,8 @@
     pub fill_paced: u64,
     /// The processors that the filling tasks used at the last reading, in thousandths of a core.
     pub fill_used: u64,
+    /// Filling jobs that wait because the capacity does not suffice for them and for those that have begun.
+    pub filling_held: usize,
 }
 
 impl JobScheduler {
@@ -75,6 +77,7 @@
             workers: self.workers.len(),
             dirty: self.dirty.len(),
             stretch: self.backlog.stretch(),
+            filling_held: self.filling_limits.held_jobs(),
             evacuated_halls: self.evacuated.len(),
             evacuated_runs: evacuated.map(|worker| worker.runs.len()).sum(),
             ..SchedulerCounts::default()
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -65,6 +65,7 @@
             job.add_due_repetitions(self.wall_ms);
         }
         self.jobs.insert(number, job);
+        self.count_new_job(now, number);
         self.note_pending_crashes(now, number);
         for (worker, report) in self.foreign.take_reports_of(number) {
             match report {
@@ -136,6 +137,7 @@
         };
         job.stage = stage;
         self.crashes.forget_job(number);
+        self.release_held(number);
         self.keep_ended_sizes(now, number, &job.spec);
         self.finished.insert(number);
         self.finished_at.push_back((now, number));
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -55,6 +55,7 @@
 mod run;
 mod scheduler;
 mod settle;
+mod shares;
 mod silent;
 mod spec;
 mod stage;
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -201,6 +201,22 @@
         /// The number of crashes that count against the task.
         crashes: usize,
     },
+    /// A filling job may not begin yet, since the capacity beside serving tasks does not suffice for it and for what has begun. Work
+    /// and capacity are in thousandths of a core times milliseconds.
+    FillingHeld {
+        /// The job.
+        job: JobNumber,
+        /// The work of the job.
+        work: u64,
+        /// The work that begun filling jobs of the service have left.
+        begun_work: u64,
+        /// The work that can be done until the job should end.
+        capacity: u64,
+        /// The time until the job should end if it begins now, in milliseconds.
+        due_in_ms: Millis,
+        /// The age of the view on which this rests, in milliseconds.
+        view_age_ms: Millis,
+    },
 }
 
 /// Why a run can't be running any more.
--- a/crates/jobs/src/pacing.rs
+++ b/crates/jobs/src/pacing.rs
@@ -6,7 +6,7 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use crate::events::WorkerCall;
-use crate::fill::{FillRequest, FillUrgency};
+use crate::fill::{FillAllocator, FillRequest, FillRules, FillUrgency};
 use crate::ids::RunKey;
 use crate::images::ImageId;
 use crate::incarnation::ClockSample;
@@ -58,6 +58,16 @@
 }
 
 impl JobScheduler {
+    /// The tasks of a worker in the form that the pacing of filling tasks uses.
+    pub(crate) fn fill_allocator<'a>(
+        &self,
+        now: Millis,
+        worker: &'a WorkerState,
+    ) -> &'a FillAllocator {
+        let rules = FillRules::new(self.limits.policies.fair_order);
+        worker.fill_allocator(&self.interference, &self.load_history, rules, now)
+    }
+
     /// Sets the pace of each filling task on a worker from the shares allocated to them.
     pub(crate) fn update_paces(&mut self, now: Millis, worker: &WorkerId) {
         let Some(state) = self.workers.get(worker) else {
@@ -71,9 +81,7 @@
             stretch.is_some_and(|stretch| now >= stretch.since + STOP_FILLING_AFTER_MS)
         };
         let stop_filling = state.runs.values().any(long_over_target);
-        let shares = state
-            .fill_allocator(&self.interference, &self.load_history, now)
-            .allocate(&self.interference);
+        let shares = self.fill_allocator(now, state).allocate(&self.interference);
         let mut changed = Vec::new();
         for (key, share) in shares {
             let share = if stop_filling { 0.0 } else { share };
@@ -160,7 +168,7 @@
             cpu_millis: record.cpu_millis,
         };
         let share_at = |target: &WorkerState| {
-            let allocator = target.fill_allocator(&self.interference, &self.load_history, now);
+            let allocator = self.fill_allocator(now, target);
             allocator.predicted_share(&self.interference, &request)
         };
         let better = self.workers.iter().find(|(id, target)| {
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -11,8 +11,8 @@
 use crate::ids::TaskKey;
 use crate::limits::{MAX_WORKER_CHECKS_PER_PASS, PASS_RESUME_WINDOW_MS};
 use crate::rank::{
-    is_mostly_used, place_rank, FailedPlacements, PassMemo, PlaceCost, PlaceRank, RankTier,
-    WaitingGroup,
+    are_processors_scarce, is_mostly_used, place_rank, CapacityUse, FailedPlacements, PassMemo,
+    PlaceCost, PlaceRank, RankTier, WaitingGroup,
 };
 use crate::scheduler::JobScheduler;
 use crate::wait_key::WaitKey;
@@ -32,11 +32,17 @@
         }
         self.last_pass = now;
         let mut memo = self.begin_pass(now);
+        self.note_standing_capacity(now);
         let groups = self.ranked_groups(now);
         let mut cut_short = false;
         'pass: for group in groups {
+            if self.is_held_back(now, &group) {
+                continue;
+            }
             for wait in group.tasks {
-                if memo.failed.steps.contains(&wait.task.first_of_step()) {
+                if memo.failed.steps.contains(&wait.task.first_of_step())
+                    || self.is_standing_held(now, &wait)
+                {
                     continue;
                 }
                 self.place_one(now, group.rank, wait, &mut memo);
@@ -70,15 +76,20 @@
     /// The waiting tasks, grouped by job, the most urgent job first.
     fn ranked_groups(&self, now: Millis) -> Vec<WaitingGroup> {
         let mut groups: Vec<WaitingGroup> = Vec::new();
-        let mostly_used = is_mostly_used(self.workers.values());
+        let used = CapacityUse {
+            mostly_used: is_mostly_used(self.workers.values()),
+            scarce_processors: self.limits.policies.fair_order
+                && are_processors_scarce(self.workers.values()),
+        };
         for wait in &self.waiting {
             let number = wait.task.job;
             match groups.last_mut() {
                 Some(group) if group.job == number => group.tasks.push(*wait),
                 _ => {
                     if let Some(job) = self.jobs.get(&number) {
+                        let rank = place_rank(now, job, wait, used);
                         groups.push(WaitingGroup {
-                            rank: place_rank(now, job, wait, mostly_used),
+                            rank: self.share_rank(now, rank, job, wait),
                             job: number,
                             tasks: vec![*wait],
                         });
@@ -221,7 +232,7 @@
         let mut cost = place_cost(worker, candidate, taken);
         cost += self.caution_cost(now, worker, candidate);
         if candidate.step.fills {
-            let allocator = worker.fill_allocator(&self.interference, &self.load_history, now);
+            let allocator = self.fill_allocator(now, worker);
             match fill_cost(allocator, &self.interference, candidate) {
                 Some(filling) => cost += filling,
                 None => return PlaceCost::Ineligible,
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -25,13 +25,15 @@
 const STANDING_OVERDUE_MS: Millis = 2_500;
 /// The share of a job's estimated remaining time that counts when deciding whether its objective is out of reach; estimates are
 /// off by a factor of two either way.
-const COUNTED_REMAINING_PERCENT: u64 = 40;
+pub(crate) const COUNTED_REMAINING_PERCENT: u64 = 40;
 
 /// The urgency of a waiting job; the most urgent rank sorts first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct PlaceRank {
     pub(crate) priority: u32,
     pub(crate) tier: RankTier,
+    /// False for a new job whose queue or size has been served less than its share; such jobs go first.
+    pub(crate) has_share: bool,
     pub(crate) order: i64,
 }
 
@@ -187,12 +189,31 @@
     taken(total.cpu_millis, free.cpu_millis) && taken(total.memory_mib, free.memory_mib)
 }
 
-/// The urgency of a waiting job; `mostly_used` says whether most of the workers' capacity is used.
+/// Whether most of the workers' processors are used, according to declared sizes.
+pub(crate) fn are_processors_scarce<'a>(workers: impl Iterator<Item = &'a WorkerState>) -> bool {
+    let (total, free) = workers.fold((0, 0), |(total, free), worker| {
+        let capacity = worker.entry.capacity.cpu_millis;
+        (total + capacity, free + worker.free().cpu_millis)
+    });
+    total > 0 && (total - free) * 100 >= total * MOSTLY_USED_PERCENT
+}
+
+/// How much of the workers' capacity is used at the beginning of a placement pass.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct CapacityUse {
+    /// Whether most of the processors and most of the memory are used.
+    pub(crate) mostly_used: bool,
+    /// With fair order, whether most of the processors are used. Then jobs of which nothing is running don't go ahead of others, since
+    /// in a shortage all jobs that wait would, the oldest first, and end late.
+    pub(crate) scarce_processors: bool,
+}
+
+/// The urgency of a waiting job.
 pub(crate) fn place_rank(
     now: Millis,
     job: &JobState,
     wait: &WaitKey,
-    mostly_used: bool,
+    used: CapacityUse,
 ) -> PlaceRank {
     let step = job.step_spec(&wait.task);
     let task = job.task(&wait.task);
@@ -204,7 +225,8 @@
     let begun = job.stage != JobStage::Queued;
     let overdue = standing && waited >= STANDING_OVERDUE_MS;
     let starving = waited >= STARVING_AFTER_MS && !job.has_live_task();
-    let tier = if overdue || starving && !(fills && mostly_used) {
+    let first_task_waits = fills && used.mostly_used || !standing && used.scarce_processors;
+    let tier = if overdue || starving && !first_task_waits {
         RankTier::Starving
     } else if standing {
         RankTier::Standing
@@ -221,6 +243,7 @@
     PlaceRank {
         priority: wait.priority,
         tier,
+        has_share: true,
         order: if newest_first {
             -(job.due.objective_at as i64)
         } else {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -26,6 +26,7 @@
 use crate::progress::ProgressRow;
 use crate::rank::FailedPlacements;
 use crate::roster::RosterMembers;
+use crate::shares::{FairShares, FillingLimits, StandingShortage};
 use crate::silent::{SilenceRecords, StoreClock};
 use crate::spec::{JobSpec, QueueRules};
 use crate::takeover::{RecoveryState, TakeoverInfo, FIRST_EPOCH};
@@ -133,6 +134,9 @@
     pub(crate) last_pass: Millis,
     /// The placements that the last pass tried in vain, if it was cut short.
     pub(crate) failed_placements: Option<FailedPlacements>,
+    pub(crate) filling_limits: FillingLimits,
+    pub(crate) shares: FairShares,
+    pub(crate) standing_shortage: StandingShortage,
     pub(crate) workers_checked_at: Millis,
     /// Whether the last placement pass left tasks waiting.
     pub(crate) pass_left_tasks: bool,
@@ -221,6 +225,9 @@
             room_changed: false,
             last_pass: 0,
             failed_placements: None,
+            filling_limits: FillingLimits::default(),
+            shares: FairShares::default(),
+            standing_shortage: StandingShortage::default(),
             workers_checked_at: 0,
             pass_left_tasks: false,
             last_move: 0,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -6,7 +6,7 @@
 use sandshelf_model::{Millis, ResourceSize};
 
 use crate::crash::CrashSuspect;
-use crate::fill::FillAllocator;
+use crate::fill::{FillAllocator, FillRules};
 use crate::ids::RunKey;
 use crate::incarnation::{ClockSample, IncarnationState};
 use crate::interference::{InterferenceEstimate, InterferenceLoads};
@@ -123,10 +123,11 @@
         &self,
         interference: &InterferenceEstimate,
         history: &LoadHistory,
+        rules: FillRules,
         now: Millis,
     ) -> &FillAllocator {
         self.fill_allocator
-            .get_or_init(|| FillAllocator::new(self, interference, history, now))
+            .get_or_init(|| FillAllocator::new(self, interference, history, rules, now))
     }
 
     /// Discards the cached board because the tasks here, or their readings, have changed.
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -51,6 +51,8 @@
 /// The jobs that completed later than their objective, by queue.
 const LATE_JOBS: &str = "sandshelf_jobs_late_total";
 
+/// The filling jobs that were held back because the capacity did not suffice.
+const FILLING_HELD: &str = "sandshelf_filling_jobs_held_total";
 /// The relay messages, or answers in them, that were ignored, by fault.
 const RELAY_FAULTS: &str = "sandshelf_relay_faults_total";
 
@@ -190,6 +192,7 @@
         | JobNote::CrashWithdrawn { .. }
         | JobNote::OverTarget(_)
         | JobNote::Paced(..) => {}
+        JobNote::FillingHeld { .. } => counter!(FILLING_HELD).increment(1),
     }
 }
 
@@ -223,6 +226,7 @@
     gauge!("sandshelf_longest_over_target_seconds").set(longest_over.as_secs_f64());
     gauge!("sandshelf_filling_tasks").set(counts.filling as f64);
     gauge!("sandshelf_filling_tasks_slowed").set(counts.slowed as f64);
+    gauge!("sandshelf_filling_jobs_held").set(counts.filling_held as f64);
 }
 
 /// Sets the gauges of an owner's relays: the hosts that offer to relay, those in use, and the relayed orders without an answer.
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -236,6 +236,24 @@
         JobNote::TaskGivenUp { task, crashes } => {
             event_always("task_given_up", &[("task", task), ("crashes", crashes)]);
         }
+        JobNote::FillingHeld {
+            job,
+            work,
+            begun_work,
+            capacity,
+            due_in_ms,
+            view_age_ms,
+        } => event(
+            "filling_held",
+            &[
+                ("job", job),
+                ("work", work),
+                ("begun_work", begun_work),
+                ("capacity", capacity),
+                ("due_in_ms", due_in_ms),
+                ("view_age_ms", view_age_ms),
+            ],
+        ),
         JobNote::OverTarget(report) => log_over_target(report),
         JobNote::Paced(key, worker, percent) => event(
             "task_paced",
