Serve the newest short jobs first only in an overload of them

Cause: with any wait over 100 ms the newest short jobs went first, so that in a moderate load old ones were put off until they were of no use.

Change: the newest go first, and jobs of which nothing runs lose their precedence, only after a short task has waited for 800 ms.

--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -78,7 +78,7 @@
         let mut groups: Vec<WaitingGroup> = Vec::new();
         let used = CapacityUse {
             mostly_used: is_mostly_used(self.workers.values()),
-            scarce_processors: self.limits.policies.fair_order
+            scarce_processors: self.standing_shortage.is_overloaded(now)
                 && are_processors_scarce(self.workers.values()),
         };
         for wait in &self.waiting {
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -203,7 +203,7 @@
 pub(crate) struct CapacityUse {
     /// Whether most of the processors and most of the memory are used.
     pub(crate) mostly_used: bool,
-    /// With fair order, whether most of the processors are used. Then jobs of which nothing is running don't go ahead of others, since
+    /// With fair order and in an overload of short tasks, whether most of the processors are used. Then jobs of which nothing is running don't go ahead of others, since
     /// in a shortage all jobs that wait would, the oldest first, and end late.
     pub(crate) scarce_processors: bool,
 }
--- a/crates/jobs/src/shares/shortage.rs
+++ b/crates/jobs/src/shares/shortage.rs
@@ -20,7 +20,10 @@
 const MIN_AMPLE_SHARE: f64 = 0.7;
 /// A short task that has waited for this long shows that processors are short. Other tasks start within a pass or two.
 const SHORT_WAIT_MS: Millis = 100;
-/// For how long after that processors count as short.
+/// A short task that has waited for this long shows an overload. It is about the slack of a short job, so that in the order of due
+/// times all would end late.
+const OVERLOAD_WAIT_MS: Millis = 800;
+/// For how long after that processors count as short, or short tasks as too many.
 const CONTENDED_MS: Millis = 5_000;
 
 /// A kind of standing task, as far as its capacity is concerned.
@@ -39,6 +42,8 @@
     noted_at: Millis,
     /// Until when processors count as short.
     contended_until: Millis,
+    /// Until when short tasks count as too many.
+    overloaded_until: Millis,
 }
 
 impl StandingShortage {
@@ -47,6 +52,11 @@
         now < self.contended_until
     }
 
+    /// Whether short tasks have had to wait lately for longer than most of them can.
+    pub(crate) fn is_overloaded(&self, now: Millis) -> bool {
+        now < self.overloaded_until
+    }
+
     fn ample_share(&self, kind: &StandingKind) -> f64 {
         let known = self.ample.iter().find(|(known, _)| known == kind);
         known.map_or(0.0, |(_, share)| *share)
@@ -60,19 +70,22 @@
             return;
         }
         let mut kinds: Vec<StandingKind> = Vec::new();
-        let mut short_waits = false;
+        let mut longest_wait = 0;
         for wait in &self.waiting {
             let Some(kind) = self.standing_kind(wait) else {
-                short_waits = short_waits || self.is_waiting_short(now, wait);
+                longest_wait = longest_wait.max(self.short_wait_ms(now, wait));
                 continue;
             };
             if !kinds.contains(&kind) {
                 kinds.push(kind);
             }
         }
-        if short_waits {
+        if longest_wait >= SHORT_WAIT_MS {
             self.standing_shortage.contended_until = now + CONTENDED_MS;
         }
+        if longest_wait >= OVERLOAD_WAIT_MS {
+            self.standing_shortage.overloaded_until = now + CONTENDED_MS;
+        }
         let passed = now.saturating_sub(self.standing_shortage.noted_at) as f64;
         let kept = (-passed / AMPLE_DECAY_MS).exp();
         let shares = kinds.into_iter().map(|kind| {
@@ -88,14 +101,14 @@
         self.standing_shortage.noted_at = now;
     }
 
-    /// Whether a task that needs processors and ends has waited for long enough to show a shortage.
-    fn is_waiting_short(&self, now: Millis, wait: &WaitKey) -> bool {
+    /// How long a task that needs processors and ends has waited, in milliseconds; 0 for others.
+    fn short_wait_ms(&self, now: Millis, wait: &WaitKey) -> Millis {
         let Some(job) = self.jobs.get(&wait.task.job) else {
-            return false;
+            return 0;
         };
         let fills = job.step_spec(&wait.task).is_none_or(|step| step.fills);
-        let task = job.task(&wait.task);
-        !fills && task.is_some_and(|task| now >= task.waiting_since + SHORT_WAIT_MS)
+        let task = job.task(&wait.task).filter(|_| !fills);
+        task.map_or(0, |task| now.saturating_sub(task.waiting_since))
     }
 
     /// Whether a standing task has to leave its capacity to short tasks.
--- a/crates/jobs/src/shares/sizes.rs
+++ b/crates/jobs/src/shares/sizes.rs
@@ -156,7 +156,7 @@
     }
 
     /// The rank of a job with fair order. A new job that is behind its share goes first, and a new filling job that can't meet its
-    /// objective even at full pace goes after those that can. While short tasks have to wait, the newest jobs go first: served in the
+    /// objective even at full pace goes after those that can. In an overload of short tasks, the newest jobs go first: served in the
     /// order of their due times, nearly all would end late in an overload.
     pub(crate) fn share_rank(
         &self,
@@ -184,7 +184,7 @@
         }
         PlaceRank {
             has_share: !self.is_behind_share(job),
-            order: if self.standing_shortage.is_contended(now) {
+            order: if self.standing_shortage.is_overloaded(now) {
                 -(job.due.objective_at as i64)
             } else {
                 rank.order
