--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -57,6 +57,7 @@
 mod run;
 mod scheduler;
 mod settle;
+mod shares;
 mod silent;
 mod spec;
 mod stage;
