Reserve workers for large tasks that have waited for long

Cause: while small tasks wait, each processor that becomes free is taken by one of them, so that a large task never finds enough capacity on one worker.

Change, behind `reservations`: a task of two fifths of a worker or more that has waited for a second gets the worker on which it fits soonest for 2.5 s; other tasks start there only if they end before or leave enough. Short tasks use large workers last.

--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -47,6 +47,8 @@
     pub fill_used: u64,
     /// Filling jobs that wait because the capacity does not suffice for them and for those that have begun.
     pub filling_held: usize,
+    /// Workers that are reserved for large tasks.
+    pub reserved_workers: usize,
 }
 
 impl JobScheduler {
@@ -77,6 +79,7 @@
             workers: self.workers.len(),
             dirty: self.dirty.len(),
             stretch: self.backlog.stretch(),
+            reserved_workers: self.reservations.len(),
             filling_held: self.filling_limits.held_jobs(),
             evacuated_halls: self.evacuated.len(),
             evacuated_runs: evacuated.map(|worker| worker.runs.len()).sum(),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod relay;
 mod renewals;
 mod reports;
+mod reservations;
 mod restart;
 mod roster;
 mod run;
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -217,6 +217,26 @@
         /// The age of the view on which this rests, in milliseconds.
         view_age_ms: Millis,
     },
+    /// A worker was reserved for a large task that has waited for long.
+    WorkerReserved {
+        /// The task.
+        task: TaskKey,
+        /// The worker.
+        worker: WorkerId,
+        /// How long the task has waited, in milliseconds.
+        waited_ms: Millis,
+        /// The time until enough capacity should be free, in milliseconds.
+        ready_in_ms: Millis,
+    },
+    /// A worker is not reserved any more.
+    ReservationEnded {
+        /// The task for which it was reserved.
+        task: TaskKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Whether the task still waits although the worker could have started it.
+        in_vain: bool,
+    },
 }
 
 /// Why a run can't be running any more.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -33,6 +33,7 @@
         self.last_pass = now;
         let mut memo = self.begin_pass(now);
         self.note_standing_capacity(now);
+        self.refresh_reservations(now);
         let groups = self.ranked_groups(now);
         let mut cut_short = false;
         'pass: for group in groups {
@@ -231,6 +232,7 @@
         }
         let mut cost = place_cost(worker, candidate, taken);
         cost += self.caution_cost(now, worker, candidate);
+        cost += self.large_worker_cost(worker, candidate.step);
         if candidate.step.fills {
             let allocator = self.fill_allocator(now, worker);
             match fill_cost(allocator, &self.interference, candidate) {
@@ -303,7 +305,9 @@
         let free = taken
             .iter()
             .fold(left, |free, size| free.saturating_minus(size));
-        if !step.room().fits_in(&free) {
+        let key = &candidate.key;
+        if !step.room().fits_in(&free) || !self.reservations.allows_start(now, id, key, step, &free)
+        {
             return false;
         }
         if step.most_per_worker > 0 {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -25,6 +25,7 @@
 use crate::note::JobNote;
 use crate::progress::ProgressRow;
 use crate::rank::FailedPlacements;
+use crate::reservations::ReservationBook;
 use crate::roster::RosterMembers;
 use crate::shares::{FairShares, FillingLimits, StandingShortage};
 use crate::silent::{SilenceRecords, StoreClock};
@@ -137,6 +138,7 @@
     pub(crate) filling_limits: FillingLimits,
     pub(crate) shares: FairShares,
     pub(crate) standing_shortage: StandingShortage,
+    pub(crate) reservations: ReservationBook,
     pub(crate) workers_checked_at: Millis,
     /// Whether the last placement pass left tasks waiting.
     pub(crate) pass_left_tasks: bool,
@@ -228,6 +230,7 @@
             filling_limits: FillingLimits::default(),
             shares: FairShares::default(),
             standing_shortage: StandingShortage::default(),
+            reservations: ReservationBook::default(),
             workers_checked_at: 0,
             pass_left_tasks: false,
             last_move: 0,
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -53,6 +53,10 @@
 
 /// The filling jobs that were held back because the capacity did not suffice.
 const FILLING_HELD: &str = "sandshelf_filling_jobs_held_total";
+/// The workers that were reserved for large tasks.
+const RESERVATIONS: &str = "sandshelf_reservations_total";
+/// The reservations that ended without a start although the worker could have started the task.
+const RESERVATIONS_IN_VAIN: &str = "sandshelf_reservations_in_vain_total";
 /// The relay messages, or answers in them, that were ignored, by fault.
 const RELAY_FAULTS: &str = "sandshelf_relay_faults_total";
 
@@ -192,6 +196,11 @@
         | JobNote::CrashWithdrawn { .. }
         | JobNote::OverTarget(_)
         | JobNote::Paced(..) => {}
+        JobNote::WorkerReserved { .. } => counter!(RESERVATIONS).increment(1),
+        JobNote::ReservationEnded { in_vain: true, .. } => {
+            counter!(RESERVATIONS_IN_VAIN).increment(1);
+        }
+        JobNote::ReservationEnded { .. } => {}
         JobNote::FillingHeld { .. } => counter!(FILLING_HELD).increment(1),
     }
 }
@@ -226,6 +235,7 @@
     gauge!("sandshelf_longest_over_target_seconds").set(longest_over.as_secs_f64());
     gauge!("sandshelf_filling_tasks").set(counts.filling as f64);
     gauge!("sandshelf_filling_tasks_slowed").set(counts.slowed as f64);
+    gauge!("sandshelf_reserved_workers").set(counts.reserved_workers as f64);
     gauge!("sandshelf_filling_jobs_held").set(counts.filling_held as f64);
 }
 
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -254,6 +254,28 @@
                 ("view_age_ms", view_age_ms),
             ],
         ),
+        JobNote::WorkerReserved {
+            task,
+            worker,
+            waited_ms,
+            ready_in_ms,
+        } => event(
+            "worker_reserved",
+            &[
+                ("task", task),
+                ("worker", worker),
+                ("waited_ms", waited_ms),
+                ("ready_in_ms", ready_in_ms),
+            ],
+        ),
+        JobNote::ReservationEnded {
+            task,
+            worker,
+            in_vain,
+        } => event(
+            "reservation_ended",
+            &[("task", task), ("worker", worker), ("in_vain", in_vain)],
+        ),
         JobNote::OverTarget(report) => log_over_target(report),
         JobNote::Paced(key, worker, percent) => event(
             "task_paced",
