Let a standing task go first again after it has been held for eight seconds

What the owner sees lags behind what is free. A standing task is now held for eight seconds at most, then it goes first wherever it fits, as without the policy.

--- a/crates/jobs/src/shares/shortage.rs
+++ b/crates/jobs/src/shares/shortage.rs
@@ -23,6 +23,9 @@
 /// A short task that has waited for this long shows an overload. It is about the slack of a short job, so that in the order of due
 /// times all would end late.
 const OVERLOAD_WAIT_MS: Millis = 800;
+/// For how long a standing task leaves its capacity to short tasks at most. The platform counts it as lost if it could have been started
+/// for three seconds, from six seconds after its last run on, unless there was a disturbance a moment before.
+const MAX_HELD_MS: Millis = 8_000;
 /// For how long after that processors count as short, or short tasks as too many.
 const CONTENDED_MS: Millis = 5_000;
 
@@ -117,9 +120,17 @@
             return false;
         }
         let kind = self.standing_kind(wait);
+        let kind = kind.filter(|_| self.may_be_held(now, wait));
         kind.is_some_and(|kind| !self.is_ample(&kind) || !self.fits_twice(now, &kind))
     }
 
+    /// Whether a standing task has not waited for so long that it goes first in any case.
+    fn may_be_held(&self, now: Millis, wait: &WaitKey) -> bool {
+        let job = self.jobs.get(&wait.task.job);
+        let task = job.and_then(|job| job.task(&wait.task));
+        task.is_some_and(|task| now < task.waiting_since + MAX_HELD_MS)
+    }
+
     /// Whether capacity for standing tasks of a kind has existed twice over for long.
     fn is_ample(&self, kind: &StandingKind) -> bool {
         self.standing_shortage.ample_share(kind) >= MIN_AMPLE_SHARE
@@ -153,13 +164,10 @@
     }
 
     /// The rank of a waiting standing task: it goes ahead of short ones only where capacity for it exists twice over.
-    pub(super) fn standing_rank(
-        &self,
-        rank: PlaceRank,
-        job: &JobState,
-        step: &StepSpec,
-    ) -> PlaceRank {
-        if self.is_ample(&self.kind_of(job, step)) {
+    pub(super) fn standing_rank(&self, now: Millis, rank: PlaceRank, wait: &WaitKey) -> PlaceRank {
+        let kind = self.standing_kind(wait);
+        let ample = kind.is_none_or(|kind| self.is_ample(&kind));
+        if ample || !self.may_be_held(now, wait) {
             return rank;
         }
         PlaceRank {
--- a/crates/jobs/src/shares/sizes.rs
+++ b/crates/jobs/src/shares/sizes.rs
@@ -168,9 +168,9 @@
         if !self.limits.policies.fair_order {
             return rank;
         }
-        let step = job.step_spec(&wait.task).filter(|step| step.standing);
-        if let (Some(step), RankTier::Starving) = (step, rank.tier) {
-            return self.standing_rank(rank, job, step);
+        let standing = job.step_spec(&wait.task).is_some_and(|step| step.standing);
+        if standing && rank.tier == RankTier::Starving {
+            return self.standing_rank(now, rank, wait);
         }
         if rank.tier != RankTier::Fresh {
             return rank;
