Start copies of slow runs and restart stuck ones

A step waits for its slowest task: with 3 in 100 tasks of 0.85 s taking seven times as long, a quarter of the steps of ten tasks miss their objective. The owner now compares the rate of each run's progress with that of its siblings and starts a second run where the step allows copies (switch `copies`). Other runs are stopped if a restart is expected to end well before them (switch `stuck_runs`), as long as restarts help. With both switches off nothing is read or decided.

A task may hold two runs. The end of either settles the task or leaves the other running; a takeover that finds both keeps both. `handle_end` and `drop_run` ask the task for its remaining runs, and the order of a start is now apart from its bookkeeping, so that copies use it as well.

--- /dev/null
+++ b/crates/jobs/src/copies/watch.rs
@@ -0,0 +1,135 @@
+//! What the checks for slow runs keep between them, and the readings that they are fed with.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sandshelf_model::{Millis, WorkerId};
+
+use super::budget::CopyBudget;
+use super::gain::RestartGain;
+use crate::ids::{RunKey, TaskKey};
+use crate::note::JobNote;
+use crate::reports::{EndReport, RunOutcome, WorkerClock};
+use crate::run::RunRecord;
+use crate::scheduler::JobScheduler;
+use crate::worker::WorkerState;
+
+/// For how long after the start of a run whose step allows copies its worker is read often. A copy saves a step of short tasks only if
+/// a straggler is known within some tenths of a second; for longer tasks the usual interval suffices.
+const CLOSE_READING_MS: Millis = 3_000;
+/// How long a worker that is read often may wait before it answers a lease renewal.
+const CLOSE_READING_WAIT_MS: Millis = 250;
+
+/// The state of the checks for slow and stuck runs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SlowRunWatch {
+    /// The steps with new readings, by their first task.
+    pub(super) marked: BTreeSet<TaskKey>,
+    pub(super) checked_at: Millis,
+    pub(super) budget: CopyBudget,
+    /// The outcomes of restarts, by queue.
+    pub(super) gains: BTreeMap<String, RestartGain>,
+    /// Since when standing tasks that were at work have not been.
+    pub(super) away_since: BTreeMap<RunKey, Millis>,
+}
+
+impl WorkerState {
+    /// How long the worker may wait before it answers a renewal, in milliseconds, given the wait that it would have otherwise.
+    pub(crate) fn reading_wait_ms(&self, now: Millis, wait_ms: Millis) -> Millis {
+        match now < self.read_closely_until {
+            true => wait_ms.min(CLOSE_READING_WAIT_MS),
+            false => wait_ms,
+        }
+    }
+}
+
+impl JobScheduler {
+    /// Whether slow runs are looked for at all.
+    pub(super) fn watches_runs(&self) -> bool {
+        self.limits.policies.copies || self.limits.policies.stuck_runs
+    }
+
+    /// Records that a run of a task is ordered to start on a worker.
+    pub(crate) fn note_ordered_start(&mut self, now: Millis, worker: &WorkerId, key: &TaskKey) {
+        self.slow_runs.budget.note_start();
+        if !self.allows_copies(key) {
+            return;
+        }
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.read_closely_until = now + CLOSE_READING_MS;
+        }
+    }
+
+    /// Records a reading of a run's progress.
+    pub(crate) fn note_progress(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        key: &RunKey,
+        clock: WorkerClock,
+    ) {
+        if !self.watches_runs() {
+            return;
+        }
+        let Some(record) = self.record_mut(worker, key) else {
+            return;
+        };
+        // A resumed run does not start at 0 %, and the start of a run of an earlier owner is not known.
+        let fresh = record.ordered_at > 0 && record.checkpoint.is_none();
+        let began = record.began.filter(|_| fresh);
+        let percent = record.percent;
+        let before = record.progress.newest_percent();
+        let ordered_at = record.ordered_at;
+        record.progress.note(now, clock, percent, began);
+        let checkpoint = record.checkpoint.as_ref();
+        record.progress.note_checkpoint(checkpoint, percent);
+        if record.standing {
+            self.note_presence(now, *key, (before, percent), ordered_at);
+            return;
+        }
+        self.slow_runs.marked.insert(key.task.first_of_step());
+    }
+
+    /// Records how a run of a task ended, before its task is settled. `record` is the run's former record, if it was known.
+    pub(crate) fn note_run_end(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        end: &EndReport,
+        record: Option<&RunRecord>,
+    ) {
+        if !self.watches_runs() {
+            return;
+        }
+        let state = self.workers.get(worker);
+        let took_ms = record.and_then(|record| {
+            let whole = record.ordered_at > 0 && record.checkpoint.is_none();
+            state?.heard_after(record).filter(|_| whole)
+        });
+        self.slow_runs.away_since.remove(&end.key);
+        if end.outcome != RunOutcome::Done {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&end.key.task.job) else {
+            return;
+        };
+        let queue = job.spec.queue.clone();
+        let trial = job.task_mut(&end.key.task);
+        let trial = trial.and_then(|task| task.restarts.trial.take());
+        if let (Some(step), Some(took_ms)) = (job.step_mut(&end.key.task), took_ms) {
+            step.done_times.add(took_ms);
+        }
+        self.slow_runs.marked.insert(end.key.task.first_of_step());
+        let Some(trial) = trial else {
+            return;
+        };
+        let gain = self.slow_runs.gains.entry(queue).or_default();
+        let took_ms = took_ms.unwrap_or(trial.typical_ms);
+        let helped = gain.note_outcome(now, &trial, took_ms);
+        self.note(JobNote::RestartJudged {
+            key: end.key,
+            helped,
+            took_ms: now.saturating_sub(trial.stopped_at),
+            expected_ms: trial.remaining_ms,
+        });
+    }
+}
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -45,6 +45,8 @@
     pub fill_paced: u64,
     /// The processors that the filling tasks used at the last reading, in thousandths of a core.
     pub fill_used: u64,
+    /// Runs that were started as copies of slow runs.
+    pub copies: usize,
 }
 
 impl JobScheduler {
@@ -93,6 +95,7 @@
 impl SchedulerCounts {
     fn add_run(&mut self, record: &RunRecord) {
         let gauge = record.gauge.unwrap_or(0);
+        self.copies += usize::from(record.copy);
         if record.target_ms > 0 {
             self.serving += 1;
             self.over_target += usize::from(gauge > record.target_ms);
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -6,9 +6,9 @@
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
 use crate::foreign::ForeignReport;
-use crate::ids::{JobNumber, RunKey, WorkerIncarnation};
+use crate::ids::{JobNumber, WorkerIncarnation};
 use crate::incarnation::IncarnationState;
-use crate::job::{objective_ms, JobState, TaskStage};
+use crate::job::{objective_ms, JobState};
 use crate::note::{JobNote, StopCause};
 use crate::progress::ProgressRow;
 use crate::reports::WorkerListing;
@@ -144,14 +144,8 @@
             self.remove_waiting(|wait| wait.task.job == number);
             self.delayed.retain(|(_, key)| key.job != number);
         }
-        for key in job.live_tasks() {
-            if let Some(TaskStage::Live { worker, run }) = job.task(&key).map(|task| &task.stage) {
-                let run = RunKey {
-                    task: key,
-                    run: *run,
-                };
-                self.stop_run(now, worker, run, StopCause::JobOver);
-            }
+        for (worker, run) in job.live_runs() {
+            self.stop_run(now, &worker, run, StopCause::JobOver);
         }
         self.mark_dirty(number);
         self.urgent = true;
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -4,6 +4,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
+use crate::copies::{CopyRun, DoneTimes, RestartHistory};
 use crate::crash::CrashRecord;
 use crate::due::{DueTimes, TaskChain};
 use crate::ids::{JobNumber, TaskKey};
@@ -44,6 +45,9 @@
     pub(crate) last_ended: u64,
     /// The crashes of its workers that it may have caused.
     pub(crate) crashes: CrashRecord,
+    /// The second run beside the one in `stage`, if any.
+    pub(crate) copy: Option<CopyRun>,
+    pub(crate) restarts: RestartHistory,
 }
 
 impl TaskStage {
@@ -66,6 +70,8 @@
             given_up: Vec::new(),
             last_ended: 0,
             crashes: CrashRecord::default(),
+            copy: None,
+            restarts: RestartHistory::default(),
         }
     }
 
@@ -81,6 +87,7 @@
     pub(crate) tasks: Vec<TaskState>,
     pub(crate) done: usize,
     pub(crate) open: bool,
+    pub(crate) done_times: DoneTimes,
 }
 
 impl StepState {
@@ -105,6 +112,7 @@
             tasks: vec![TaskState::new(); step.count as usize],
             done: 0,
             open: false,
+            done_times: DoneTimes::default(),
         });
         Self {
             steps: steps.collect(),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -20,6 +20,7 @@
 mod capacity;
 mod commit;
 mod commit_budget;
+pub mod copies;
 mod cost;
 mod crash;
 mod dirty;
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -201,6 +201,65 @@
         /// The number of crashes that count against the task.
         crashes: usize,
     },
+    /// A copy of a slow run was ordered to start.
+    CopyStarted {
+        /// The copy.
+        key: RunKey,
+        /// The worker of the copy.
+        worker: WorkerId,
+        /// The worker of the slow run.
+        slow_worker: WorkerId,
+        /// The least time that the slow run still needs at its own rate, in milliseconds.
+        remaining_ms: Millis,
+        /// The typical duration of the other tasks of the step, in milliseconds.
+        typical_ms: Millis,
+        /// The age of the slow run's newest reading, in milliseconds.
+        reading_age_ms: Millis,
+    },
+    /// One of the two runs of a task has ended `done`, and the other one is stopped.
+    CopyDecided {
+        /// The run that ended.
+        key: RunKey,
+        /// Its worker.
+        worker: WorkerId,
+        /// Whether the copy ended first.
+        copy_won: bool,
+    },
+    /// A run makes too little progress and is stopped, so that its task starts again on another worker.
+    RunStuck {
+        /// The run.
+        key: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// The progress at the newest reading, in percent.
+        percent: u32,
+        /// How long the run has stood still, in milliseconds; 0 for one that is only slow.
+        still_ms: Millis,
+        /// The time that the run was expected to need still, in milliseconds.
+        remaining_ms: Millis,
+        /// The expected time from the stop to the end of the next run, in milliseconds; for a standing task the time of the stop.
+        restart_ms: Millis,
+        /// The age of the newest reading, in milliseconds.
+        reading_age_ms: Millis,
+    },
+    /// A task that was restarted because its run was stuck is done.
+    RestartJudged {
+        /// The run that ended.
+        key: RunKey,
+        /// Whether it ended before the stopped run was expected to.
+        helped: bool,
+        /// The time from the stop to the end, in milliseconds.
+        took_ms: Millis,
+        /// The time that the stopped run was expected to need still, in milliseconds.
+        expected_ms: Millis,
+    },
+    /// Several runs on a worker stand still. The worker gets no new tasks for a while.
+    WorkerStill {
+        /// The worker.
+        worker: WorkerId,
+        /// The number of runs that stand still.
+        runs: usize,
+    },
 }
 
 /// Why a run can't be running any more.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -115,7 +115,7 @@
             last_worker: task
                 .last_worker
                 .as_ref()
-                .filter(|_| !task.failed_runs.is_empty()),
+                .filter(|_| !task.failed_runs.is_empty() || task.restarts.count > 0),
             only_rack: None,
             starving,
             caution: self.caution_of(&key),
@@ -208,7 +208,7 @@
     }
 
     /// The cost of placing a task on a worker, if the worker is eligible.
-    fn cost_at(
+    pub(crate) fn cost_at(
         &self,
         now: Millis,
         (id, worker): (&WorkerId, &WorkerState),
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -263,30 +263,26 @@
                 record.phase = RunPhase::Running(clock);
                 self.note_begun(&key.task);
             }
+            self.note_progress(now, worker, &key, clock);
             self.clear_if_survived(now, worker, &key);
             self.stop_again(now, worker, key, clock);
             return;
         }
         let adopted = self.may_adopt(&key) && !self.has_ended(&key);
-        let record = self.record_from_report(&key, run, clock);
+        let mut record = self.record_from_report(&key, run, clock);
         if adopted {
             self.adopt(worker, &key);
         }
+        let copied = !adopted && self.adopt_copy(worker, &key, &mut record);
         if let Some(state) = self.workers.get_mut(worker) {
             state.add_run(key, record);
         }
-        if !adopted {
+        self.note_progress(now, worker, &key, clock);
+        if !adopted && !copied {
             self.stop_run(now, worker, key, StopCause::Superseded);
         }
     }
 
-    /// Whether an end of this run, or of a later run of its task, was processed.
-    fn has_ended(&self, key: &RunKey) -> bool {
-        let job = self.jobs.get(&key.task.job);
-        let task = job.and_then(|job| job.task(&key.task));
-        task.is_some_and(|task| key.run <= task.last_ended)
-    }
-
     /// Whether a run belongs to a job that is not known yet but may exist: an earlier owner may
     /// have started it shortly before this one took over.
     fn is_foreign(&self, now: Millis, key: &RunKey) -> bool {
@@ -393,6 +389,7 @@
     } else {
         backlog.renewal_wait_ms(IDLE_RENEWAL_WAIT_MS)
     };
+    let wait_ms = worker.reading_wait_ms(now, wait_ms);
     let clock = worker
         .incarnation
         .clock(now)
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -9,6 +9,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
+use crate::copies::ProgressTrack;
 use crate::ids::RunKey;
 use crate::incarnation::IncarnationState;
 use crate::note::{JobNote, LossCause, StopCause};
@@ -142,6 +143,7 @@
             listed: false,
             answered_at: None,
             start_deadline: NO_START_DEADLINE,
+            progress: ProgressTrack::default(),
             ..record
         };
         if let Some(state) = self.workers.get_mut(worker) {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -2,6 +2,7 @@
 
 use sandshelf_model::{Millis, ResourceSize};
 
+use crate::copies::ProgressTrack;
 use crate::due::{DueTimes, TaskChain};
 use crate::images::ImageId;
 use crate::over_target::OverTargetStretch;
@@ -88,6 +89,10 @@
     /// When the worker last answered a pace order since the newest pace was sent; the answer may be one
     /// to an earlier order.
     pub(crate) pace_taken_at: Option<Millis>,
+    /// Its readings of progress on the current incarnation of its worker.
+    pub(crate) progress: ProgressTrack,
+    /// Whether it is the copy of a slow run.
+    pub(crate) copy: bool,
 }
 
 impl RunRecord {
@@ -151,6 +156,8 @@
             over_stretch: None,
             pace_sent_at: None,
             pace_taken_at: None,
+            progress: ProgressTrack::default(),
+            copy: false,
         }
     }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
 
 use crate::backlog::BacklogMonitor;
 use crate::capacity::EndedJobSizes;
+use crate::copies::SlowRunWatch;
 use crate::crash::CrashTracker;
 use crate::dirty::{DirtyJobs, UnwrittenEnds};
 use crate::events::{JobAction, JobEvent, WorkerCall};
@@ -137,6 +138,7 @@
     /// Whether the last placement pass left tasks waiting.
     pub(crate) pass_left_tasks: bool,
     pub(crate) last_move: Millis,
+    pub(crate) slow_runs: SlowRunWatch,
     pub(crate) backlog: BacklogMonitor,
     /// The number of start orders that were sent and have no answer yet.
     pub(crate) unanswered_starts: usize,
@@ -224,6 +226,7 @@
             workers_checked_at: 0,
             pass_left_tasks: false,
             last_move: 0,
+            slow_runs: SlowRunWatch::default(),
             backlog: BacklogMonitor::default(),
             unanswered_starts: 0,
             last_tick: 0,
@@ -354,6 +357,7 @@
         self.send_probes(now);
         if sure {
             self.move_slowed_tasks(now);
+            self.check_slow_runs(now);
         }
         self.load_history.refresh(now, &self.backlog);
         // Load readings change the capacity that serving tasks leave, and jobs become late, without any event that frees capacity.
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -98,7 +98,9 @@
             outcome: end.outcome,
         });
         self.update_quarantine(now, worker, &end);
+        self.note_run_end(now, worker, &end, record.as_ref());
         let key = end.key.task;
+        let copies = self.allows_copies(&key);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
@@ -109,33 +111,31 @@
         if task.stage == TaskStage::Done {
             return;
         }
-        let newest = end.key.run > task.last_ended;
+        let newest = task.is_current_end(end.key.run, copies);
         if newest {
-            task.last_ended = end.key.run;
+            task.last_ended = task.last_ended.max(end.key.run);
             task.last_worker = Some(worker.clone());
             let checkpoint = end
                 .checkpoint
-                .or(record.and_then(|record| record.checkpoint));
+                .or(record.as_ref().and_then(|record| record.checkpoint.clone()));
             if checkpoint.is_some() {
                 task.checkpoint = checkpoint;
             }
         }
-        let current = match &task.stage {
-            TaskStage::Live { worker, run } if *run != end.key.run => Some((worker.clone(), *run)),
-            _ => None,
-        };
+        let others = task.remaining_after(end.key.run);
         let exhausted = failed && self.count_failure(now, end.key);
-        // The end of another run than the current one doesn't affect the current one, unless the
-        // task is done.
-        if let Some((worker, run)) = current {
+        // The end of a run doesn't affect the other runs of the task, unless the task is done.
+        if !others.is_empty() {
             if end.outcome == RunOutcome::Done && !standing {
                 self.task_done(now, key);
-                self.stop_run(
-                    now,
-                    &worker,
-                    RunKey { task: key, run },
-                    StopCause::Superseded,
-                );
+                self.stop_others(now, &key, &others, copies);
+                if copies {
+                    self.note(JobNote::CopyDecided {
+                        key: end.key,
+                        worker: worker.clone(),
+                        copy_won: record.is_some_and(|record| record.copy),
+                    });
+                }
             }
             return;
         }
@@ -285,7 +285,8 @@
             return;
         };
         task.given_up.push(key.run);
-        if task.stage.is_run(key.run) {
+        let others = task.remaining_after(key.run);
+        if others.is_empty() && task.stage.is_run(key.run) {
             if record.checkpoint.is_some() {
                 task.checkpoint = record.checkpoint;
             }
--- a/crates/jobs/src/start.rs
+++ b/crates/jobs/src/start.rs
@@ -52,10 +52,7 @@
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
             return;
         };
-        let payload = job.spec.payload.clone();
         let queue = job.spec.queue.clone();
-        let due = job.due;
-        let chain = job.chain_from(&run.task);
         let Some(step) = job.step_spec(&run.task).cloned() else {
             return;
         };
@@ -73,13 +70,44 @@
         } else {
             task.checkpoint.clone()
         };
-        let Some(state) = self.workers.get_mut(&worker) else {
+        let resumed = checkpoint.is_some();
+        let Some(state) = self.workers.get(&worker) else {
+            return;
+        };
+        let free_cpu = state.free().cpu_millis;
+        self.order_start(now, run, &worker, checkpoint);
+        self.note(JobNote::Placed {
+            key: run,
+            worker,
+            queue,
+            waited_ms,
+            free_cpu,
+            resumed,
+        });
+    }
+
+    /// Sends the order to start a run.
+    pub(crate) fn order_start(
+        &mut self,
+        now: Millis,
+        run: RunKey,
+        worker: &WorkerId,
+        checkpoint: Option<String>,
+    ) {
+        let Some(job) = self.jobs.get(&run.task.job) else {
+            return;
+        };
+        let payload = job.spec.payload.clone();
+        let (due, chain) = (job.due, job.chain_from(&run.task));
+        let Some(step) = job.step_spec(&run.task).cloned() else {
+            return;
+        };
+        let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
         let image = self.images.get(&step.image);
         let deadline = state.incarnation.clock(now).unwrap_or(0) + START_ORDER_TTL_MS;
         state.incarnation.lease_deadline = state.incarnation.lease_deadline.max(deadline);
-        let free_cpu = state.free().cpu_millis;
         let mut record = RunRecord::new(&step, image, RunPhase::Ordered, deadline);
         record.due = due;
         record.chain = chain;
@@ -89,10 +117,10 @@
         if step.fills {
             state.fills_changed_at = now;
         }
-        let resumed = checkpoint.is_some();
         self.unanswered_starts += 1;
+        self.note_ordered_start(now, worker, &run.task);
         self.call(
-            &worker,
+            worker,
             WorkerCall::Start(StartCall {
                 key: run,
                 payload,
@@ -100,13 +128,5 @@
                 checkpoint,
             }),
         );
-        self.note(JobNote::Placed {
-            key: run,
-            worker,
-            queue,
-            waited_ms,
-            free_cpu,
-            resumed,
-        });
     }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -67,6 +67,8 @@
     pub(crate) failed_renewals: u32,
     /// Whether a successor could read a silence record of this worker.
     pub(crate) silence_record: SilenceRecord,
+    /// Until when its runs are read often.
+    pub(crate) read_closely_until: Millis,
     /// The worker gets no new tasks before this time.
     pub(crate) paused_until: Millis,
     pub(crate) runs: BTreeMap<RunKey, RunRecord>,
@@ -106,6 +108,7 @@
             other_answered: false,
             failed_renewals: 0,
             silence_record,
+            read_closely_until: 0,
             paused_until: 0,
             runs: BTreeMap::new(),
             suspects: Vec::new(),
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -44,6 +44,12 @@
 const OVER_TARGET_SECONDS: &str = "sandshelf_over_target_seconds";
 /// The tasks that were given up because they crash their workers.
 const GIVEN_UP: &str = "sandshelf_tasks_given_up_total";
+/// The speculative copies, by event: `started`, `won` if the copy ended first, `lost` if the slow run did.
+const COPIES: &str = "sandshelf_copies_total";
+/// The runs that were stopped because they made too little progress.
+const STUCK_RUNS: &str = "sandshelf_stuck_runs_total";
+/// The restarted tasks that are done, by whether they ended before the stopped run was expected to.
+const RESTARTS: &str = "sandshelf_restarts_judged_total";
 /// The finished jobs, by queue and state.
 const JOBS: &str = "sandshelf_jobs_finished_total";
 /// The seconds from a job's acceptance to its completion, by queue.
@@ -170,6 +176,17 @@
         }
         JobNote::TaskGivenUp { .. } => counter!(GIVEN_UP).increment(1),
         JobNote::WorkerQuarantined(_) => counter!(BELIEFS, "belief" => "failing").increment(1),
+        JobNote::CopyStarted { .. } => counter!(COPIES, "event" => "started").increment(1),
+        JobNote::CopyDecided { copy_won, .. } => {
+            let event = if *copy_won { "won" } else { "lost" };
+            counter!(COPIES, "event" => event).increment(1);
+        }
+        JobNote::RunStuck { .. } => counter!(STUCK_RUNS).increment(1),
+        JobNote::RestartJudged { helped, .. } => {
+            let outcome = if *helped { "helped" } else { "in_vain" };
+            counter!(RESTARTS, "outcome" => outcome).increment(1);
+        }
+        JobNote::WorkerStill { .. } => counter!(BELIEFS, "belief" => "still").increment(1),
         JobNote::JobFinished {
             state,
             queue,
@@ -223,6 +240,7 @@
     gauge!("sandshelf_longest_over_target_seconds").set(longest_over.as_secs_f64());
     gauge!("sandshelf_filling_tasks").set(counts.filling as f64);
     gauge!("sandshelf_filling_tasks_slowed").set(counts.slowed as f64);
+    gauge!("sandshelf_copies_running").set(counts.copies as f64);
 }
 
 /// Sets the gauges of an owner's relays: the hosts that offer to relay, those in use, and the relayed orders without an answer.
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -246,6 +246,89 @@
                 ("percent", percent),
             ],
         ),
+        JobNote::CopyStarted { .. }
+        | JobNote::CopyDecided { .. }
+        | JobNote::RunStuck { .. }
+        | JobNote::RestartJudged { .. }
+        | JobNote::WorkerStill { .. } => log_slow_run(note),
+    }
+}
+
+/// Logs a decision on a slow or stuck run, with what it was decided by.
+fn log_slow_run(note: &JobNote) {
+    match note {
+        JobNote::CopyStarted {
+            key,
+            worker,
+            slow_worker,
+            remaining_ms,
+            typical_ms,
+            reading_age_ms,
+        } => event(
+            "copy_started",
+            &[
+                ("task", &key.task),
+                ("run", &key.run),
+                ("worker", worker),
+                ("slow_worker", slow_worker),
+                ("remaining_ms", remaining_ms),
+                ("typical_ms", typical_ms),
+                ("reading_age_ms", reading_age_ms),
+            ],
+        ),
+        JobNote::CopyDecided {
+            key,
+            worker,
+            copy_won,
+        } => event(
+            "copy_decided",
+            &[
+                ("task", &key.task),
+                ("run", &key.run),
+                ("worker", worker),
+                ("copy_won", copy_won),
+            ],
+        ),
+        JobNote::RunStuck {
+            key,
+            worker,
+            percent,
+            still_ms,
+            remaining_ms,
+            restart_ms,
+            reading_age_ms,
+        } => event(
+            "run_stuck",
+            &[
+                ("task", &key.task),
+                ("run", &key.run),
+                ("worker", worker),
+                ("percent", percent),
+                ("still_ms", still_ms),
+                ("remaining_ms", remaining_ms),
+                ("restart_ms", restart_ms),
+                ("reading_age_ms", reading_age_ms),
+            ],
+        ),
+        JobNote::RestartJudged {
+            key,
+            helped,
+            took_ms,
+            expected_ms,
+        } => event(
+            "restart_judged",
+            &[
+                ("task", &key.task),
+                ("run", &key.run),
+                ("helped", helped),
+                ("took_ms", took_ms),
+                ("expected_ms", expected_ms),
+            ],
+        ),
+        JobNote::WorkerStill { worker, runs } => {
+            event("worker_still", &[("worker", worker), ("runs", runs)]);
+        }
+        _ => {}
     }
 }
 
@@ -306,6 +389,7 @@
             ("fill_wanted", &counts.fill_wanted),
             ("fill_paced", &counts.fill_paced),
             ("fill_used", &counts.fill_used),
+            ("copies", &counts.copies),
             ("relays_offered", &relays.offered),
             ("relays", &relays.in_use),
             ("relayed", &relays.open),
