Test the runs of copied and stuck tasks; count still runs against their worker

They found that an end that a worker lists after the other run was adopted at a takeover was ignored, so that a task that was done ran on: with copies such an end now counts.

A worker from which all stuck runs had been moved got new tasks at once, being the emptiest. Runs that stand still now count as failures of their worker for its quarantine, which ends with the first run that is done there. Workers with young runs are read every 0.5 s where stuck runs are looked for.

--- a/crates/jobs/src/copies/check.rs
+++ b/crates/jobs/src/copies/check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use sandshelf_model::{Millis, WorkerId};
+use sandshelf_model::{JobId, Millis, WorkerId};
 
 use super::gain::RestartTrial;
 use super::slow::{slow_runs, StepProgress};
@@ -125,26 +125,48 @@
 
     /// Gives no new tasks to workers on which several runs stand still.
     fn pause_still_workers(&mut self, now: Millis, steps: &[StepRuns]) {
-        let mut still: BTreeMap<WorkerId, usize> = BTreeMap::new();
+        let mut still: BTreeMap<WorkerId, Vec<RunKey>> = BTreeMap::new();
         for step in steps {
             for (index, run) in &step.progress.runs {
                 let stands = !run.silent && still_ms(run, &step.progress) > 0;
-                if let Some((worker, _)) = step.runs.get(index).filter(|_| stands) {
-                    *still.entry(worker.clone()).or_default() += 1;
+                if let Some((worker, key)) = step.runs.get(index).filter(|_| stands) {
+                    still.entry(worker.clone()).or_default().push(*key);
                 }
             }
         }
-        still.retain(|_, runs| *runs >= MIN_STILL_RUNS);
         for (worker, runs) in still {
+            self.count_still_runs(now, &worker, &runs);
+            if runs.len() < MIN_STILL_RUNS {
+                continue;
+            }
             let state = self.workers.get(&worker);
             if state.is_some_and(|state| state.paused_until <= now) {
-                let worker = worker.clone();
-                self.note(JobNote::WorkerStill { worker, runs });
+                self.note(JobNote::WorkerStill {
+                    worker: worker.clone(),
+                    runs: runs.len(),
+                });
             }
             self.pause_worker(&worker, now + STILL_WORKER_PAUSE_MS);
         }
     }
 
+    /// Counts runs that stand still as failures of their worker for its quarantine, each once. Unlike the pause, the quarantine lasts
+    /// until a run is done there: a worker from which all runs were moved would get new tasks although it still makes no progress.
+    fn count_still_runs(&mut self, now: Millis, worker: &WorkerId, runs: &[RunKey]) {
+        for key in runs {
+            let Some(record) = self.record_mut(worker, key) else {
+                continue;
+            };
+            if std::mem::replace(&mut record.counted_still, true) {
+                continue;
+            }
+            let job = JobId::from(key.task.job.to_string());
+            if self.quarantine.note_failure(worker, &job, now) {
+                self.note(JobNote::WorkerQuarantined(worker.clone()));
+            }
+        }
+    }
+
     /// Starts copies of the slow runs of a step, of the one that ends last first.
     fn start_copies(&mut self, now: Millis, step: &StepRuns) {
         let claims = self.waiting_claims(&step.key);
--- a/crates/jobs/src/copies/stuck.rs
+++ b/crates/jobs/src/copies/stuck.rs
@@ -12,8 +12,8 @@
 const MIN_ADVANTAGE_PERCENT: u64 = 125;
 /// A run that was seen this short is not judged.
 const MIN_ELAPSED_MS: Millis = 300;
-/// A run stands still if it has not progressed for this long; workers are read every 0.5 to 1.2 s.
-const MIN_STILL_MS: Millis = 600;
+/// A run stands still if it has not progressed for this long.
+const MIN_STILL_MS: Millis = 400;
 /// A run stands still only if it has missed this many percent at its earlier rate.
 const MIN_MISSED_PERCENT: u64 = 4;
 
--- a/crates/jobs/src/copies/watch.rs
+++ b/crates/jobs/src/copies/watch.rs
@@ -13,11 +13,13 @@
 use crate::scheduler::JobScheduler;
 use crate::worker::WorkerState;
 
-/// For how long after the start of a run whose step allows copies its worker is read often. A copy saves a step of short tasks only if
+/// For how long after the start of a run its worker is read often. A copy saves a step of short tasks only if
 /// a straggler is known within some tenths of a second; for longer tasks the usual interval suffices.
 const CLOSE_READING_MS: Millis = 3_000;
-/// How long a worker that is read often may wait before it answers a lease renewal.
-const CLOSE_READING_WAIT_MS: Millis = 250;
+/// How long a worker with a young run whose step allows copies may wait before it answers a lease renewal.
+const COPY_READING_WAIT_MS: Millis = 250;
+/// How long a worker with another young run may wait.
+const STUCK_READING_WAIT_MS: Millis = 500;
 
 /// The state of the checks for slow and stuck runs.
 #[derive(Clone, Debug, Default)]
@@ -35,10 +37,14 @@
 impl WorkerState {
     /// How long the worker may wait before it answers a renewal, in milliseconds, given the wait that it would have otherwise.
     pub(crate) fn reading_wait_ms(&self, now: Millis, wait_ms: Millis) -> Millis {
-        match now < self.read_closely_until {
-            true => wait_ms.min(CLOSE_READING_WAIT_MS),
-            false => wait_ms,
+        let mut wait_ms = wait_ms;
+        if now < self.watched_until {
+            wait_ms = wait_ms.min(STUCK_READING_WAIT_MS);
         }
+        if now < self.read_closely_until {
+            wait_ms = wait_ms.min(COPY_READING_WAIT_MS);
+        }
+        wait_ms
     }
 }
 
@@ -51,12 +57,16 @@
     /// Records that a run of a task is ordered to start on a worker.
     pub(crate) fn note_ordered_start(&mut self, now: Millis, worker: &WorkerId, key: &TaskKey) {
         self.slow_runs.budget.note_start();
-        if !self.allows_copies(key) {
+        let (copies, watched) = (self.allows_copies(key), self.watches_runs());
+        let Some(state) = self.workers.get_mut(worker) else {
             return;
-        }
-        if let Some(state) = self.workers.get_mut(worker) {
+        };
+        if copies {
             state.read_closely_until = now + CLOSE_READING_MS;
         }
+        if watched {
+            state.watched_until = now + CLOSE_READING_MS;
+        }
     }
 
     /// Records a reading of a run's progress.
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -93,6 +93,8 @@
     pub(crate) progress: ProgressTrack,
     /// Whether it is the copy of a slow run.
     pub(crate) copy: bool,
+    /// Whether it counts as a failure of its worker because it stood still.
+    pub(crate) counted_still: bool,
 }
 
 impl RunRecord {
@@ -158,6 +160,7 @@
             pace_taken_at: None,
             progress: ProgressTrack::default(),
             copy: false,
+            counted_still: false,
         }
     }
 }
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -84,7 +84,9 @@
     pub(crate) fn handle_end(&mut self, now: Millis, worker: &WorkerId, end: EndReport) {
         let record = self.remove_record(now, worker, &end.key);
         let earlier = self.is_of_earlier_owner(&end.key);
-        let adopted = earlier && self.may_adopt(&end.key);
+        let copies = self.allows_copies(&end.key.task);
+        // With copies, the end of a run that a worker lists late counts beside a run that is known already.
+        let adopted = earlier && (copies || self.may_adopt(&end.key));
         let failed = end.outcome == RunOutcome::Failed;
         if record.is_none() && !adopted {
             if earlier && failed {
@@ -100,7 +102,6 @@
         self.update_quarantine(now, worker, &end);
         self.note_run_end(now, worker, &end, record.as_ref());
         let key = end.key.task;
-        let copies = self.allows_copies(&key);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -67,7 +67,9 @@
     pub(crate) failed_renewals: u32,
     /// Whether a successor could read a silence record of this worker.
     pub(crate) silence_record: SilenceRecord,
-    /// Until when its runs are read often.
+    /// Until when it has young runs whose progress is watched.
+    pub(crate) watched_until: Millis,
+    /// Until when it has young runs of steps that allow copies.
     pub(crate) read_closely_until: Millis,
     /// The worker gets no new tasks before this time.
     pub(crate) paused_until: Millis,
@@ -108,6 +110,7 @@
             other_answered: false,
             failed_renewals: 0,
             silence_record,
+            watched_until: 0,
             read_closely_until: 0,
             paused_until: 0,
             runs: BTreeMap::new(),
--- a/crates/jobs/tests/copies_load.rs
+++ b/crates/jobs/tests/copies_load.rs
@@ -8,6 +8,7 @@
 use support::{job, rules, step};
 
 use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
 
 /// The tasks of each step.
 const TASKS: u32 = 10;
@@ -52,25 +53,14 @@
     // A job takes ten core-tasks of 0.85 s, of which 3 in 100 take seven times as long.
     let job_core_ms = f64::from(TASKS) * 850.0 * (0.97 + 0.03 * 7.0);
     let interval_ms = job_core_ms / (WORKERS as f64 * 16.0 * load);
-    let until = fleet.rig.now + TRAFFIC_MS;
-    let mut next = fleet.rig.now as f64;
-    let mut number = 0;
-    while fleet.rig.now < until {
-        while next <= fleet.rig.now as f64 {
-            next += interval_ms;
-            number += 1;
-            let error = ESTIMATE_ERROR.powf(fleet.random.random_range(-1.0..1.0));
-            let spec = short_job((850.0 * error) as Millis);
-            let job = sandshelf_jobs::JobNumber(number);
-            fleet.jobs.insert(job, (spec.steps[0].size, false, true));
-            fleet.rig.hand_in(number, 0, spec);
-        }
-        fleet.run_for(5);
-    }
-    fleet.run_for(15_000);
+    let spec = |random: &mut ChaCha8Rng| {
+        let error = ESTIMATE_ERROR.powf(random.random_range(-1.0..1.0));
+        short_job((850.0 * error) as Millis)
+    };
+    let jobs = fleet.play(TRAFFIC_MS, interval_ms, spec, |_| {});
     let counts = fleet.counts;
     println!("copies {copies}, load {load}, seed {seed}: {counts:?}");
-    assert_eq!(counts.in_time + counts.late, number as usize);
+    assert_eq!(counts.in_time + counts.late, jobs);
     assert_eq!((counts.third_runs, counts.doubled), (0, 0));
     counts
 }
--- /dev/null
+++ b/crates/jobs/tests/stuck_load.rs
@@ -0,0 +1,141 @@
+//! Workers on which all tasks stand still for 5 s, and slow runs of steps that allow no copies: what jobs get with and without restarts.
+
+mod support;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use sandshelf_jobs::{JobSpec, QueueRules, SchedulerLimits, StepSpec};
+use sandshelf_model::{LoadPolicies, LoadPolicy, Millis, ResourceSize};
+use support::slow_fleet::{FleetCounts, SlowFleet};
+use support::{job, rules, step};
+
+const TASKS: u32 = 10;
+const TRAFFIC_MS: Millis = 30_000;
+const WORKERS: usize = 24;
+/// How long all tasks on a worker stand still, and how often this begins on one of the workers.
+const STANDS_MS: Millis = 5_000;
+const STANDS_EVERY_MS: Millis = 1_000;
+/// A stop takes up to 900 ms on the first deployment.
+const STOP_MS: Millis = 900;
+
+fn limits(policies: &[LoadPolicy]) -> SchedulerLimits {
+    let all = policies.iter().copied();
+    SchedulerLimits {
+        policies: all.fold(LoadPolicies::default(), LoadPolicies::with),
+        stop_timeout_ms: STOP_MS,
+        ..SchedulerLimits::default()
+    }
+}
+
+fn short_job(copies_allowed: bool) -> JobSpec {
+    let step = StepSpec {
+        copies_allowed,
+        estimate_ms: 850,
+        size: ResourceSize::new(1_000, 1_000, 0),
+        ..step(TASKS)
+    };
+    JobSpec {
+        rules: QueueRules {
+            stretch: 1.5,
+            target_latency_ms: 300,
+            ..rules()
+        },
+        ..job(vec![step])
+    }
+}
+
+/// The load that a fleet has to bear.
+#[derive(Clone, Copy)]
+struct FleetLoad {
+    slow_share: f64,
+    slow_again: bool,
+    /// Whether workers stand still.
+    stands: bool,
+    copies_allowed: bool,
+}
+
+fn play(policies: &[LoadPolicy], load: FleetLoad, seed: u64) -> FleetCounts {
+    let mut fleet = SlowFleet::new(WORKERS, limits(policies), seed);
+    fleet.slow_share = load.slow_share;
+    fleet.slow_again = load.slow_again;
+    let work_ms = f64::from(TASKS) * 850.0 * (1.0 + load.slow_share * 6.0);
+    let interval_ms = work_ms / (WORKERS as f64 * 16.0 * 0.4);
+    let mut next = fleet.rig.now + 2_000;
+    let stand_still = |fleet: &mut SlowFleet| {
+        if load.stands && fleet.rig.now >= next {
+            next += STANDS_EVERY_MS;
+            let from = fleet.rig.now;
+            let index = fleet.random.random_range(0..WORKERS);
+            let worker = &mut fleet.workers[index];
+            worker.stands_still = (from, from + STANDS_MS);
+            worker.stop_ms = STOP_MS;
+        }
+    };
+    let spec = |_: &mut ChaCha8Rng| short_job(load.copies_allowed);
+    let jobs = fleet.play(TRAFFIC_MS, interval_ms, spec, stand_still);
+    let counts = fleet.counts;
+    println!("{policies:?}, seed {seed}: {counts:?}");
+    assert_eq!(counts.in_time + counts.late, jobs);
+    assert_eq!(
+        (counts.third_runs, counts.doubled, counts.failed),
+        (0, 0, 0)
+    );
+    counts
+}
+
+/// Sums over three seeds.
+fn play_all(policies: &[LoadPolicy], load: FleetLoad) -> FleetCounts {
+    let mut sum = FleetCounts::default();
+    for seed in 1..=3 {
+        let counts = play(policies, load, seed);
+        sum.in_time += counts.in_time;
+        sum.late += counts.late;
+        sum.took_ms += counts.took_ms;
+        sum.starts += counts.starts;
+        sum.stuck += counts.stuck;
+    }
+    sum
+}
+
+const STANDING_STILL: FleetLoad = FleetLoad {
+    slow_share: 0.0,
+    slow_again: false,
+    stands: true,
+    copies_allowed: false,
+};
+const SLOW_ONCE: FleetLoad = FleetLoad {
+    slow_share: 0.03,
+    stands: false,
+    ..STANDING_STILL
+};
+const SLOW_AGAIN: FleetLoad = FleetLoad {
+    slow_again: true,
+    ..SLOW_ONCE
+};
+
+/// The part takes at most this share, in percent, of the time that jobs take without it.
+fn jobs_take_less(policies: &[LoadPolicy], load: FleetLoad, most_percent: u64) {
+    let without = play_all(&[], load);
+    let with = play_all(policies, load);
+    println!("without {without:?}\nwith    {with:?}");
+    assert!(with.took_ms * 100 <= without.took_ms * most_percent);
+    assert!(with.in_time + with.in_time / 100 >= without.in_time);
+}
+
+/// Where the work itself is slow, restarts don't help, and soon end.
+fn restarts_end_where_they_do_not_help() {
+    jobs_take_less(&[LoadPolicy::StuckRuns], SLOW_AGAIN, 103);
+    let with = play_all(&[LoadPolicy::StuckRuns], SLOW_AGAIN);
+    assert!(with.stuck * 200 <= with.starts, "{} restarts", with.stuck);
+}
+
+sandshelf_cases::cases! {
+    standing_still => jobs_take_less(&[LoadPolicy::StuckRuns], STANDING_STILL, 80);
+    standing_still_with_copies => jobs_take_less(
+        &[LoadPolicy::Copies, LoadPolicy::StuckRuns],
+        FleetLoad { copies_allowed: true, ..STANDING_STILL },
+        70
+    );
+    slow_once => jobs_take_less(&[LoadPolicy::StuckRuns], SLOW_ONCE, 80);
+    slow_again => restarts_end_where_they_do_not_help();
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod copying;
 pub mod crashing;
 pub mod emulated_worker;
 pub mod emulator;
--- a/crates/jobs/tests/support/slow_fleet.rs
+++ b/crates/jobs/tests/support/slow_fleet.rs
@@ -7,9 +7,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
-    EndReport, JobAction, JobEvent, JobNote, JobNumber, JobStage, OrderAnswer, RefusalReason,
-    RenewalAnswer, RenewalCall, RenewalReport, RunKey, RunOutcome, RunReport, SchedulerLimits,
-    TakeoverInfo, WorkerCall, WorkerListing,
+    EndReport, JobAction, JobEvent, JobNote, JobNumber, JobSpec, JobStage, OrderAnswer,
+    RefusalReason, RenewalAnswer, RenewalCall, RenewalReport, RunKey, RunOutcome, RunReport,
+    SchedulerLimits, TakeoverInfo, WorkerCall, WorkerListing,
 };
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
@@ -52,6 +52,10 @@
     pub in_time: usize,
     pub late: usize,
     pub failed: usize,
+    /// The sum of the times from submission to completion.
+    pub took_ms: Millis,
+    /// The job that took longest.
+    pub longest_ms: Millis,
     pub starts: usize,
     pub copies: usize,
     pub copies_won: usize,
@@ -119,6 +123,39 @@
         fleet
     }
 
+    /// Submits a job.
+    pub fn hand_in(&mut self, number: u64, spec: JobSpec) {
+        let step = &spec.steps[0];
+        let kind = (step.size, step.standing, step.copies_allowed);
+        self.jobs.insert(JobNumber(number), kind);
+        self.rig.hand_in(number, 0, spec);
+    }
+
+    /// Submits copies of a job for a time, one in each interval, then lets all of them end. Returns their number.
+    pub fn play(
+        &mut self,
+        traffic_ms: Millis,
+        interval_ms: f64,
+        mut spec: impl FnMut(&mut ChaCha8Rng) -> JobSpec,
+        mut before_step: impl FnMut(&mut Self),
+    ) -> usize {
+        let until = self.rig.now + traffic_ms;
+        let mut next = self.rig.now as f64;
+        let mut number = 0;
+        while self.rig.now < until {
+            while next <= self.rig.now as f64 {
+                next += interval_ms;
+                number += 1;
+                let spec = spec(&mut self.random);
+                self.hand_in(number, spec);
+            }
+            before_step(self);
+            self.run_for(STEP_MS);
+        }
+        self.run_for(15_000);
+        number as usize
+    }
+
     /// Advances the virtual clock.
     pub fn run_for(&mut self, millis: Millis) {
         let until = self.rig.now + millis;
@@ -297,10 +334,14 @@
                 took_ms,
                 objective_ms,
                 ..
-            } => match took_ms <= objective_ms {
-                true => counts.in_time += 1,
-                false => counts.late += 1,
-            },
+            } => {
+                counts.took_ms += took_ms;
+                counts.longest_ms = counts.longest_ms.max(*took_ms);
+                match took_ms <= objective_ms {
+                    true => counts.in_time += 1,
+                    false => counts.late += 1,
+                }
+            }
             JobNote::JobFinished {
                 state: JobStage::Failed,
                 ..
