--- a/crates/jobs/src/copies/check.rs
+++ b/crates/jobs/src/copies/check.rs
@@ -5,10 +5,9 @@
 use sandshelf_model::{JobId, Millis, WorkerId};
 
 use super::gain::RestartTrial;
-use super::slow::{slow_runs, StepProgress};
+use super::slow::{slow_runs, StepProgress, SCARCE_FACTOR};
 use super::stuck::{judge_run, still_ms, RestartCost, StuckRun};
 use super::track::RunProgress;
-use crate::crash::StartCaution;
 use crate::due::CompletionValue;
 use crate::ids::{RunKey, TaskKey};
 use crate::job::TaskStage;
@@ -19,6 +18,8 @@
 
 /// The interval of the checks. Readings arrive every 0.25 s or later, so that a shorter one would gain little.
 const CHECK_INTERVAL_MS: Millis = 50;
+/// A check of this many runs is followed by a pause of a millisecond: judging a run takes some 0.2 us, and a step may have 10,000.
+const RUNS_PER_PAUSE_MS: Millis = 20;
 /// From this number of runs that stand still on, their worker gets no new tasks.
 const MIN_STILL_RUNS: usize = 2;
 /// For how long such a worker gets no new tasks. It is longer than the interval of its readings, and short enough that a worker which
@@ -40,15 +41,16 @@
 impl JobScheduler {
     /// Looks for slow and stuck runs in the steps with new readings.
     pub(crate) fn check_slow_runs(&mut self, now: Millis) {
-        let pause = self.backlog.stretched_pause_ms(CHECK_INTERVAL_MS);
-        if !self.watches_runs() || now < self.slow_runs.checked_at + pause {
+        if !self.watches_runs() || now < self.slow_runs.check_due_at {
             return;
         }
-        self.slow_runs.checked_at = now;
         self.mark_silent_workers(now);
         let marked = std::mem::take(&mut self.slow_runs.marked);
         let steps = marked.iter();
         let steps: Vec<StepRuns> = steps.filter_map(|key| self.step_runs(now, key)).collect();
+        let judged = steps.iter().map(|step| step.runs.len()).sum::<usize>();
+        let pause = CHECK_INTERVAL_MS.max(judged as Millis / RUNS_PER_PAUSE_MS);
+        self.slow_runs.check_due_at = now + self.backlog.stretched_pause_ms(pause);
         self.pause_still_workers(now, &steps);
         for step in &steps {
             if self.allows_copies(&step.key) {
@@ -77,15 +79,8 @@
         if spec.gang || spec.standing {
             return None;
         }
-        let mut found = StepRuns {
-            key: *key,
-            progress: StepProgress {
-                done_ms: step.done_times.times_ms().to_vec(),
-                tasks: step.tasks.len(),
-                ..StepProgress::default()
-            },
-            runs: BTreeMap::new(),
-        };
+        let mut found = Vec::new();
+        let mut runs = BTreeMap::new();
         for (index, task) in (0u32..).zip(&step.tasks) {
             let TaskStage::Live { worker, run } = &task.stage else {
                 continue;
@@ -93,11 +88,16 @@
             let task = TaskKey { index, ..*key };
             let run = RunKey { task, run: *run };
             if let Some(progress) = self.run_progress(now, worker, &run) {
-                found.progress.runs.push((index, progress));
-                found.runs.insert(index, (worker.clone(), run));
+                found.push((index, progress));
+                runs.insert(index, (worker.clone(), run));
             }
         }
-        Some(found)
+        let done_ms = step.done_times.times_ms();
+        Some(StepRuns {
+            key: *key,
+            progress: StepProgress::new(found, done_ms, step.tasks.len()),
+            runs,
+        })
     }
 
     /// The progress of a run that is known to run; none if it can't be judged.
@@ -169,12 +169,18 @@
 
     /// Starts copies of the slow runs of a step, of the one that ends last first.
     fn start_copies(&mut self, now: Millis, step: &StepRuns) {
+        let mut slow = slow_runs(&step.progress, false);
+        if slow.is_empty() {
+            return;
+        }
         let claims = self.waiting_claims(&step.key);
-        let scarce = !claims.is_empty();
-        let slow = slow_runs(&StepProgress {
-            scarce,
-            ..step.progress.clone()
-        });
+        if !claims.is_empty() {
+            slow = slow_runs(&step.progress, true);
+            if self.limits.policies.stuck_runs {
+                // A restart takes no capacity from the tasks that wait.
+                self.stop_stuck_runs(now, step);
+            }
+        }
         let suspected = slow.iter().filter_map(|run| step.runs.get(&run.index));
         let suspected: BTreeSet<&WorkerId> = suspected.map(|(worker, _)| worker).collect();
         for run in &slow {
@@ -236,21 +242,34 @@
             let Some(stuck) = judge_run(run, &step.progress, &cost) else {
                 continue;
             };
-            if self.may_restart(now, &key.task, worker) {
+            if self.may_restart(now, &key.task, worker, Some(&stuck)) {
                 self.restart_run(now, worker, *key, run, &stuck);
             }
         }
     }
 
-    /// Whether a task may be restarted: not too often, and only if another worker has room for it.
-    pub(super) fn may_restart(&self, now: Millis, key: &TaskKey, worker: &WorkerId) -> bool {
+    /// Whether a task may be restarted: not too often, and only if another worker has room for it. While others wait for capacity, a
+    /// run is stopped as well if the restart gives back more capacity than it takes.
+    pub(super) fn may_restart(
+        &self,
+        now: Millis,
+        key: &TaskKey,
+        worker: &WorkerId,
+        stuck: Option<&StuckRun>,
+    ) -> bool {
         let job = self.jobs.get(&key.job);
         let task = job.and_then(|job| job.task(key));
-        let few = task.is_some_and(|task| task.restarts.count < MAX_RESTARTS);
-        if !few || self.caution_of(key) != StartCaution::Usual {
+        let few = task.is_some_and(|task| {
+            task.restarts.count < MAX_RESTARTS && task.copy.is_none() && task.crashes.is_empty()
+        });
+        if !few {
             return false;
         }
         let claims = self.waiting_claims(key);
+        let saves = |stuck: &StuckRun| stuck.remaining_ms >= stuck.restart_ms * SCARCE_FACTOR;
+        if !claims.is_empty() && stuck.is_some_and(saves) {
+            return true;
+        }
         let nowhere = BTreeSet::new();
         let place = self.choose_other_worker(now, key, worker, &nowhere, &claims);
         place.is_some()
--- a/crates/jobs/src/copies/place_copy.rs
+++ b/crates/jobs/src/copies/place_copy.rs
@@ -14,13 +14,20 @@
 use crate::note::JobNote;
 use crate::rank::PlaceCost;
 use crate::scheduler::JobScheduler;
+use crate::wait_key::WaitKey;
 use crate::worker::WorkerState;
 
 /// The cost of a worker on the rack of the slow run, in the units of [`crate::cost`]: what slows a run may slow its whole rack.
 const SAME_RACK_COST: f64 = 1.0;
 
+/// How long after it was sent the order to start a copy may still be carried out. The slow run may end right after the order was sent,
+/// and no run may start more than a second after that end was acknowledged.
+const COPY_ORDER_TTL_MS: Millis = 800;
+/// If tasks of more steps than this wait, no copy is started and no run restarted: capacity is far too scarce.
+const MAX_CLAIMS: usize = 64;
+
 /// What the waiting tasks of a step ask of a worker.
-pub(super) struct WaitingClaim {
+struct WaitingClaim {
     label: Option<String>,
     room: ResourceSize,
 }
@@ -29,46 +36,70 @@
     /// Whether the waiting tasks could use capacity of this worker.
     fn applies_to(&self, worker: &WorkerState) -> bool {
         let labels = &worker.entry.labels;
-        let labelled = self
-            .label
-            .as_ref()
-            .is_none_or(|label| labels.contains(label));
+        let label = self.label.as_ref();
+        let labelled = label.is_none_or(|label| labels.contains(label));
         labelled && self.room.fits_in(&worker.entry.capacity)
     }
 }
 
+/// What waiting tasks ask for that go before a copy.
+#[derive(Default)]
+pub(super) struct WaitingClaims {
+    steps: Vec<WaitingClaim>,
+    /// Whether more steps wait than are listed.
+    many: bool,
+}
+
+impl WaitingClaims {
+    pub(super) fn is_empty(&self) -> bool {
+        self.steps.is_empty()
+    }
+
+    fn apply_to(&self, worker: &WorkerState) -> bool {
+        self.many || self.steps.iter().any(|claim| claim.applies_to(worker))
+    }
+}
+
 impl JobScheduler {
     /// What waiting tasks of the same service ask for that are at least as urgent as a task's queue, by step.
-    pub(super) fn waiting_claims(&self, key: &TaskKey) -> Vec<WaitingClaim> {
+    pub(super) fn waiting_claims(&self, key: &TaskKey) -> WaitingClaims {
+        let mut claims = WaitingClaims::default();
         let Some(job) = self.jobs.get(&key.job) else {
-            return Vec::new();
+            return claims;
         };
         let rules = self.rules(&job.spec);
-        let mut claims = Vec::new();
-        let mut last_step = None;
-        for wait in &self.waiting {
-            if wait.priority > rules.priority {
+        let mut next = self.waiting.first();
+        let mut steps = 0;
+        while let Some(wait) = next.filter(|wait| wait.priority <= rules.priority) {
+            steps += 1;
+            claims.many = steps > MAX_CLAIMS;
+            if claims.many {
                 break;
             }
-            if last_step.replace(wait.task.first_of_step()) == Some(wait.task.first_of_step()) {
-                continue;
-            }
-            let Some(waiting) = self.jobs.get(&wait.task.job) else {
-                continue;
-            };
-            let Some(step) = waiting.step_spec(&wait.task) else {
-                continue;
+            claims.steps.extend(self.claim_of(wait, &rules.service));
+            let last_of_step = WaitKey {
+                task: TaskKey {
+                    index: u32::MAX,
+                    ..wait.task
+                },
+                ..*wait
             };
-            if self.rules(&waiting.spec).service == rules.service {
-                claims.push(WaitingClaim {
-                    label: step.label.clone(),
-                    room: step.room(),
-                });
-            }
+            next = self.waiting.range(last_of_step..).next();
         }
         claims
     }
 
+    /// What a waiting task asks of the workers of a service, if it is a task for them.
+    fn claim_of(&self, wait: &WaitKey, service: &str) -> Option<WaitingClaim> {
+        let job = self.jobs.get(&wait.task.job)?;
+        let step = job.step_spec(&wait.task)?;
+        let same = self.rules(&job.spec).service == service;
+        same.then(|| WaitingClaim {
+            label: step.label.clone(),
+            room: step.room(),
+        })
+    }
+
     /// Chooses a worker for another run of a task, on another rack where possible: one that is not suspected and whose capacity no
     /// waiting task claims.
     pub(super) fn choose_other_worker(
@@ -77,7 +108,7 @@
         key: &TaskKey,
         slow_worker: &WorkerId,
         suspected: &BTreeSet<&WorkerId>,
-        claims: &[WaitingClaim],
+        claims: &WaitingClaims,
     ) -> Option<WorkerId> {
         let job = self.jobs.get(&key.job)?;
         let step = job.step_spec(key)?;
@@ -103,7 +134,7 @@
             *id != slow_worker
                 && !suspected.contains(id)
                 && self.is_trusted(now, id, worker)
-                && !claims.iter().any(|claim| claim.applies_to(worker))
+                && !claims.apply_to(worker)
         };
         let costs = self
             .workers
@@ -166,7 +197,7 @@
         });
         let checkpoint = newest.or_else(|| task.checkpoint.clone());
         self.slow_runs.budget.note_copy();
-        self.order_start(now, key, &worker, checkpoint);
+        self.order_start(now, key, &worker, checkpoint, COPY_ORDER_TTL_MS);
         if let Some(record) = self.record_mut(&worker, &key) {
             record.copy = true;
         }
--- a/crates/jobs/src/copies/slow.rs
+++ b/crates/jobs/src/copies/slow.rs
@@ -20,21 +20,40 @@
 pub const COPY_START_MS: Millis = 100;
 /// How much earlier than the slow run a copy must be expected to end, in milliseconds.
 const MIN_GAIN_MS: Millis = 100;
-/// While other tasks wait, a copy must be expected to save capacity: the slow run has to need this many times the copy's time. This is
+/// While other tasks wait, another run must be expected to save capacity: the slow run has to need this many times its time. This is
 /// Mantri's rule for a busy cluster; see docs/design/decisions-under-load.md.
-const SCARCE_FACTOR: Millis = 2;
+pub(super) const SCARCE_FACTOR: Millis = 2;
 
 /// The runs and ended tasks of a step.
 #[derive(Clone, Debug, Default)]
 pub struct StepProgress {
     /// The runs, each with its position among the step's tasks.
-    pub runs: Vec<(u32, RunProgress)>,
-    /// The durations of tasks that are done, in milliseconds.
-    pub done_ms: Vec<Millis>,
+    pub(super) runs: Vec<(u32, RunProgress)>,
+    /// The durations of done tasks, and those that the progress of the runs promises, in milliseconds and in ascending order.
+    samples_ms: Vec<Millis>,
     /// The number of tasks of the step.
-    pub tasks: usize,
-    /// Whether tasks wait for capacity of the same workers.
-    pub scarce: bool,
+    tasks: usize,
+}
+
+impl StepProgress {
+    /// The progress of a step of this many tasks: its runs, and the durations of tasks that are done, in milliseconds.
+    pub fn new(runs: Vec<(u32, RunProgress)>, done_ms: &[Millis], tasks: usize) -> Self {
+        let judged = runs.iter().filter(|(_, run)| !run.paced);
+        let projected = judged.filter_map(|(_, run)| projected_ms(&run.moving));
+        let mut samples_ms: Vec<Millis> = projected.chain(done_ms.iter().copied()).collect();
+        samples_ms.sort_unstable();
+        Self {
+            runs,
+            samples_ms,
+            tasks,
+        }
+    }
+
+    /// The typical duration of the step's tasks, in milliseconds; the lower median, since the slow runs are among the samples.
+    pub(super) fn typical_ms(&self) -> Option<Millis> {
+        let middle = self.samples_ms.len().saturating_sub(1) / 2;
+        self.samples_ms.get(middle).copied()
+    }
 }
 
 /// A run that is slower than its siblings.
@@ -76,29 +95,20 @@
     ((left * pace_ms) as Millis).saturating_sub(passed)
 }
 
-/// The typical duration of the tasks of a step and the samples that it is taken from; the lower median, since the slow runs are among
-/// the samples.
-pub(super) fn typical_ms(step: &StepProgress) -> (Option<Millis>, Vec<Millis>) {
-    let projected = step.runs.iter().filter(|(_, run)| !run.paced);
-    let projected = projected.filter_map(|(_, run)| projected_ms(&run.moving));
-    let mut samples: Vec<Millis> = projected.chain(step.done_ms.iter().copied()).collect();
-    samples.sort_unstable();
-    let middle = samples.len().saturating_sub(1) / 2;
-    (samples.get(middle).copied(), samples)
-}
-
 /// The slow runs of a step that a copy is expected to overtake, the one that ends last first.
 ///
 /// The time to the end is LATE's, from the rate of progress; the comparison with the time of a new run is Mantri's.
-pub fn slow_runs(step: &StepProgress) -> Vec<SlowRun> {
-    let (Some(typical_ms), samples) = typical_ms(step) else {
+///
+/// `scarce` says whether other tasks wait for capacity of the same workers.
+pub fn slow_runs(step: &StepProgress, scarce: bool) -> Vec<SlowRun> {
+    let Some(typical_ms) = step.typical_ms() else {
         return Vec::new();
     };
     let needed = MIN_QUICKER_SIBLINGS
         .min(step.tasks.saturating_sub(1))
         .max(1);
     let copy_ms = typical_ms + COPY_START_MS;
-    let least_ms = match step.scarce {
+    let least_ms = match scarce {
         true => copy_ms * SCARCE_FACTOR,
         false => copy_ms + MIN_GAIN_MS,
     };
@@ -107,7 +117,9 @@
         let remaining_ms = least_remaining_ms(run);
         let elapsed_ms = run.whole.took_ms + run.age_ms;
         let total_ms = elapsed_ms + remaining_ms;
-        let quicker = samples.partition_point(|sample| *sample * SLOW_PERCENT / 100 <= total_ms);
+        let quicker = step
+            .samples_ms
+            .partition_point(|sample| *sample * SLOW_PERCENT / 100 <= total_ms);
         let slow = elapsed_ms >= MIN_ELAPSED_MS
             && quicker >= needed
             && total_ms * 100 >= typical_ms * SLOW_PERCENT
--- a/crates/jobs/src/copies/stuck.rs
+++ b/crates/jobs/src/copies/stuck.rs
@@ -5,7 +5,7 @@
 
 use sandshelf_model::Millis;
 
-use super::slow::{projected_ms, typical_ms, StepProgress, COPY_START_MS};
+use super::slow::{projected_ms, StepProgress, COPY_START_MS};
 use super::track::RunProgress;
 
 /// A run is restarted only if it is expected to need this many percent of the time of the restart, since both are uncertain.
@@ -46,7 +46,8 @@
 /// The typical duration of a run without disturbance: that of its siblings, otherwise the one that its own progress promised before it
 /// stood still.
 fn usual_ms(run: &RunProgress, step: &StepProgress) -> Option<Millis> {
-    typical_ms(step).0.or_else(|| projected_ms(&run.moving))
+    let typical = step.typical_ms();
+    typical.or_else(|| projected_ms(&run.moving))
 }
 
 /// How long a run has stood still, in milliseconds; 0 if it progresses or may progress.
--- a/crates/jobs/src/copies/watch.rs
+++ b/crates/jobs/src/copies/watch.rs
@@ -6,6 +6,7 @@
 
 use super::budget::CopyBudget;
 use super::gain::RestartGain;
+use crate::backlog::BacklogMonitor;
 use crate::ids::{RunKey, TaskKey};
 use crate::note::JobNote;
 use crate::reports::{EndReport, RunOutcome, WorkerClock};
@@ -15,7 +16,7 @@
 
 /// For how long after the start of a run its worker is read often. A copy saves a step of short tasks only if
 /// a straggler is known within some tenths of a second; for longer tasks the usual interval suffices.
-const CLOSE_READING_MS: Millis = 3_000;
+const CLOSE_READING_MS: Millis = 1_500;
 /// How long a worker with a young run whose step allows copies may wait before it answers a lease renewal.
 const COPY_READING_WAIT_MS: Millis = 250;
 /// How long a worker with another young run may wait.
@@ -26,7 +27,8 @@
 pub(crate) struct SlowRunWatch {
     /// The steps with new readings, by their first task.
     pub(super) marked: BTreeSet<TaskKey>,
-    pub(super) checked_at: Millis,
+    /// When the next check is due.
+    pub(super) check_due_at: Millis,
     pub(super) budget: CopyBudget,
     /// The outcomes of restarts, by queue.
     pub(super) gains: BTreeMap<String, RestartGain>,
@@ -36,13 +38,18 @@
 
 impl WorkerState {
     /// How long the worker may wait before it answers a renewal, in milliseconds, given the wait that it would have otherwise.
-    pub(crate) fn reading_wait_ms(&self, now: Millis, wait_ms: Millis) -> Millis {
+    pub(crate) fn reading_wait_ms(
+        &self,
+        now: Millis,
+        wait_ms: Millis,
+        backlog: &BacklogMonitor,
+    ) -> Millis {
         let mut wait_ms = wait_ms;
         if now < self.watched_until {
-            wait_ms = wait_ms.min(STUCK_READING_WAIT_MS);
+            wait_ms = wait_ms.min(backlog.renewal_wait_ms(STUCK_READING_WAIT_MS));
         }
         if now < self.read_closely_until {
-            wait_ms = wait_ms.min(COPY_READING_WAIT_MS);
+            wait_ms = wait_ms.min(backlog.renewal_wait_ms(COPY_READING_WAIT_MS));
         }
         wait_ms
     }
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -389,7 +389,7 @@
     } else {
         backlog.renewal_wait_ms(IDLE_RENEWAL_WAIT_MS)
     };
-    let wait_ms = worker.reading_wait_ms(now, wait_ms);
+    let wait_ms = worker.reading_wait_ms(now, wait_ms, backlog);
     let clock = worker
         .incarnation
         .clock(now)
--- a/crates/jobs/src/start.rs
+++ b/crates/jobs/src/start.rs
@@ -75,7 +75,7 @@
             return;
         };
         let free_cpu = state.free().cpu_millis;
-        self.order_start(now, run, &worker, checkpoint);
+        self.order_start(now, run, &worker, checkpoint, START_ORDER_TTL_MS);
         self.note(JobNote::Placed {
             key: run,
             worker,
@@ -86,13 +86,14 @@
         });
     }
 
-    /// Sends the order to start a run.
+    /// Sends the order to start a run, which the worker may carry out for `ttl_ms`.
     pub(crate) fn order_start(
         &mut self,
         now: Millis,
         run: RunKey,
         worker: &WorkerId,
         checkpoint: Option<String>,
+        ttl_ms: Millis,
     ) {
         let Some(job) = self.jobs.get(&run.task.job) else {
             return;
@@ -106,7 +107,7 @@
             return;
         };
         let image = self.images.get(&step.image);
-        let deadline = state.incarnation.clock(now).unwrap_or(0) + START_ORDER_TTL_MS;
+        let deadline = state.incarnation.clock(now).unwrap_or(0) + ttl_ms;
         state.incarnation.lease_deadline = state.incarnation.lease_deadline.max(deadline);
         let mut record = RunRecord::new(&step, image, RunPhase::Ordered, deadline);
         record.due = due;
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -51,6 +51,7 @@
                 step.last_start = now;
                 step.longest_wait_ms = step.longest_wait_ms.max(*waited_ms);
             }
+            JobNote::CopyStarted { key, .. } => self.step(&key.task).runs += 1,
             JobNote::Ended {
                 key,
                 worker,
