Leave workers alone for a while from which a stuck standing task was moved

A standing task that stood still was moved, but its worker stayed open and, being the emptiest, could get it back. The stop now pauses the worker and counts for its quarantine, as for other tasks. The credit for copies may reach 400, since a step of 10,000 tasks has some 300 stragglers and earns their credit at its start.

--- a/crates/jobs/src/copies/budget.rs
+++ b/crates/jobs/src/copies/budget.rs
@@ -5,8 +5,8 @@
 const CREDIT_PER_START: u64 = 80;
 /// What one copy takes, in thousandths.
 const COST_PER_COPY: u64 = 1_000;
-/// The most unused credit: a worker on which all tasks stand still has some tens of runs.
-const MAX_CREDIT: u64 = 40 * COST_PER_COPY;
+/// The most unused credit: a step of 10,000 tasks, all of which start at once, has some 300 stragglers.
+const MAX_CREDIT: u64 = 400 * COST_PER_COPY;
 /// The credit of a new owner. It does not know how many copies its predecessor started.
 const FIRST_CREDIT: u64 = 8 * COST_PER_COPY;
 
--- a/crates/jobs/src/copies/check.rs
+++ b/crates/jobs/src/copies/check.rs
@@ -24,7 +24,7 @@
 const MIN_STILL_RUNS: usize = 2;
 /// For how long such a worker gets no new tasks. It is longer than the interval of its readings, and short enough that a worker which
 /// goes on is soon used again.
-const STILL_WORKER_PAUSE_MS: Millis = 1_500;
+pub(super) const STILL_WORKER_PAUSE_MS: Millis = 1_500;
 /// The most restarts of one task.
 pub(super) const MAX_RESTARTS: u32 = 2;
 /// The least pace, in percent, at which a run that is ordered to work slowly shows progress soon enough to be judged.
@@ -152,7 +152,7 @@
 
     /// Counts runs that stand still as failures of their worker for its quarantine, each once. Unlike the pause, the quarantine lasts
     /// until a run is done there: a worker from which all runs were moved would get new tasks although it still makes no progress.
-    fn count_still_runs(&mut self, now: Millis, worker: &WorkerId, runs: &[RunKey]) {
+    pub(super) fn count_still_runs(&mut self, now: Millis, worker: &WorkerId, runs: &[RunKey]) {
         for key in runs {
             let Some(record) = self.record_mut(worker, key) else {
                 continue;
--- a/crates/jobs/src/copies/standing.rs
+++ b/crates/jobs/src/copies/standing.rs
@@ -2,7 +2,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use super::check::MAX_RESTARTS;
+use super::check::{MAX_RESTARTS, STILL_WORKER_PAUSE_MS};
 use super::stuck::is_standing_stuck;
 use super::task_runs::RestartHistory;
 use crate::ids::{RunKey, TaskKey};
@@ -130,6 +130,9 @@
             restart_ms: self.limits.stop_timeout_ms,
             reading_age_ms: 0,
         });
+        // The worker may be unable to run anything: the task would only be lost there again.
+        self.count_still_runs(now, &worker, &[key]);
+        self.pause_worker(&worker, now + STILL_WORKER_PAUSE_MS);
         self.stop_run(now, &worker, key, StopCause::Stuck);
     }
 }
--- a/crates/jobs/tests/stuck_load.rs
+++ b/crates/jobs/tests/stuck_load.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use sandshelf_jobs::{JobSpec, QueueRules, SchedulerLimits, StepSpec};
+use sandshelf_jobs::{JobSpec, QueueRules, RunKey, SchedulerLimits, StepSpec};
 use sandshelf_model::{LoadPolicies, LoadPolicy, Millis, ResourceSize};
 use support::slow_fleet::{FleetCounts, SlowFleet};
 use support::{job, rules, step};
@@ -129,7 +129,66 @@
     assert!(with.stuck * 200 <= with.starts, "{} restarts", with.stuck);
 }
 
+/// The longest time that a task of a standing step was not at work while workers stood still, in milliseconds.
+fn longest_away_ms(policies: &[LoadPolicy], may_miss: u32, seed: u64) -> Millis {
+    let mut fleet = SlowFleet::new(WORKERS, limits(policies), seed);
+    fleet.slow_share = 0.0;
+    let standing = StepSpec {
+        standing: true,
+        may_miss: Some(may_miss),
+        most_per_worker: 1,
+        size: ResourceSize::new(4_000, 4_000, 0),
+        ..step(TASKS)
+    };
+    fleet.hand_in(1, job(vec![standing]));
+    fleet.run_for(3_000);
+    let mut away_ms = vec![0; TASKS as usize];
+    let mut longest = 0;
+    let until = fleet.rig.now + TRAFFIC_MS;
+    while fleet.rig.now < until {
+        let now = fleet.rig.now;
+        if now.is_multiple_of(6_000) {
+            // Another task each time: a task is restarted twice at most in 30 s.
+            let turn = (now / 6_000) as u32 % TASKS;
+            let holds = |key: &RunKey| key.task.index == turn;
+            let mut workers = fleet.workers.iter_mut();
+            let worker = workers.find(|worker| worker.runs.keys().any(holds));
+            let worker = worker.expect("a worker with this task");
+            worker.stands_still = (now, now + STANDS_MS);
+            worker.stop_ms = STOP_MS;
+        }
+        fleet.run_for(5);
+        let now = fleet.rig.now;
+        for worker in &fleet.workers {
+            let stands = (worker.stands_still.0..worker.stands_still.1).contains(&now);
+            for key in worker.runs.keys().filter(|_| !stands) {
+                away_ms[key.task.index as usize] = 0;
+            }
+        }
+        for away in &mut away_ms {
+            *away += 5;
+            longest = longest.max(*away);
+        }
+    }
+    let counts = fleet.counts;
+    println!("{policies:?}, seed {seed}: away for {longest} ms, {counts:?}");
+    assert_eq!((counts.third_runs, counts.doubled), (0, 0));
+    longest
+}
+
+/// A standing task counts as unavailable after 4.5 s. On a worker that stands still for 5 s it returns before only if it is restarted,
+/// which is allowed only within `may_miss`.
+fn standing_tasks_return(may_miss: u32, in_time: bool) {
+    for seed in 1..=3 {
+        assert!(longest_away_ms(&[], may_miss, seed) >= STANDS_MS);
+        let away = longest_away_ms(&[LoadPolicy::StuckRuns], may_miss, seed);
+        assert_eq!(away < 4_500, in_time);
+    }
+}
+
 sandshelf_cases::cases! {
+    standing_tasks => standing_tasks_return(1, true);
+    standing_tasks_that_must_not_miss => standing_tasks_return(0, false);
     standing_still => jobs_take_less(&[LoadPolicy::StuckRuns], STANDING_STILL, 80);
     standing_still_with_copies => jobs_take_less(
         &[LoadPolicy::Copies, LoadPolicy::StuckRuns],
