Take a run that wrote a checkpoint as whole; pause workers only with stuck_runs

A run counted as resumed as soon as it had written a checkpoint, so that the durations of done tasks of steps with checkpoints were not kept and the last slow run of such a step had no siblings to be compared with. Whether a run resumed is now recorded with its start. The new test fails without that.

Pausing workers and counting their still runs belongs to the switch `stuck_runs`, and does not happen with `copies` alone any more.

--- a/crates/jobs/src/copies/check.rs
+++ b/crates/jobs/src/copies/check.rs
@@ -125,6 +125,9 @@
 
     /// Gives no new tasks to workers on which several runs stand still.
     fn pause_still_workers(&mut self, now: Millis, steps: &[StepRuns]) {
+        if !self.limits.policies.stuck_runs {
+            return;
+        }
         let mut still: BTreeMap<WorkerId, Vec<RunKey>> = BTreeMap::new();
         for step in steps {
             for (index, run) in &step.progress.runs {
--- a/crates/jobs/src/copies/standing.rs
+++ b/crates/jobs/src/copies/standing.rs
@@ -25,6 +25,9 @@
         (before, percent): (Option<u32>, u32),
         ordered_at: Millis,
     ) {
+        if !self.limits.policies.stuck_runs {
+            return;
+        }
         if percent < AT_WORK_PERCENT {
             if before.is_some_and(|before| before >= AT_WORK_PERCENT) {
                 self.slow_runs.away_since.insert(key, now);
--- a/crates/jobs/src/copies/watch.rs
+++ b/crates/jobs/src/copies/watch.rs
@@ -55,6 +55,13 @@
     }
 }
 
+impl RunRecord {
+    /// Whether this owner ordered the run and it began at 0 %, so that its duration is that of the whole work.
+    fn is_whole(&self) -> bool {
+        self.ordered_at > 0 && !self.resumed
+    }
+}
+
 impl JobScheduler {
     /// Whether slow runs are looked for at all.
     pub(super) fn watches_runs(&self) -> bool {
@@ -64,7 +71,8 @@
     /// Records that a run of a task is ordered to start on a worker.
     pub(crate) fn note_ordered_start(&mut self, now: Millis, worker: &WorkerId, key: &TaskKey) {
         self.slow_runs.budget.note_start();
-        let (copies, watched) = (self.allows_copies(key), self.watches_runs());
+        let copies = self.allows_copies(key);
+        let watched = copies || self.limits.policies.stuck_runs;
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -91,8 +99,7 @@
             return;
         };
         // A resumed run does not start at 0 %, and the start of a run of an earlier owner is not known.
-        let fresh = record.ordered_at > 0 && record.checkpoint.is_none();
-        let began = record.began.filter(|_| fresh);
+        let began = record.began.filter(|_| record.is_whole());
         let percent = record.percent;
         let before = record.progress.newest_percent();
         let ordered_at = record.ordered_at;
@@ -119,8 +126,8 @@
         }
         let state = self.workers.get(worker);
         let took_ms = record.and_then(|record| {
-            let whole = record.ordered_at > 0 && record.checkpoint.is_none();
-            state?.heard_after(record).filter(|_| whole)
+            let took_ms = state?.heard_after(record);
+            took_ms.filter(|_| record.is_whole())
         });
         self.slow_runs.away_since.remove(&end.key);
         if end.outcome != RunOutcome::Done {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -91,6 +91,8 @@
     pub(crate) pace_taken_at: Option<Millis>,
     /// Its readings of progress on the current incarnation of its worker.
     pub(crate) progress: ProgressTrack,
+    /// Whether it was ordered to resume from a checkpoint, so that it did not start at 0 %.
+    pub(crate) resumed: bool,
     /// Whether it is the copy of a slow run.
     pub(crate) copy: bool,
     /// Whether it counts as a failure of its worker because it stood still.
@@ -159,6 +161,7 @@
             pace_sent_at: None,
             pace_taken_at: None,
             progress: ProgressTrack::default(),
+            resumed: false,
             copy: false,
             counted_still: false,
         }
--- a/crates/jobs/src/start.rs
+++ b/crates/jobs/src/start.rs
@@ -113,6 +113,7 @@
         record.due = due;
         record.chain = chain;
         record.ordered_at = now;
+        record.resumed = checkpoint.is_some();
         record.checkpoint = checkpoint.clone();
         state.add_run(run, record);
         if step.fills {
--- a/crates/jobs/tests/copies.rs
+++ b/crates/jobs/tests/copies.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use sandshelf_jobs::{
-    JobEvent, JobNote, JobNumber, JobStage, OrderAnswer, RunKey, RunOutcome, SchedulerLimits,
-    StepSpec, StopCause, TakeoverInfo,
+    JobEvent, JobNote, JobNumber, JobStage, OrderAnswer, RunKey, RunOutcome, RunReport,
+    SchedulerLimits, StepSpec, StopCause, TakeoverInfo,
 };
 use sandshelf_model::{ResourceSize, WorkerId};
 use support::copying::{copied_job, copied_step, limits, run_at, CopyRig, WORKERS};
@@ -31,6 +31,34 @@
     );
 }
 
+/// Done siblings that wrote checkpoints count as samples, and a copy resumes from the slow run's newest checkpoint. Guards against taking
+/// a run that wrote a checkpoint for one that resumed from it.
+fn a_copy_resumes_from_a_checkpoint() {
+    let mut rig = CopyRig::new(limits(), copied_job(3));
+    let at = |key: RunKey, percent: u32| RunReport {
+        checkpoint: Some(format!("{key} at {percent}")),
+        ..run_at(key, percent)
+    };
+    let runs = rig.runs.clone();
+    rig.rig.advance(300);
+    for (worker, key) in &runs {
+        rig.rig.report(worker, vec![at(*key, 3)], vec![]);
+    }
+    rig.rig.advance(600);
+    for (worker, key) in &runs[1..] {
+        let done = end_report(1, *key, RunOutcome::Done);
+        rig.rig.report(worker, vec![], vec![done]);
+    }
+    let (slow_worker, slow) = &runs[0];
+    rig.rig.report(slow_worker, vec![at(*slow, 9)], vec![]);
+    rig.rig.report("w-4", vec![], vec![]);
+    rig.rig.advance(100);
+    let starts = rig.rig.take_starts();
+    assert_eq!(starts.len(), 1);
+    let checkpoint = starts[0].1.checkpoint.clone();
+    assert_eq!(checkpoint, Some(format!("{slow} at 9")));
+}
+
 /// Guards against copies where they are not allowed: with the switch off, or for steps that don't allow them.
 fn no_copy(limits: SchedulerLimits, copies_allowed: bool) {
     let spec = StepSpec {
@@ -344,6 +372,7 @@
 
 sandshelf_cases::cases! {
     elsewhere => a_slow_run_gets_a_copy_elsewhere();
+    checkpoints => a_copy_resumes_from_a_checkpoint();
     switch_off => no_copy(SchedulerLimits::default(), true);
     step_without_copies => no_copy(limits(), false);
     even_and_quick => no_copy_of_an_even_step([[25, 30, 28], [50, 60, 55], [75, 88, 84], [96, 98, 97]]);
