Play copies and restarts against the randomised platform

The randomised emulator reported 50 % for every run, so that no run was ever slow. Seven plans combine this with lost calls, dying owners, restarting workers, crashing tasks, cut halls and all faults. Other plans are played as before.

The oracle took any second run for a fault.

--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -365,7 +365,8 @@
         for (at, end) in &self.ended {
             // If the lease has run out after a run's end, that end does not count as acknowledged.
             if end.number <= renewal.last_seen && self.lapsed_at <= *at {
-                context.oracle.acknowledged(end.key, end.outcome);
+                let now = context.now / MS;
+                context.oracle.acknowledged_at(now, end.key, end.outcome);
             }
         }
         self.ended.retain(|(_, end)| end.number > renewal.last_seen);
--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -83,6 +83,9 @@
             let number = 1_000 + handed_in;
             let mut spec = random_job(&mut random);
             spec.rules.guarded = plan.guards;
+            for step in spec.steps.iter_mut().filter(|_| plan.copies) {
+                step.copies_allowed = !handed_in.is_multiple_of(3);
+            }
             let crasher = draw_crasher(&mut random, number, &spec, &plan);
             if platform.hand_in(number, spec) {
                 handed_in += 1;
@@ -164,6 +167,22 @@
     assert!(broken == 0, "{broken} of {count} seeds: {first_few:?}");
 }
 
+/// Like [`keeps_safety_rules`], for plans in which copies of slow runs start.
+fn keeps_rules_with_copies(seeds: std::ops::Range<u64>, plan: FaultPlan) {
+    let mut copies = 0;
+    let mut broken = Vec::new();
+    for seed in seeds {
+        let platform = run_seed(seed, plan);
+        copies += platform.oracle.copies;
+        let seen = platform.oracle.broken.into_iter();
+        let seen = seen.filter(|(_, rule, _)| *rule != BrokenRule::Away);
+        broken.extend(seen.take(1).map(|seen| (seed, seen)));
+    }
+    println!("{copies} copies, {} broken rules", broken.len());
+    assert!(broken.is_empty(), "{:?}", &broken[..broken.len().min(5)]);
+    assert!(copies > 100, "only {copies} copies");
+}
+
 /// The seeds that an environment variable names as `FIRST:LAST`, for longer runs by hand.
 fn named_seeds(variable: &str, default: &str) -> std::ops::Range<u64> {
     let named = std::env::var(variable).unwrap_or_else(|_| default.to_owned());
@@ -297,6 +316,13 @@
     halls_are_evacuated_and_cut => keeps_safety_rules(2_200..2_230, halls_evacuated_and_cut());
     halls_by_hand => long_hall_run();
     restarts_by_hand => long_restart_run();
+    copies => keeps_rules_with_copies(3_000..3_030, slow_runs());
+    copies_and_lost_calls => keeps_rules_with_copies(3_100..3_130, slow_runs_and_calls());
+    copies_and_owners => keeps_rules_with_copies(3_200..3_230, slow_runs_and_owners());
+    copies_amid_all_faults => keeps_rules_with_copies(3_300..3_330, slow_runs_and_all_faults());
+    copies_amid_restarts => keeps_rules_with_copies(3_400..3_430, slow_runs_and_restarts());
+    copies_of_crashing_tasks => keeps_rules_with_copies(3_500..3_530, slow_runs_and_crashing_tasks());
+    copies_in_cut_halls => keeps_rules_with_copies(3_600..3_630, slow_runs_and_cut_halls());
     seeds_by_hand => long_run();
     standing_tasks_by_hand => keeps_all_rules(named_seeds("SANDSHELF_AWAY_SEEDS", "500:509"), workers_gone_for_good());
     leases_by_hand => keeps_leases_of_reachable_workers(named_seeds("SANDSHELF_LEASE_SEEDS", "600:609"), lost_calls());
--- a/crates/jobs/tests/support/emulated_worker.rs
+++ b/crates/jobs/tests/support/emulated_worker.rs
@@ -16,6 +16,7 @@
 pub struct EmulatedRun {
     pub run: u64,
     pub room: ResourceSize,
+    pub began_at: Millis,
     pub ends_at: Millis,
     pub outcome: Option<RunOutcome>,
     pub stopping: bool,
@@ -23,6 +24,17 @@
     pub crashes_at: Option<Millis>,
 }
 
+impl EmulatedRun {
+    /// The progress of the run; 100 for one that does not end by itself.
+    pub fn percent(&self, now: Millis) -> u32 {
+        let whole = self.ends_at.saturating_sub(self.began_at);
+        match self.ends_at {
+            Millis::MAX => 100,
+            _ => ((now - self.began_at) * 100 / whole.max(1)).min(99) as u32,
+        }
+    }
+}
+
 pub struct EmulatedWorker {
     pub id: WorkerId,
     pub incarnation: WorkerIncarnation,
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -9,7 +9,7 @@
     WorkerListing,
 };
 
-use sandshelf_model::{Millis, WorkerId};
+use sandshelf_model::{LoadPolicies, Millis, WorkerId};
 
 use super::halls::{hall_name, hall_of, HallCut};
 use super::{
@@ -62,6 +62,11 @@
         };
         let limits = SchedulerLimits {
             max_lease_ms: self.max_lease_ms(),
+            policies: LoadPolicies {
+                copies: self.plan.copies,
+                stuck_runs: self.plan.copies,
+                ..LoadPolicies::default()
+            },
             ..SchedulerLimits::default()
         };
         let hall = self.pick_hall();
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -72,6 +72,8 @@
     pub omits_cut_workers: bool,
     /// The longest lease that a worker grants, in milliseconds; 0 means 6 s.
     pub max_lease_ms: u64,
+    /// Whether some runs are slow, steps allow copies, and owners start copies and restart stuck runs.
+    pub copies: bool,
 }
 
 impl FaultPlan {
--- a/crates/jobs/tests/support/plans.rs
+++ b/crates/jobs/tests/support/plans.rs
@@ -309,3 +309,59 @@
         ..halls_evacuated()
     }
 }
+
+/// Some runs are slow; owners start copies and restart stuck runs.
+pub fn slow_runs() -> FaultPlan {
+    FaultPlan {
+        copies: true,
+        ..no_faults()
+    }
+}
+
+/// Slow runs with copies while calls are lost and orders are late.
+pub fn slow_runs_and_calls() -> FaultPlan {
+    FaultPlan {
+        copies: true,
+        ..unreliable_calls()
+    }
+}
+
+/// Slow runs with copies while owners die.
+pub fn slow_runs_and_owners() -> FaultPlan {
+    FaultPlan {
+        copies: true,
+        ..unreliable_owners()
+    }
+}
+
+/// Slow runs with copies amid the faults of calls, workers and owners.
+pub fn slow_runs_and_all_faults() -> FaultPlan {
+    FaultPlan {
+        copies: true,
+        ..all_faults()
+    }
+}
+
+/// Slow runs with copies while workers restart, amid all faults.
+pub fn slow_runs_and_restarts() -> FaultPlan {
+    FaultPlan {
+        copies: true,
+        ..restarting_workers_and_all_faults()
+    }
+}
+
+/// Slow runs with copies while tasks crash their workers, amid all faults.
+pub fn slow_runs_and_crashing_tasks() -> FaultPlan {
+    FaultPlan {
+        copies: true,
+        ..crashing_tasks_and_all_faults()
+    }
+}
+
+/// Slow runs with copies while halls are cut, amid other faults.
+pub fn slow_runs_and_cut_halls() -> FaultPlan {
+    FaultPlan {
+        copies: true,
+        ..halls_cut_and_other_faults()
+    }
+}
