--- a/crates/jobs/src/copies/check.rs
+++ b/crates/jobs/src/copies/check.rs
@@ -6,7 +6,7 @@
 
 use super::gain::RestartTrial;
 use super::slow::{slow_runs, StepProgress, SCARCE_FACTOR};
-use super::stuck::{judge_run, still_ms, RestartCost, StuckRun};
+use super::stuck::{judge_run, stalled_ms, RestartCost, StuckRun};
 use super::track::RunProgress;
 use crate::due::CompletionValue;
 use crate::ids::{RunKey, TaskKey};
@@ -20,11 +20,11 @@
 const CHECK_INTERVAL_MS: Millis = 50;
 /// A check of this many runs is followed by a pause of a millisecond: judging a run takes some 0.2 us, and a step may have 10,000.
 const RUNS_PER_PAUSE_MS: Millis = 20;
-/// From this number of runs that stand still on, their worker gets no new tasks.
-const MIN_STILL_RUNS: usize = 2;
+/// From this number of stalled runs on, their worker gets no new tasks.
+const MIN_STALLED_RUNS: usize = 2;
 /// For how long such a worker gets no new tasks. It is longer than the interval of its readings, and short enough that a worker which
 /// goes on is soon used again.
-pub(super) const STILL_WORKER_PAUSE_MS: Millis = 1_500;
+pub(super) const STALLED_WORKER_PAUSE_MS: Millis = 1_500;
 /// The most restarts of one task.
 pub(super) const MAX_RESTARTS: u32 = 2;
 /// The least pace, in percent, at which a run that is ordered to work slowly shows progress soon enough to be judged.
@@ -51,7 +51,7 @@
         let judged = steps.iter().map(|step| step.runs.len()).sum::<usize>();
         let pause = CHECK_INTERVAL_MS.max(judged as Millis / RUNS_PER_PAUSE_MS);
         self.slow_runs.check_due_at = now + self.backlog.stretched_pause_ms(pause);
-        self.pause_still_workers(now, &steps);
+        self.pause_stalled_workers(now, &steps);
         for step in &steps {
             if self.allows_copies(&step.key) {
                 self.start_copies(now, step);
@@ -115,52 +115,52 @@
         }
         if let Some(paced_at) = record.pace_sent_at {
             progress.paced = true;
-            progress.still_ms = match record.pace >= MIN_JUDGED_PACE_PERCENT {
-                true => progress.still_ms.min(now.saturating_sub(paced_at)),
+            progress.stalled_ms = match record.pace >= MIN_JUDGED_PACE_PERCENT {
+                true => progress.stalled_ms.min(now.saturating_sub(paced_at)),
                 false => 0,
             };
         }
         Some(progress)
     }
 
-    /// Gives no new tasks to workers on which several runs stand still.
-    fn pause_still_workers(&mut self, now: Millis, steps: &[StepRuns]) {
+    /// Gives no new tasks to workers with several stalled runs.
+    fn pause_stalled_workers(&mut self, now: Millis, steps: &[StepRuns]) {
         if !self.limits.policies.stuck_runs {
             return;
         }
-        let mut still: BTreeMap<WorkerId, Vec<RunKey>> = BTreeMap::new();
+        let mut stalled: BTreeMap<WorkerId, Vec<RunKey>> = BTreeMap::new();
         for step in steps {
             for (index, run) in &step.progress.runs {
-                let stands = !run.silent && still_ms(run, &step.progress) > 0;
-                if let Some((worker, key)) = step.runs.get(index).filter(|_| stands) {
-                    still.entry(worker.clone()).or_default().push(*key);
+                let stalls = !run.silent && stalled_ms(run, &step.progress) > 0;
+                if let Some((worker, key)) = step.runs.get(index).filter(|_| stalls) {
+                    stalled.entry(worker.clone()).or_default().push(*key);
                 }
             }
         }
-        for (worker, runs) in still {
-            self.count_still_runs(now, &worker, &runs);
-            if runs.len() < MIN_STILL_RUNS {
+        for (worker, runs) in stalled {
+            self.count_stalled_runs(now, &worker, &runs);
+            if runs.len() < MIN_STALLED_RUNS {
                 continue;
             }
             let state = self.workers.get(&worker);
             if state.is_some_and(|state| state.paused_until <= now) {
-                self.note(JobNote::WorkerStill {
+                self.note(JobNote::WorkerStalled {
                     worker: worker.clone(),
                     runs: runs.len(),
                 });
             }
-            self.pause_worker(&worker, now + STILL_WORKER_PAUSE_MS);
+            self.pause_worker(&worker, now + STALLED_WORKER_PAUSE_MS);
         }
     }
 
-    /// Counts runs that stand still as failures of their worker for its quarantine, each once. Unlike the pause, the quarantine lasts
-    /// until a run is done there: a worker from which all runs were moved would get new tasks although it still makes no progress.
-    pub(super) fn count_still_runs(&mut self, now: Millis, worker: &WorkerId, runs: &[RunKey]) {
+    /// Counts stalled runs as failures of their worker for its quarantine, each once. Unlike the pause, the quarantine lasts
+    /// until a run is done there: a worker from which all runs were moved would get new tasks although it cannot run them.
+    pub(super) fn count_stalled_runs(&mut self, now: Millis, worker: &WorkerId, runs: &[RunKey]) {
         for key in runs {
             let Some(record) = self.record_mut(worker, key) else {
                 continue;
             };
-            if std::mem::replace(&mut record.counted_still, true) {
+            if std::mem::replace(&mut record.counted_stalled, true) {
                 continue;
             }
             let job = JobId::from(key.task.job.to_string());
@@ -310,7 +310,7 @@
             key,
             worker: worker.clone(),
             percent: run.percent,
-            still_ms: stuck.still_ms,
+            stalled_ms: stuck.stalled_ms,
             remaining_ms: stuck.remaining_ms,
             restart_ms: stuck.restart_ms,
             reading_age_ms: run.age_ms,
--- a/crates/jobs/src/copies/gain.rs
+++ b/crates/jobs/src/copies/gain.rs
@@ -17,7 +17,7 @@
 const MIN_HELPED_SHARE: f64 = 0.5;
 /// Where restarts don't help, one is tried again after this time, since the cause may have changed.
 const RETRY_AFTER_MS: Millis = 30_000;
-/// The most restarts whose outcome is open; a worker on which all tasks stand still has some tens of runs.
+/// The most restarts whose outcome is open; a worker on which all tasks stall has some tens of runs.
 const MAX_OPEN_RESTARTS: usize = 32;
 
 /// A restart whose outcome is not known yet.
--- a/crates/jobs/src/copies/mod.rs
+++ b/crates/jobs/src/copies/mod.rs
@@ -1,6 +1,6 @@
 //! Speculative copies and restarts of runs that are slow or make no progress.
 //!
-//! The load: steps that wait for one straggler, and workers on which tasks stand still. Readings of progress mark the steps that they
+//! The load: steps that wait for one straggler, and workers on which tasks stall. Readings of progress mark the steps that they
 //! belong to; each check judges the marked steps:
 //!
 //! - Where a step allows copies ([`LoadPolicies::copies`](sandshelf_model::LoadPolicies)), a slow run gets a copy on another worker
@@ -23,7 +23,7 @@
 
 pub use gain::{RestartGain, RestartTrial};
 pub use slow::{slow_runs, SlowRun, StepProgress};
-pub use stuck::{is_standing_stuck, judge_run, still_ms, RestartCost, StuckRun};
+pub use stuck::{is_standing_stuck, judge_run, stalled_ms, RestartCost, StuckRun};
 pub(crate) use task_runs::{CopyRun, DoneTimes, RestartHistory};
 pub(crate) use track::ProgressTrack;
 pub use track::{ProgressSpan, RunProgress};
--- a/crates/jobs/src/copies/slow.rs
+++ b/crates/jobs/src/copies/slow.rs
@@ -88,7 +88,7 @@
     }
     if run.silent {
         // Since the newest reading at most one percent is known to have been done.
-        pace_ms = pace_ms.max(run.still_ms as f64);
+        pace_ms = pace_ms.max(run.stalled_ms as f64);
     }
     let left = f64::from(99 - run.percent.min(99));
     let passed = if run.silent { 0 } else { run.age_ms };
--- a/crates/jobs/src/copies/standing.rs
+++ b/crates/jobs/src/copies/standing.rs
@@ -2,7 +2,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
-use super::check::{MAX_RESTARTS, STILL_WORKER_PAUSE_MS};
+use super::check::{MAX_RESTARTS, STALLED_WORKER_PAUSE_MS};
 use super::stuck::is_standing_stuck;
 use super::task_runs::RestartHistory;
 use crate::ids::{RunKey, TaskKey};
@@ -123,19 +123,19 @@
         }
         let percent = self.record_mut(&worker, &key);
         let percent = percent.map_or(0, |record| record.percent);
-        let still_ms = now.saturating_sub(since);
+        let stalled_ms = now.saturating_sub(since);
         self.note(JobNote::RunStuck {
             key,
             worker: worker.clone(),
             percent,
-            still_ms,
-            remaining_ms: still_ms,
+            stalled_ms,
+            remaining_ms: stalled_ms,
             restart_ms: self.limits.stop_timeout_ms,
             reading_age_ms: 0,
         });
         // The worker may be unable to run anything: the task would only be lost there again.
-        self.count_still_runs(now, &worker, &[key]);
-        self.pause_worker(&worker, now + STILL_WORKER_PAUSE_MS);
+        self.count_stalled_runs(now, &worker, &[key]);
+        self.pause_worker(&worker, now + STALLED_WORKER_PAUSE_MS);
         self.stop_run(now, &worker, key, StopCause::Stuck);
     }
 }
--- a/crates/jobs/src/copies/stuck.rs
+++ b/crates/jobs/src/copies/stuck.rs
@@ -1,7 +1,7 @@
 //! Decides which runs to stop and start again elsewhere, for steps that don't allow copies.
 //!
-//! A restart costs the stop and the whole work from the last checkpoint. A run that stands still may go on at any moment, so it is
-//! expected to stand still for as long again as it has done; waiting and restarting then cost at most twice the better of the two.
+//! A restart costs the stop and the whole work from the last checkpoint. A run that is stalled may go on at any moment, so it is
+//! expected to be stalled for as long again as it has been; waiting and restarting then cost at most twice the better of the two.
 
 use sandshelf_model::Millis;
 
@@ -12,9 +12,9 @@
 const MIN_ADVANTAGE_PERCENT: u64 = 125;
 /// A run that was seen this short is not judged.
 const MIN_ELAPSED_MS: Millis = 300;
-/// A run stands still if it has not progressed for this long.
-const MIN_STILL_MS: Millis = 400;
-/// A run stands still only if it has missed this many percent at its earlier rate.
+/// A run is stalled if it has not progressed for this long.
+const MIN_STALLED_MS: Millis = 400;
+/// A run is stalled only if it has missed this many percent at its earlier rate.
 const MIN_MISSED_PERCENT: u64 = 4;
 
 /// What a restart costs.
@@ -39,44 +39,44 @@
     pub restart_ms: Millis,
     /// The typical duration of a run, in milliseconds.
     pub typical_ms: Millis,
-    /// How long the run has stood still, in milliseconds; 0 for one that is only slow.
-    pub still_ms: Millis,
+    /// How long the run has been stalled, in milliseconds; 0 for one that is only slow.
+    pub stalled_ms: Millis,
 }
 
 /// The typical duration of a run without disturbance: that of its siblings, otherwise the one that its own progress promised before it
-/// stood still.
+/// stalled.
 fn usual_ms(run: &RunProgress, step: &StepProgress) -> Option<Millis> {
     let typical = step.typical_ms();
     typical.or_else(|| projected_ms(&run.moving))
 }
 
-/// How long a run has stood still, in milliseconds; 0 if it progresses or may progress.
-pub fn still_ms(run: &RunProgress, step: &StepProgress) -> Millis {
+/// How long a run has been stalled, in milliseconds; 0 if it progresses or may progress.
+pub fn stalled_ms(run: &RunProgress, step: &StepProgress) -> Millis {
     let Some(usual_ms) = usual_ms(run, step) else {
         return 0;
     };
     let missed_ms = usual_ms * MIN_MISSED_PERCENT / 100;
-    let still = run.percent < 100 && run.still_ms >= MIN_STILL_MS.max(missed_ms);
-    if still {
-        run.still_ms
+    let stalled = run.percent < 100 && run.stalled_ms >= MIN_STALLED_MS.max(missed_ms);
+    if stalled {
+        run.stalled_ms
     } else {
         0
     }
 }
 
 /// The time that a run is expected to need still, in milliseconds.
-fn expected_remaining_ms(run: &RunProgress, usual_ms: Millis, still_ms: Millis) -> Millis {
+fn expected_remaining_ms(run: &RunProgress, usual_ms: Millis, stalled_ms: Millis) -> Millis {
     let left = u64::from(100 - run.percent.min(100));
     let span = &run.whole;
     let at_own_rate = match run.paced {
         true => 0,
         false => span.took_ms * left / u64::from(span.gained + 1),
     };
-    let after_standing = match still_ms {
+    let after_stall = match stalled_ms {
         0 => 0,
-        still_ms => still_ms + usual_ms * left / 100,
+        stalled_ms => stalled_ms + usual_ms * left / 100,
     };
-    at_own_rate.saturating_sub(run.age_ms).max(after_standing)
+    at_own_rate.saturating_sub(run.age_ms).max(after_stall)
 }
 
 /// Whether a run is worth a restart. A run on a silent worker is not: its end has to be known first.
@@ -85,8 +85,8 @@
         return None;
     }
     let typical_ms = usual_ms(run, step)?;
-    let still_ms = still_ms(run, step);
-    let remaining_ms = expected_remaining_ms(run, typical_ms, still_ms);
+    let stalled_ms = stalled_ms(run, step);
+    let remaining_ms = expected_remaining_ms(run, typical_ms, stalled_ms);
     let start_ms = match cost.kept_percent {
         0 => COPY_START_MS,
         _ => cost.restore_ms,
@@ -98,12 +98,12 @@
         remaining_ms,
         restart_ms,
         typical_ms,
-        still_ms,
+        stalled_ms,
     })
 }
 
 /// Whether a standing task that was at work and is not any more is worth a restart: it has been away for as long as the stop and the
 /// start take.
 pub fn is_standing_stuck(away_ms: Millis, stop_ms: Millis) -> bool {
-    away_ms >= MIN_STILL_MS.max(stop_ms + COPY_START_MS)
+    away_ms >= MIN_STALLED_MS.max(stop_ms + COPY_START_MS)
 }
--- a/crates/jobs/src/copies/task_runs.rs
+++ b/crates/jobs/src/copies/task_runs.rs
@@ -75,7 +75,7 @@
         run == self.last_ended || self.failed_runs.contains(&run)
     }
 
-    /// Whether an end tells how the task stands: it is the end of its newest run or, in steps with copies, of its only one.
+    /// Whether an end decides what becomes of the task: it is the end of its newest run or, in steps with copies, of its only one.
     pub(crate) fn is_current_end(&self, run: u64, copies: bool) -> bool {
         run > self.last_ended || copies && self.stage.is_run(run)
     }
--- a/crates/jobs/src/copies/track.rs
+++ b/crates/jobs/src/copies/track.rs
@@ -42,10 +42,10 @@
     pub whole: ProgressSpan,
     /// The progress in the last third of a second or somewhat longer; none if there is no earlier reading.
     pub recent: Option<ProgressSpan>,
-    /// The progress from the start to the reading that last showed progress: what the run did before it stood still, if it does.
+    /// The progress from the start to the reading that last showed progress: what the run did before it stalled, if it does.
     pub moving: ProgressSpan,
     /// For how long no progress has been seen, in milliseconds.
-    pub still_ms: Millis,
+    pub stalled_ms: Millis,
     /// The age of the newest reading, in milliseconds.
     pub age_ms: Millis,
     /// Whether the worker is silent, so that no newer reading can be expected.
@@ -130,7 +130,7 @@
             whole: self.newest.since(&first),
             recent,
             moving: self.moved.since(&first),
-            still_ms: self.newest.since(&self.moved).took_ms + unseen_ms,
+            stalled_ms: self.newest.since(&self.moved).took_ms + unseen_ms,
             age_ms,
             silent,
             paced: false,
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -233,8 +233,8 @@
         worker: WorkerId,
         /// The progress at the newest reading, in percent.
         percent: u32,
-        /// How long the run has stood still, in milliseconds; 0 for one that is only slow.
-        still_ms: Millis,
+        /// How long the run has been stalled, in milliseconds; 0 for one that is only slow.
+        stalled_ms: Millis,
         /// The time that the run was expected to need still, in milliseconds.
         remaining_ms: Millis,
         /// The expected time from the stop to the end of the next run, in milliseconds; for a standing task the time of the stop.
@@ -253,11 +253,11 @@
         /// The time that the stopped run was expected to need still, in milliseconds.
         expected_ms: Millis,
     },
-    /// Several runs on a worker stand still. The worker gets no new tasks for a while.
-    WorkerStill {
+    /// Several runs on a worker stall. The worker gets no new tasks for a while.
+    WorkerStalled {
         /// The worker.
         worker: WorkerId,
-        /// The number of runs that stand still.
+        /// The number of runs that are stalled.
         runs: usize,
     },
 }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -95,8 +95,8 @@
     pub(crate) resumed: bool,
     /// Whether it is the copy of a slow run.
     pub(crate) copy: bool,
-    /// Whether it counts as a failure of its worker because it stood still.
-    pub(crate) counted_still: bool,
+    /// Whether it counts as a failure of its worker because it stalled.
+    pub(crate) counted_stalled: bool,
 }
 
 impl RunRecord {
@@ -163,7 +163,7 @@
             progress: ProgressTrack::default(),
             resumed: false,
             copy: false,
-            counted_still: false,
+            counted_stalled: false,
         }
     }
 }
--- a/crates/jobs/tests/copies_takeover.rs
+++ b/crates/jobs/tests/copies_takeover.rs
@@ -30,22 +30,22 @@
     }])
 }
 
-/// Owners die at this interval while one run in ten is slow and workers stand still.
+/// Owners die at this interval while one run in ten is slow and workers stall.
 fn jobs_are_completed(owner_lives_ms: Millis, copies_allowed: bool, seed: u64) {
     let mut fleet = SlowFleet::new(WORKERS, limits(), seed);
     fleet.slow_share = 0.1;
     let mut dies_at = fleet.rig.now + owner_lives_ms;
-    let mut stands_at = fleet.rig.now + 1_500;
+    let mut stalls_at = fleet.rig.now + 1_500;
     let disturb = |fleet: &mut SlowFleet| {
         let now = fleet.rig.now;
         if now >= dies_at {
             dies_at += owner_lives_ms;
             fleet.replace_owner();
         }
-        if now >= stands_at {
-            stands_at += 2_000;
+        if now >= stalls_at {
+            stalls_at += 2_000;
             let index = (now / 100) as usize % WORKERS;
-            fleet.workers[index].stands_still = (now, now + 5_000);
+            fleet.workers[index].stalls = (now, now + 5_000);
         }
     };
     let spec = |_: &mut ChaCha8Rng| short_job(copies_allowed);
--- a/crates/jobs/tests/stuck.rs
+++ b/crates/jobs/tests/stuck.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use sandshelf_jobs::copies::{
-    is_standing_stuck, judge_run, slow_runs, still_ms, ProgressSpan, RestartCost, RestartGain,
+    is_standing_stuck, judge_run, slow_runs, stalled_ms, ProgressSpan, RestartCost, RestartGain,
     RestartTrial, RunProgress, StepProgress,
 };
 use sandshelf_jobs::{
@@ -70,8 +70,8 @@
         self.rig.advance(100);
     }
 
-    /// The first run stands still at 20 % while the others progress.
-    fn stand_still(&mut self, times: u32) {
+    /// The first run is stalled at 20 % while the others progress.
+    fn stall(&mut self, times: u32) {
         for time in 1..=times {
             let others = (time * 10).min(99);
             self.report(200, &[others.min(20), others, others, others]);
@@ -94,7 +94,7 @@
 /// A stuck run is stopped; its task starts on another worker, but only once the end is listed. Guards against two runs of one task.
 fn a_stuck_run_moves() {
     let mut stuck = StuckRig::new(limits(), spread_step(3));
-    stuck.stand_still(12);
+    stuck.stall(12);
     let (worker, key) = stuck.runs[0].clone();
     assert_eq!(stuck.stuck_stops(), [key]);
     stuck.rig.advance(1_000);
@@ -114,12 +114,12 @@
 }
 
 /// Guards against a stop of a run that progresses, of any run with the switch off, and of a run for which no other worker has room.
-fn nothing_is_stopped(limits: SchedulerLimits, tasks: u32, stands: bool) {
+fn nothing_is_stopped(limits: SchedulerLimits, tasks: u32, stalled: bool) {
     let mut stuck = StuckRig::new(limits, spread_step(tasks));
     for time in 1..=12 {
         let even = [time * 8, time * 8 + 1, time * 8 - 1, time * 7];
-        match stands {
-            true => stuck.stand_still(1),
+        match stalled {
+            true => stuck.stall(1),
             false => stuck.report(200, &even),
         }
     }
@@ -162,8 +162,8 @@
     assert_eq!(stops, 2);
 }
 
-/// A worker on which two runs stand still gets no new tasks for a while.
-fn a_still_worker_gets_no_tasks() {
+/// A worker on which two runs stall gets no new tasks for a while.
+fn a_stalled_worker_gets_no_tasks() {
     let spec = StepSpec {
         size: ResourceSize::new(1_000, 1_000, 0),
         most_per_worker: 2,
@@ -171,24 +171,24 @@
     };
     let mut stuck = StuckRig::new(limits(), spec);
     assert_eq!(stuck.runs.len(), 8);
-    let still_worker = stuck.runs[0].0.clone();
+    let stalled_worker = stuck.runs[0].0.clone();
     for time in 1..=5 {
         let percents = stuck.runs.iter();
-        let percents = percents.map(|(worker, _)| match *worker == still_worker {
+        let percents = percents.map(|(worker, _)| match *worker == stalled_worker {
             true => 10.min(time * 10),
             false => time * 10,
         });
         let percents: Vec<u32> = percents.collect();
         stuck.report(200, &percents);
     }
-    let still = stuck.rig.actions.iter().any(|action| {
-        matches!(action, JobAction::Note(JobNote::WorkerStill { worker, runs: 2 }) if worker.as_str() == still_worker)
+    let noted = stuck.rig.actions.iter().any(|action| {
+        matches!(action, JobAction::Note(JobNote::WorkerStalled { worker, runs: 2 }) if worker.as_str() == stalled_worker)
     });
-    assert!(still);
+    assert!(noted);
     stuck.rig.hand_in(8, 0, job(vec![step(30)]));
     let starts = stuck.rig.take_starts();
     assert_eq!(starts.len(), 30);
-    assert!(starts.iter().all(|(worker, _)| *worker != still_worker));
+    assert!(starts.iter().all(|(worker, _)| *worker != stalled_worker));
 }
 
 /// Of four standing tasks, some are at work no more. They are stopped only as far as the step may miss them, and never while at work.
@@ -249,8 +249,8 @@
     assert_eq!(rig.stops().first().map(|stop| stop.1), Some(runs[0]));
 }
 
-/// A run that has done this much in this time, and has stood still since.
-fn progress(percent: u32, in_ms: Millis, still: Millis) -> RunProgress {
+/// A run that has done this much in this time, and has been stalled since.
+fn progress(percent: u32, in_ms: Millis, stalled: Millis) -> RunProgress {
     let moving = ProgressSpan {
         took_ms: in_ms,
         gained: percent,
@@ -258,12 +258,12 @@
     RunProgress {
         percent,
         whole: ProgressSpan {
-            took_ms: in_ms + still,
+            took_ms: in_ms + stalled,
             gained: percent,
         },
         recent: None,
         moving,
-        still_ms: still,
+        stalled_ms: stalled,
         ..RunProgress::default()
     }
 }
@@ -286,12 +286,12 @@
 }
 
 /// Guards against taking coarse progress for none: a run of a minute shows a new percent every 0.6 s.
-fn long_runs_do_not_stand_still() {
+fn long_runs_do_not_stall() {
     let run = progress(10, 6_000, 1_100);
     let step = step_of(&[run], &[60_000]);
-    assert_eq!(still_ms(&run, &step), 0);
+    assert_eq!(stalled_ms(&run, &step), 0);
     let run = progress(10, 6_000, 3_000);
-    assert_eq!(still_ms(&run, &step), 3_000);
+    assert_eq!(stalled_ms(&run, &step), 3_000);
 }
 
 /// Restarts end once they don't help, and one is tried again later.
@@ -341,7 +341,7 @@
     progresses => nothing_is_stopped(limits(), 3, false);
     no_room_elsewhere => nothing_is_stopped(limits(), 4, true);
     twice_at_most => a_task_is_restarted_twice_at_most();
-    still_worker => a_still_worker_gets_no_tasks();
+    stalled_worker => a_stalled_worker_gets_no_tasks();
     standing_within_may_miss => standing_tasks_move(Some(1), 1, 1);
     standing_beyond_may_miss => standing_tasks_move(Some(1), 2, 0);
     standing_may_not_miss => standing_tasks_move(Some(0), 1, 0);
@@ -355,7 +355,7 @@
     slow_again => restarts_are_judged(progress(5, 500, 0), 0, 700, false);
     quick => restarts_are_judged(progress(50, 425, 0), 0, 100, false);
     from_checkpoint => restarts_are_judged(progress(80, 700, 2_000), 75, 100, true);
-    long_runs => long_runs_do_not_stand_still();
+    long_runs => long_runs_do_not_stall();
     learnt => restarts_are_learnt();
     slow_among_runs => slow_runs_are_found(&[progress(4, 300, 0), progress(35, 300, 0), progress(34, 300, 0)], &[], &[0]);
     slow_after_done => slow_runs_are_found(&[progress(20, 1_200, 0), progress(14, 1_200, 0)], &[850, 870], &[1, 0]);
--- a/crates/jobs/tests/stuck_load.rs
+++ b/crates/jobs/tests/stuck_load.rs
@@ -1,4 +1,4 @@
-//! Workers on which all tasks stand still for 5 s, and slow runs of steps that allow no copies: what jobs get with and without restarts.
+//! Workers on which all tasks stall for 5 s, and slow runs of steps that allow no copies: what jobs get with and without restarts.
 
 mod support;
 
@@ -12,9 +12,9 @@
 const TASKS: u32 = 10;
 const TRAFFIC_MS: Millis = 30_000;
 const WORKERS: usize = 24;
-/// How long all tasks on a worker stand still, and how often this begins on one of the workers.
-const STANDS_MS: Millis = 5_000;
-const STANDS_EVERY_MS: Millis = 1_000;
+/// How long all tasks on a worker stall, and how often this begins on one of the workers.
+const STALL_MS: Millis = 5_000;
+const STALL_EVERY_MS: Millis = 1_000;
 /// A stop takes up to 900 ms on the first deployment.
 const STOP_MS: Millis = 900;
 
@@ -49,8 +49,8 @@
 struct FleetLoad {
     slow_share: f64,
     slow_again: bool,
-    /// Whether workers stand still.
-    stands: bool,
+    /// Whether workers stall.
+    stalled: bool,
     copies_allowed: bool,
 }
 
@@ -61,18 +61,18 @@
     let work_ms = f64::from(TASKS) * 850.0 * (1.0 + load.slow_share * 6.0);
     let interval_ms = work_ms / (WORKERS as f64 * 16.0 * 0.4);
     let mut next = fleet.rig.now + 2_000;
-    let stand_still = |fleet: &mut SlowFleet| {
-        if load.stands && fleet.rig.now >= next {
-            next += STANDS_EVERY_MS;
+    let stall = |fleet: &mut SlowFleet| {
+        if load.stalled && fleet.rig.now >= next {
+            next += STALL_EVERY_MS;
             let from = fleet.rig.now;
             let index = fleet.random.random_range(0..WORKERS);
             let worker = &mut fleet.workers[index];
-            worker.stands_still = (from, from + STANDS_MS);
+            worker.stalls = (from, from + STALL_MS);
             worker.stop_ms = STOP_MS;
         }
     };
     let spec = |_: &mut ChaCha8Rng| short_job(load.copies_allowed);
-    let jobs = fleet.play(TRAFFIC_MS, interval_ms, spec, stand_still);
+    let jobs = fleet.play(TRAFFIC_MS, interval_ms, spec, stall);
     let counts = fleet.counts;
     println!("{policies:?}, seed {seed}: {counts:?}");
     assert_eq!(counts.in_time + counts.late, jobs);
@@ -97,16 +97,16 @@
     sum
 }
 
-const STANDING_STILL: FleetLoad = FleetLoad {
+const STALLED: FleetLoad = FleetLoad {
     slow_share: 0.0,
     slow_again: false,
-    stands: true,
+    stalled: true,
     copies_allowed: false,
 };
 const SLOW_ONCE: FleetLoad = FleetLoad {
     slow_share: 0.03,
-    stands: false,
-    ..STANDING_STILL
+    stalled: false,
+    ..STALLED
 };
 const SLOW_AGAIN: FleetLoad = FleetLoad {
     slow_again: true,
@@ -129,7 +129,7 @@
     assert!(with.stuck * 200 <= with.starts, "{} restarts", with.stuck);
 }
 
-/// The longest time that a task of a standing step was not at work while workers stood still, in milliseconds.
+/// The longest time that a task of a standing step was not at work while workers stalled, in milliseconds.
 fn longest_away_ms(policies: &[LoadPolicy], may_miss: u32, seed: u64) -> Millis {
     let mut fleet = SlowFleet::new(WORKERS, limits(policies), seed);
     fleet.slow_share = 0.0;
@@ -154,14 +154,14 @@
             let mut workers = fleet.workers.iter_mut();
             let worker = workers.find(|worker| worker.runs.keys().any(holds));
             let worker = worker.expect("a worker with this task");
-            worker.stands_still = (now, now + STANDS_MS);
+            worker.stalls = (now, now + STALL_MS);
             worker.stop_ms = STOP_MS;
         }
         fleet.run_for(5);
         let now = fleet.rig.now;
         for worker in &fleet.workers {
-            let stands = (worker.stands_still.0..worker.stands_still.1).contains(&now);
-            for key in worker.runs.keys().filter(|_| !stands) {
+            let stalled = (worker.stalls.0..worker.stalls.1).contains(&now);
+            for key in worker.runs.keys().filter(|_| !stalled) {
                 away_ms[key.task.index as usize] = 0;
             }
         }
@@ -176,11 +176,11 @@
     longest
 }
 
-/// A standing task counts as unavailable after 4.5 s. On a worker that stands still for 5 s it returns before only if it is restarted,
+/// A standing task counts as unavailable after 4.5 s. On a worker that is stalled for 5 s it returns before only if it is restarted,
 /// which is allowed only within `may_miss`.
 fn standing_tasks_return(may_miss: u32, in_time: bool) {
     for seed in 1..=3 {
-        assert!(longest_away_ms(&[], may_miss, seed) >= STANDS_MS);
+        assert!(longest_away_ms(&[], may_miss, seed) >= STALL_MS);
         let away = longest_away_ms(&[LoadPolicy::StuckRuns], may_miss, seed);
         assert_eq!(away < 4_500, in_time);
     }
@@ -189,10 +189,10 @@
 sandshelf_cases::cases! {
     standing_tasks => standing_tasks_return(1, true);
     standing_tasks_that_must_not_miss => standing_tasks_return(0, false);
-    standing_still => jobs_take_less(&[LoadPolicy::StuckRuns], STANDING_STILL, 80);
-    standing_still_with_copies => jobs_take_less(
+    stalled => jobs_take_less(&[LoadPolicy::StuckRuns], STALLED, 80);
+    stalled_with_copies => jobs_take_less(
         &[LoadPolicy::Copies, LoadPolicy::StuckRuns],
-        FleetLoad { copies_allowed: true, ..STANDING_STILL },
+        FleetLoad { copies_allowed: true, ..STALLED },
         70
     );
     slow_once => jobs_take_less(&[LoadPolicy::StuckRuns], SLOW_ONCE, 80);
--- a/crates/jobs/tests/support/slow_fleet.rs
+++ b/crates/jobs/tests/support/slow_fleet.rs
@@ -1,4 +1,4 @@
-//! Workers in virtual time on which some runs are slow, and on which all tasks may stand still for a while.
+//! Workers in virtual time on which some runs are slow, and on which all tasks may stall for a while.
 //!
 //! The workers answer lease renewals as the platform's do: at once when a run ends, otherwise after the wait that was asked for.
 
@@ -38,7 +38,7 @@
 pub struct FleetWorker {
     pub id: WorkerId,
     pub runs: BTreeMap<RunKey, FleetRun>,
-    pub stands_still: (Millis, Millis),
+    pub stalls: (Millis, Millis),
     /// How long a stop of a run takes here.
     pub stop_ms: Millis,
     ends: Vec<EndReport>,
@@ -113,7 +113,7 @@
         let workers = (0..count).map(|index| FleetWorker {
             id: entry(index).worker,
             runs: BTreeMap::new(),
-            stands_still: (0, 0),
+            stalls: (0, 0),
             stop_ms: 100,
             ends: Vec::new(),
             end_count: 0,
@@ -243,10 +243,10 @@
     fn work(&mut self, index: usize) {
         let now = self.rig.now;
         let worker = &mut self.workers[index];
-        let still = (worker.stands_still.0..worker.stands_still.1).contains(&now);
+        let stalled = (worker.stalls.0..worker.stalls.1).contains(&now);
         let mut ended = Vec::new();
         for (key, run) in &mut worker.runs {
-            if !still && !run.standing {
+            if !stalled && !run.standing {
                 run.done_ms += STEP_MS as f64;
             }
             if run.stops_at.is_some_and(|at| at <= now) {
@@ -276,7 +276,7 @@
             key: *key,
             checkpoint: None,
             percent: match run.standing {
-                true if still => 0,
+                true if stalled => 0,
                 true => 100,
                 false => (run.done_ms / run.work_ms * 100.0) as u32,
             },
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -186,7 +186,7 @@
             let outcome = if *helped { "helped" } else { "in_vain" };
             counter!(RESTARTS, "outcome" => outcome).increment(1);
         }
-        JobNote::WorkerStill { .. } => counter!(BELIEFS, "belief" => "still").increment(1),
+        JobNote::WorkerStalled { .. } => counter!(BELIEFS, "belief" => "stalled").increment(1),
         JobNote::JobFinished {
             state,
             queue,
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -250,7 +250,7 @@
         | JobNote::CopyDecided { .. }
         | JobNote::RunStuck { .. }
         | JobNote::RestartJudged { .. }
-        | JobNote::WorkerStill { .. } => log_slow_run(note),
+        | JobNote::WorkerStalled { .. } => log_slow_run(note),
     }
 }
 
@@ -293,7 +293,7 @@
             key,
             worker,
             percent,
-            still_ms,
+            stalled_ms,
             remaining_ms,
             restart_ms,
             reading_age_ms,
@@ -304,7 +304,7 @@
                 ("run", &key.run),
                 ("worker", worker),
                 ("percent", percent),
-                ("still_ms", still_ms),
+                ("stalled_ms", stalled_ms),
                 ("remaining_ms", remaining_ms),
                 ("restart_ms", restart_ms),
                 ("reading_age_ms", reading_age_ms),
@@ -325,8 +325,8 @@
                 ("expected_ms", expected_ms),
             ],
         ),
-        JobNote::WorkerStill { worker, runs } => {
-            event("worker_still", &[("worker", worker), ("runs", runs)]);
+        JobNote::WorkerStalled { worker, runs } => {
+            event("worker_stalled", &[("worker", worker), ("runs", runs)]);
         }
         _ => {}
     }
