--- a/crates/jobs/src/copies/mod.rs
+++ b/crates/jobs/src/copies/mod.rs
@@ -4,9 +4,9 @@
 //! belong to; each check judges the marked steps:
 //!
 //! - Where a step allows copies ([`LoadPolicies::copies`](sandshelf_model::LoadPolicies)), a slow run gets a copy on another worker
-//!   ([`slow`]). The first end `done` counts. [`task_runs`] keeps the two runs of a task.
+//!   (`slow`). The first end `done` counts. `task_runs` keeps the two runs of a task.
 //! - Other runs ([`LoadPolicies::stuck_runs`](sandshelf_model::LoadPolicies)) are stopped if a restart is expected to end well before
-//!   them ([`stuck`]), as long as restarts help ([`gain`]).
+//!   them (`stuck`), as long as restarts help (`gain`).
 //!
 //! Nothing is stored: a new owner finds both runs of a task in the workers' lists, or one.
 
