--- a/crates/emulator/src/oracle/mod.rs
+++ b/crates/emulator/src/oracle/mod.rs
@@ -363,6 +363,12 @@
         self.crashes.stats()
     }
 
+    /// Records when the end of a run was acknowledged.
+    pub fn acknowledged_at(&mut self, now: Millis, key: RunKey, outcome: RunOutcome) {
+        self.set_time(now);
+        self.acknowledged(key, outcome);
+    }
+
     /// Records that the end of a run was acknowledged.
     pub fn acknowledged(&mut self, key: RunKey, outcome: RunOutcome) {
         let task_history = self.history.entry(key.task).or_default();
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -49,6 +49,8 @@
     pub filling_held: usize,
     /// Workers that are reserved for large tasks.
     pub reserved_workers: usize,
+    /// Runs that were started as copies of slow runs.
+    pub copies: usize,
 }
 
 impl JobScheduler {
@@ -99,6 +101,7 @@
 impl SchedulerCounts {
     fn add_run(&mut self, record: &RunRecord) {
         let gauge = record.gauge.unwrap_or(0);
+        self.copies += usize::from(record.copy);
         if record.target_ms > 0 {
             self.serving += 1;
             self.over_target += usize::from(gauge > record.target_ms);
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -2,6 +2,7 @@
 
 use sandshelf_model::{Millis, ResourceSize};
 
+use crate::copies::ProgressTrack;
 use crate::due::{DueTimes, TaskChain};
 use crate::images::ImageId;
 use crate::over_target::OverTargetStretch;
@@ -88,6 +89,14 @@
     /// When the worker last answered a pace order since the newest pace was sent; the answer may be one
     /// to an earlier order.
     pub(crate) pace_taken_at: Option<Millis>,
+    /// Its readings of progress on the current incarnation of its worker.
+    pub(crate) progress: ProgressTrack,
+    /// Whether it was ordered to resume from a checkpoint, so that it did not start at 0 %.
+    pub(crate) resumed: bool,
+    /// Whether it is the copy of a slow run.
+    pub(crate) copy: bool,
+    /// Whether it counts as a failure of its worker because it stalled.
+    pub(crate) counted_stalled: bool,
 }
 
 impl RunRecord {
@@ -151,6 +160,10 @@
             over_stretch: None,
             pace_sent_at: None,
             pace_taken_at: None,
+            progress: ProgressTrack::default(),
+            resumed: false,
+            copy: false,
+            counted_stalled: false,
         }
     }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::answer_patience::AnswerPatience;
 use crate::backlog::BacklogMonitor;
 use crate::capacity::EndedJobSizes;
+use crate::copies::SlowRunWatch;
 use crate::crash::CrashTracker;
 use crate::dirty::{DirtyJobs, UnwrittenEnds};
 use crate::events::{JobAction, JobEvent, WorkerCall};
@@ -145,6 +146,7 @@
     /// Whether the last placement pass left tasks waiting.
     pub(crate) pass_left_tasks: bool,
     pub(crate) last_move: Millis,
+    pub(crate) slow_runs: SlowRunWatch,
     pub(crate) backlog: BacklogMonitor,
     /// The number of start orders that were sent and have no answer yet.
     pub(crate) unanswered_starts: usize,
@@ -242,6 +244,7 @@
             workers_checked_at: 0,
             pass_left_tasks: false,
             last_move: 0,
+            slow_runs: SlowRunWatch::default(),
             backlog: BacklogMonitor::default(),
             unanswered_starts: 0,
             start_orders: StartOrders::default(),
@@ -377,6 +380,7 @@
         self.send_probes(now);
         if sure {
             self.move_slowed_tasks(now);
+            self.check_slow_runs(now);
         }
         self.load_history.refresh(now, &self.backlog);
         // Load readings change the capacity that serving tasks leave, and jobs become late, without any event that frees capacity.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod copying;
 pub mod crashing;
 pub mod emulated_worker;
 pub mod emulator;
@@ -10,6 +11,7 @@
 pub mod plans;
 pub mod relaying;
 pub mod restarting;
+pub mod slow_fleet;
 
 pub use sandshelf_emulator::oracle;
 
