--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -5,6 +5,9 @@
 use crate::deployment::Deployment;
 use crate::worker::RunProgress;
 
+/// How long a simulation usually continues after the traffic, in milliseconds.
+const COOL_DOWN_MS: Millis = 14_000;
+
 /// Which hosts an event affects. Only running hosts are selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostChoice {
@@ -106,6 +109,8 @@
     pub deployment: Deployment,
     /// How long callers submit jobs, in milliseconds.
     pub length_ms: Millis,
+    /// How long the simulation continues after that, so that jobs can finish, in milliseconds.
+    pub cool_down_ms: Millis,
     /// The events, each with its time in milliseconds since the start of the traffic.
     pub events: Vec<(Millis, DayEvent)>,
 }
@@ -116,6 +121,7 @@
         Self {
             deployment,
             length_ms,
+            cool_down_ms: COOL_DOWN_MS,
             events: Vec::new(),
         }
     }
--- a/crates/emulator/src/days.rs
+++ b/crates/emulator/src/days.rs
@@ -1,9 +1,14 @@
 //! The named days, which are simulated regularly.
 
+use sandshelf_model::Millis;
+
 use crate::day::{CutDirection, DayEvent, DayPlan, HallChoice, HostChoice};
 use crate::deployment::{Deployment, WEAK_HOST};
 use crate::worker::RunProgress;
 
+/// How long a day with an overload until its end continues, in milliseconds: until filling jobs are of no use any more, so that the
+/// outcomes of all of them are known.
+const OVERLOAD_COOL_DOWN_MS: Millis = 30_000;
 /// The index of the class of short jobs.
 const SHORT_CLASS: usize = 0;
 /// The index of the class of filling jobs, which has most of the bursts of traffic.
@@ -12,7 +17,7 @@
 const STANDING_CLASS: usize = 2;
 
 /// The names of the days, each with a description.
-pub const DAYS: [(&str, &str); 22] = [
+pub const DAYS: [(&str, &str); 23] = [
     ("calm", "nothing goes wrong"),
     ("burst", "a burst of filling jobs with a strong owner; many orders are late"),
     ("long-burst", "2.6 times the usual rate of filling jobs for 12 s"),
@@ -51,6 +56,10 @@
         "overload",
         "twice the usual rate of filling jobs from second 8 to the end",
     ),
+    (
+        "heavy-overload",
+        "3.5 times the usual rate of filling jobs from second 8 to the end",
+    ),
     (
         "quarter-lost",
         "a quarter of the workers is lost permanently, with a burst of short jobs",
@@ -168,8 +177,17 @@
 fn contended_day(name: &str, calm: DayPlan) -> Option<DayPlan> {
     let length = calm.length_ms;
     let short_burst = |day: DayPlan, at| day.with(at, DayEvent::Burst(SHORT_CLASS, 200, 6_000));
+    let filling_burst = |day: DayPlan, percent| {
+        let burst = DayEvent::Burst(FILLING_CLASS, percent, length - 8_000);
+        DayPlan {
+            cool_down_ms: OVERLOAD_COOL_DOWN_MS,
+            ..day.with(8_000, burst)
+        }
+    };
     Some(match name {
-        "overload" => calm.with(8_000, DayEvent::Burst(FILLING_CLASS, 200, length - 8_000)),
+        "overload" => filling_burst(calm, 200),
+        // Twice the usual rate makes hardly any job late on the second deployment.
+        "heavy-overload" => filling_burst(calm, 350),
         "quarter-lost" => short_burst(calm, 6_000).with(6_000, DayEvent::WorkersLost(25)),
         "double" => [SHORT_CLASS, FILLING_CLASS, STANDING_CLASS]
             .into_iter()
--- a/crates/emulator/src/deployment/contended.rs
+++ b/crates/emulator/src/deployment/contended.rs
@@ -3,6 +3,7 @@
 use sandshelf_model::ResourceSize;
 
 use super::{hosts, rules, Deployment, JobVariation, LoadSettings, StragglerRule};
+use crate::oracle::RuleBounds;
 use crate::worker::RunTiming;
 
 /// How far estimates deviate: callers know the run time to a factor of about two.
@@ -69,6 +70,10 @@
             hosts: hosts(8, 26),
             worker_size: ResourceSize::new(32_000, 128_000, 0),
             max_lease_ms: 6_000,
+            bounds: RuleBounds {
+                stop_ms: 400,
+                ..RuleBounds::LARGE
+            },
             load_settings: LoadSettings {
                 stop_timeout_ms: 400,
                 ..Self::camp().load_settings
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -31,8 +31,6 @@
 pub const WARM_UP_MS: Millis = 8_000;
 /// When the first of the jobs that exist before the traffic is submitted.
 const INITIAL_JOBS_AT_MS: Millis = 2_000;
-/// How long the simulation continues after the traffic, so that jobs can finish.
-const COOL_DOWN_MS: Millis = 14_000;
 /// How often the rules are checked.
 const CHECK_INTERVAL_MS: Millis = 100;
 /// Each host starts at a random time within this span.
@@ -130,6 +128,7 @@
         let DayPlan {
             deployment,
             length_ms,
+            cool_down_ms,
             events,
         } = day;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -147,7 +146,7 @@
         let mut world = Self {
             now: 0,
             queue: EventQueue::default(),
-            ends_at: traffic_until + COOL_DOWN_MS * MS,
+            ends_at: traffic_until + cool_down_ms * MS,
             traffic_until,
             hosts: hosts.collect(),
             fleet: WorkerFleet::new(&deployment, &mut random),
