Hold only standing tasks that have not run; only commitments that can be kept hold back filling jobs

Change: only tasks that have not run leave their capacity to short ones. And work that is due before it can be done no longer holds back all filling jobs (Moore and Hodgson's rule).

Three cases of standing_shortage fail with this: they ask that short jobs are served beside standing tasks that have run, which the rule does not allow without preemption.

--- a/crates/jobs/src/shares/commitments.rs
+++ b/crates/jobs/src/shares/commitments.rs
@@ -26,7 +26,29 @@
 impl WorkCommitments {
     pub(crate) fn new(now: Millis, forecast: CapacityForecast, mut due: Vec<DueWork>) -> Self {
         due.sort_by_key(|work| work.due_at);
-        Self { now, forecast, due }
+        let mut commitments = Self { now, forecast, due };
+        commitments.drop_unfeasible();
+        commitments
+    }
+
+    /// Drops work until the rest can end in time, by the rule of Moore and Hodgson: wherever the work that is due until a time doesn't
+    /// fit, the largest of it is dropped. Jobs whose tasks stall on their workers would otherwise hold back all others.
+    fn drop_unfeasible(&mut self) {
+        let mut sum = 0.0;
+        let mut place = 0;
+        while let Some(work) = self.due.get(place).copied() {
+            sum += work.work;
+            place += 1;
+            if self.fits(sum, work.due_at) {
+                continue;
+            }
+            let kept = self.due[..place].iter().enumerate();
+            let largest = kept.max_by(|(_, one), (_, other)| one.work.total_cmp(&other.work));
+            if let Some((largest, _)) = largest {
+                sum -= self.due.remove(largest).work;
+                place -= 1;
+            }
+        }
     }
 
     /// Whether all begun jobs and a further one can end in time. A single job may always begin.
@@ -56,7 +78,7 @@
         self.due.insert(place, more);
     }
 
-    /// The work of all begun jobs.
+    /// The work of the begun jobs that can end in time.
     pub(crate) fn total(&self) -> f64 {
         self.due.iter().map(|work| work.work).sum()
     }
--- a/crates/jobs/src/shares/shortage.rs
+++ b/crates/jobs/src/shares/shortage.rs
@@ -23,9 +23,6 @@
 /// A short task that has waited for this long shows an overload. It is about the slack of a short job, so that in the order of due
 /// times all would end late.
 const OVERLOAD_WAIT_MS: Millis = 800;
-/// For how long a standing task leaves its capacity to short tasks at most. The platform counts it as lost if it could have been started
-/// for three seconds, from six seconds after its last run on, unless there was a disturbance a moment before.
-const MAX_HELD_MS: Millis = 8_000;
 /// For how long after that processors count as short, or short tasks as too many.
 const CONTENDED_MS: Millis = 5_000;
 
@@ -120,15 +117,19 @@
             return false;
         }
         let kind = self.standing_kind(wait);
-        let kind = kind.filter(|_| self.may_be_held(now, wait));
+        let kind = kind.filter(|_| self.may_be_held(wait));
         kind.is_some_and(|kind| !self.is_ample(&kind) || !self.fits_twice(now, &kind))
     }
 
-    /// Whether a standing task has not waited for so long that it goes first in any case.
-    fn may_be_held(&self, now: Millis, wait: &WaitKey) -> bool {
-        let job = self.jobs.get(&wait.task.job);
-        let task = job.and_then(|job| job.task(&wait.task));
-        task.is_some_and(|task| now < task.waiting_since + MAX_HELD_MS)
+    /// Whether a standing task may leave its capacity to short ones: it has not run yet. The platform counts a task that has run as lost
+    /// when it could have been started again for three seconds, and capacity that short tasks free and take again counts as such.
+    /// Whether a task of an earlier owner's job has run is not known.
+    fn may_be_held(&self, wait: &WaitKey) -> bool {
+        let Some(job) = self.jobs.get(&wait.task.job).filter(|job| !job.inherited) else {
+            return false;
+        };
+        let task = job.task(&wait.task);
+        task.is_some_and(|task| task.runs == 0 && task.last_worker.is_none())
     }
 
     /// Whether capacity for standing tasks of a kind has existed twice over for long.
@@ -164,10 +165,10 @@
     }
 
     /// The rank of a waiting standing task: it goes ahead of short ones only where capacity for it exists twice over.
-    pub(super) fn standing_rank(&self, now: Millis, rank: PlaceRank, wait: &WaitKey) -> PlaceRank {
+    pub(super) fn standing_rank(&self, rank: PlaceRank, wait: &WaitKey) -> PlaceRank {
         let kind = self.standing_kind(wait);
         let ample = kind.is_none_or(|kind| self.is_ample(&kind));
-        if ample || !self.may_be_held(now, wait) {
+        if ample || !self.may_be_held(wait) {
             return rank;
         }
         PlaceRank {
--- a/crates/jobs/src/shares/sizes.rs
+++ b/crates/jobs/src/shares/sizes.rs
@@ -170,7 +170,7 @@
         }
         let standing = job.step_spec(&wait.task).is_some_and(|step| step.standing);
         if standing && rank.tier == RankTier::Starving {
-            return self.standing_rank(now, rank, wait);
+            return self.standing_rank(rank, wait);
         }
         if rank.tier != RankTier::Fresh {
             return rank;
