Test fair order with two queues and with a new owner

Cause: nothing showed that queues of one priority get like shares, or that a new owner counts running jobs as begun work.

Change: tests of both; a queue is behind from 0.9 of its priority on instead of 0.8; `owner_load` names held filling jobs and reserved workers.

--- a/crates/jobs/src/shares/sizes.rs
+++ b/crates/jobs/src/shares/sizes.rs
@@ -23,7 +23,7 @@
 /// end late more often than others: with 0.55 they were served 0.44 times as often as all.
 const SIZE_SHARE: f64 = 0.65;
 /// A queue is behind if it has been served less than this share of what its priority has.
-const QUEUE_SHARE: f64 = 0.8;
+const QUEUE_SHARE: f64 = 0.9;
 
 /// The size of a job, compared with the other jobs of its queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/jobs/tests/fair_order.rs
+++ b/crates/jobs/tests/fair_order.rs
@@ -27,6 +27,10 @@
 const LATENCY_MS: Millis = 1_000;
 /// For how long jobs may end after the last was submitted.
 const AFTERWARDS_MS: Millis = 30_000;
+/// How much more time the jobs of the patient queue have.
+const PATIENT_MS: Millis = 10_000;
+/// How long a new owner is watched.
+const TAKEOVER_MS: Millis = 2_000;
 /// The number of the first filling job.
 const FIRST_JOB: u64 = 1_000;
 /// The largest share of the time over target that may remain with the policy.
@@ -166,7 +170,7 @@
 }
 
 /// Submits jobs at a multiple of what fits beside the serving tasks; returns their specifications.
-fn submit_jobs(fleet: &mut TaskFleet, load: f64) -> Vec<JobSpec> {
+fn submit_jobs(fleet: &mut TaskFleet, load: f64, job_of: impl Fn(u64) -> JobSpec) -> Vec<JobSpec> {
     let from = fleet.rig.now;
     let fitting = tolerated_ms(from, from + TRAFFIC_MS) / mean_cost();
     let per_tick = load * fitting * TICK_MS as f64 / TRAFFIC_MS as f64;
@@ -176,23 +180,29 @@
         while due_jobs >= 1.0 {
             due_jobs -= 1.0;
             let number = FIRST_JOB + specs.len() as u64;
-            specs.push(filling_job(number));
-            fleet.submit(number, filling_job(number));
+            specs.push(job_of(number));
+            fleet.submit(number, job_of(number));
         }
         fleet.tick();
     }
     specs
 }
 
-fn play_overload(load: f64, on: bool) -> OverloadOutcome {
+/// Workers with serving tasks whose loads the owner knows.
+fn serving_fleet(on: bool) -> TaskFleet {
     let mut fleet = TaskFleet::new(WORKERS, policies(on), false);
     for image in 0..COEFFICIENTS.len() {
         fleet.submit(1 + image as u64, job(vec![serving_step(image)]));
     }
     fleet.run(WARM_UP_MS);
+    fleet
+}
+
+fn play_overload(load: f64, on: bool) -> OverloadOutcome {
+    let mut fleet = serving_fleet(on);
     let from = fleet.rig.now;
     fleet.over_target_ms = 0;
-    let specs = submit_jobs(&mut fleet, load);
+    let specs = submit_jobs(&mut fleet, load, filling_job);
     fleet.run(AFTERWARDS_MS);
     let mut outcome = OverloadOutcome {
         bound: most_in_time(&specs, tolerated_ms(from, from + TRAFFIC_MS + OBJECTIVE_MS)),
@@ -233,8 +243,53 @@
     assert!(after.wide.served_share() >= after.all().served_share() * MIN_SIZE_SHARE);
 }
 
+/// Guards against a new owner that starts all waiting jobs because it counts nothing as begun.
+fn a_new_owner_counts_what_runs() {
+    let mut fleet = serving_fleet(true);
+    submit_jobs(&mut fleet, 2.0, filling_job);
+    let before = fleet.running_jobs(FIRST_JOB);
+    fleet.take_over();
+    fleet.run(TAKEOVER_MS);
+    let after = fleet.running_jobs(FIRST_JOB);
+    println!("jobs at work before the takeover and after it: {before}, {after}");
+    assert!(after * 2 >= before, "the new owner starts nothing");
+    assert!(after * 2 <= before * 3);
+}
+
+/// A filling job of one of two queues. Jobs of the patient queue have more time, so that they always seem newer.
+fn job_of_two_queues(number: u64) -> JobSpec {
+    let mut spec = filling_job(number);
+    if number.is_multiple_of(2) {
+        spec.queue = "patient".to_owned();
+        spec.rules.target_latency_ms += PATIENT_MS;
+    }
+    spec
+}
+
+/// Guards against a queue whose jobs always come first in the order of new jobs, so that another one of its priority gets nothing.
+fn queues_of_a_priority_get_like_shares() {
+    let mut fleet = serving_fleet(true);
+    let specs = submit_jobs(&mut fleet, 2.0, job_of_two_queues);
+    fleet.run(AFTERWARDS_MS);
+    let (mut patient, mut other) = (SizeOutcome::default(), SizeOutcome::default());
+    for (number, spec) in (FIRST_JOB..).zip(&specs) {
+        let queue = if spec.queue == "patient" {
+            &mut patient
+        } else {
+            &mut other
+        };
+        queue.submitted += 1;
+        let end = fleet.ended.get(&number);
+        queue.in_time += usize::from(end.is_some_and(|end| end.is_in_time()));
+    }
+    println!("patient queue {patient:?}, other queue {other:?}");
+    assert!(other.served_share() >= patient.served_share() * MIN_SIZE_SHARE);
+}
+
 sandshelf_cases::cases! {
     half_over_capacity => fewer_jobs_run_each_to_its_end(1.5);
     twice_the_capacity => fewer_jobs_run_each_to_its_end(2.0);
+    new_owner => a_new_owner_counts_what_runs();
+    two_queues => queues_of_a_priority_get_like_shares();
     three_times_the_capacity => fewer_jobs_run_each_to_its_end(3.0);
 }
--- a/crates/jobs/tests/task_fleet/mod.rs
+++ b/crates/jobs/tests/task_fleet/mod.rs
@@ -2,13 +2,13 @@
 
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::f64::consts::TAU;
 
 use sandshelf_jobs::{
-    EndReport, InterferencePair, InterferenceRow, JobAction, JobEvent, JobNote, JobSpec, JobStage,
-    OrderAnswer, RunKey, RunOutcome, RunReport, SchedulerLimits, StartCall, StepSpec, TakeoverInfo,
-    WorkerCall, WorkerListing,
+    EndReport, InterferencePair, InterferenceRow, JobAction, JobEvent, JobNote, JobNumber, JobSpec,
+    JobStage, OrderAnswer, ProgressRow, RunKey, RunOutcome, RunReport, SchedulerLimits, StartCall,
+    StepSpec, TakeoverInfo, WorkerCall, WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{LoadPolicies, Millis, ResourceSize, WorkerId};
 
@@ -79,6 +79,8 @@
     pub standing_ms: Millis,
     pub notes: Vec<JobNote>,
     workers: Vec<FleetWorker>,
+    limits: SchedulerLimits,
+    progress: BTreeMap<JobNumber, ProgressRow>,
 }
 
 /// A number in 0..1 that depends on its arguments only (the finaliser of SplitMix64).
@@ -158,6 +160,8 @@
             standing_ms: 0,
             notes: Vec::new(),
             workers,
+            limits,
+            progress: BTreeMap::new(),
         };
         for worker in 0..count {
             fleet.report(worker);
@@ -176,6 +180,45 @@
         self.workers[worker].runs.clear();
     }
 
+    /// Another owner takes over, with the durable state and what workers report.
+    pub fn take_over(&mut self) {
+        let roster = self.workers.iter().map(|worker| {
+            let entry = &worker.listing;
+            (entry.worker.clone(), entry.address)
+        });
+        let info = TakeoverInfo {
+            epoch: 2,
+            claimed_at: self.rig.now,
+            claim_version: 100,
+            progress: self.progress.clone(),
+            interference: learned(),
+            roster: WorkerRoster {
+                epoch: 1,
+                workers: roster.collect(),
+                ..WorkerRoster::default()
+            },
+            ..TakeoverInfo::default()
+        };
+        let now = self.rig.now;
+        self.rig = SchedulerRig::with_limits(self.limits, info);
+        self.rig.now = now;
+        let entries = self.workers.iter().map(|worker| worker.listing.clone());
+        self.rig.list_entries(entries.collect());
+        for (number, spec) in &self.jobs {
+            self.rig.hand_in(*number, 1, spec.clone());
+        }
+        for worker in 0..self.workers.len() {
+            self.report(worker);
+        }
+    }
+
+    /// The number of jobs from this number on of which a task is running.
+    pub fn running_jobs(&self, from: u64) -> usize {
+        let runs = self.workers.iter().flat_map(|worker| worker.runs.keys());
+        let jobs = runs.map(|key| key.task.job.0).filter(|job| *job >= from);
+        jobs.collect::<BTreeSet<u64>>().len()
+    }
+
     /// The number of running tasks of a job.
     pub fn running_of(&self, job: u64) -> usize {
         let runs = self.workers.iter().flat_map(|worker| worker.runs.keys());
@@ -312,7 +355,10 @@
             for action in std::mem::take(&mut self.rig.actions) {
                 match action {
                     JobAction::Call { worker, call, .. } => self.obey(&worker, call),
-                    JobAction::Commit(batch) => self.rig.handle(JobEvent::Committed(batch.id)),
+                    JobAction::Commit(batch) => {
+                        self.progress.extend(batch.progress);
+                        self.rig.handle(JobEvent::Committed(batch.id));
+                    }
                     JobAction::Note(note) => self.note(note),
                     JobAction::Deposed => panic!("the owner gave up its ownership"),
                 }
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -346,6 +346,8 @@
             ("fill_wanted", &counts.fill_wanted),
             ("fill_paced", &counts.fill_paced),
             ("fill_used", &counts.fill_used),
+            ("filling_held", &counts.filling_held),
+            ("reserved_workers", &counts.reserved_workers),
             ("relays_offered", &relays.offered),
             ("relays", &relays.in_use),
             ("relayed", &relays.open),
