--- a/crates/jobs/src/shares/view.rs
+++ b/crates/jobs/src/shares/view.rs
@@ -85,6 +85,8 @@
         view.used_cpu_millis += record.gauge.unwrap_or(0) as f64 / record.use_ratio.unwrap_or(1.0);
         view.is_full |= record.pace < 100;
     }
+    // Where no filling task makes progress, such as on a worker that stalls, nothing is learnt of what filling tasks can use.
+    view.is_full &= view.used_cpu_millis > 0.0;
     let unreserved = view.capacity_cpu_millis - state.ordinary_cpu() as f64;
     let for_memory = memory as f64 / memory_per_cpu.max(f64::MIN_POSITIVE);
     view.usable_cpu_millis = unreserved.min(for_memory).max(0.0);
