Preempt less urgent runs where a short or more urgent task finds no capacity

Cause: after a permanent loss of workers, standing tasks of priority 0 take all processors that are left, and short tasks of the same priority find none.

Change: switch preemption. After a pass that left such tasks waiting, a pure plan chooses the runs to stop: lower priorities first, then standing tasks within may_miss of their step. The freed capacity is held for short tasks while they keep coming. Log lines preempted and hold_ended, counters and gauges.

--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -45,6 +45,10 @@
     pub fill_paced: u64,
     /// The processors that the filling tasks used at the last reading, in thousandths of a core.
     pub fill_used: u64,
+    /// Rooms that are held for waiting tasks after preemptions.
+    pub holds: usize,
+    /// The processors in these rooms, in thousandths of a core.
+    pub held_cpu: u64,
 }
 
 impl JobScheduler {
@@ -67,7 +71,10 @@
     pub fn counts(&self, now: Millis) -> SchedulerCounts {
         let open = self.workers.values().filter(|worker| worker.is_open(now));
         let evacuated = self.workers.values().filter(|worker| worker.evacuated);
+        let (holds, held_cpu) = self.held_capacity();
         let mut counts = SchedulerCounts {
+            holds,
+            held_cpu,
             jobs: self.jobs.len(),
             waiting: self.waiting.len(),
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -42,6 +42,7 @@
 mod over_target;
 mod pacing;
 mod place;
+mod preemption;
 mod progress;
 mod queues;
 mod rank;
@@ -77,7 +78,9 @@
 pub use ids::{BadIdentifier, JobNumber, RunKey, TaskKey, WorkerIncarnation};
 pub use interference::{InterferencePair, InterferenceRow};
 pub use limits::{SchedulerLimits, MAX_ROW_VALUE_BYTES};
-pub use note::{FillState, JobNote, LossCause, OverTargetReport, StopCause};
+pub use note::{
+    FillState, HoldOutcome, JobNote, LossCause, OverTargetReport, PreemptionReport, StopCause,
+};
 pub use progress::{ProgressRow, TaskProgress};
 pub use queues::{QueueEntry, QueueTable};
 pub use reports::{
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -201,6 +201,63 @@
         /// The number of crashes that count against the task.
         crashes: usize,
     },
+    /// Runs are stopped for waiting tasks.
+    Preempted(PreemptionReport),
+    /// Capacity that stops have freed is not held any more.
+    HoldEnded {
+        /// The task for which the stops were ordered.
+        waiter: TaskKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Why the hold ended.
+        outcome: HoldOutcome,
+        /// How many runs have used the capacity.
+        uses: u32,
+        /// The time since the stops were ordered, in milliseconds.
+        lasted_ms: Millis,
+    },
+}
+
+/// Why capacity that stops have freed is not held any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldOutcome {
+    /// Waiting tasks have used it, and no further one needs it.
+    Returned,
+    /// No waiting task needed it any more when it became free.
+    Unused,
+    /// The stopped runs have not ended in time.
+    StopTimedOut,
+    /// The worker is gone.
+    WorkerGone,
+}
+
+/// A decision to stop runs for waiting tasks, with its inputs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PreemptionReport {
+    /// The waiting task.
+    pub waiter: TaskKey,
+    /// The worker on which capacity is freed.
+    pub worker: WorkerId,
+    /// The priority of the waiting task.
+    pub priority: u32,
+    /// The number of tasks like it that wait.
+    pub waiting: usize,
+    /// How long it has waited, in milliseconds.
+    pub waited_ms: Millis,
+    /// The number of waiting tasks for which the freed capacity suffices.
+    pub served: usize,
+    /// The number of stopped runs.
+    pub stopped: usize,
+    /// The number of stopped runs that belong to standing tasks.
+    pub standing: usize,
+    /// The work that the stops lose, in core-milliseconds; for standing tasks weighted by the used part of `may_miss`.
+    pub lost_work: u64,
+    /// The number of unavailable tasks, before the stop, of the stopped standing step that can miss the fewest more.
+    pub away: u32,
+    /// The number of tasks of that step that may be unavailable at once; 0 if no standing task is stopped.
+    pub may_miss: u32,
+    /// How long ago the worker was last heard, in milliseconds.
+    pub heard_ms: Millis,
 }
 
 /// Why a run can't be running any more.
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -289,6 +289,7 @@
             return false;
         }
         let left = self.free_capacity(now, id, worker, candidate.guarded);
+        let left = self.unheld_capacity(id, worker, candidate, left);
         let free = taken
             .iter()
             .fold(left, |free, size| free.saturating_minus(size));
--- /dev/null
+++ b/crates/jobs/src/preemption/mod.rs
@@ -0,0 +1,238 @@
+//! Preemption: stops less urgent runs where a more urgent task, or a short one, finds no capacity.
+//!
+//! Handles the load in which less urgent work holds all capacity: filling tasks hold the memory, or standing tasks hold the processors
+//! while short tasks wait. After a placement pass that left such a task waiting, [`plan::plan_preemptions`] chooses the runs to stop
+//! from views of the workers. The freed capacity is held ([`holds`]) for the waiting task and for short tasks that follow it.
+//!
+//! All state is in memory. A new owner plans anew, once the stops of the previous owner have taken effect.
+
+pub(crate) mod away;
+mod demands;
+pub(crate) mod holds;
+pub(crate) mod plan;
+mod views;
+
+use std::collections::HashMap;
+
+use sandshelf_model::{Millis, ResourceSize, WorkerId};
+
+use self::demands::TaskDemand;
+use self::holds::{CapacityHold, EndedHold, HoldLimits, HoldTable};
+use self::plan::{plan_preemptions, PlanViews, PreemptionChoice, RoomScope, RunKind};
+use crate::cost::Candidate;
+use crate::ids::{RunKey, TaskKey};
+use crate::limits::TICK_MS;
+use crate::note::{JobNote, PreemptionReport, StopCause};
+use crate::run::RunRecord;
+use crate::scheduler::JobScheduler;
+use crate::worker::WorkerState;
+
+/// The shortest time between two plans; stretched while the owner is behind. A plan costs a weak host some milliseconds.
+const PLAN_INTERVAL_MS: Millis = 50;
+/// For how long a preempted standing task is not preempted again.
+const REPEAT_PAUSE_MS: Millis = 10_000;
+
+/// The owner's memory of its preemptions.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PreemptionState {
+    pub(crate) holds: HoldTable,
+    /// When each standing task was last preempted.
+    stopped_at: HashMap<TaskKey, Millis>,
+    planned_at: Millis,
+    refreshed_at: Millis,
+    /// When this owner was first seen to know all runs of the owner before it.
+    recovered_at: Option<Millis>,
+}
+
+impl PreemptionState {
+    /// Whether a standing task was not preempted lately.
+    pub(crate) fn may_stop_again(&self, now: Millis, task: &TaskKey) -> bool {
+        let stopped_at = self.stopped_at.get(task);
+        stopped_at.is_none_or(|at| now >= at + REPEAT_PAUSE_MS)
+    }
+}
+
+impl JobScheduler {
+    /// Stops less urgent runs for tasks that the placement pass has left waiting.
+    pub(crate) fn preempt_for_waiting(&mut self, now: Millis) {
+        if !self.limits.policies.preemption {
+            return;
+        }
+        self.refresh_holds(now);
+        let pause = self.backlog.stretched_pause_ms(PLAN_INTERVAL_MS);
+        let pass_done = self.last_pass == now && self.pass_left_tasks;
+        if !pass_done || now < self.preemption.planned_at + pause || !self.knows_all_runs(now) {
+            return;
+        }
+        let order = self.worker_order.clone().unwrap_or_default();
+        let workers: Vec<&WorkerId> = order.iter().collect();
+        let demands = self.preemption_demands(now, &workers);
+        if demands.is_empty() {
+            return;
+        }
+        self.preemption.planned_at = now;
+        let views = views::plan_views(self, now, &workers);
+        let wanted: Vec<_> = demands.iter().map(|demand| demand.view.clone()).collect();
+        for choice in plan_preemptions(views.clone(), &wanted) {
+            let demand = &demands[choice.demand];
+            self.carry_out(now, &workers, demand, &choice, &views);
+        }
+    }
+
+    /// Whether the runs of earlier owners are known and their stops have taken effect. A stop that an earlier owner sent is not known
+    /// here until its run ends, so that `may_miss` might be exceeded.
+    fn knows_all_runs(&mut self, now: Millis) -> bool {
+        if self.recovery.is_some() {
+            return false;
+        }
+        let recovered_at = *self.preemption.recovered_at.get_or_insert(now);
+        now >= recovered_at + self.limits.stop_timeout_ms
+    }
+
+    /// Sends the stops of a choice and holds the capacity that they free.
+    fn carry_out(
+        &mut self,
+        now: Millis,
+        workers: &[&WorkerId],
+        demand: &TaskDemand,
+        choice: &PreemptionChoice,
+        views: &PlanViews,
+    ) {
+        let target = workers[choice.worker];
+        self.note_choice(now, target, demand, choice, views);
+        let mut awaited = Vec::new();
+        for (worker, run) in &choice.stops {
+            let view = &views.workers[*worker].runs[*run];
+            if let RunKind::Standing(_) = view.kind {
+                self.preemption.stopped_at.insert(view.key.task, now);
+            }
+            if *worker == choice.worker {
+                awaited.push(view.key);
+            }
+            self.stop_run(now, workers[*worker], view.key, StopCause::Preempted);
+        }
+        for _ in 0..choice.served {
+            let hold = CapacityHold {
+                scope: demand.view.scope,
+                room: demand.view.room,
+                waiter: demand.first,
+                since: now,
+                awaited: awaited.clone(),
+                user: None,
+                uses: 0,
+                unused_since: None,
+            };
+            self.preemption.holds.add(target.clone(), hold);
+        }
+    }
+
+    fn note_choice(
+        &mut self,
+        now: Millis,
+        target: &WorkerId,
+        demand: &TaskDemand,
+        choice: &PreemptionChoice,
+        views: &PlanViews,
+    ) {
+        let stopped = choice.stops.iter();
+        let stopped = stopped.map(|(worker, run)| &views.workers[*worker].runs[*run]);
+        let steps: Vec<usize> = stopped
+            .filter_map(|run| match run.kind {
+                RunKind::Standing(step) => Some(step),
+                RunKind::Ending | RunKind::Member(_) => None,
+            })
+            .collect();
+        let allowances = steps.iter().map(|step| &views.allowances[*step]);
+        let tightest = allowances.min_by_key(|allowance| allowance.spare());
+        let heard_at = self.workers.get(target).map(|state| state.last_answer);
+        self.note(JobNote::Preempted(PreemptionReport {
+            waiter: demand.first,
+            worker: target.clone(),
+            priority: demand.view.scope.priority,
+            waiting: demand.view.count,
+            waited_ms: now.saturating_sub(demand.waiting_since),
+            served: choice.served,
+            stopped: choice.stops.len(),
+            standing: steps.len(),
+            lost_work: choice.lost_work,
+            away: tightest.map_or(0, |allowance| allowance.away()),
+            may_miss: tightest.map_or(0, |allowance| allowance.may_miss()),
+            heard_ms: now.saturating_sub(heard_at.unwrap_or(now)),
+        }));
+    }
+
+    pub(crate) fn hold_limits(&self) -> HoldLimits {
+        HoldLimits {
+            stop_timeout_ms: self.limits.stop_timeout_ms,
+            // A standing task that returns and is stopped again loses as much as this.
+            unused_ms: self.limits.restore_ms,
+        }
+    }
+
+    /// Looks up what became of the holds; capacity whose hold has ended is given to whatever waits.
+    fn refresh_holds(&mut self, now: Millis) {
+        if now < self.preemption.refreshed_at + TICK_MS {
+            return;
+        }
+        self.preemption.refreshed_at = now;
+        let stopped_at = &mut self.preemption.stopped_at;
+        stopped_at.retain(|_, at| now < *at + REPEAT_PAUSE_MS);
+        if self.preemption.holds.is_empty() {
+            return;
+        }
+        let limits = self.hold_limits();
+        let mut holds = std::mem::take(&mut self.preemption.holds);
+        let runs = |id: &WorkerId| self.workers.get(id).map(|worker| &worker.runs);
+        let scope_of = |key: &RunKey, record: &RunRecord| self.scope_of(&key.task, record.standing);
+        let ended = holds.refresh(now, &limits, runs, scope_of);
+        self.preemption.holds = holds;
+        self.room_changed |= !ended.is_empty();
+        for EndedHold {
+            worker,
+            hold,
+            outcome,
+        } in ended
+        {
+            self.note(JobNote::HoldEnded {
+                waiter: hold.waiter,
+                worker,
+                outcome,
+                uses: hold.uses,
+                lasted_ms: now.saturating_sub(hold.since),
+            });
+        }
+    }
+
+    /// Which rooms a task may use.
+    fn scope_of(&self, task: &TaskKey, standing: bool) -> RoomScope {
+        let job = self.jobs.get(&task.job);
+        let priority = job.map_or(u32::MAX, |job| self.rules(&job.spec).priority);
+        RoomScope { priority, standing }
+    }
+
+    /// The capacity of a worker that a task may use beside what is held there for others.
+    pub(crate) fn unheld_capacity(
+        &self,
+        id: &WorkerId,
+        worker: &WorkerState,
+        candidate: &Candidate<'_>,
+        free: ResourceSize,
+    ) -> ResourceSize {
+        let holds = &self.preemption.holds;
+        if holds.of(id).is_empty() {
+            return free;
+        }
+        let scope = self.scope_of(&candidate.key, candidate.step.standing);
+        let rooms = holds.unused_rooms(id, &worker.runs);
+        let rooms = rooms.filter(|(held_for, _)| !held_for.admits(&scope));
+        rooms.fold(free, |free, (_, room)| free.saturating_minus(&room))
+    }
+
+    /// The number of holds and the processors that they hold, in thousandths of a core, for gauges.
+    pub(crate) fn held_capacity(&self) -> (usize, u64) {
+        let holds = self.preemption.holds.all();
+        holds.fold((0, 0), |(count, cpu_millis), hold| {
+            (count + 1, cpu_millis + hold.room.cpu_millis)
+        })
+    }
+}
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -251,9 +251,7 @@
         if let Some(record) = self.record_mut(worker, &key) {
             record.percent = run.percent;
             record.gauge = run.gauge;
-            if run.checkpoint.is_some() {
-                record.checkpoint = run.checkpoint;
-            }
+            record.note_checkpoint(run.checkpoint, run.percent);
             record.began.get_or_insert(clock);
             record.listed = true;
             if matches!(
@@ -327,6 +325,7 @@
             sized: room.is_some(),
             checkpoint: run.checkpoint,
             percent: run.percent,
+            checkpoint_percent: run.percent,
             gauge: run.gauge,
             // The run has survived the change of owner, so it counts as cleared unless its task
             // needs longer for that.
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -68,6 +68,8 @@
     pub(crate) image: ImageId,
     pub(crate) checkpoint: Option<String>,
     pub(crate) percent: u32,
+    /// The progress at which the newest checkpoint was first reported, in percent.
+    pub(crate) checkpoint_percent: u32,
     pub(crate) gauge: Option<u64>,
     /// The pace at which it was ordered to work, in percent.
     pub(crate) pace: u32,
@@ -97,6 +99,17 @@
         self.listed || self.answered_at.is_some_and(|answered| sent_at >= answered)
     }
 
+    /// Records the newest checkpoint and the progress in a report. A run that resumed keeps the progress of its first report.
+    pub(crate) fn note_checkpoint(&mut self, checkpoint: Option<String>, percent: u32) {
+        let newer = checkpoint.is_some() && checkpoint != self.checkpoint;
+        if newer || self.checkpoint.is_some() && !self.listed {
+            self.checkpoint_percent = percent;
+        }
+        if newer {
+            self.checkpoint = checkpoint;
+        }
+    }
+
     /// How long its job still needs from here on if the run is not slowed down any more, in
     /// milliseconds.
     pub(crate) fn remaining_ms(&self) -> Millis {
@@ -141,6 +154,7 @@
             image,
             checkpoint: None,
             percent: 0,
+            checkpoint_percent: 0,
             gauge: None,
             pace: 100,
             use_ratio: None,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -23,6 +23,7 @@
 };
 use crate::load_forecast::LoadHistory;
 use crate::note::JobNote;
+use crate::preemption::PreemptionState;
 use crate::progress::ProgressRow;
 use crate::rank::FailedPlacements;
 use crate::roster::RosterMembers;
@@ -138,6 +139,7 @@
     pub(crate) pass_left_tasks: bool,
     pub(crate) last_move: Millis,
     pub(crate) backlog: BacklogMonitor,
+    pub(crate) preemption: PreemptionState,
     /// The number of start orders that were sent and have no answer yet.
     pub(crate) unanswered_starts: usize,
     pub(crate) last_tick: Millis,
@@ -225,6 +227,7 @@
             pass_left_tasks: false,
             last_move: 0,
             backlog: BacklogMonitor::default(),
+            preemption: PreemptionState::default(),
             unanswered_starts: 0,
             last_tick: 0,
             sure_until: Millis::MAX,
@@ -285,6 +288,7 @@
             return vec![JobAction::Deposed];
         }
         self.place_waiting(now);
+        self.preempt_for_waiting(now);
         self.send_renewals(now);
         self.begin_commit(now);
         std::mem::take(&mut self.actions)
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -10,6 +10,7 @@
 pub mod plans;
 pub mod relaying;
 pub mod restarting;
+pub mod standing_fleet;
 
 pub use sandshelf_emulator::oracle;
 
--- /dev/null
+++ b/crates/jobs/tests/support/standing_fleet.rs
@@ -0,0 +1,544 @@
+//! A fleet in virtual time whose workers run standing, short and filling tasks, with an oracle of the rule on standing tasks.
+//!
+//! The oracle reads only what the workers do: which tasks are at work, and which runs an order ended.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sandshelf_jobs::{
+    EndReport, HoldOutcome, JobAction, JobEvent, JobNote, JobNumber, JobSpec, JobStage,
+    OrderAnswer, RefusalReason, RenewalAnswer, RunKey, RunOutcome, RunReport, SchedulerLimits,
+    StepSpec, StopCause, TakeoverInfo, TaskKey, WorkerCall, WorkerListing,
+};
+use sandshelf_model::{LoadPolicies, Millis, ResourceSize, WorkerId};
+
+use super::{job, listing, rules, step, SchedulerRig};
+
+pub const TICK_MS: Millis = 25;
+/// How long a task takes from its start until it is at work.
+pub const START_MS: Millis = 600;
+/// The platform counts a task as unavailable that has not been at work for this long.
+const NOTICE_MS: Millis = 4_500;
+const REPORT_INTERVAL_MS: Millis = 500;
+const LIST_INTERVAL_MS: Millis = 700;
+const LOST_CALL_MS: Millis = 500;
+/// The shortest and the longest time that a stop takes.
+pub const STOP_MS: (Millis, Millis) = (100, 900);
+/// The size of a short task and how long it takes.
+pub const SHORT_CPU: u64 = 2_600;
+pub const SHORT_MS: Millis = 800;
+/// The size of a standing task.
+pub const STANDING_CPU: u64 = 3_200;
+/// The number of tasks of a standing step.
+pub const STANDING_COUNT: u32 = 14;
+
+/// What a test asks of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSetup {
+    pub workers: usize,
+    pub seed: u64,
+    pub preemption: bool,
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub struct FleetRun {
+    pub spec: StepSpec,
+    pub started: Millis,
+    /// When it ends by itself.
+    pub ends_at: Option<Millis>,
+    /// When the order that was given ends it.
+    pub stops_at: Option<Millis>,
+}
+
+impl FleetRun {
+    fn is_at_work(&self, now: Millis) -> bool {
+        self.spec.standing && now >= self.started + START_MS
+    }
+
+    fn percent(&self, now: Millis) -> u32 {
+        if self.spec.standing {
+            return if self.is_at_work(now) { 100 } else { 0 };
+        }
+        let worked = (now - self.started) * 100;
+        (worked / self.spec.estimate_ms.max(1)).min(99) as u32
+    }
+}
+
+/// A worker of the fleet.
+#[derive(Clone, Debug)]
+pub struct FleetWorker {
+    pub entry: WorkerListing,
+    pub runs: BTreeMap<RunKey, FleetRun>,
+    pub lost: bool,
+    /// Whether it leaves stop orders without an answer and does not carry them out.
+    pub ignores_stops: bool,
+    end_count: u64,
+    report_at: Millis,
+    unanswered_since: Option<Millis>,
+}
+
+impl FleetWorker {
+    pub fn used(&self) -> ResourceSize {
+        let rooms = self.runs.values().map(|run| run.spec.room());
+        rooms.fold(ResourceSize::default(), |sum, room| {
+            sum.plus(&room).expect("small sizes")
+        })
+    }
+}
+
+/// What the oracle knows of a standing task.
+#[derive(Clone, Copy, Debug, Default)]
+struct StandingTask {
+    last_at_work: Millis,
+    /// Whether an order ended its last run and it has not been at work since.
+    ended_by_order: bool,
+}
+
+/// What callers got.
+#[derive(Clone, Debug, Default)]
+pub struct FleetCounts {
+    pub short_in_time: usize,
+    pub short_late: usize,
+    /// The time that standing tasks were at work, summed over all of them.
+    pub standing_ms: Millis,
+    pub preempted: Vec<(Millis, String, RunKey)>,
+    pub holds: BTreeMap<String, usize>,
+    pub hold_uses: u32,
+    pub refused: usize,
+    /// Standing tasks that were waiting for 3 s while capacity for one exists twice over.
+    pub withheld: usize,
+}
+
+/// The fleet.
+pub struct StandingFleet {
+    pub rig: SchedulerRig,
+    pub workers: BTreeMap<String, FleetWorker>,
+    pub specs: BTreeMap<JobNumber, JobSpec>,
+    pub counts: FleetCounts,
+    tasks: BTreeMap<TaskKey, StandingTask>,
+    room_twice_since: Option<Millis>,
+    listed_at: Millis,
+    random: ChaCha8Rng,
+    next_job: u64,
+    pub epoch: u64,
+}
+
+pub fn short_job(tasks: u32, steps: usize) -> JobSpec {
+    let steps = (0..steps).map(|place| StepSpec {
+        size: ResourceSize::new(SHORT_CPU, 2_000, 0),
+        estimate_ms: SHORT_MS,
+        after: place.checked_sub(1).into_iter().collect(),
+        ..step(tasks)
+    });
+    job(steps.collect())
+}
+
+pub fn standing_job(may_miss: Option<u32>) -> JobSpec {
+    job(vec![StepSpec {
+        size: ResourceSize::new(STANDING_CPU, 8_000, 0),
+        standing: true,
+        may_miss,
+        ..step(STANDING_COUNT)
+    }])
+}
+
+pub fn filling_job(tasks: u32, memory_mib: u64, run_ms: Millis) -> JobSpec {
+    let mut spec = job(vec![StepSpec {
+        size: ResourceSize::new(500, memory_mib, 0),
+        fills: true,
+        checkpoints: true,
+        estimate_ms: run_ms,
+        image: "index".to_owned(),
+        ..step(tasks)
+    }]);
+    spec.rules.priority = 2;
+    spec.rules.stretch = 10.0;
+    spec
+}
+
+pub fn limits(preemption: bool) -> SchedulerLimits {
+    SchedulerLimits {
+        policies: LoadPolicies {
+            preemption,
+            ..LoadPolicies::default()
+        },
+        ..SchedulerLimits::default()
+    }
+}
+
+impl StandingFleet {
+    /// A fleet of which every third worker has 1.5 times the capacity of the others.
+    pub fn new(setup: FleetSetup) -> Self {
+        let mut rig =
+            SchedulerRig::with_limits(limits(setup.preemption), TakeoverInfo::first(1, 1_000));
+        let entries = (0..setup.workers).map(|place| {
+            let mut entry = listing(&format!("w-{}", place + 1));
+            let scale = if place % 3 == 2 { 3 } else { 2 };
+            entry.capacity = ResourceSize::new(8_000 * scale, 31_250 * scale, 0);
+            entry
+        });
+        let entries: Vec<WorkerListing> = entries.collect();
+        rig.list_entries(entries.clone());
+        let workers = entries.into_iter().enumerate().map(|(place, entry)| {
+            let worker = FleetWorker {
+                runs: BTreeMap::new(),
+                lost: false,
+                ignores_stops: false,
+                end_count: 0,
+                report_at: rig.now + place as Millis % 20 * TICK_MS,
+                unanswered_since: None,
+                entry,
+            };
+            (worker.entry.worker.to_string(), worker)
+        });
+        Self {
+            workers: workers.collect(),
+            rig,
+            specs: BTreeMap::new(),
+            counts: FleetCounts::default(),
+            tasks: BTreeMap::new(),
+            room_twice_since: None,
+            listed_at: 1_000,
+            random: ChaCha8Rng::seed_from_u64(setup.seed),
+            next_job: 1,
+            epoch: 1,
+        }
+    }
+
+    pub fn now(&self) -> Millis {
+        self.rig.now
+    }
+
+    pub fn hand_in(&mut self, spec: JobSpec) -> JobNumber {
+        let number = self.next_job;
+        self.next_job += 1;
+        self.specs.insert(JobNumber(number), spec.clone());
+        self.rig.hand_in(number, number, spec);
+        JobNumber(number)
+    }
+
+    /// Advances by this time.
+    pub fn play(&mut self, millis: Millis) {
+        let until = self.now() + millis;
+        while self.now() < until {
+            self.tick();
+        }
+    }
+
+    pub fn tick(&mut self) {
+        self.rig.advance(TICK_MS);
+        self.apply_actions();
+        if self.now() >= self.listed_at + LIST_INTERVAL_MS {
+            self.listed_at = self.now();
+            let alive = self.workers.values().filter(|worker| !worker.lost);
+            let entries = alive.map(|worker| worker.entry.clone()).collect();
+            self.rig.list_entries(entries);
+        }
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.work(&name);
+        }
+        self.apply_actions();
+        self.observe();
+    }
+
+    /// Loses every fourth worker for good.
+    pub fn lose_a_quarter(&mut self) {
+        for (place, worker) in self.workers.values_mut().enumerate() {
+            worker.lost |= place % 4 == 1;
+        }
+    }
+
+    /// Ends the runs of a worker that are over, and reports where it is due.
+    fn work(&mut self, name: &str) {
+        let now = self.now();
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if worker.lost {
+            let late = worker
+                .unanswered_since
+                .is_some_and(|at| now >= at + LOST_CALL_MS);
+            if late {
+                worker.unanswered_since = None;
+                let failed = RenewalAnswer::Failed(OrderAnswer::Unknown);
+                let event = JobEvent::RenewalAnswered(WorkerId::from(name), failed);
+                self.rig.handle(event);
+            }
+            return;
+        }
+        let over = |run: &FleetRun| {
+            run.ends_at.is_some_and(|at| now >= at) || run.stops_at.is_some_and(|at| now >= at)
+        };
+        let ended = worker.runs.iter().filter(|(_, run)| over(run));
+        let ended: Vec<RunKey> = ended.map(|(key, _)| *key).collect();
+        let mut ends = Vec::new();
+        let mut stopped_at_work = Vec::new();
+        for key in ended {
+            let run = worker.runs.remove(&key).expect("a run");
+            let done = run.ends_at.is_some_and(|at| now >= at);
+            worker.end_count += 1;
+            if run.is_at_work(now) {
+                stopped_at_work.push(key.task);
+            }
+            ends.push(EndReport {
+                number: worker.end_count,
+                key,
+                outcome: if done {
+                    RunOutcome::Done
+                } else {
+                    RunOutcome::Stopped
+                },
+                checkpoint: None,
+            });
+        }
+        for task in stopped_at_work {
+            self.check_stopped(task);
+        }
+        let worker = &self.workers[name];
+        if !ends.is_empty() || now >= worker.report_at {
+            self.report(name, ends);
+        }
+    }
+
+    pub fn report(&mut self, name: &str, ends: Vec<EndReport>) {
+        let now = self.now();
+        let worker = self.workers.get_mut(name).expect("a worker");
+        worker.report_at = now + REPORT_INTERVAL_MS;
+        worker.unanswered_since = None;
+        let running = worker.runs.iter().map(|(key, run)| RunReport {
+            key: *key,
+            checkpoint: None,
+            percent: run.percent(now),
+            gauge: None,
+        });
+        let running = running.collect();
+        self.rig.report(name, running, ends);
+        self.apply_actions();
+    }
+
+    /// Carries out what the scheduler has ordered.
+    pub fn apply_actions(&mut self) {
+        while !self.rig.actions.is_empty() {
+            for action in std::mem::take(&mut self.rig.actions) {
+                match action {
+                    JobAction::Call { worker, call, .. } => self.call(worker.as_str(), call),
+                    JobAction::Commit(batch) => self.rig.handle(JobEvent::Committed(batch.id)),
+                    JobAction::Note(note) => self.note(note),
+                    JobAction::Deposed => panic!("the owner was deposed"),
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, name: &str, call: WorkerCall) {
+        let (now, id) = (self.rig.now, WorkerId::from(name));
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        match call {
+            WorkerCall::Renew(_) => {
+                worker.unanswered_since.get_or_insert(now);
+            }
+            WorkerCall::Pace(..) => {}
+            WorkerCall::Start(start) => {
+                let answer = match worker.lost {
+                    true => OrderAnswer::Unknown,
+                    false => self.start(name, start.key),
+                };
+                self.rig
+                    .handle(JobEvent::StartAnswered(id, start.key, answer));
+            }
+            WorkerCall::Stop(key) => {
+                let answer = match worker.lost || worker.ignores_stops {
+                    true => OrderAnswer::Unknown,
+                    false => {
+                        let (least, most) = STOP_MS;
+                        let takes = self.random.random_range(least..=most);
+                        if let Some(run) = worker.runs.get_mut(&key) {
+                            run.stops_at.get_or_insert(now + takes);
+                        }
+                        OrderAnswer::Done(now)
+                    }
+                };
+                self.rig.handle(JobEvent::StopAnswered(id, key, answer));
+            }
+        }
+    }
+
+    fn start(&mut self, name: &str, key: RunKey) -> OrderAnswer {
+        let now = self.rig.now;
+        let spec = self.specs[&key.task.job].steps[key.task.step as usize].clone();
+        let worker = self.workers.get_mut(name).expect("a worker");
+        let wanted = worker.used().plus(&spec.room()).expect("small sizes");
+        if !wanted.fits_in(&worker.entry.capacity) {
+            self.counts.refused += 1;
+            return OrderAnswer::Refused(now, RefusalReason::NoRoom);
+        }
+        let run = FleetRun {
+            started: now,
+            ends_at: (!spec.standing).then_some(now + spec.estimate_ms),
+            stops_at: None,
+            spec,
+        };
+        worker.runs.insert(key, run);
+        OrderAnswer::Done(now)
+    }
+
+    fn note(&mut self, note: JobNote) {
+        match note {
+            JobNote::JobFinished {
+                job,
+                state: JobStage::Completed,
+                took_ms,
+                objective_ms,
+                ..
+            } if self.specs[&job].rules.priority == 0 => match took_ms <= objective_ms {
+                true => self.counts.short_in_time += 1,
+                false => self.counts.short_late += 1,
+            },
+            JobNote::Stopped {
+                key,
+                worker,
+                cause: StopCause::Preempted,
+            } => {
+                let stopped = (self.rig.now, worker.to_string(), key);
+                self.counts.preempted.push(stopped);
+            }
+            JobNote::HoldEnded { outcome, uses, .. } => {
+                let name = match outcome {
+                    HoldOutcome::Returned => "returned",
+                    HoldOutcome::Unused => "unused",
+                    HoldOutcome::StopTimedOut => "timed out",
+                    HoldOutcome::WorkerGone => "gone",
+                };
+                *self.counts.holds.entry(name.to_owned()).or_default() += 1;
+                self.counts.hold_uses += uses;
+            }
+            _ => {}
+        }
+    }
+
+    fn step_of(&self, task: &TaskKey) -> &StepSpec {
+        &self.specs[&task.job].steps[task.step as usize]
+    }
+
+    /// The unavailable tasks of a step other than `task`, by the platform's rule.
+    pub fn unavailable_beside(&self, task: &TaskKey) -> usize {
+        let now = self.now();
+        let step = (task.job, task.time, task.step);
+        let others = self.tasks.iter().filter(|(other, _)| {
+            (other.job, other.time, other.step) == step && other.index != task.index
+        });
+        let unavailable = others
+            .filter(|(_, state)| state.ended_by_order || now >= state.last_at_work + NOTICE_MS);
+        unavailable.count()
+    }
+
+    /// Checks the rule on standing tasks at the end of a run that was at work and that an order ended.
+    fn check_stopped(&mut self, task: TaskKey) {
+        let may_miss = self.step_of(&task).may_miss.unwrap_or(u32::MAX);
+        let unavailable = self.unavailable_beside(&task);
+        assert!(
+            unavailable < may_miss as usize,
+            "{task} was stopped while {unavailable} of {may_miss} were unavailable"
+        );
+        let state = self.tasks.entry(task).or_default();
+        state.ended_by_order = true;
+    }
+
+    /// Records which standing tasks are at work, and whether capacity is withheld from those that are not.
+    fn observe(&mut self) {
+        let now = self.now();
+        let alive = self.workers.values().filter(|worker| !worker.lost);
+        let mut at_work = BTreeSet::new();
+        for worker in alive {
+            let runs = worker.runs.iter().filter(|(_, run)| run.is_at_work(now));
+            at_work.extend(runs.map(|(key, _)| key.task));
+        }
+        self.counts.standing_ms += at_work.len() as Millis * TICK_MS;
+        for task in &at_work {
+            self.tasks.insert(
+                *task,
+                StandingTask {
+                    last_at_work: now,
+                    ended_by_order: false,
+                },
+            );
+        }
+        let missing = self.tasks.iter();
+        let missing = missing
+            .filter(|(_, state)| now >= state.last_at_work + 6_000)
+            .count();
+        if missing == 0 || self.standing_places() < 2 {
+            self.room_twice_since = None;
+            return;
+        }
+        let since = *self.room_twice_since.get_or_insert(now);
+        if now >= since + 3_000 {
+            self.counts.withheld += 1;
+        }
+    }
+
+    /// How many standing tasks fit into the free capacity.
+    fn standing_places(&self) -> u64 {
+        let alive = self.workers.values().filter(|worker| !worker.lost);
+        let free = alive.map(|worker| worker.entry.capacity.saturating_minus(&worker.used()));
+        free.map(|free| (free.cpu_millis / STANDING_CPU).min(free.memory_mib / 8_000))
+            .sum()
+    }
+
+    /// The number of standing tasks that are at work.
+    pub fn standing_at_work(&self) -> usize {
+        let now = self.now();
+        let alive = self.workers.values().filter(|worker| !worker.lost);
+        alive
+            .flat_map(|worker| worker.runs.values())
+            .filter(|run| run.is_at_work(now))
+            .count()
+    }
+
+    /// Another owner takes over: it reads the jobs and finds out from the workers what runs.
+    pub fn change_owner(&mut self, preemption: bool) {
+        self.epoch += 1;
+        let alive = self.workers.values();
+        let entries: Vec<WorkerListing> = alive.map(|worker| worker.entry.clone()).collect();
+        let known = entries.iter();
+        let info = TakeoverInfo {
+            epoch: self.epoch,
+            claimed_at: self.now(),
+            claim_version: self.next_job,
+            roster: sandshelf_jobs::WorkerRoster {
+                epoch: self.epoch - 1,
+                workers: known
+                    .map(|entry| (entry.worker.clone(), entry.address))
+                    .collect(),
+                ..Default::default()
+            },
+            ..TakeoverInfo::default()
+        };
+        let now = self.now();
+        self.rig = SchedulerRig::with_limits(limits(preemption), info);
+        self.rig.now = now;
+        for (number, spec) in self.specs.clone() {
+            self.rig.hand_in(number.0, number.0, spec);
+        }
+        self.rig.list_entries(entries);
+        self.apply_actions();
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.report(&name, Vec::new());
+        }
+    }
+
+    pub fn random_below(&mut self, most: u64) -> u64 {
+        self.random.random_range(0..most)
+    }
+
+    pub fn queue_rules() -> sandshelf_jobs::QueueRules {
+        rules()
+    }
+}
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -8,7 +8,9 @@
 use rocket::http::{Method, Status};
 use sandshelf_adapter::StoreFault;
 use sandshelf_jobs::relay::{DispatcherStats, RelayFault};
-use sandshelf_jobs::{JobEvent, JobNote, JobStage, OrderAnswer, RenewalAnswer, SchedulerCounts};
+use sandshelf_jobs::{
+    JobEvent, JobNote, JobStage, OrderAnswer, PreemptionReport, RenewalAnswer, SchedulerCounts,
+};
 
 use crate::jobs::labels::label;
 
@@ -50,6 +52,12 @@
 const JOB_SECONDS: &str = "sandshelf_job_seconds";
 /// The jobs that completed later than their objective, by queue.
 const LATE_JOBS: &str = "sandshelf_jobs_late_total";
+/// The decisions to stop runs for waiting tasks, by kind: `standing` if a standing task is stopped, else `lower_priority`.
+const PREEMPTIONS: &str = "sandshelf_preemptions_total";
+/// The ended holds of freed capacity, by outcome.
+const HOLDS: &str = "sandshelf_holds_ended_total";
+/// The runs that used held capacity, counted at the end of the hold.
+const HOLD_USES: &str = "sandshelf_hold_uses_total";
 
 /// The relay messages, or answers in them, that were ignored, by fault.
 const RELAY_FAULTS: &str = "sandshelf_relay_faults_total";
@@ -190,9 +198,22 @@
         | JobNote::CrashWithdrawn { .. }
         | JobNote::OverTarget(_)
         | JobNote::Paced(..) => {}
+        JobNote::Preempted(report) => record_preemption(report),
+        JobNote::HoldEnded { outcome, uses, .. } => {
+            counter!(HOLDS, "outcome" => label(outcome)).increment(1);
+            counter!(HOLD_USES).increment(u64::from(*uses));
+        }
     }
 }
 
+fn record_preemption(report: &PreemptionReport) {
+    let kind = match report.standing {
+        0 => "lower_priority",
+        _ => "standing",
+    };
+    counter!(PREEMPTIONS, "kind" => kind).increment(1);
+}
+
 fn record_finished_job(state: JobStage, queue: &str, took_ms: u64, objective_ms: u64) {
     let queue = queue.to_owned();
     counter!(JOBS, "queue" => queue.clone(), "state" => label(&state)).increment(1);
@@ -223,6 +244,8 @@
     gauge!("sandshelf_longest_over_target_seconds").set(longest_over.as_secs_f64());
     gauge!("sandshelf_filling_tasks").set(counts.filling as f64);
     gauge!("sandshelf_filling_tasks_slowed").set(counts.slowed as f64);
+    gauge!("sandshelf_holds").set(counts.holds as f64);
+    gauge!("sandshelf_held_cores").set(counts.held_cpu as f64 / 1_000.0);
 }
 
 /// Sets the gauges of an owner's relays: the hosts that offer to relay, those in use, and the relayed orders without an answer.
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -3,7 +3,7 @@
 use std::fmt::Display;
 
 use sandshelf_jobs::relay::DispatcherStats;
-use sandshelf_jobs::{FillState, JobNote, OverTargetReport, SchedulerCounts};
+use sandshelf_jobs::{FillState, JobNote, OverTargetReport, PreemptionReport, SchedulerCounts};
 use sandshelf_model::{Epoch, HostId};
 
 use crate::jobs::labels::label;
@@ -246,9 +246,47 @@
                 ("percent", percent),
             ],
         ),
+        JobNote::Preempted(report) => log_preemption(report),
+        JobNote::HoldEnded {
+            waiter,
+            worker,
+            outcome,
+            uses,
+            lasted_ms,
+        } => event(
+            "hold_ended",
+            &[
+                ("task", waiter),
+                ("worker", worker),
+                ("outcome", &label(outcome)),
+                ("uses", uses),
+                ("lasted_ms", lasted_ms),
+            ],
+        ),
     }
 }
 
+/// Logs a decision to stop runs for waiting tasks.
+fn log_preemption(report: &PreemptionReport) {
+    event(
+        "preempted",
+        &[
+            ("task", &report.waiter),
+            ("worker", &report.worker),
+            ("priority", &report.priority),
+            ("waiting", &report.waiting),
+            ("waited_ms", &report.waited_ms),
+            ("served", &report.served),
+            ("stopped", &report.stopped),
+            ("standing", &report.standing),
+            ("lost_work", &report.lost_work),
+            ("away", &report.away),
+            ("may_miss", &report.may_miss),
+            ("heard_ms", &report.heard_ms),
+        ],
+    );
+}
+
 /// Logs a stretch in which a serving task was over its target, with the filling tasks beside it, each as
 /// `run:pace:used:sent:taken`: the ordered pace in percent, the processors used in thousandths of a core, and how many milliseconds
 /// ago the pace was sent, and a pace order answered since (`-` for never). An exclamation mark stands before a run that gets no paces.
@@ -306,6 +344,8 @@
             ("fill_wanted", &counts.fill_wanted),
             ("fill_paced", &counts.fill_paced),
             ("fill_used", &counts.fill_used),
+            ("holds", &counts.holds),
+            ("held_cpu", &counts.held_cpu),
             ("relays_offered", &relays.offered),
             ("relays", &relays.in_use),
             ("relayed", &relays.open),
