Preemption: few lending workers, whole sets of runs, stops of earlier owners

Cause: many rooms that short tasks use one after another are free between two tasks, so that some two workers always have room for a standing task while others wait. A new owner did not know of stops under way.

Change: standing runs are stopped on at most 24 workers at a time, on those that lend already first, and in sets that serve the most tasks for each stop. Holds end earlier when several are unused. The platform's count of unavailable tasks is kept across a change of owner: an adopted run counts as at work only once a stop of the earlier owner would have ended it.

--- a/crates/jobs/src/preemption/holds.rs
+++ b/crates/jobs/src/preemption/holds.rs
@@ -7,21 +7,33 @@
 
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
-use super::plan::RoomScope;
+use super::inputs::{RoomScope, TaskScope};
 use crate::ids::{RunKey, TaskKey};
 use crate::note::HoldOutcome;
 use crate::run::RunRecord;
 
 /// How long more than one hold may be unused at a time. The platform allows 3 s, of which a start takes part.
-const UNUSED_SURPLUS_MS: Millis = 1_000;
+const UNUSED_SURPLUS_MS: Millis = 500;
+/// How many rooms may be free at a time, between two short tasks or because none waits. With four on average, there are moments in any
+/// 3 s at which fewer than two are free.
+const MAX_FREE_ROOMS: usize = 4;
+/// Of this many workers that lend rooms, one has room for a standing task at a time, between two short tasks.
+const LENDERS_PER_FREE_ROOM: usize = 10;
 /// How much longer than a stop takes at most a hold waits for the end of the stopped runs: an order and a renewal have to be answered.
 const STOP_MARGIN_MS: Millis = 600;
 
+/// On how many workers an owner that keeps up lends capacity of standing runs at a time. Between two short tasks, a room is free for up
+/// to 0.1 s. With this many workers there are moments in any 3 s at which no two of them have room for a standing task; with more, the
+/// platform would count the missing standing tasks as lost.
+const MAX_LENDERS: u64 = 24;
+
 /// Capacity of a worker that is held.
 #[derive(Clone, Debug)]
 pub(crate) struct CapacityHold {
     pub(crate) scope: RoomScope,
     pub(crate) room: ResourceSize,
+    /// Whether standing runs were stopped for it.
+    pub(crate) lent: bool,
     /// The task for which the stops were ordered.
     pub(crate) waiter: TaskKey,
     /// When the stops were ordered.
@@ -83,7 +95,7 @@
         &mut self,
         now: Millis,
         runs: &BTreeMap<RunKey, RunRecord>,
-        scope_of: &impl Fn(&RunKey, &RunRecord) -> RoomScope,
+        scope_of: &impl Fn(&RunKey) -> Option<TaskScope>,
         users: &mut BTreeSet<RunKey>,
     ) {
         self.awaited.retain(|run| runs.contains_key(run));
@@ -108,15 +120,14 @@
     fn find_user(
         &self,
         runs: &BTreeMap<RunKey, RunRecord>,
-        scope_of: &impl Fn(&RunKey, &RunRecord) -> RoomScope,
+        scope_of: &impl Fn(&RunKey) -> Option<TaskScope>,
         users: &BTreeSet<RunKey>,
     ) -> Option<RunKey> {
         let mut started = runs
             .iter()
             .filter(|(_, record)| record.ordered_at >= self.since);
-        let user = started.find(|(key, record)| {
-            !users.contains(key) && self.scope.admits(&scope_of(key, record))
-        });
+        let admitted = |key| scope_of(key).is_some_and(|scope| self.scope.admits(&scope));
+        let user = started.find(|(key, _)| !users.contains(key) && admitted(key));
         user.map(|(key, _)| *key)
     }
 
@@ -166,14 +177,28 @@
         holds.map(|hold| (hold.scope, hold.unused_room(runs)))
     }
 
+    /// Whether a worker lends the capacity of standing runs.
+    pub(crate) fn lends(&self, worker: &WorkerId) -> bool {
+        self.of(worker).iter().any(|hold| hold.lent)
+    }
+
+    /// How many further workers may lend capacity of standing runs, for an owner that uses it again more slowly by this factor, in
+    /// percent.
+    pub(crate) fn spare_lenders(&self, stretch: u64) -> usize {
+        let most = MAX_LENDERS * 100 / stretch.max(100);
+        let lenders = self.by_worker.values();
+        let lenders = lenders.filter(|holds| holds.iter().any(|hold| hold.lent));
+        (most as usize).saturating_sub(lenders.count())
+    }
+
     /// Looks up what became of the holds, and removes and returns those that have ended. `runs` gives the runs of a worker, none if the
-    /// worker is gone; `scope_of` tells which rooms a run may use.
+    /// worker is gone; `scope_of` tells which rooms a run may use, if its job is known.
     pub(crate) fn refresh<'a>(
         &mut self,
         now: Millis,
         limits: &HoldLimits,
         runs: impl Fn(&WorkerId) -> Option<&'a BTreeMap<RunKey, RunRecord>>,
-        scope_of: impl Fn(&RunKey, &RunRecord) -> RoomScope,
+        scope_of: impl Fn(&RunKey) -> Option<TaskScope>,
     ) -> Vec<EndedHold> {
         let mut ended = Vec::new();
         for (worker, holds) in &mut self.by_worker {
@@ -203,27 +228,43 @@
         ended
     }
 
-    /// Ends the unused holds but the newest once more than one has been unused for long.
+    /// Ends unused holds: those beyond the most that may be unused, and all but the newest once more than one has been unused for long.
     fn end_surplus(&mut self, now: Millis) -> Vec<EndedHold> {
         let unused = self.all().filter_map(|hold| hold.unused_since);
-        let unused: Vec<Millis> = unused.collect();
-        let newest = unused.iter().max().copied();
+        let mut unused: Vec<Millis> = unused.collect();
         if unused.len() < 2 {
             self.surplus_since = None;
             return Vec::new();
         }
         let since = *self.surplus_since.get_or_insert(now);
-        if now < since + UNUSED_SURPLUS_MS {
+        let most = match now >= since + UNUSED_SURPLUS_MS {
+            true => 1,
+            false => self.most_unused(),
+        };
+        if unused.len() <= most {
             return Vec::new();
         }
-        self.surplus_since = None;
+        if most == 1 {
+            self.surplus_since = None;
+        }
+        unused.sort_unstable();
+        let ended = unused.len() - most;
+        self.end_unused(unused[ended - 1], ended)
+    }
+
+    /// How many rooms may be unused at a time. Each lender counts in part, since its rooms are free between two short tasks.
+    fn most_unused(&self) -> usize {
+        let between_tasks = self.by_worker.len() / LENDERS_PER_FREE_ROOM;
+        MAX_FREE_ROOMS.saturating_sub(between_tasks).max(1)
+    }
+
+    /// Ends this many holds that have been unused since `newest` or longer.
+    fn end_unused(&mut self, newest: Millis, count: usize) -> Vec<EndedHold> {
         let mut ended = Vec::new();
-        let mut kept = false;
         for (worker, holds) in &mut self.by_worker {
             holds.retain(|hold| {
-                let spared = !kept && hold.unused_since == newest;
-                if hold.unused_since.is_none() || spared {
-                    kept |= spared;
+                let old = hold.unused_since.is_some_and(|since| since <= newest);
+                if !old || ended.len() == count {
                     return true;
                 }
                 ended.push(EndedHold {
--- a/crates/jobs/src/preemption/mod.rs
+++ b/crates/jobs/src/preemption/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod away;
 mod demands;
 pub(crate) mod holds;
+pub(crate) mod inputs;
 pub(crate) mod plan;
 mod views;
 
@@ -16,36 +17,34 @@
 
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
-use self::demands::TaskDemand;
+use self::demands::{task_length, TaskDemand};
 use self::holds::{CapacityHold, EndedHold, HoldLimits, HoldTable};
-use self::plan::{plan_preemptions, PlanViews, PreemptionChoice, RoomScope, RunKind};
+use self::inputs::{PlanViews, RoomScope, RunKind, TaskScope};
+use self::plan::{plan_preemptions, PreemptionChoice};
 use crate::cost::Candidate;
 use crate::ids::{RunKey, TaskKey};
 use crate::limits::TICK_MS;
 use crate::note::{JobNote, PreemptionReport, StopCause};
-use crate::run::RunRecord;
 use crate::scheduler::JobScheduler;
 use crate::worker::WorkerState;
 
 /// The shortest time between two plans; stretched while the owner is behind. A plan costs a weak host some milliseconds.
 const PLAN_INTERVAL_MS: Millis = 50;
-/// For how long a preempted standing task is not preempted again.
+/// For how long a preempted task is not preempted again.
 const REPEAT_PAUSE_MS: Millis = 10_000;
 
 /// The owner's memory of its preemptions.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PreemptionState {
     pub(crate) holds: HoldTable,
-    /// When each standing task was last preempted.
+    /// When each task was last preempted.
     stopped_at: HashMap<TaskKey, Millis>,
     planned_at: Millis,
     refreshed_at: Millis,
-    /// When this owner was first seen to know all runs of the owner before it.
-    recovered_at: Option<Millis>,
 }
 
 impl PreemptionState {
-    /// Whether a standing task was not preempted lately.
+    /// Whether a task was not preempted lately.
     pub(crate) fn may_stop_again(&self, now: Millis, task: &TaskKey) -> bool {
         let stopped_at = self.stopped_at.get(task);
         stopped_at.is_none_or(|at| now >= at + REPEAT_PAUSE_MS)
@@ -61,7 +60,7 @@
         self.refresh_holds(now);
         let pause = self.backlog.stretched_pause_ms(PLAN_INTERVAL_MS);
         let pass_done = self.last_pass == now && self.pass_left_tasks;
-        if !pass_done || now < self.preemption.planned_at + pause || !self.knows_all_runs(now) {
+        if !pass_done || now < self.preemption.planned_at + pause {
             return;
         }
         let order = self.worker_order.clone().unwrap_or_default();
@@ -79,16 +78,6 @@
         }
     }
 
-    /// Whether the runs of earlier owners are known and their stops have taken effect. A stop that an earlier owner sent is not known
-    /// here until its run ends, so that `may_miss` might be exceeded.
-    fn knows_all_runs(&mut self, now: Millis) -> bool {
-        if self.recovery.is_some() {
-            return false;
-        }
-        let recovered_at = *self.preemption.recovered_at.get_or_insert(now);
-        now >= recovered_at + self.limits.stop_timeout_ms
-    }
-
     /// Sends the stops of a choice and holds the capacity that they free.
     fn carry_out(
         &mut self,
@@ -101,11 +90,11 @@
         let target = workers[choice.worker];
         self.note_choice(now, target, demand, choice, views);
         let mut awaited = Vec::new();
+        let mut lent = false;
         for (worker, run) in &choice.stops {
             let view = &views.workers[*worker].runs[*run];
-            if let RunKind::Standing(_) = view.kind {
-                self.preemption.stopped_at.insert(view.key.task, now);
-            }
+            self.preemption.stopped_at.insert(view.key.task, now);
+            lent |= matches!(view.kind, RunKind::Standing(_));
             if *worker == choice.worker {
                 awaited.push(view.key);
             }
@@ -113,8 +102,9 @@
         }
         for _ in 0..choice.served {
             let hold = CapacityHold {
-                scope: demand.view.scope,
+                scope: demand.view.scope.room_scope(),
                 room: demand.view.room,
+                lent,
                 waiter: demand.first,
                 since: now,
                 awaited: awaited.clone(),
@@ -183,7 +173,7 @@
         let limits = self.hold_limits();
         let mut holds = std::mem::take(&mut self.preemption.holds);
         let runs = |id: &WorkerId| self.workers.get(id).map(|worker| &worker.runs);
-        let scope_of = |key: &RunKey, record: &RunRecord| self.scope_of(&key.task, record.standing);
+        let scope_of = |key: &RunKey| self.scope_of(&key.task);
         let ended = holds.refresh(now, &limits, runs, scope_of);
         self.preemption.holds = holds;
         self.room_changed |= !ended.is_empty();
@@ -203,11 +193,14 @@
         }
     }
 
-    /// Which rooms a task may use.
-    fn scope_of(&self, task: &TaskKey, standing: bool) -> RoomScope {
-        let job = self.jobs.get(&task.job);
-        let priority = job.map_or(u32::MAX, |job| self.rules(&job.spec).priority);
-        RoomScope { priority, standing }
+    /// Which rooms a task may use; none if its job is not known.
+    fn scope_of(&self, task: &TaskKey) -> Option<TaskScope> {
+        let job = self.jobs.get(&task.job)?;
+        let step = job.step_spec(task)?;
+        Some(TaskScope {
+            priority: self.rules(&job.spec).priority,
+            length: task_length(step, self.limits.away_after_ms),
+        })
     }
 
     /// The capacity of a worker that a task may use beside what is held there for others.
@@ -222,9 +215,10 @@
         if holds.of(id).is_empty() {
             return free;
         }
-        let scope = self.scope_of(&candidate.key, candidate.step.standing);
+        let scope = self.scope_of(&candidate.key);
+        let admits = |room: &RoomScope| scope.is_some_and(|scope| room.admits(&scope));
         let rooms = holds.unused_rooms(id, &worker.runs);
-        let rooms = rooms.filter(|(held_for, _)| !held_for.admits(&scope));
+        let rooms = rooms.filter(|(held_for, _)| !admits(held_for));
         rooms.fold(free, |free, (_, room)| free.saturating_minus(&room))
     }
 
--- a/crates/jobs/src/preemption/plan.rs
+++ b/crates/jobs/src/preemption/plan.rs
@@ -6,102 +6,15 @@
 use sandshelf_model::ResourceSize;
 use smallvec::SmallVec;
 
-use super::away::StepAllowance;
-use crate::ids::RunKey;
+use super::inputs::{DemandView, PlanViews, RunKind, RunOutlook, RunView, TaskLength};
 
 /// The most runs that one plan stops. Each stop order costs a weak host up to 1.3 ms, and the next plan follows soon.
 pub(crate) const MAX_STOPS_PER_PLAN: usize = 32;
+/// The most demands for which one plan compares all workers; each takes some 50 us.
+const MAX_DEMANDS_COMPARED: usize = 4;
 /// The scale of shares of a run for each task served.
 const SHARE_SCALE: u64 = 1_000;
 
-/// The tasks that may use a room: those of this priority or a more urgent one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct RoomScope {
-    pub(crate) priority: u32,
-    /// Whether standing tasks may use it.
-    pub(crate) standing: bool,
-}
-
-impl RoomScope {
-    /// Whether tasks of `wanted` may use a room of this scope.
-    pub(crate) fn admits(&self, wanted: &RoomScope) -> bool {
-        wanted.priority <= self.priority && (self.standing || !wanted.standing)
-    }
-}
-
-/// Waiting tasks that are alike.
-#[derive(Clone, Debug)]
-pub(crate) struct DemandView {
-    pub(crate) room: ResourceSize,
-    /// The number of waiting tasks.
-    pub(crate) count: usize,
-    pub(crate) scope: RoomScope,
-    /// Whether the tasks end soon, so that standing tasks of the same priority may be stopped for them.
-    pub(crate) short: bool,
-    /// The most tasks that one worker may be given.
-    pub(crate) most_per_worker: usize,
-    /// The indices of the workers on which the tasks may run, apart from capacity.
-    pub(crate) workers: Vec<usize>,
-}
-
-/// What a plan may do with a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RunOutlook {
-    /// It is being stopped, or ends before a stop would: its capacity becomes free without a further order.
-    Leaves,
-    /// It may be stopped.
-    Stoppable,
-    /// It must not be stopped.
-    Stays,
-}
-
-/// The kind of a run, as far as a stop depends on it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RunKind {
-    /// It ends by itself.
-    Ending,
-    /// It belongs to a standing step with this index in [`PlanViews::allowances`].
-    Standing(usize),
-    /// It belongs to a gang with this index in [`PlanViews::gangs`].
-    Member(usize),
-}
-
-/// A run that may be running on a worker.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct RunView {
-    pub(crate) key: RunKey,
-    pub(crate) room: ResourceSize,
-    pub(crate) priority: u32,
-    pub(crate) kind: RunKind,
-    pub(crate) outlook: RunOutlook,
-    /// The work that a stop loses, in core-milliseconds; for a member of a gang the loss of the whole gang.
-    pub(crate) lost_work: u64,
-}
-
-/// A worker with its runs.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct WorkerView {
-    pub(crate) capacity: ResourceSize,
-    pub(crate) runs: Vec<RunView>,
-    /// The unused rooms that are held here for other tasks.
-    pub(crate) held: Vec<(RoomScope, ResourceSize)>,
-}
-
-/// The members of a gang that runs.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct GangView {
-    /// The index of each member's worker, and of its run there.
-    pub(crate) members: Vec<(usize, usize)>,
-}
-
-/// Everything that a plan depends on.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PlanViews {
-    pub(crate) workers: Vec<WorkerView>,
-    pub(crate) gangs: Vec<GangView>,
-    pub(crate) allowances: Vec<StepAllowance>,
-}
-
 /// The runs to stop on a worker for waiting tasks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct PreemptionChoice {
@@ -117,6 +30,9 @@
     pub(crate) lost_work: u64,
 }
 
+/// A run that may be stopped: whether it belongs to a standing task, its cost and its index.
+type Candidate = (bool, u64, usize);
+
 /// The indices of a worker's runs that make room when stopped together.
 type RunSet = SmallVec<[usize; 4]>;
 
@@ -133,6 +49,10 @@
 /// The order of choices; the smallest is taken first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct SetOrder {
+    /// Whether a standing run is stopped.
+    stops_standing: bool,
+    /// Whether standing runs are stopped on a worker that lends nothing yet.
+    first_loan: bool,
     /// Standing runs stopped for each task served, in thousandths.
     standing: u64,
     /// Work lost for each task served, in core-milliseconds.
@@ -152,9 +72,13 @@
 pub(crate) fn plan_preemptions(views: PlanViews, demands: &[DemandView]) -> Vec<PreemptionChoice> {
     let mut state = PlanState::new(views);
     let mut choices = Vec::new();
+    let mut compared = 0;
     for (index, demand) in demands.iter().enumerate() {
         let missing = state.deduct_available(demand);
-        state.plan_demand(index, demand, missing, &mut choices);
+        if missing > 0 && compared < MAX_DEMANDS_COMPARED {
+            compared += 1;
+            state.plan_demand(index, demand, missing, &mut choices);
+        }
     }
     choices
 }
@@ -177,7 +101,7 @@
     /// Gives waiting tasks the capacity that is free or becomes free without a stop. Returns how many find none.
     fn deduct_available(&mut self, demand: &DemandView) -> usize {
         let mut missing = demand.count;
-        for worker in &demand.workers {
+        for worker in demand.workers.iter() {
             if missing == 0 {
                 break;
             }
@@ -219,9 +143,6 @@
         mut missing: usize,
         choices: &mut Vec<PreemptionChoice>,
     ) {
-        if missing == 0 {
-            return;
-        }
         let sets = demand.workers.iter();
         let sets = sets.filter_map(|worker| self.cheapest_set(demand, *worker, missing));
         let mut sets: Vec<SetChoice> = sets.collect();
@@ -271,6 +192,10 @@
                 self.views.allowances[step].take();
             }
         }
+        if set.order.first_loan {
+            self.views.workers[set.worker].lends = true;
+            self.views.spare_lenders -= 1;
+        }
         self.take_room(demand, set.worker, set.served);
         self.stops += stops.len();
         (!stops.is_empty()).then_some(PreemptionChoice {
@@ -289,44 +214,101 @@
         worker: usize,
         missing: usize,
     ) -> Option<SetChoice> {
-        let mut set = RunSet::new();
-        let mut freed = ResourceSize::default();
-        if self.fitting(demand, worker, &freed, 1) == 0 {
-            let candidates = self.candidates(demand, worker);
-            let runs = &self.views.workers[worker].runs;
-            let single = candidates
-                .iter()
-                .find(|(_, _, run)| self.fitting(demand, worker, &runs[*run].room, 1) > 0);
-            match single {
-                Some((_, _, run)) => set.push(*run),
-                None => set = self.several_runs(demand, worker, &candidates)?,
+        if self.fitting(demand, worker, &ResourceSize::default(), 1) > 0 {
+            return self.set_choice(demand, worker, RunSet::new(), missing);
+        }
+        let candidates = self.candidates(demand, worker);
+        let runs = &self.views.workers[worker].runs;
+        let mut alone = candidates.iter().map(|(_, _, run)| *run);
+        let alone = alone.find(|run| self.fitting(demand, worker, &runs[*run].room, 1) > 0);
+        let alone = alone.map(|run| SmallVec::from_slice(&[run]));
+        let several = match alone.is_some() && candidates[0].0 {
+            // One standing run is always cheaper than several.
+            true => None,
+            false => self.several_runs(demand, worker, &candidates),
+        };
+        let sets = alone.into_iter().chain(several);
+        let choices = sets.filter_map(|set| self.set_choice(demand, worker, set, missing));
+        let smallest = choices.min_by_key(|choice| choice.order)?;
+        Some(self.with_more_runs(demand, smallest, &candidates, missing))
+    }
+
+    /// Adds further runs to a set where more tasks are served for each standing run or unit of work that is lost. Rooms for short tasks
+    /// are better on few workers than on many: between two tasks they are free, and a worker with room for a standing task counts against
+    /// the rule on these tasks.
+    fn with_more_runs(
+        &self,
+        demand: &DemandView,
+        smallest: SetChoice,
+        candidates: &[Candidate],
+        missing: usize,
+    ) -> SetChoice {
+        let worker = smallest.worker;
+        let most = MAX_STOPS_PER_PLAN.saturating_sub(self.stops);
+        let mut set = smallest.runs.clone();
+        let mut best = smallest;
+        for (_, _, run) in candidates {
+            if best.served >= missing || set.len() >= most {
+                break;
+            }
+            if set.contains(run) || !self.allows_in_set(worker, &set, *run) {
+                continue;
+            }
+            set.push(*run);
+            let larger = self.set_choice(demand, worker, set.clone(), missing);
+            if let Some(larger) = larger.filter(|larger| larger.order < best.order) {
+                best = larger;
             }
-            freed = rooms_of(runs, &set);
         }
+        let runs = self.without_needless(demand, worker, best.runs.clone(), best.served);
+        self.set_choice(demand, worker, runs, missing)
+            .unwrap_or(best)
+    }
+
+    /// Whether one more run may be stopped together with a set. Several runs of it may belong to one standing step.
+    fn allows_in_set(&self, worker: usize, set: &[usize], run: usize) -> bool {
+        let runs = &self.views.workers[worker].runs;
+        let RunKind::Standing(step) = runs[run].kind else {
+            return true;
+        };
+        let same = |other: &&usize| runs[**other].kind == RunKind::Standing(step);
+        set.iter().filter(same).count() < self.views.allowances[step].spare()
+    }
+
+    fn set_choice(
+        &self,
+        demand: &DemandView,
+        worker: usize,
+        runs: RunSet,
+        missing: usize,
+    ) -> Option<SetChoice> {
+        let views = &self.views.workers[worker].runs;
+        let freed = rooms_of(views, &runs);
         let served = self.fitting(demand, worker, &freed, missing);
         if served == 0 {
             return None;
         }
-        Some(self.set_choice(worker, set, served))
-    }
-
-    fn set_choice(&self, worker: usize, runs: RunSet, served: usize) -> SetChoice {
-        let views = &self.views.workers[worker].runs;
         let stopped = runs.iter().map(|run| &views[*run]);
         let standing = stopped.clone().filter(|run| is_standing(run)).count() as u64;
         let lost_work: u64 = stopped.map(|run| self.cost(run)).sum();
+        let first_loan = standing > 0 && !self.views.workers[worker].lends;
+        if first_loan && self.views.spare_lenders == 0 {
+            return None;
+        }
         let order = SetOrder {
+            stops_standing: standing > 0,
+            first_loan,
             standing: standing * SHARE_SCALE / served as u64,
             lost_work: lost_work / served as u64,
             worker,
         };
-        SetChoice {
+        Some(SetChoice {
             worker,
             runs,
             served,
             lost_work,
             order,
-        }
+        })
     }
 
     /// Several runs that make room together: the cheapest ones until the task fits, without those that turn out not to be needed.
@@ -334,34 +316,35 @@
         &self,
         demand: &DemandView,
         worker: usize,
-        candidates: &[(bool, u64, usize)],
+        candidates: &[Candidate],
     ) -> Option<RunSet> {
         let runs = &self.views.workers[worker].runs;
         let mut set = RunSet::new();
-        let mut steps: SmallVec<[usize; 4]> = SmallVec::new();
         for (_, _, run) in candidates {
-            if let RunKind::Standing(step) = runs[*run].kind {
-                let taken = steps.iter().filter(|other| **other == step).count();
-                if taken >= self.views.allowances[step].spare() {
-                    continue;
-                }
-                steps.push(step);
+            if !self.allows_in_set(worker, &set, *run) {
+                continue;
             }
             set.push(*run);
             if self.fitting(demand, worker, &rooms_of(runs, &set), 1) > 0 {
-                return Some(self.without_needless(demand, worker, set));
+                return Some(self.without_needless(demand, worker, set, 1));
             }
         }
         None
     }
 
-    /// Leaves out runs without which the task fits as well, the dearest first.
-    fn without_needless(&self, demand: &DemandView, worker: usize, mut set: RunSet) -> RunSet {
+    /// Leaves out runs without which as many tasks are served, the dearest first.
+    fn without_needless(
+        &self,
+        demand: &DemandView,
+        worker: usize,
+        mut set: RunSet,
+        served: usize,
+    ) -> RunSet {
         let runs = &self.views.workers[worker].runs;
         for place in (0..set.len()).rev() {
             let mut fewer = set.clone();
             fewer.remove(place);
-            if self.fitting(demand, worker, &rooms_of(runs, &fewer), 1) > 0 {
+            if self.fitting(demand, worker, &rooms_of(runs, &fewer), served) >= served {
                 set = fewer;
             }
         }
@@ -370,8 +353,8 @@
 
     /// The runs on a worker that may be stopped for a demand, lower priorities and cheap ones first: whether each belongs to a standing
     /// task, its cost and its index. Of a gang's members on the worker only the first is listed.
-    fn candidates(&self, demand: &DemandView, worker: usize) -> SmallVec<[(bool, u64, usize); 16]> {
-        let mut candidates: SmallVec<[(bool, u64, usize); 16]> = SmallVec::new();
+    fn candidates(&self, demand: &DemandView, worker: usize) -> SmallVec<[Candidate; 16]> {
+        let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
         let runs = &self.views.workers[worker].runs;
         for (index, run) in runs.iter().enumerate() {
             if self.may_stop(demand, run) {
@@ -390,8 +373,9 @@
         match run.kind {
             RunKind::Ending | RunKind::Member(_) => lower,
             RunKind::Standing(step) => {
+                let short = demand.scope.length == TaskLength::Short;
                 let equal = run.priority == demand.scope.priority;
-                (lower || equal && demand.short) && self.views.allowances[step].spare() > 0
+                (lower || equal && short) && self.views.allowances[step].spare() > 0
             }
         }
     }
--- a/crates/jobs/src/preemption/views.rs
+++ b/crates/jobs/src/preemption/views.rs
@@ -5,8 +5,9 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use super::away::StepAllowance;
-use super::plan::{GangView, PlanViews, RunKind, RunOutlook, RunView, WorkerView};
+use super::inputs::{GangView, PlanViews, RunKind, RunOutlook, RunView, WorkerView};
 use crate::ids::{JobNumber, RunKey, TaskKey};
+use crate::limits::CLEARED_AFTER_MS;
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
 use crate::worker::WorkerState;
@@ -77,6 +78,7 @@
             capacity: worker.entry.capacity,
             runs,
             held: holds.unused_rooms(id, &worker.runs).collect(),
+            lends: holds.lends(id),
         }
     }
 
@@ -111,7 +113,7 @@
             view.lost_work = self.lost_work(record, facts.checkpoints);
             view.outlook = match self.ends_before_stop(worker, record) {
                 true => RunOutlook::Leaves,
-                false => RunOutlook::Stoppable,
+                false => self.stop_outlook(&key.task),
             };
         }
         if facts.gang {
@@ -143,7 +145,8 @@
         let running = matches!(record.phase, RunPhase::Running(_));
         let leaves = worker.entry.draining || worker.missing || worker.entry_incarnation_differs();
         let heard = worker.unsure_since.is_none() && !worker.is_silent(self.now);
-        let at_work = running && heard && !leaves && record.percent >= AT_WORK_PERCENT;
+        let known = heard && self.outlasts_earlier_owner(worker, record);
+        let at_work = running && known && !leaves && record.percent >= AT_WORK_PERCENT;
         if !at_work {
             return;
         }
@@ -151,13 +154,27 @@
         let limits = &self.scheduler.limits;
         let away_ms = limits.stop_timeout_ms + limits.restore_ms;
         view.lost_work = away_ms * record.cpu_millis / 1_000;
-        if self
-            .scheduler
-            .preemption
-            .may_stop_again(self.now, &view.key.task)
-        {
-            view.outlook = RunOutlook::Stoppable;
+        view.outlook = self.stop_outlook(&view.key.task);
+    }
+
+    fn stop_outlook(&self, task: &TaskKey) -> RunOutlook {
+        match self.scheduler.preemption.may_stop_again(self.now, task) {
+            true => RunOutlook::Stoppable,
+            false => RunOutlook::Stays,
+        }
+    }
+
+    /// Whether no stop that an earlier owner sent can end a run any more. This owner would not know of it before the run ends. A worker
+    /// that has answered this owner takes no further orders of earlier ones.
+    fn outlasts_earlier_owner(&self, worker: &WorkerState, record: &RunRecord) -> bool {
+        if record.ordered_at > 0 {
+            return true;
         }
+        let clock = worker.incarnation.clock(self.now);
+        let adopted_at = record.began.map(|began| began + CLEARED_AFTER_MS);
+        let limit_ms = self.scheduler.limits.stop_timeout_ms;
+        let times = clock.zip(adopted_at);
+        times.is_some_and(|(clock, adopted_at)| clock > adopted_at + limit_ms)
     }
 
     /// The work that a stop of a run loses, in core-milliseconds: all of it, or what its newest checkpoint doesn't contain.
@@ -225,6 +242,8 @@
             steps.map(|step| StepAllowance::new(step.count, step.at_work, step.may_miss));
         self.views.allowances = allowances.collect();
         self.settle_gangs();
+        let stretch = self.scheduler.backlog.stretch();
+        self.views.spare_lenders = self.scheduler.preemption.holds.spare_lenders(stretch);
         self.views
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -319,6 +319,12 @@
         removed
     }
 
+    /// Whether a run is here that was ordered to stop at this time or earlier.
+    pub(crate) fn has_stop_since(&self, at: Millis) -> bool {
+        let mut phases = self.runs.values().map(|record| record.phase);
+        phases.any(|phase| matches!(phase, RunPhase::Stopping { sent, .. } if sent <= at))
+    }
+
     /// The filling runs here.
     pub(crate) fn filling_runs(&self) -> impl Iterator<Item = (&RunKey, &RunRecord)> {
         self.runs.iter().filter(|(_, record)| record.fills)
