--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod emulated_worker;
 pub mod emulator;
 pub mod faults;
+pub mod fleet_worker;
 pub mod plans;
 pub mod relaying;
 pub mod restarting;
--- a/crates/jobs/tests/support/standing_fleet.rs
+++ b/crates/jobs/tests/support/standing_fleet.rs
@@ -8,23 +8,20 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
-    EndReport, HoldOutcome, JobAction, JobEvent, JobNote, JobNumber, JobSpec, JobStage,
-    OrderAnswer, RefusalReason, RenewalAnswer, RunKey, RunOutcome, RunReport, SchedulerLimits,
-    StepSpec, StopCause, TakeoverInfo, TaskKey, WorkerCall, WorkerListing,
+    HoldOutcome, JobAction, JobEvent, JobNote, JobNumber, JobSpec, JobStage, OrderAnswer,
+    RefusalReason, RenewalAnswer, RunKey, RunReport, SchedulerLimits, StepSpec, StopCause,
+    TakeoverInfo, TaskKey, WorkerCall, WorkerListing,
 };
 use sandshelf_model::{LoadPolicies, Millis, ResourceSize, WorkerId};
 
+use super::fleet_worker::{FleetRun, FleetWorker};
 use super::{job, listing, step, SchedulerRig};
 
 pub const TICK_MS: Millis = 25;
-/// How long a task takes from its start until it is at work.
-pub const START_MS: Millis = 600;
 /// The platform counts a task as unavailable that has not been at work for this long.
 const NOTICE_MS: Millis = 4_500;
 const LIST_INTERVAL_MS: Millis = 700;
 const LOST_CALL_MS: Millis = 500;
-/// How long the end of a run takes to arrive at the owner.
-const ANSWER_MS: Millis = 25;
 /// The shortest and the longest time that a stop takes.
 pub const STOP_MS: (Millis, Millis) = (100, 900);
 /// The size of a short task and how long it takes.
@@ -43,83 +40,6 @@
     pub preemption: bool,
 }
 
-/// A run on a worker.
-#[derive(Clone, Debug)]
-pub struct FleetRun {
-    pub spec: StepSpec,
-    pub started: Millis,
-    /// When it ends by itself.
-    pub ends_at: Option<Millis>,
-    /// When the order that was given ends it.
-    pub stops_at: Option<Millis>,
-}
-
-impl FleetRun {
-    fn is_at_work(&self, now: Millis) -> bool {
-        self.spec.standing && now >= self.started + START_MS
-    }
-
-    fn percent(&self, now: Millis) -> u32 {
-        if self.spec.standing {
-            return if self.is_at_work(now) { 100 } else { 0 };
-        }
-        let worked = (now - self.started) * 100;
-        (worked / self.spec.estimate_ms.max(1)).min(99) as u32
-    }
-}
-
-/// A worker of the fleet.
-#[derive(Clone, Debug)]
-pub struct FleetWorker {
-    pub entry: WorkerListing,
-    pub runs: BTreeMap<RunKey, FleetRun>,
-    pub lost: bool,
-    /// Whether it leaves stop orders without an answer and does not carry them out.
-    pub ignores_stops: bool,
-    end_count: u64,
-    /// The ends that the owner has not been told, each with the time from which on it may be.
-    ends: Vec<(Millis, EndReport)>,
-    /// When the renewal in flight was sent, and how long it may wait.
-    renewal: Option<(Millis, Millis)>,
-}
-
-impl FleetWorker {
-    /// Ends the runs that are over. Returns the standing tasks at work that an order ended.
-    fn end_runs(&mut self, now: Millis) -> Vec<TaskKey> {
-        let over = |run: &FleetRun| {
-            run.ends_at.is_some_and(|at| now >= at) || run.stops_at.is_some_and(|at| now >= at)
-        };
-        let ended = self.runs.iter().filter(|(_, run)| over(run));
-        let ended: Vec<RunKey> = ended.map(|(key, _)| *key).collect();
-        let mut stopped = Vec::new();
-        for key in ended {
-            let run = self.runs.remove(&key).expect("a run");
-            self.end_count += 1;
-            if run.is_at_work(now) {
-                stopped.push(key.task);
-            }
-            let end = EndReport {
-                number: self.end_count,
-                key,
-                outcome: match run.ends_at.is_some_and(|at| now >= at) {
-                    true => RunOutcome::Done,
-                    false => RunOutcome::Stopped,
-                },
-                checkpoint: None,
-            };
-            self.ends.push((now + ANSWER_MS, end));
-        }
-        stopped
-    }
-
-    pub fn used(&self) -> ResourceSize {
-        let rooms = self.runs.values().map(|run| run.spec.room());
-        rooms.fold(ResourceSize::default(), |sum, room| {
-            sum.plus(&room).expect("small sizes")
-        })
-    }
-}
-
 /// What the oracle knows of a standing task.
 #[derive(Clone, Copy, Debug, Default)]
 struct StandingTask {
