--- a/crates/jobs/src/preemption/mod.rs
+++ b/crates/jobs/src/preemption/mod.rs
@@ -30,6 +30,8 @@
 
 /// The shortest time between two plans; stretched while the owner is behind. A plan costs a weak host some milliseconds.
 const PLAN_INTERVAL_MS: Millis = 50;
+/// The same after a plan that found nothing to stop: allowances return within seconds.
+const FRUITLESS_PLAN_INTERVAL_MS: Millis = 150;
 /// For how long a preempted task is not preempted again.
 const REPEAT_PAUSE_MS: Millis = 10_000;
 
@@ -39,7 +41,8 @@
     pub(crate) holds: HoldTable,
     /// When each task was last preempted.
     stopped_at: HashMap<TaskKey, Millis>,
-    planned_at: Millis,
+    /// From when on the next plan may be made.
+    next_plan_at: Millis,
     refreshed_at: Millis,
 }
 
@@ -58,9 +61,8 @@
             return;
         }
         self.refresh_holds(now);
-        let pause = self.backlog.stretched_pause_ms(PLAN_INTERVAL_MS);
         let pass_done = self.last_pass == now && self.pass_left_tasks;
-        if !pass_done || now < self.preemption.planned_at + pause {
+        if !pass_done || now < self.preemption.next_plan_at {
             return;
         }
         let order = self.worker_order.clone().unwrap_or_default();
@@ -69,10 +71,15 @@
         if demands.is_empty() {
             return;
         }
-        self.preemption.planned_at = now;
         let views = views::plan_views(self, now, &workers);
         let wanted: Vec<_> = demands.iter().map(|demand| demand.view.clone()).collect();
-        for choice in plan_preemptions(views.clone(), &wanted) {
+        let choices = plan_preemptions(views.clone(), &wanted);
+        let pause = match choices.is_empty() {
+            true => FRUITLESS_PLAN_INTERVAL_MS,
+            false => PLAN_INTERVAL_MS,
+        };
+        self.preemption.next_plan_at = now + self.backlog.stretched_pause_ms(pause);
+        for choice in choices {
             let demand = &demands[choice.demand];
             self.carry_out(now, &workers, demand, &choice, &views);
         }
--- a/crates/jobs/src/preemption/plan.rs
+++ b/crates/jobs/src/preemption/plan.rs
@@ -3,6 +3,8 @@
 //! Handles the load in which priority 0 finds no capacity: runs of lower priorities hold memory, or standing tasks of the same
 //! priority hold all processors while short tasks wait. A pure function of views, without network or clock.
 
+use std::cmp::Reverse;
+
 use sandshelf_model::ResourceSize;
 use smallvec::SmallVec;
 
@@ -53,6 +55,8 @@
     stops_standing: bool,
     /// Whether standing runs are stopped on a worker that lends nothing yet.
     first_loan: bool,
+    /// How many runs could be stopped on such a worker: few workers may lend, so those go first that can lend most.
+    lendable: Reverse<usize>,
     /// Standing runs stopped for each task served, in thousandths.
     standing: u64,
     /// Work lost for each task served, in core-milliseconds.
@@ -159,6 +163,7 @@
                 }
                 Some(set) if set.order > sets[best].order => sets[best] = set,
                 Some(set) => {
+                    let set = self.with_more_runs(demand, set, missing);
                     missing -= set.served;
                     choices.extend(self.carry_out(index, demand, set));
                     match self.cheapest_set(demand, worker, missing.max(1)) {
@@ -229,8 +234,11 @@
         };
         let sets = alone.into_iter().chain(several);
         let choices = sets.filter_map(|set| self.set_choice(demand, worker, set, missing));
-        let smallest = choices.min_by_key(|choice| choice.order)?;
-        Some(self.with_more_runs(demand, smallest, &candidates, missing))
+        let mut choice = choices.min_by_key(|choice| choice.order)?;
+        if choice.order.first_loan {
+            choice.order.lendable = Reverse(candidates.len());
+        }
+        Some(choice)
     }
 
     /// Adds further runs to a set where more tasks are served for each standing run or unit of work that is lost. Rooms for short tasks
@@ -240,14 +248,17 @@
         &self,
         demand: &DemandView,
         smallest: SetChoice,
-        candidates: &[Candidate],
         missing: usize,
     ) -> SetChoice {
         let worker = smallest.worker;
+        if smallest.runs.is_empty() || smallest.served >= missing {
+            return smallest;
+        }
+        let candidates = self.candidates(demand, worker);
         let most = MAX_STOPS_PER_PLAN.saturating_sub(self.stops);
         let mut set = smallest.runs.clone();
         let mut best = smallest;
-        for (_, _, run) in candidates {
+        for (_, _, run) in &candidates {
             if best.served >= missing || set.len() >= most {
                 break;
             }
@@ -256,8 +267,11 @@
             }
             set.push(*run);
             let larger = self.set_choice(demand, worker, set.clone(), missing);
-            if let Some(larger) = larger.filter(|larger| larger.order < best.order) {
-                best = larger;
+            if let Some(mut larger) = larger {
+                larger.order.lendable = best.order.lendable;
+                if larger.order < best.order {
+                    best = larger;
+                }
             }
         }
         let runs = self.without_needless(demand, worker, best.runs.clone(), best.served);
@@ -298,6 +312,7 @@
         let order = SetOrder {
             stops_standing: standing > 0,
             first_loan,
+            lendable: Reverse(0),
             standing: standing * SHARE_SCALE / served as u64,
             lost_work: lost_work / served as u64,
             worker,
