Preemption: plans without a copy of the views, fewer comparisons

Cause: each plan copied its views and compared all workers for up to four groups of waiting tasks. Groups for which nothing could be stopped kept others out.

Change: a plan marks its own views and compares for two groups; after a plan that found nothing the next one goes on with the following groups.

--- a/crates/jobs/src/preemption/mod.rs
+++ b/crates/jobs/src/preemption/mod.rs
@@ -20,7 +20,7 @@
 use self::demands::{task_length, TaskDemand};
 use self::holds::{CapacityHold, EndedHold, HoldLimits, HoldTable};
 use self::inputs::{PlanViews, RoomScope, RunKind, TaskScope};
-use self::plan::{plan_preemptions, PreemptionChoice};
+use self::plan::{plan_preemptions, PreemptionChoice, MAX_DEMANDS_COMPARED};
 use crate::cost::Candidate;
 use crate::ids::{RunKey, TaskKey};
 use crate::limits::TICK_MS;
@@ -41,6 +41,8 @@
     pub(crate) holds: HoldTable,
     /// When each task was last preempted.
     stopped_at: HashMap<TaskKey, Millis>,
+    /// The first demand for which the next plan looks for runs to stop.
+    first_demand: usize,
     /// From when on the next plan may be made.
     next_plan_at: Millis,
     refreshed_at: Millis,
@@ -71,10 +73,15 @@
         if demands.is_empty() {
             return;
         }
-        let views = views::plan_views(self, now, &workers);
+        let mut views = views::plan_views(self, now, &workers);
         let wanted: Vec<_> = demands.iter().map(|demand| demand.view.clone()).collect();
-        let choices = plan_preemptions(views.clone(), &wanted);
-        let pause = match choices.is_empty() {
+        let first = self.preemption.first_demand;
+        let choices = plan_preemptions(&mut views, &wanted, first);
+        let next = first + MAX_DEMANDS_COMPARED;
+        let fruitless = choices.is_empty();
+        let goes_on = fruitless && next < wanted.len();
+        self.preemption.first_demand = if goes_on { next } else { 0 };
+        let pause = match fruitless && !goes_on {
             true => FRUITLESS_PLAN_INTERVAL_MS,
             false => PLAN_INTERVAL_MS,
         };
--- a/crates/jobs/src/preemption/plan.rs
+++ b/crates/jobs/src/preemption/plan.rs
@@ -12,8 +12,8 @@
 
 /// The most runs that one plan stops. Each stop order costs a weak host up to 1.3 ms, and the next plan follows soon.
 pub(crate) const MAX_STOPS_PER_PLAN: usize = 32;
-/// The most demands for which one plan compares all workers; each takes some 50 us.
-const MAX_DEMANDS_COMPARED: usize = 4;
+/// The most demands for which one plan compares all workers; each takes some tenths of a millisecond.
+pub(crate) const MAX_DEMANDS_COMPARED: usize = 2;
 /// The scale of shares of a run for each task served.
 const SHARE_SCALE: u64 = 1_000;
 
@@ -65,30 +65,28 @@
 }
 
 /// A plan in the making.
-struct PlanState {
-    views: PlanViews,
+struct PlanState<'a> {
+    views: &'a mut PlanViews,
     /// What stays in use on each worker, with the tasks that are expected to start there.
     used: Vec<ResourceSize>,
     stops: usize,
 }
 
-/// Chooses the runs to stop for these demands, the most urgent demand first.
-pub(crate) fn plan_preemptions(views: PlanViews, demands: &[DemandView]) -> Vec<PreemptionChoice> {
-    let mut state = PlanState::new(views);
-    let mut choices = Vec::new();
-    let mut compared = 0;
-    for (index, demand) in demands.iter().enumerate() {
-        let missing = state.deduct_available(demand);
-        if missing > 0 && compared < MAX_DEMANDS_COMPARED {
-            compared += 1;
-            state.plan_demand(index, demand, missing, &mut choices);
-        }
-    }
+/// Chooses the runs to stop for these demands, the most urgent demand first. Marks the runs in the views; the allowances are left as
+/// they were. The demands before `first` only get capacity that needs no stop, as nothing was found for them a moment ago.
+pub(crate) fn plan_preemptions(
+    views: &mut PlanViews,
+    demands: &[DemandView],
+    first: usize,
+) -> Vec<PreemptionChoice> {
+    let allowances = views.allowances.clone();
+    let choices = PlanState::new(views).plan_all(demands, first);
+    views.allowances = allowances;
     choices
 }
 
-impl PlanState {
-    fn new(views: PlanViews) -> Self {
+impl<'a> PlanState<'a> {
+    fn new(views: &'a mut PlanViews) -> Self {
         let used = views.workers.iter().map(|worker| {
             let staying = worker.runs.iter();
             let staying = staying.filter(|run| run.outlook != RunOutlook::Leaves);
@@ -102,6 +100,19 @@
         }
     }
 
+    fn plan_all(&mut self, demands: &[DemandView], first: usize) -> Vec<PreemptionChoice> {
+        let mut choices = Vec::new();
+        let mut compared = 0;
+        for (index, demand) in demands.iter().enumerate() {
+            let missing = self.deduct_available(demand);
+            if missing > 0 && index >= first && compared < MAX_DEMANDS_COMPARED {
+                compared += 1;
+                self.plan_demand(index, demand, missing, &mut choices);
+            }
+        }
+        choices
+    }
+
     /// Gives waiting tasks the capacity that is free or becomes free without a stop. Returns how many find none.
     fn deduct_available(&mut self, demand: &DemandView) -> usize {
         let mut missing = demand.count;
