--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -51,6 +51,10 @@
     pub reserved_workers: usize,
     /// Runs that were started as copies of slow runs.
     pub copies: usize,
+    /// Rooms that are held for waiting tasks after preemptions.
+    pub holds: usize,
+    /// The processors in these rooms, in thousandths of a core.
+    pub held_cpu: u64,
 }
 
 impl JobScheduler {
@@ -73,7 +77,10 @@
     pub fn counts(&self, now: Millis) -> SchedulerCounts {
         let open = self.workers.values().filter(|worker| worker.is_open(now));
         let evacuated = self.workers.values().filter(|worker| worker.evacuated);
+        let (holds, held_cpu) = self.held_capacity();
         let mut counts = SchedulerCounts {
+            holds,
+            held_cpu,
             jobs: self.jobs.len(),
             waiting: self.waiting.len(),
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
