Refuse jobs that can't end while they are of use

Cause: in an overload every job is accepted, and most of them end when they are of no use any more.

Change: the owner measures the load of each queue and publishes a share of new jobs that can still be served, with its notices and in the row of waiting jobs. Hosts place a job inside or outside the share by a stable hash of its number, and read the job's row before a refusal, so that a repeat of an accepted job is still answered with 200. Retry-After follows the forecast and the time that the caller has left.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -8,6 +8,7 @@
 
 use sandshelf_model::Millis;
 
+use crate::admission::LoadView;
 use crate::commit_budget::CommitBudget;
 use crate::dirty::UnwrittenEnds;
 use crate::events::{CommitBatch, JobAction};
@@ -45,7 +46,8 @@
         let roster = self.changed_roster(&mut page_budget);
         let silent = self.changed_silence_records(id, &mut page_budget);
         budget.take_used(whole, page_budget);
-        let pending = self.changed_pending(now, &mut budget);
+        let load = self.load_to_write(now);
+        let pending = self.changed_pending(now, load.as_ref(), &mut budget);
         let progress = self.changed_progress(&mut budget);
         let wanted = !progress.is_empty()
             || !forget.is_empty()
@@ -70,6 +72,7 @@
         self.actions.push(JobAction::Commit(CommitBatch {
             id,
             progress,
+            load: load.filter(|_| pending.is_some()),
             pending,
             interference,
             forget,
@@ -211,10 +214,11 @@
         }
     }
 
-    /// The counts of waiting jobs by queue, if they changed and may be published again.
+    /// The counts of waiting jobs by queue, if they or the load that is written with them changed and may be published again.
     fn changed_pending(
         &mut self,
         now: Millis,
+        load: Option<&LoadView>,
         budget: &mut CommitBudget,
     ) -> Option<BTreeMap<String, u64>> {
         if self.state_pending || now < self.pending_published_at + PENDING_PUBLISH_INTERVAL_MS {
@@ -227,7 +231,8 @@
             }
         }
         let published = self.pending_counts.get_or_insert_default();
-        if counts == *published || !budget.take(&counts) {
+        let unchanged = counts == *published && load.is_none();
+        if unchanged || !budget.take(&(&counts, load)) {
             return None;
         }
         published.clone_from(&counts);
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -6,6 +6,7 @@
 use sandshelf_model::{HallId, Millis, WorkerId};
 use serde::{Deserialize, Serialize};
 
+use crate::admission::LoadView;
 use crate::ids::{JobNumber, RunKey};
 use crate::interference::InterferenceRow;
 use crate::note::JobNote;
@@ -132,6 +133,8 @@
     pub progress: Vec<(JobNumber, ProgressRow)>,
     /// The number of waiting jobs by queue; none if unchanged.
     pub pending: Option<BTreeMap<String, u64>>,
+    /// The load of the queues, written with the number of waiting jobs; none while no job is refused.
+    pub load: Option<LoadView>,
     /// The learnt interference between images; none unless its periodic write is due.
     pub interference: Option<InterferenceRow>,
     /// Finished jobs whose rows are to be removed.
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -156,10 +156,14 @@
         self.mark_dirty(number);
         self.urgent = true;
         let objective_ms = objective_ms(&job.spec);
+        let took_ms = (now + objective_ms).saturating_sub(job.due.objective_at);
+        let completed = stage == JobStage::Completed;
+        self.load_meter
+            .note_ended(number, completed, took_ms, objective_ms);
         self.note(JobNote::JobFinished {
             job: number,
             state: stage,
-            took_ms: (now + objective_ms).saturating_sub(job.due.objective_at),
+            took_ms,
             objective_ms,
             queue: job.spec.queue,
         });
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -327,18 +327,22 @@
 
 /// How long a job may take by its queue's rules: a multiple of its longest chain of estimated task times, plus a latency.
 pub(crate) fn objective_ms(spec: &JobSpec) -> Millis {
-    let mut chains = vec![0u64; spec.steps.len()];
-    for (index, step) in spec.steps.iter().enumerate() {
-        let before = step.after.iter().map(|after| chains[*after]).max();
-        chains[index] = before.unwrap_or(0) + step.estimate_ms;
-    }
-    let longest = chains.into_iter().max().unwrap_or(0);
     let QueueRules {
         stretch,
         target_latency_ms,
         ..
     } = &spec.rules;
-    (longest as f64 * stretch) as Millis + target_latency_ms
+    (longest_chain_ms(spec) as f64 * stretch) as Millis + target_latency_ms
+}
+
+/// The estimated time of a job's longest chain of steps, in milliseconds.
+pub(crate) fn longest_chain_ms(spec: &JobSpec) -> Millis {
+    let mut chains = vec![0u64; spec.steps.len()];
+    for (index, step) in spec.steps.iter().enumerate() {
+        let before = step.after.iter().map(|after| chains[*after]).max();
+        chains[index] = before.unwrap_or(0) + step.estimate_ms;
+    }
+    chains.into_iter().max().unwrap_or(0)
 }
 
 impl JobState {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(scheduler.handle(0, JobEvent::Tick { wall_ms: 0 }).is_empty());
 //! ```
 
+pub mod admission;
 mod answers;
 mod backlog;
 mod capacity;
--- a/crates/jobs/src/relay/messages.rs
+++ b/crates/jobs/src/relay/messages.rs
@@ -10,11 +10,12 @@
 use sandshelf_model::{Epoch, HallId, HostId, Millis, WorkerId};
 use serde::{Deserialize, Serialize};
 
+use crate::admission::LoadView;
 use crate::events::{JobEvent, WorkerCall};
 use crate::reports::{OrderAnswer, RenewalAnswer};
 
 /// The version of these messages. It must be raised with each change of a type in them.
-pub const RELAY_VERSION: u16 = 4;
+pub const RELAY_VERSION: u16 = 5;
 /// The most bytes in one message. 256 reports of 500 runs with 60 bytes each take 8 MB; a worker lists at most 500 runs at once.
 pub const LARGEST_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -128,6 +129,9 @@
     /// The number of waiting jobs of each queue that has any; none if the owner doesn't know them yet, or there are more than
     /// [`MAX_NOTICE_QUEUES`] such queues.
     pub pending: Option<Vec<(String, u64)>>,
+    /// The load of the queues with jobs that end; none if the owner publishes none, or there are more than [`MAX_NOTICE_QUEUES`] such
+    /// queues.
+    pub load: Option<LoadView>,
 }
 
 /// A message between an owner and a relay after the handshake. A batch of orders or answers without entries is a heartbeat.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -6,6 +6,7 @@
 use sandshelf_model::{Epoch, Millis, WorkerId};
 use sandshelf_place::QuarantineTracker;
 
+use crate::admission::LoadMeter;
 use crate::backlog::BacklogMonitor;
 use crate::capacity::EndedJobSizes;
 use crate::crash::CrashTracker;
@@ -138,6 +139,7 @@
     pub(crate) pass_left_tasks: bool,
     pub(crate) last_move: Millis,
     pub(crate) backlog: BacklogMonitor,
+    pub(crate) load_meter: LoadMeter,
     /// The number of start orders that were sent and have no answer yet.
     pub(crate) unanswered_starts: usize,
     pub(crate) last_tick: Millis,
@@ -225,6 +227,7 @@
             pass_left_tasks: false,
             last_move: 0,
             backlog: BacklogMonitor::default(),
+            load_meter: LoadMeter::default(),
             unanswered_starts: 0,
             last_tick: 0,
             sure_until: Millis::MAX,
@@ -356,6 +359,7 @@
             self.move_slowed_tasks(now);
         }
         self.load_history.refresh(now, &self.backlog);
+        self.sample_load(now);
         // Load readings change the capacity that serving tasks leave, and jobs become late, without any event that frees capacity.
         self.room_changed |= now >= self.last_pass + MAX_PASS_INTERVAL_MS;
     }
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -11,6 +11,7 @@
 use sandshelf_model::Millis;
 
 use crate::clock;
+use crate::jobs::admission::AdmissionControl;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters::StoreCall;
 use crate::jobs::news::OwnerNews;
@@ -27,12 +28,14 @@
 /// The timeout of a store call as a percentage of the caller's deadline, which leaves the caller time for a retry.
 const STORE_TIMEOUT_PERCENT: Millis = 40;
 /// After how many milliseconds a caller is asked to retry while the store is out.
-const RETRY_AFTER_MS: Millis = 1_000;
+pub const RETRY_AFTER_MS: Millis = 1_000;
 /// A request may go to the store without a probe this long after the latest successful call, in milliseconds.
 const PROBE_AFTER_MS: Millis = 500;
 /// The timeout of a probe, which a store that works as usual answers in 5 ms. A host whose share of the processor is used up pauses for up
 /// to 90 ms.
 const PROBE_TIMEOUT: CallTimeout = CallTimeout::Idle(Duration::from_millis(250));
+/// The reason in the answer while the store is out.
+const STORE_OUT: &str = "the store is out";
 /// The largest row of a job, in bytes; the store accepts at most 65,536.
 const MAX_JOB_BYTES: usize = 60_000;
 
@@ -66,22 +69,22 @@
         }
     }
 
+    /// The same answer with another wait before a retry.
+    pub fn with_retry(self, retry_after_ms: Millis) -> Self {
+        Self {
+            retry_after_ms: Some(retry_after_ms),
+            ..self
+        }
+    }
+
     /// Creates the answer to a request that may have taken effect; the caller should retry later.
-    fn unknown(reason: &str) -> Self {
+    pub fn unknown(reason: &str) -> Self {
         Self {
             status: Status::GatewayTimeout,
             body: reason.to_owned(),
             retry_after_ms: Some(RETRY_AFTER_MS),
         }
     }
-
-    fn from_fault(fault: StoreFault) -> Self {
-        if fault.may_have_run() {
-            Self::unknown("the store did not answer")
-        } else {
-            Self::not_run("the store is out")
-        }
-    }
 }
 
 /// Handles the calls of one request about jobs.
@@ -92,6 +95,10 @@
     pub health: &'a StoreHealth,
     /// What the owner last told this host.
     pub news: OwnerNews,
+    /// The decisions whether to admit jobs.
+    pub admission: &'a AdmissionControl,
+    /// The time that the caller has left, in milliseconds; none if unknown.
+    pub left_ms: Option<Millis>,
     /// The timeout of each store call.
     pub timeout: CallTimeout,
 }
@@ -123,6 +130,9 @@
             event("job_refused", &[("job", &number), ("cause", &"store_out")]);
             return answer;
         }
+        if let Some(answer) = self.refuse_under_load(number, &spec).await {
+            return answer;
+        }
         match self.put_if(number, 0, job_row(number), value).await {
             Ok(WriteOutcome::Done(version)) => {
                 event(
@@ -148,7 +158,7 @@
                         ("may_have_run", &fault.may_have_run()),
                     ],
                 );
-                JobAnswer::from_fault(fault)
+                self.answer_fault(fault)
             }
         }
     }
@@ -212,16 +222,25 @@
     /// The answer to a request that can't be handled without the store. If the store answers the owner, other hosts can take the request
     /// at once.
     fn without_store(&self) -> JobAnswer {
-        let retry_after_ms = match self.news.store_is_usual(clock::now()) {
-            true => 0,
-            false => RETRY_AFTER_MS,
-        };
-        JobAnswer {
-            retry_after_ms: Some(retry_after_ms),
-            ..JobAnswer::not_run("the store is out")
+        match self.news.store_is_usual(clock::now()) {
+            true => JobAnswer::not_run(STORE_OUT).with_retry(0),
+            false => self.store_out(),
+        }
+    }
+
+    /// The answer to a request that a fault of the store ended.
+    fn answer_fault(&self, fault: StoreFault) -> JobAnswer {
+        match fault.may_have_run() {
+            true => JobAnswer::unknown("the store did not answer"),
+            false => self.store_out(),
         }
     }
 
+    /// The answer to a request that was not carried out since the store is out.
+    fn store_out(&self) -> JobAnswer {
+        JobAnswer::not_run(STORE_OUT).with_retry(self.outage_retry_ms())
+    }
+
     /// Answers with a job's state.
     pub async fn show(&self, queue: &QueueEntry, number: JobNumber) -> JobAnswer {
         if let Some(answer) = self.refuse_while_out() {
@@ -232,7 +251,7 @@
             Ok(None) => JobAnswer::plain(Status::Gone, "no such job"),
             Err(fault) => {
                 event("show_failed", &[("job", &number), ("fault", &fault)]);
-                JobAnswer::not_run("the store is out")
+                self.store_out()
             }
         }
     }
@@ -265,7 +284,7 @@
         Ok(Some(progress.map_or(JobStage::Queued, |row| row.stage)))
     }
 
-    async fn read(
+    pub(super) async fn read(
         &self,
         range: &sandshelf_adapter::RowRange,
     ) -> Result<Vec<StoredValue>, StoreFault> {
@@ -280,7 +299,7 @@
         }
         let rows = match self.read(&job_range(number)).await {
             Ok(rows) => rows,
-            Err(_) => return JobAnswer::not_run("the store is out"),
+            Err(_) => return self.store_out(),
         };
         let job = rows.iter().find(|row| !row.key.ends_with(CANCEL_SUFFIX));
         let Some(job) = job else {
@@ -304,7 +323,7 @@
             Ok(WriteOutcome::Conflict(_)) => JobAnswer::plain(Status::Gone, "no such job"),
             Err(fault) => {
                 event("job_cancel_failed", &[("job", &number), ("fault", &fault)]);
-                JobAnswer::from_fault(fault)
+                self.answer_fault(fault)
             }
         }
     }
@@ -325,7 +344,7 @@
                 let count = counts.counts.get(&queue.name).copied().unwrap_or(0);
                 JobAnswer::plain(Status::Ok, pending_body(count))
             }
-            Err(_) => JobAnswer::not_run("the store is out"),
+            Err(_) => self.store_out(),
         }
     }
 }
--- a/crates/sandshelfd/src/jobs/endpoints.rs
+++ b/crates/sandshelfd/src/jobs/endpoints.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::SteadyInstant;
 use crate::jobs::accept::{store_timeout, JobAnswer, JobService};
+use crate::jobs::admission::AdmissionControl;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters;
 use crate::jobs::news::OwnerNews;
@@ -35,6 +36,8 @@
     pub news: watch::Receiver<OwnerNews>,
     /// The current configuration of queues.
     pub queues: QueueView,
+    /// The decisions whether to admit jobs.
+    pub admission: AdmissionControl,
     /// Whether the daemon is stopping.
     pub stopping: AtomicBool,
     /// The number of open requests of callers.
@@ -109,11 +112,14 @@
     let Some((queue, rest)) = table.find(hostname, path) else {
         return JobAnswer::plain(Status::NotFound, "no such queue");
     };
+    let left_ms = deadline_ms(request);
     let service = JobService {
         store: &shared.store,
         health: &shared.health,
         news: shared.news.borrow().clone(),
-        timeout: store_timeout(deadline_ms(request)),
+        admission: &shared.admission,
+        left_ms,
+        timeout: store_timeout(left_ms),
     };
     if rest.is_empty() {
         return match request.method() {
--- a/crates/sandshelfd/src/jobs/health.rs
+++ b/crates/sandshelfd/src/jobs/health.rs
@@ -108,6 +108,12 @@
         state.failing_since.is_some()
     }
 
+    /// For how long the calls of this host have failed, in milliseconds; 0 if the latest call succeeded.
+    pub fn failing_ms(&self) -> Millis {
+        let since = self.lock().failing_since;
+        since.map_or(0, |since| clock::now().saturating_sub(since))
+    }
+
     /// Whether calls of this host have failed for so long that callers should go to other hosts.
     pub fn is_long_out(&self) -> bool {
         let state = self.lock();
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -7,6 +7,7 @@
 use metrics::{counter, gauge, histogram};
 use rocket::http::{Method, Status};
 use sandshelf_adapter::StoreFault;
+use sandshelf_jobs::admission::{LoadView, RefusalCause, FULL_SHARE_PERMILLE};
 use sandshelf_jobs::relay::{DispatcherStats, RelayFault};
 use sandshelf_jobs::{JobEvent, JobNote, JobStage, OrderAnswer, RenewalAnswer, SchedulerCounts};
 
@@ -51,6 +52,13 @@
 /// The jobs that completed later than their objective, by queue.
 const LATE_JOBS: &str = "sandshelf_jobs_late_total";
 
+/// The submissions that were refused under load, by queue and cause.
+const REFUSED_JOBS: &str = "sandshelf_jobs_refused_total";
+/// The share of new jobs that the owner admits, by queue and size: `usual` or `large`.
+const ADMITTED_SHARE: &str = "sandshelf_admitted_share";
+/// The seconds in which the work left in a queue would be done at the measured rate, by queue.
+const BACKLOG_SECONDS: &str = "sandshelf_backlog_seconds";
+
 /// The relay messages, or answers in them, that were ignored, by fault.
 const RELAY_FAULTS: &str = "sandshelf_relay_faults_total";
 
@@ -225,6 +233,28 @@
     gauge!("sandshelf_filling_tasks_slowed").set(counts.slowed as f64);
 }
 
+/// Counts a submission that was refused under load.
+pub fn record_refused_job(queue: &str, cause: RefusalCause) {
+    counter!(REFUSED_JOBS, "queue" => queue.to_owned(), "cause" => label(&cause)).increment(1);
+}
+
+/// Sets the gauges of the queues' loads.
+pub fn set_queue_gauges(view: &LoadView) {
+    for load in &view.queues {
+        let queue = &load.queue;
+        let (usual, large) = match load.short_of_capacity {
+            true => (load.share_permille, load.large_share_permille),
+            false => (FULL_SHARE_PERMILLE, FULL_SHARE_PERMILLE),
+        };
+        for (size, share) in [("usual", usual), ("large", large)] {
+            let share = f64::from(share) / f64::from(FULL_SHARE_PERMILLE);
+            gauge!(ADMITTED_SHARE, "queue" => queue.clone(), "size" => size).set(share);
+        }
+        let backlog = Duration::from_millis(load.drain_ms()).as_secs_f64();
+        gauge!(BACKLOG_SECONDS, "queue" => queue.clone()).set(backlog);
+    }
+}
+
 /// Sets the gauges of an owner's relays: the hosts that offer to relay, those in use, and the relayed orders without an answer.
 pub fn set_relay_gauges(stats: &DispatcherStats) {
     gauge!("sandshelf_relays_offered").set(stats.offered as f64);
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! Serves job queues on the users' platform: every host accepts jobs, and one host at a time gives orders to workers.
 
 mod accept;
+mod admission;
 mod agent;
 mod calls;
 mod endpoints;
@@ -38,6 +39,7 @@
 use tokio::time::sleep;
 
 use crate::daemon::{launch, quiet_rocket, wait_for_signal, DaemonFailure};
+use crate::jobs::admission::AdmissionControl;
 use crate::jobs::endpoints::{job_routes, metrics_routes, ready_routes, JobShared};
 use crate::jobs::halls::HallView;
 use crate::jobs::health::StoreHealth;
@@ -100,6 +102,7 @@
         health: health.clone(),
         news: news_changes.clone(),
         queues: queues.clone(),
+        admission: AdmissionControl::new(settings.load_policies),
         stopping: AtomicBool::new(false),
         open_requests: Default::default(),
     });
--- a/crates/sandshelfd/src/jobs/news.rs
+++ b/crates/sandshelfd/src/jobs/news.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sandshelf_jobs::admission::{HeardView, LoadView};
 use sandshelf_jobs::relay::OwnerNotice;
 use sandshelf_model::Millis;
 use tokio::sync::watch;
@@ -24,6 +25,9 @@
     operator_version: u64,
     store_took_ms: Millis,
     pending: Option<Arc<[(String, u64)]>>,
+    /// When an owner last told its load or that it publishes none.
+    load_heard_at: Option<Millis>,
+    load: Option<Arc<LoadView>>,
 }
 
 impl OwnerNews {
@@ -34,9 +38,32 @@
             operator_version: notice.operator_version,
             store_took_ms: notice.store_took_ms,
             pending: notice.pending.as_deref().map(Arc::from),
+            load_heard_at: Some(now),
+            load: notice.load.clone().map(Arc::new),
         }
     }
 
+    /// Replaces the load by what this host as owner has measured at `now`.
+    pub fn set_load(&mut self, now: Millis, load: Option<&LoadView>) {
+        self.load_heard_at = Some(now);
+        self.load = load.cloned().map(Arc::new);
+    }
+
+    /// Whether an owner told a moment ago which load it publishes, if any.
+    pub fn load_is_known(&self, now: Millis) -> bool {
+        self.load_heard_at.is_some_and(|at| now < at + FRESH_MS)
+    }
+
+    /// The newest load that an owner told, with its age; none if the newest notice had none.
+    pub fn load(&self, now: Millis) -> Option<HeardView<'_>> {
+        let view = self.load.as_deref()?;
+        Some(HeardView {
+            view,
+            age_ms: now.saturating_sub(self.load_heard_at?),
+            newest_epoch: view.epoch,
+        })
+    }
+
     /// Whether the owner was heard a moment ago.
     pub fn are_fresh(&self, now: Millis) -> bool {
         self.heard_at.is_some_and(|at| now < at + FRESH_MS)
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 
+use sandshelf_jobs::admission::LoadView;
 use sandshelf_jobs::relay::DispatcherStats;
 use sandshelf_jobs::{FillState, JobNote, OverTargetReport, SchedulerCounts};
 use sandshelf_model::{Epoch, HostId};
@@ -312,3 +313,26 @@
         ],
     );
 }
+
+/// Logs the load of each queue whose jobs may be refused, as the owner publishes it.
+pub fn log_queue_loads(view: &LoadView) {
+    for load in view.queues.iter().filter(|load| load.short_of_capacity) {
+        event(
+            "queue_load",
+            &[
+                ("epoch", &view.epoch),
+                ("queue", &load.queue),
+                ("share_permille", &load.share_permille),
+                ("large_share_permille", &load.large_share_permille),
+                ("large_above", &load.large_above),
+                ("waiting_jobs", &load.waiting_jobs),
+                ("begun_jobs", &load.begun_jobs),
+                ("work_left", &load.work_left),
+                ("work_per_s", &load.work_per_s),
+                ("drain_ms", &load.drain_ms()),
+                ("relief_ms", &load.relief_ms),
+                ("took_percent", &load.took_percent),
+            ],
+        );
+    }
+}
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -31,7 +31,7 @@
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters;
 use crate::jobs::news::OwnerNews;
-use crate::jobs::notes::log_load;
+use crate::jobs::notes::{log_load, log_queue_loads};
 use crate::jobs::owner::recover::RunningTakeover;
 use crate::jobs::owner::relaying::{RelayOffers, RelayPool};
 use crate::jobs::owner::strength::HostStrength;
@@ -359,6 +359,10 @@
             log_load(owned.scheduler.epoch(), &counts, &relays);
             meters::set_load_gauges(&counts);
             meters::set_relay_gauges(&relays);
+            if let Some(view) = owned.scheduler.load_view(now) {
+                log_queue_loads(&view);
+                meters::set_queue_gauges(&view);
+            }
         }
     }
 
--- a/crates/sandshelfd/src/jobs/owner/notices.rs
+++ b/crates/sandshelfd/src/jobs/owner/notices.rs
@@ -47,6 +47,13 @@
             return;
         }
         self.next_notice_at = now + NOTICE_INTERVAL_MS;
+        let load = owned.scheduler.load_view(now);
+        let load = load.filter(|load| load.queues.len() <= MAX_NOTICE_QUEUES);
+        // This host accepts jobs too, and doesn't hear its own notices.
+        self.news.send_if_modified(|news| {
+            news.set_load(now, load.as_ref());
+            false
+        });
         owned.relays.tell_all(&RelayMessage::Renewed(OwnerNotice {
             epoch: stored.row.epoch,
             version: stored.version,
@@ -54,6 +61,7 @@
             operator_version: self.queues.newest_change(),
             store_took_ms: now.saturating_sub(sent),
             pending: told_counts(owned.scheduler.pending_counts()),
+            load,
         }));
     }
 }
--- a/crates/sandshelfd/src/jobs/records.rs
+++ b/crates/sandshelfd/src/jobs/records.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use sandshelf_adapter::{RowKey, RowRange};
+use sandshelf_jobs::admission::LoadView;
 use sandshelf_jobs::{JobNumber, WorkerPage};
+use sandshelf_model::Millis;
 use serde::{Deserialize, Serialize};
 
 /// The table of submitted jobs and cancellations.
@@ -35,6 +37,16 @@
 pub struct PendingRow {
     /// The count by queue; a queue without an entry has no waiting jobs.
     pub counts: BTreeMap<String, u64>,
+    /// The load of the queues; none while no job is refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<LoadView>,
+    /// The store's clock when the row was sent, at most, in milliseconds; 0 if unknown.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub sent_store_ms: Millis,
+}
+
+fn is_zero(value: &Millis) -> bool {
+    *value == 0
 }
 
 /// The key of a row of the shard.
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -194,6 +194,7 @@
     let CommitBatch {
         progress,
         pending,
+        load,
         interference,
         forget,
         roster,
@@ -207,6 +208,11 @@
     if let Some(counts) = pending {
         let row = PendingRow {
             counts: counts.clone(),
+            load: load.clone(),
+            sent_store_ms: match load {
+                Some(_) => write.row.sent_store_ms,
+                None => 0,
+            },
         };
         puts.extend(split_rows(PENDING_KEY, &row));
     }
