--- a/crates/emulator/src/bin/sandshelf-emulate.rs
+++ b/crates/emulator/src/bin/sandshelf-emulate.rs
@@ -10,10 +10,12 @@
 use sandshelf_emulator::deployment::Deployment;
 use sandshelf_emulator::report::SimulationReport;
 use sandshelf_emulator::world::EmulatedWorld;
+use sandshelf_model::{LoadPolicies, LoadPolicy};
 
 const USAGE: &str = "\
 sandshelf-emulate [--site auction|code-search|small] [--day NAME] [--seeds FIRST:LAST]
-                  [--seconds] [--measure] [--broken N]
+                  [--policies NAME,...] [--seconds] [--measure] [--broken N]
+  --policies  switches on these decisions under load
   --seconds   prints the owner's stats second by second
   --measure   compares the scheduler's measured time with the cost model
   --broken N  prints the first N violations of rules in full (default 2)";
@@ -23,6 +25,7 @@
     day: String,
     first: u64,
     last: u64,
+    policies: LoadPolicies,
     seconds: bool,
     measure: bool,
     broken: usize,
@@ -37,12 +40,23 @@
     Ok((number(first)?, number(last)?))
 }
 
+fn parse_policies(names: &str) -> Result<LoadPolicies, lexopt::Error> {
+    names
+        .split(',')
+        .try_fold(LoadPolicies::default(), |policies, name| {
+            let unknown = || lexopt::Error::from(format!("{name} is no load policy"));
+            let policy = LoadPolicy::from_name(name).ok_or_else(unknown)?;
+            Ok(policies.with(policy))
+        })
+}
+
 fn parse_arguments() -> Result<Option<EmulateOptions>, lexopt::Error> {
     let mut options = EmulateOptions {
         site: "auction".to_owned(),
         day: "burst".to_owned(),
         first: 1,
         last: 1,
+        policies: LoadPolicies::default(),
         seconds: false,
         measure: false,
         broken: 2,
@@ -55,6 +69,9 @@
             Arg::Long("seeds") => {
                 (options.first, options.last) = parse_seeds(&parser.value()?.string()?)?;
             }
+            Arg::Long("policies") => {
+                options.policies = parse_policies(&parser.value()?.string()?)?;
+            }
             Arg::Long("seconds") => options.seconds = true,
             Arg::Long("measure") => options.measure = true,
             Arg::Long("broken") => options.broken = parser.value()?.parse()?,
@@ -130,7 +147,8 @@
             return ExitCode::from(2);
         }
     };
-    let plan = deployment(&options.site).and_then(|site| day(&options.day, site));
+    let site = deployment(&options.site).map(|site| site.with_policies(options.policies));
+    let plan = site.and_then(|site| day(&options.day, site));
     let Some(plan) = plan else {
         eprintln!("unknown site or day\n{USAGE}");
         return ExitCode::from(2);
@@ -151,6 +169,9 @@
             started_at.elapsed().as_secs_f64()
         );
         println!("{report}");
+        for figures in world.caller_figures() {
+            println!("  {figures}");
+        }
         if options.seconds {
             print_seconds(&report);
         }
--- a/crates/emulator/src/deployment.rs
+++ b/crates/emulator/src/deployment.rs
@@ -1,7 +1,7 @@
 //! The emulated deployments: number and kind of workers and hosts, and the jobs that callers submit.
 
 use sandshelf_jobs::{JobSpec, QueueRules, StepSpec};
-use sandshelf_model::{Millis, ResourceSize};
+use sandshelf_model::{LoadPolicies, Millis, ResourceSize};
 
 use crate::host::{HostFault, HostModel, TransferLimit};
 use crate::oracle::RuleBounds;
@@ -130,6 +130,8 @@
     pub classes: Vec<JobClass>,
     /// The time limits of the rules.
     pub bounds: RuleBounds,
+    /// The decisions under load that all hosts make.
+    pub policies: LoadPolicies,
 }
 
 fn hosts(strong: usize, weak: usize) -> Vec<HostModel> {
@@ -198,6 +200,7 @@
                 },
             ],
             bounds: RuleBounds::LARGE,
+            policies: LoadPolicies::default(),
         }
     }
 
@@ -263,6 +266,11 @@
         self
     }
 
+    /// The same deployment with these decisions under load.
+    pub fn with_policies(self, policies: LoadPolicies) -> Self {
+        Self { policies, ..self }
+    }
+
     /// The same deployment with other hosts.
     pub fn with_hosts(self, hosts: Vec<HostModel>) -> Self {
         Self { hosts, ..self }
--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use sandshelf_jobs::admission::LoadView;
 use sandshelf_jobs::{
     CommitBatch, JobAction, JobEvent, JobScheduler, OwnerTenure, SchedulerCounts, SchedulerLimits,
     TakeoverInfo, WorkerCall, WorkerChanges, WorkerListing,
@@ -148,6 +149,11 @@
         owned.workers = list.len();
     }
 
+    /// The load that this owner publishes; `None` if it publishes none.
+    pub(super) fn load_view(&self, now: Millis) -> Option<LoadView> {
+        self.owned.as_ref()?.scheduler.load_view(now)
+    }
+
     pub(super) fn is_owner(&self) -> bool {
         self.owned.is_some()
     }
@@ -389,6 +395,7 @@
         let limits = SchedulerLimits {
             max_lease_ms: self.control.max_lease_ms,
             keep_finished_ms: KEEP_FINISHED_MS,
+            policies: self.policies,
             ..SchedulerLimits::default()
         };
         let took_ms = at / MS - self.control.claimed_at;
--- a/crates/emulator/src/host/follow.rs
+++ b/crates/emulator/src/host/follow.rs
@@ -5,6 +5,7 @@
 use sandshelf_jobs::{JobEvent, QueueRules};
 use sandshelf_model::Millis;
 
+use super::admission::answer_to_check;
 use super::takeover::job_events;
 use super::{
     CallBody, EmulatedHost, HostAction, HostPause, RequestBody, TransferLimit,
@@ -69,6 +70,10 @@
             StoreCall::FollowJobs(after) => self.handle_jobs(at, after, reply),
             StoreCall::ListWorkers | StoreCall::FollowWorkers(_) => self.handle_workers(at, reply),
             StoreCall::ReadConfig | StoreCall::FollowConfig(_) => self.handle_config(at, reply),
+            StoreCall::CheckJob(request, _, wait_ms) => {
+                self.actions
+                    .push((at, answer_to_check(request, wait_ms, reply)));
+            }
             StoreCall::PutJob(request, ..)
             | StoreCall::PutCancel(request, _)
             | StoreCall::ReadJob(request, _) => {
@@ -187,10 +192,13 @@
     }
 
     /// Forwards a caller's request to the store, or refuses it if the configuration is unknown or the store is failing.
-    pub(super) fn handle_request(&mut self, at: Micros, body: RequestBody) {
+    pub(super) fn handle_request(&mut self, at: Micros, body: RequestBody, left_ms: Millis) {
         let (request, store_call) = match body {
             RequestBody::Submit(request, number, spec) => {
-                (request, StoreCall::PutJob(request, number, spec))
+                let refusal = self.refusal_of(at, number, &spec, left_ms);
+                let put = StoreCall::PutJob(request, number, spec);
+                let check = |wait_ms| StoreCall::CheckJob(request, number, wait_ms);
+                (request, refusal.map_or(put, check))
             }
             RequestBody::Cancel(request, number) => {
                 (request, StoreCall::PutCancel(request, number))
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -3,6 +3,7 @@
 //! It mirrors the daemon's control thread (`crates/sandshelfd/src/jobs`): the work that the thread does between two waits is one
 //! turn here.
 
+mod admission;
 mod calls;
 mod control;
 mod follow;
@@ -13,11 +14,13 @@
 mod writes;
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sandshelf_jobs::admission::LoadView;
 use sandshelf_jobs::{JobEvent, OrderAnswer, WorkerCall};
-use sandshelf_model::Millis;
+use sandshelf_model::{LoadPolicies, Millis};
 
 pub use calls::{CallBody, CallPeer, WorkerOrder};
 use calls::{CallPath, CallTable, OpenCall};
@@ -76,6 +79,9 @@
     listed_at: Micros,
     /// Number of consecutive failed calls to the store.
     store_failures: u32,
+    policies: LoadPolicies,
+    /// The load that the owner told last, and when it was heard.
+    load: Option<(Millis, Arc<LoadView>)>,
     /// Until when its connections to other hosts are silent.
     hosts_silent_until: Micros,
     /// Measures the scheduler's processor time, if switched on.
@@ -86,7 +92,13 @@
 
 impl EmulatedHost {
     /// Creates a host whose process does not run yet.
-    pub fn new(index: usize, seed: u64, model: HostModel, max_lease_ms: Millis) -> Self {
+    pub fn new(
+        index: usize,
+        seed: u64,
+        model: HostModel,
+        max_lease_ms: Millis,
+        policies: LoadPolicies,
+    ) -> Self {
         let name = format!("host-{index}");
         let mut random = ChaCha8Rng::seed_from_u64(crate::catalog::mix(seed, index as u64 + 1));
         Self {
@@ -105,6 +117,8 @@
             jobs_after: 0,
             listed_at: 0,
             store_failures: 0,
+            policies,
+            load: None,
             hosts_silent_until: 0,
             meter: SchedulerMeter::default(),
             actions: Vec::new(),
@@ -123,6 +137,7 @@
         self.calls = CallTable::default();
         self.config = ConfigFollower::default();
         self.store_failures = 0;
+        self.load = None;
         self.hosts_silent_until = 0;
         let random = &mut self.random;
         self.control = OwnerControl::new(
@@ -286,9 +301,9 @@
                 self.resume(at, pause);
                 at
             }
-            WorkItem::Request(body) => {
+            WorkItem::Request(body, left_ms) => {
                 let at = self.spend(now, costs::REQUEST_US);
-                self.handle_request(at, body);
+                self.handle_request(at, body, left_ms);
                 at
             }
             WorkItem::Notice(notice) => {
--- a/crates/emulator/src/host/notices.rs
+++ b/crates/emulator/src/host/notices.rs
@@ -1,5 +1,7 @@
 //! Notices of renewals: the owner tells the other hosts, which then don't read its row.
 
+use std::sync::Arc;
+
 use sandshelf_model::Millis;
 
 use super::{EmulatedHost, HostAction, RenewalNotice};
@@ -11,16 +13,21 @@
 impl EmulatedHost {
     /// Tells the other hosts of a renewal, unless they were told a moment ago.
     pub(super) fn tell_renewal(&mut self, at: Micros) {
-        let (Some(epoch), Some(stored)) = (self.control.epoch(), self.control.lease.row()) else {
+        let (Some(epoch), Some(stored)) = (self.control.epoch(), self.control.lease.row().cloned())
+        else {
             return;
         };
         if at / MS < self.control.next_notice {
             return;
         }
+        let load = self.control.load_view(at / MS).map(Arc::new);
+        // This host accepts jobs too, and doesn't hear its own notices.
+        self.hear_load(at, load.clone());
         let notice = RenewalNotice {
             epoch,
             version: stored.version,
             sequence: stored.row.sequence,
+            load,
         };
         self.control.next_notice = at / MS + NOTICE_INTERVAL_MS;
         self.actions.push((at, HostAction::Tell(notice)));
@@ -33,7 +40,9 @@
             epoch,
             version,
             sequence,
+            ref load,
         } = *notice;
+        self.hear_load(at, load.clone());
         if !self
             .control
             .lease
--- a/crates/emulator/src/host/work.rs
+++ b/crates/emulator/src/host/work.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use sandshelf_jobs::admission::LoadView;
 use sandshelf_jobs::{
     JobEvent, JobNote, JobNumber, JobSpec, OrderAnswer, RenewalAnswer, WorkerCall,
 };
@@ -29,16 +30,16 @@
     Answered(u64, CallAnswer, u64),
     /// A call, given by its number, has timed out.
     GivenUp(u64),
-    /// A caller's request has arrived.
-    Request(RequestBody),
+    /// A caller's request has arrived, with the time that the caller has left, in milliseconds.
+    Request(RequestBody, Millis),
     /// The owner tells of a renewal of its ownership.
     Notice(RenewalNotice),
     /// Nobody listens any more at the address of the owner of this epoch.
     OwnerEnded(u64),
 }
 
-/// What an owner tells the other hosts of a renewal: its epoch, and the version and sequence of its row.
-#[derive(Clone, Copy, Debug)]
+/// What an owner tells the other hosts of a renewal: its epoch, the version and sequence of its row, and the load.
+#[derive(Clone, Debug)]
 pub struct RenewalNotice {
     /// The owner's epoch.
     pub epoch: u64,
@@ -46,6 +47,8 @@
     pub version: u64,
     /// The sequence in the owner's row.
     pub sequence: u64,
+    /// The load of the queues; `None` if the owner publishes none.
+    pub load: Option<Arc<LoadView>>,
 }
 
 /// The operation that a host continues with after a delay.
@@ -98,6 +101,8 @@
     Tick(Micros),
     /// Answers a request, given by its number; `true` if the request was served.
     Respond(usize, bool),
+    /// Refuses a request, given by its number, under load; the caller should retry after this time, in milliseconds.
+    Refuse(usize, Millis),
     /// Has become the owner in an epoch; the second field is the time since its claim, in milliseconds.
     Owned(u64, Millis),
     /// The scheduler emitted a note.
--- a/crates/emulator/src/store/calls.rs
+++ b/crates/emulator/src/store/calls.rs
@@ -61,6 +61,8 @@
     PutCancel(usize, JobNumber),
     /// Reads a job's state for a request, given by its number.
     ReadJob(usize, JobNumber),
+    /// Reads whether a job has a row, for a request, given by its number, that is to be refused with this wait in milliseconds.
+    CheckJob(usize, JobNumber, Millis),
 }
 
 impl StoreCall {
@@ -114,6 +116,8 @@
     WorkerChanges(WorkerChanges, Millis),
     /// The configuration, and the store version to follow it from.
     Config(ConfigRow, RowVersion),
+    /// Whether a job has a row.
+    Known(bool),
     /// Success, for calls whose answer contains no row.
     Done,
     /// The call was refused and had no effect.
--- a/crates/emulator/src/store/mod.rs
+++ b/crates/emulator/src/store/mod.rs
@@ -264,6 +264,10 @@
                 self.put_cancel(*number);
                 (StoreReply::Done, sizes::plain_answer())
             }
+            StoreCall::CheckJob(_, number, _) => (
+                StoreReply::Known(self.has_job(*number)),
+                sizes::plain_answer(),
+            ),
             StoreCall::ReadJob(..) => (StoreReply::Done, sizes::plain_answer() + 900),
         }
     }
@@ -320,6 +324,10 @@
         self.jobs.push((self.version, row, sizes::job_row(spec)));
     }
 
+    fn has_job(&self, number: JobNumber) -> bool {
+        self.numbers.contains_key(&number)
+    }
+
     fn put_cancel(&mut self, number: JobNumber) {
         if self.numbers.insert(number, true) == Some(false) {
             self.version += 1;
--- a/crates/jobs/src/admission/meter.rs
+++ b/crates/jobs/src/admission/meter.rs
@@ -5,6 +5,7 @@
 //! jobs without use.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use sandshelf_model::{Epoch, Millis};
 
@@ -14,8 +15,8 @@
 use crate::due::DueTimes;
 use crate::ids::JobNumber;
 
-/// The shortest time between two samples, in milliseconds.
-const SAMPLE_INTERVAL_MS: Millis = 250;
+/// The usual time between two samples, in milliseconds.
+pub const SAMPLE_INTERVAL_MS: Millis = 250;
 /// How long an owner measures before it publishes a view, in milliseconds.
 const FIRST_MEASUREMENT_MS: Millis = 1_000;
 /// The window over which rates of submitted work are averaged, in milliseconds.
@@ -28,10 +29,9 @@
 const EFFICIENCY_PRIOR_MS: f64 = 1_000.0;
 /// The least number of cores in that assumption.
 const MIN_BUSY_CORES: f64 = 0.001;
-/// The wait that new jobs may have, in percent of the time that a job can wait and still end while it is of use. The rest is the margin
-/// for the time that shares take to have effect: with 75, where all tasks ran twice as long as estimated, one accepted job in six was of
-/// no use, with 65 one in eleven, and with 55 a short overload was refused too much.
-const MAX_WAIT_PERCENT: u64 = 65;
+/// The wait that new jobs may have, in percent of the time that a job can wait and still end while it is of use. With 65, in emulated
+/// overloads a tenth of the accepted jobs were of no use: jobs that are late are started after newer ones. With 40 it was 3 in 100.
+const MAX_WAIT_PERCENT: u64 = 40;
 /// Estimates may be too low by this factor.
 const MAX_ESTIMATE_ERROR: u64 = 2;
 /// How long a queue has to lack capacity before jobs are refused, in milliseconds; until then its rate is not that of full use.
@@ -85,6 +85,10 @@
     priority: u32,
     /// When the queue last had a job.
     used_at: Millis,
+    /// Whether a queue of the same service with higher priority refuses jobs.
+    capped: bool,
+    /// Whether jobs may be refused, as of the last sample.
+    refuses: bool,
     short: bool,
     short_since: Option<Millis>,
     short_until: Millis,
@@ -116,15 +120,15 @@
 pub struct LoadMeter {
     began: Option<Millis>,
     sampled_at: Millis,
-    queues: BTreeMap<String, QueueMeter>,
+    queues: BTreeMap<Arc<str>, QueueMeter>,
     /// The work left in each job at the last sample, with its queue.
-    jobs: BTreeMap<JobNumber, (String, u64)>,
+    jobs: BTreeMap<JobNumber, (Arc<str>, u64)>,
 }
 
 impl LoadMeter {
-    /// Whether the next sample is due.
-    pub fn is_due(&self, now: Millis) -> bool {
-        self.began.is_none() || now >= self.sampled_at + SAMPLE_INTERVAL_MS
+    /// Whether the next sample is due, `interval_ms` after the last one.
+    pub fn is_due(&self, now: Millis, interval_ms: Millis) -> bool {
+        self.began.is_none() || now >= self.sampled_at + interval_ms
     }
 
     /// Takes a sample of the queues and of all jobs that end and are still of use.
@@ -143,16 +147,20 @@
             meter.begin_sample();
         }
         for queue in queues {
-            let meter = self.queues.entry(queue.queue.to_owned());
+            let meter = self.queues.entry(Arc::from(queue.queue));
             meter.or_insert_with(QueueMeter::new).note(now, queue);
         }
         let mut seen = BTreeMap::new();
         for job in jobs {
             let before = self.jobs.remove(&job.number).map(|(_, left)| left);
+            let named = self.queues.get_key_value(job.queue);
+            let Some(name) = named.map(|(name, _)| name.clone()) else {
+                continue;
+            };
             if let Some(meter) = self.queues.get_mut(job.queue) {
                 meter.add_job(&job, before, first);
-                seen.insert(job.number, (job.queue.to_owned(), job.work_left));
             }
+            seen.insert(job.number, (name, job.work_left));
         }
         self.jobs = seen;
         for meter in self.queues.values_mut() {
@@ -189,7 +197,7 @@
         let began = self.began?;
         let measured = now >= began + FIRST_MEASUREMENT_MS;
         let loads = self.queues.iter();
-        let loads = loads.map(|(name, meter)| meter.load(name, now));
+        let loads = loads.map(|(name, meter)| meter.load(name));
         measured.then(|| LoadView {
             epoch,
             queues: loads.collect(),
@@ -201,18 +209,20 @@
         *self = Self::default();
     }
 
-    /// Admits no greater share of a queue than of the queues of the same service with higher priority.
+    /// Admits no greater share of a queue than of the queues of the same service with higher priority, even where the queue itself has
+    /// capacity: its tasks hold what the others need.
     fn respect_priorities(&mut self) {
         let bounds: Vec<(String, u32, f64)> = self
             .queues
             .values()
-            .filter(|meter| meter.refuses(self.sampled_at))
+            .filter(|meter| meter.lacks_capacity(self.sampled_at))
             .map(|meter| (meter.service.clone(), meter.priority, meter.shares.usual))
             .collect();
         for meter in self.queues.values_mut() {
             for (service, priority, share) in &bounds {
                 if *service == meter.service && *priority < meter.priority {
                     meter.shares = meter.shares.at_most(*share);
+                    meter.capped = true;
                 }
             }
         }
@@ -225,6 +235,8 @@
             service: String::new(),
             priority: 0,
             used_at: 0,
+            capped: false,
+            refuses: false,
             short: false,
             short_since: None,
             short_until: 0,
@@ -248,6 +260,7 @@
 
     fn begin_sample(&mut self) {
         self.short = false;
+        self.capped = false;
         self.busy_now = 0.0;
         self.fresh.left = 0.0;
         (self.waiting_jobs, self.begun_jobs) = (0, 0);
@@ -326,7 +339,7 @@
         self.rates.done = self.busy * self.efficiency();
         let wait_ms = self.sizes.mean_wait_ms().unwrap_or(0.0);
         self.rates.left_target = self.rates.done * wait_ms;
-        let forecast = match self.refuses(now) {
+        let forecast = match self.lacks_capacity(now) {
             true => AdmittedShares::forecast(&self.rates),
             false => AdmittedShares::FULL,
         };
@@ -347,20 +360,21 @@
     }
 
     /// Whether the queue has lacked capacity for long enough that jobs may be refused.
-    fn refuses(&self, now: Millis) -> bool {
+    fn lacks_capacity(&self, now: Millis) -> bool {
         let since = self.short_since.filter(|_| self.short);
         since.is_some_and(|since| now >= since + MIN_SHORTAGE_MS)
     }
 
     fn publish(&mut self, now: Millis) {
-        let shares = match self.refuses(now) {
+        self.refuses = self.capped || self.lacks_capacity(now);
+        let shares = match self.refuses {
             true => self.shares,
             false => AdmittedShares::FULL,
         };
         self.published.publish(now, shares);
     }
 
-    fn load(&self, name: &str, now: Millis) -> QueueLoad {
+    fn load(&self, name: &str) -> QueueLoad {
         let permille = |share: f64| (share * f64::from(FULL_SHARE_PERMILLE)).round() as u32;
         let ShareInputs {
             done,
@@ -371,7 +385,7 @@
         let relief = (left - left_target).max(0.0) / done.max(MIN_BUSY_CORES);
         QueueLoad {
             queue: name.to_owned(),
-            short_of_capacity: self.refuses(now),
+            short_of_capacity: self.refuses,
             waiting_jobs: self.waiting_jobs,
             begun_jobs: self.begun_jobs,
             work_left: left as u64,
--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -15,6 +15,6 @@
 pub use gate::{
     AdmissionDecision, AdmissionGate, HeardView, RefusalCause, SubmissionView, MAX_VIEW_AGE_MS,
 };
-pub use meter::{JobSample, LoadMeter, QueueSample};
+pub use meter::{JobSample, LoadMeter, QueueSample, SAMPLE_INTERVAL_MS};
 pub use retry::{retry_in_outage, retry_under_load, OutageView};
 pub use view::{LoadView, QueueLoad, FULL_SHARE_PERMILLE};
--- a/crates/jobs/src/admission/observe.rs
+++ b/crates/jobs/src/admission/observe.rs
@@ -5,7 +5,7 @@
 use sandshelf_model::Millis;
 
 use crate::admission::gate::{job_work, task_work, work_cpu_millis};
-use crate::admission::meter::{JobSample, QueueSample};
+use crate::admission::meter::{JobSample, QueueSample, SAMPLE_INTERVAL_MS};
 use crate::admission::view::LoadView;
 use crate::due::CompletionValue;
 use crate::ids::JobNumber;
@@ -16,6 +16,8 @@
 
 /// A task that has waited for this long lacks capacity, in milliseconds; where there is capacity, tasks start with the next pass.
 const SHORTAGE_WAIT_MS: Millis = 200;
+/// The longest time between two samples of an owner that is behind its work, in milliseconds.
+const MAX_SAMPLE_INTERVAL_MS: Millis = 500;
 /// Filling tasks lack processors if together they are ordered to work at less than this part of their full pace, in percent.
 const SLOWED_BELOW_PERCENT: u64 = 90;
 
@@ -44,7 +46,9 @@
 
     /// Samples the load of all queues when that is due.
     pub(crate) fn sample_load(&mut self, now: Millis) {
-        if !self.limits.policies.admission || !self.load_meter.is_due(now) {
+        let interval_ms = self.backlog.stretched_pause_ms(SAMPLE_INTERVAL_MS);
+        let interval_ms = interval_ms.min(MAX_SAMPLE_INTERVAL_MS);
+        if !self.limits.policies.admission || !self.load_meter.is_due(now, interval_ms) {
             return;
         }
         // An owner that starts nothing measures no rate of work.
--- a/crates/jobs/src/admission/share.rs
+++ b/crates/jobs/src/admission/share.rs
@@ -10,8 +10,8 @@
 /// The least share of new jobs, so that no queue starves.
 const MIN_SHARE: f64 = 0.05;
 /// The least share of large jobs relative to that of the others. Large jobs must be served at least half as often as the whole queue,
-/// of which they are a tenth: 0.53 / 0.953 = 0.56 of the whole, with a margin for misjudged sizes.
-const LARGE_RATIO: f64 = 0.53;
+/// of which they are a tenth: 0.51 / 0.951 = 0.54 of the whole, with a margin for misjudged sizes.
+const LARGE_RATIO: f64 = 0.51;
 /// By how much a share rises at most in a second.
 const RISE_PER_S: f64 = 0.25;
 /// How long a published share may be in force at some host, in milliseconds.
--- a/crates/jobs/src/admission/view.rs
+++ b/crates/jobs/src/admission/view.rs
@@ -20,7 +20,7 @@
 pub struct QueueLoad {
     /// The name of the queue.
     pub queue: String,
-    /// Whether tasks of the queue lack capacity. If not, all of its jobs are admitted.
+    /// Whether tasks of the queue, or of one with higher priority on the same workers, lack capacity. If not, all jobs are admitted.
     pub short_of_capacity: bool,
     /// The number of jobs of which nothing has run.
     pub waiting_jobs: u32,
