--- a/crates/emulator/src/world/caller_figures.rs
+++ b/crates/emulator/src/world/caller_figures.rs
@@ -20,6 +20,8 @@
     pub prompt: usize,
     /// The jobs that were completed while they were of use.
     pub in_time: usize,
+    /// The jobs that were completed although no caller was told that they were accepted.
+    pub unaccepted: usize,
 }
 
 impl fmt::Display for ClassFigures {
@@ -30,6 +32,7 @@
             accepted,
             prompt,
             in_time,
+            ..
         } = self;
         write!(
             formatter,
@@ -54,6 +57,10 @@
                 accepted: outcomes.iter().filter(|(accepted, _)| *accepted).count(),
                 prompt: within(100),
                 in_time: within(USEFUL_PERCENT),
+                unaccepted: outcomes
+                    .iter()
+                    .filter(|(accepted, took)| !accepted && took.is_some())
+                    .count(),
             }
         });
         figures.collect()
--- a/crates/emulator/tests/admission.rs
+++ b/crates/emulator/tests/admission.rs
@@ -46,6 +46,8 @@
     assert!(report.broken.is_empty(), "{report}");
     for (with, without) in with.iter().zip(&without) {
         println!("with    {with}\nwithout {without}");
+        // A refused job must never run, and a caller whose answer was lost must learn at a retry that its job was accepted.
+        assert_eq!(with.unaccepted, 0, "{with}");
         let share = |figures: &ClassFigures| figures.in_time as f64 / figures.submitted as f64;
         assert!(share(with) > share(without), "{with} {without}");
         assert!(with.in_time * 10 >= with.accepted * 8, "{with}");
