--- a/crates/emulator/src/bin/sandshelf-emulate.rs
+++ b/crates/emulator/src/bin/sandshelf-emulate.rs
@@ -13,9 +13,10 @@
 use sandshelf_model::{LoadPolicies, LoadPolicy};
 
 const USAGE: &str = "\
-sandshelf-emulate [--site auction|code-search|small] [--day NAME] [--seeds FIRST:LAST]
-                  [--policies NAME,...] [--seconds] [--measure] [--broken N]
-  --policies  switches on these decisions under load
+sandshelf-emulate [--site auction|code-search|small|camp|match] [--day NAME] [--seeds FIRST:LAST]
+                  [--policies NAME,...|all|none] [--seconds] [--measure] [--broken N]
+  --policies  the decisions under load that are switched on (default none): admission, copies,
+              stuck_runs, fair_order, reservations, preemption
   --seconds   prints the owner's stats second by second
   --measure   compares the scheduler's measured time with the cost model
   --broken N  prints the first N violations of rules in full (default 2)";
@@ -40,13 +41,17 @@
     Ok((number(first)?, number(last)?))
 }
 
-fn parse_policies(names: &str) -> Result<LoadPolicies, lexopt::Error> {
-    names
-        .split(',')
+fn parse_policies(text: &str) -> Result<LoadPolicies, lexopt::Error> {
+    match text {
+        "all" => return Ok(LoadPolicies::all()),
+        "none" => return Ok(LoadPolicies::default()),
+        _ => {}
+    }
+    text.split(',')
         .try_fold(LoadPolicies::default(), |policies, name| {
-            let unknown = || lexopt::Error::from(format!("{name} is no load policy"));
-            let policy = LoadPolicy::from_name(name).ok_or_else(unknown)?;
-            Ok(policies.with(policy))
+            let policy = LoadPolicy::from_name(name);
+            let unknown = || lexopt::Error::from(format!("no policy is called {name}"));
+            Ok(policies.with(policy.ok_or_else(unknown)?))
         })
 }
 
@@ -82,15 +87,6 @@
     Ok(Some(options))
 }
 
-fn deployment(site: &str) -> Option<Deployment> {
-    match site {
-        "auction" => Some(Deployment::auction()),
-        "code-search" => Some(Deployment::code_search()),
-        "small" => Some(Deployment::small()),
-        _ => None,
-    }
-}
-
 fn print_seconds(report: &SimulationReport) {
     println!(
         "second host epoch  cpu  kbit wait_ms  jobs waiting  runs open serving over filling slowed"
@@ -147,7 +143,8 @@
             return ExitCode::from(2);
         }
     };
-    let site = deployment(&options.site).map(|site| site.with_policies(options.policies));
+    let site = Deployment::from_name(&options.site);
+    let site = site.map(|site| site.with_policies(options.policies));
     let plan = site.and_then(|site| day(&options.day, site));
     let Some(plan) = plan else {
         eprintln!("unknown site or day\n{USAGE}");
@@ -169,9 +166,6 @@
             started_at.elapsed().as_secs_f64()
         );
         println!("{report}");
-        for figures in world.caller_figures() {
-            println!("  {figures}");
-        }
         if options.seconds {
             print_seconds(&report);
         }
--- a/crates/emulator/src/host/admission.rs
+++ b/crates/emulator/src/host/admission.rs
@@ -8,7 +8,7 @@
 use sandshelf_jobs::{JobNumber, JobSpec};
 use sandshelf_model::Millis;
 
-use super::{EmulatedHost, HostAction};
+use super::{EmulatedHost, HostAction, RequestAnswer};
 use crate::queue::{Micros, MS};
 use crate::store::StoreReply;
 
@@ -26,7 +26,7 @@
         spec: &JobSpec,
         left_ms: Millis,
     ) -> Option<Millis> {
-        if !self.policies.admission {
+        if !self.control.limits.policies.admission {
             return None;
         }
         let (heard_at, view) = self.load.as_ref()?;
@@ -49,9 +49,10 @@
     wait_ms: Millis,
     reply: Option<StoreReply>,
 ) -> HostAction {
-    match reply {
-        Some(StoreReply::Known(false)) => HostAction::Refuse(request, wait_ms),
-        Some(_) => HostAction::Respond(request, true),
-        None => HostAction::Respond(request, false),
-    }
+    let answer = match reply {
+        Some(StoreReply::Known(false)) => RequestAnswer::Refused(wait_ms),
+        Some(_) => RequestAnswer::Served,
+        None => RequestAnswer::Unknown,
+    };
+    HostAction::Respond(request, answer)
 }
--- a/crates/emulator/src/host/follow.rs
+++ b/crates/emulator/src/host/follow.rs
@@ -8,7 +8,7 @@
 use super::admission::answer_to_check;
 use super::takeover::job_events;
 use super::{
-    CallBody, EmulatedHost, HostAction, HostPause, RequestBody, TransferLimit,
+    CallBody, EmulatedHost, HostAction, HostPause, RequestAnswer, RequestBody, TransferLimit,
     REFUSE_AFTER_FAILURES,
 };
 use crate::queue::{Micros, MS};
@@ -23,6 +23,8 @@
 const FOLLOW_RETRY_DELAY: Micros = 100 * MS;
 const LIST_INTERVAL: Micros = 700 * MS;
 const REQUEST_TIMEOUT_MS: Millis = 1_200;
+/// When a caller retries that was refused for another reason than load, in milliseconds.
+const RETRY_AFTER_MS: Millis = 250;
 
 /// The host's copy of the configuration.
 #[derive(Debug, Default)]
@@ -59,6 +61,7 @@
         at: Micros,
         store_call: StoreCall,
         reply: Option<StoreReply>,
+        rejected: bool,
     ) {
         match store_call {
             StoreCall::ReadOwner => self.handle_owner_row(at, reply),
@@ -77,8 +80,13 @@
             StoreCall::PutJob(request, ..)
             | StoreCall::PutCancel(request, _)
             | StoreCall::ReadJob(request, _) => {
-                let action = HostAction::Respond(request, reply.is_some());
-                self.actions.push((at, action));
+                let answer = match reply {
+                    Some(_) => RequestAnswer::Served,
+                    None if rejected => RequestAnswer::Refused(RETRY_AFTER_MS),
+                    None => RequestAnswer::Unknown,
+                };
+                self.actions
+                    .push((at, HostAction::Respond(request, answer)));
             }
         }
     }
@@ -207,7 +215,8 @@
         };
         let known = self.config.in_force().is_some();
         if !known || self.store_failures >= REFUSE_AFTER_FAILURES {
-            self.actions.push((at, HostAction::Respond(request, false)));
+            let refused = HostAction::Respond(request, RequestAnswer::Refused(RETRY_AFTER_MS));
+            self.actions.push((at, refused));
             return;
         }
         self.call_store(at, store_call, REQUEST_TIMEOUT_MS);
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -19,8 +19,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::admission::LoadView;
-use sandshelf_jobs::{JobEvent, OrderAnswer, WorkerCall};
-use sandshelf_model::{LoadPolicies, Millis};
+use sandshelf_jobs::{JobEvent, OrderAnswer, SchedulerLimits, WorkerCall};
+use sandshelf_model::Millis;
 
 pub use calls::{CallBody, CallPeer, WorkerOrder};
 use calls::{CallPath, CallTable, OpenCall};
@@ -29,7 +29,8 @@
 use follow::ConfigFollower;
 pub use model::{HostFault, HostModel, HostStrength, TransferLimit};
 pub use work::{
-    answer_event, CallAnswer, HostAction, HostPause, RenewalNotice, RequestBody, WorkItem,
+    answer_event, CallAnswer, HostAction, HostPause, RenewalNotice, RequestAnswer, RequestBody,
+    WorkItem,
 };
 
 use crate::capacity::{LinkModel, ProcessorModel};
@@ -79,7 +80,6 @@
     listed_at: Micros,
     /// Number of consecutive failed calls to the store.
     store_failures: u32,
-    policies: LoadPolicies,
     /// The load that the owner told last, and when it was heard.
     load: Option<(Millis, Arc<LoadView>)>,
     /// Until when its connections to other hosts are silent.
@@ -92,17 +92,11 @@
 
 impl EmulatedHost {
     /// Creates a host whose process does not run yet.
-    pub fn new(
-        index: usize,
-        seed: u64,
-        model: HostModel,
-        max_lease_ms: Millis,
-        policies: LoadPolicies,
-    ) -> Self {
+    pub fn new(index: usize, seed: u64, model: HostModel, limits: SchedulerLimits) -> Self {
         let name = format!("host-{index}");
         let mut random = ChaCha8Rng::seed_from_u64(crate::catalog::mix(seed, index as u64 + 1));
         Self {
-            control: OwnerControl::new(&name, 0, &model, max_lease_ms, &mut random),
+            control: OwnerControl::new(&name, 0, &model, limits, &mut random),
             processor: ProcessorModel::new(model.processor_millis),
             uplink: LinkModel::new(model.link_kbit_per_s),
             downlink: LinkModel::new(model.link_kbit_per_s),
@@ -117,7 +111,6 @@
             jobs_after: 0,
             listed_at: 0,
             store_failures: 0,
-            policies,
             load: None,
             hosts_silent_until: 0,
             meter: SchedulerMeter::default(),
@@ -127,7 +120,7 @@
     }
 
     /// Starts its process.
-    pub fn launch(&mut self, now: Micros, max_lease_ms: Millis) {
+    pub fn launch(&mut self, now: Micros, limits: SchedulerLimits) {
         self.incarnation += 1;
         self.up = true;
         self.processor.reset(now);
@@ -140,13 +133,7 @@
         self.load = None;
         self.hosts_silent_until = 0;
         let random = &mut self.random;
-        self.control = OwnerControl::new(
-            &self.name,
-            self.incarnation,
-            &self.model,
-            max_lease_ms,
-            random,
-        );
+        self.control = OwnerControl::new(&self.name, self.incarnation, &self.model, limits, random);
     }
 
     /// Ends its process without notice to anyone.
@@ -373,6 +360,7 @@
                 events.push((order.epoch, event));
             }
             CallBody::Store(store_call) => {
+                let rejected = matches!(answer, Some(CallAnswer::Store(StoreReply::Rejected)));
                 let reply = match answer {
                     Some(CallAnswer::Store(StoreReply::Rejected)) | None => None,
                     Some(CallAnswer::Store(reply)) => Some(reply),
@@ -383,7 +371,7 @@
                 } else {
                     self.store_failures + 1
                 };
-                self.handle_reply(at, store_call, reply);
+                self.handle_reply(at, store_call, reply, rejected);
             }
         }
     }
--- a/crates/emulator/src/worker/run.rs
+++ b/crates/emulator/src/worker/run.rs
@@ -3,7 +3,8 @@
 use sandshelf_jobs::RunOutcome;
 use sandshelf_model::Millis;
 
-use crate::catalog::TaskFacts;
+use super::RunProgress;
+use crate::catalog::{TaskFacts, STANDING_START_MS};
 use crate::queue::{Micros, MS};
 
 /// Work between two checkpoints, in milliseconds at full pace.
@@ -17,6 +18,8 @@
     pub(super) began: Micros,
     /// Remaining work, in microseconds at full pace.
     pub(super) left: u64,
+    /// Time that it still needs to resume from its checkpoint, in microseconds.
+    pub(super) restoring: Micros,
     /// Work after which this run fails, in microseconds at full pace, counted from its start; `None` if it does not fail.
     pub(super) fails_at: Option<u64>,
     /// Work done since its start, in microseconds at full pace.
@@ -31,12 +34,22 @@
 
 impl LiveRun {
     /// Does the work of a time span.
-    pub(super) fn work(&mut self, passed: Micros) {
-        let worked = passed * self.speed / 1_000;
+    pub(super) fn work(&mut self, passed: Micros, progress: RunProgress) {
+        let Some(slowness) = progress.slowness() else {
+            return;
+        };
+        let restored = passed.min(self.restoring);
+        self.restoring -= restored;
+        let worked = (passed - restored) * self.speed / (1_000 * slowness * self.facts.slowness);
         self.done += worked;
         self.left = self.left.saturating_sub(worked);
     }
 
+    /// Whether it has started up and progresses, where it is a standing task.
+    pub(super) fn is_at_work(&self, now: Micros, progress: RunProgress) -> bool {
+        progress != RunProgress::None && now >= self.began + STANDING_START_MS * MS
+    }
+
     /// Remaining work until it is done or fails; `None` for a standing task that does not fail.
     pub(super) fn until_end(&self) -> Option<u64> {
         let fails = self.fails_at.map(|at| at.saturating_sub(self.done));
@@ -56,10 +69,14 @@
     }
 
     /// The time at which it ends if its speed stays the same; `None` if it does not end.
-    pub(super) fn ends_at(&self, now: Micros) -> Option<Micros> {
-        let work = self.until_end().filter(|_| self.speed > 0);
+    pub(super) fn ends_at(&self, now: Micros, progress: RunProgress) -> Option<Micros> {
+        let slowness = progress.slowness().filter(|_| self.speed > 0);
+        let work = self.until_end().zip(slowness);
         // The additional microsecond rounds the division up.
-        let over = work.map(|left| now + left * 1_000 / self.speed.max(1) + 1);
+        let over = work.map(|(left, slowness)| {
+            let slowness = 1_000 * slowness * self.facts.slowness;
+            now + self.restoring + left * slowness / self.speed.max(1) + 1
+        });
         over.into_iter().chain(self.stops_at).min()
     }
 
--- a/crates/emulator/src/world/callers.rs
+++ b/crates/emulator/src/world/callers.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 
 use rand::RngExt;
-use sandshelf_jobs::{JobNote, JobNumber, JobStage};
+use sandshelf_jobs::{JobNumber, JobStage};
 use sandshelf_model::Millis;
 
 use super::{EmulatedWorld, WorldEvent};
 use crate::catalog::mix;
 use crate::deployment::TaskKind;
-use crate::host::{RequestBody, WorkItem};
+use crate::host::{RequestAnswer, RequestBody, WorkItem};
+use crate::outcomes::SubmissionEnd;
 use crate::queue::{Micros, MS};
 use crate::sizes;
 use crate::store::{StoreCall, StoreReply};
@@ -20,7 +21,7 @@
 const RETRY_BUDGET_US: Micros = 3_000 * MS;
 /// How long a caller waits for an answer before it asks another host.
 const TRY_TIMEOUT_US: Micros = 1_300 * MS;
-/// The pause before a retry where a host refused the request or no host was ready.
+/// The pause before a retry where the outcome is unknown or no host was ready.
 const RETRY_PAUSE_US: Micros = 250 * MS;
 /// How many times a caller asks for the state of a job.
 const STATE_QUERIES: u32 = 3;
@@ -31,6 +32,17 @@
 /// When the caller of a serving job cancels it, in milliseconds after the job was accepted.
 const SERVING_CANCEL_AFTER_MS: std::ops::Range<Millis> = 25_000..140_000;
 
+/// A time span in which a class has more or less traffic than usual.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TrafficBurst {
+    /// The index of the class.
+    pub(super) class: usize,
+    /// Its rate in percent of the usual one.
+    pub(super) percent: u32,
+    /// When it ends.
+    pub(super) until: Micros,
+}
+
 /// One request of a caller.
 #[derive(Clone, Debug)]
 struct CallerRequest {
@@ -39,17 +51,26 @@
     sent: Micros,
     tries: u32,
     answered: bool,
+    /// How many of the tries were refused.
+    refusals: u32,
 }
 
 /// A job that a caller has submitted.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SubmittedJob {
     pub(super) number: JobNumber,
-    class: usize,
+    pub(super) class: usize,
+    /// When its caller first tried to submit it.
+    pub(super) submitted: Micros,
     /// Its index among the requests that the host oracle expects to be served.
     request: usize,
-    accepted: bool,
-    cancelled: bool,
+    /// The number of its submission among the callers' requests.
+    submission: usize,
+    pub(super) accepted: bool,
+    /// When it was first shown as completed.
+    pub(super) completed_at: Option<Micros>,
+    /// When its cancellation was acknowledged.
+    pub(super) cancelled_at: Option<Micros>,
 }
 
 /// The requests and jobs of all callers.
@@ -57,31 +78,19 @@
 pub(super) struct CallerState {
     requests: Vec<CallerRequest>,
     pub(super) jobs: Vec<SubmittedJob>,
-    /// How long completed jobs took, in percent of their objective.
-    took_percent: HashMap<JobNumber, u64>,
+    /// The index of each job by its number.
+    indices: HashMap<JobNumber, usize>,
 }
 
 impl CallerState {
-    /// Takes in the end of a job.
-    pub(super) fn note(&mut self, note: &JobNote) {
-        if let JobNote::JobFinished {
-            job,
-            state: JobStage::Completed,
-            took_ms,
-            objective_ms,
-            ..
-        } = note
-        {
-            let percent = took_ms * 100 / (*objective_ms).max(1);
-            self.took_percent.entry(*job).or_insert(percent);
-        }
+    fn add_job(&mut self, job: SubmittedJob) {
+        self.indices.insert(job.number, self.jobs.len());
+        self.jobs.push(job);
     }
 
-    /// The jobs of a class that are not cancelled: whether each is accepted, and how long it took, in percent of its objective.
-    pub(super) fn outcomes(&self, class: usize) -> impl Iterator<Item = (bool, Option<u64>)> + '_ {
-        let jobs = self.jobs.iter();
-        let jobs = jobs.filter(move |job| job.class == class && !job.cancelled);
-        jobs.map(|job| (job.accepted, self.took_percent.get(&job.number).copied()))
+    fn job_mut(&mut self, number: JobNumber) -> Option<&mut SubmittedJob> {
+        let index = self.indices.get(&number)?;
+        self.jobs.get_mut(*index)
     }
 }
 
@@ -93,9 +102,11 @@
         }
         self.submit_job(class);
         let mut per_s = self.deployment.classes[class].per_s;
-        let (burst, percent, until) = self.burst;
-        if burst == class && self.now < until {
-            per_s *= f64::from(percent) / 100.0;
+        // Where several bursts of a class overlap, the newest counts.
+        let mut bursts = self.bursts.iter().rev();
+        let burst = bursts.find(|burst| burst.class == class && self.now < burst.until);
+        if let Some(burst) = burst {
+            per_s *= f64::from(burst.percent) / 100.0;
         }
         let drawn: f64 = self.random.random();
         let pause = -(1.0 - drawn).ln() / per_s * 1e6;
@@ -110,15 +121,18 @@
         let number = JobNumber(mix(0x7061, self.callers.jobs.len() as u64));
         let spec = job.spec.clone();
         self.catalog.add(number, job);
+        let request = self.callers.requests.len();
         let submitted = SubmittedJob {
             number,
             class,
+            submitted: self.now,
             request: self.host_oracle.requested(self.now / MS),
+            submission: request,
             accepted: false,
-            cancelled: false,
+            completed_at: None,
+            cancelled_at: None,
         };
-        self.callers.jobs.push(submitted);
-        let request = self.callers.requests.len();
+        self.callers.add_job(submitted);
         self.begin_request(RequestBody::Submit(request, number, spec), self.now);
     }
 
@@ -128,6 +142,7 @@
             sent: at,
             tries: 0,
             answered: false,
+            refusals: 0,
         });
         self.queue.push(at, WorldEvent::SendRequest(body, 1));
     }
@@ -168,23 +183,21 @@
             .push(self.now, WorldEvent::SendRequest(body, tries));
     }
 
-    /// Handles a refusal under load: the caller retries when the host said.
-    pub(super) fn handle_refusal(&mut self, request: usize, wait_ms: Millis) {
-        if !self.callers.requests[request].answered {
-            self.queue
-                .push(self.now + wait_ms * MS, WorldEvent::RetryRequest(request));
-        }
-    }
-
-    /// Handles a host's answer to a request; `served` is false where the host refused it.
-    pub(super) fn handle_response(&mut self, request: usize, served: bool) {
+    /// Handles a host's answer to a request.
+    pub(super) fn handle_response(&mut self, request: usize, answer: RequestAnswer) {
         let known = &mut self.callers.requests[request];
         if known.answered {
             return;
         }
-        if !served {
+        let pause = match answer {
+            RequestAnswer::Served => None,
+            RequestAnswer::Refused(retry_after_ms) => Some(retry_after_ms * MS),
+            RequestAnswer::Unknown => Some(RETRY_PAUSE_US),
+        };
+        known.refusals += u32::from(matches!(answer, RequestAnswer::Refused(_)));
+        if let Some(pause) = pause {
             self.queue
-                .push(self.now + RETRY_PAUSE_US, WorldEvent::RetryRequest(request));
+                .push(self.now + pause, WorldEvent::RetryRequest(request));
             return;
         }
         known.answered = true;
@@ -195,13 +208,7 @@
 
     /// Schedules the state queries of an accepted job, and its cancellation where there is to be one.
     fn handle_accepted(&mut self, number: JobNumber) {
-        let Some(job) = self
-            .callers
-            .jobs
-            .iter_mut()
-            .rev()
-            .find(|job| job.number == number)
-        else {
+        let Some(job) = self.callers.job_mut(number) else {
             return;
         };
         job.accepted = true;
@@ -234,14 +241,17 @@
             }
             (StoreCall::PutCancel(_, number), _) => {
                 self.oracle.cancelled(now, *number);
-                let jobs = self.callers.jobs.iter_mut();
-                for job in jobs.filter(|job| job.number == *number) {
-                    job.cancelled = true;
+                if let Some(job) = self.callers.job_mut(*number) {
+                    job.cancelled_at.get_or_insert(self.now);
                 }
             }
             (StoreCall::Write(write), StoreReply::Written(_)) => {
                 for (number, row) in &write.batch.progress {
                     self.oracle.shown(now, *number, row.stage);
+                    let job = self.callers.job_mut(*number);
+                    if let (JobStage::Completed, Some(job)) = (row.stage, job) {
+                        job.completed_at.get_or_insert(self.now);
+                    }
                 }
             }
             _ => {}
@@ -256,7 +266,7 @@
                 self.deployment.classes[job.class].kind,
                 TaskKind::Serving(_)
             );
-            if !serves || !job.accepted || job.cancelled {
+            if !serves || !job.accepted || job.cancelled_at.is_some() {
                 continue;
             }
             let request = self.host_oracle.requested(self.now / MS);
@@ -267,6 +277,18 @@
         }
     }
 
+    /// How the submission of a job ended.
+    pub(super) fn submission_end(&self, job: &SubmittedJob) -> SubmissionEnd {
+        let request = &self.callers.requests[job.submission];
+        if job.accepted {
+            SubmissionEnd::Accepted
+        } else if request.tries > 0 && request.refusals == request.tries {
+            SubmissionEnd::Refused
+        } else {
+            SubmissionEnd::NotAccepted
+        }
+    }
+
     /// Counts, at the end, the submissions of jobs that were completed, failed or cancelled, or that serve, as served.
     pub(super) fn count_served(&mut self) {
         for job in &self.callers.jobs {
@@ -279,7 +301,7 @@
                 TaskKind::Serving(_)
             );
             let begun = stage.is_some_and(|stage| stage != JobStage::Queued);
-            if completed || failed || job.cancelled || serves && begun {
+            if completed || failed || job.cancelled_at.is_some() || serves && begun {
                 self.host_oracle.served(job.request);
             }
         }
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -1,11 +1,11 @@
 //! The emulated platform: hosts, workers, store, callers and the operator, driven by one queue of timed events.
 
-mod caller_figures;
 mod callers;
 mod cuts;
 mod day_events;
 mod fleet;
 mod monitor;
+mod outcomes;
 mod transport;
 
 use rand::{RngExt, SeedableRng};
@@ -20,8 +20,8 @@
 use crate::oracle::{HostOracle, PlatformOracle};
 use crate::queue::{EventQueue, Micros, MS};
 use crate::store::{EmulatedStore, StoreCall};
-pub use caller_figures::ClassFigures;
-use callers::CallerState;
+use crate::worker::RunProgress;
+use callers::{CallerState, TrafficBurst};
 use cuts::HallMap;
 use fleet::{PlaceIncarnation, WorkerFleet};
 use monitor::SimulationMonitor;
@@ -72,6 +72,8 @@
     WorkerLeaves(PlaceIncarnation),
     /// A worker that hung answers again.
     WorkerRecovers(PlaceIncarnation),
+    /// The runs on a worker progress differently from now on.
+    RunsProgress(PlaceIncarnation, RunProgress),
     /// A host's process starts.
     HostStarts(usize),
     /// The next job of a class is submitted.
@@ -112,8 +114,10 @@
     halls: HallMap,
     /// Until when orders may be delayed, and how many of a thousand are.
     late_orders: (Micros, u32),
-    /// The class with a burst of traffic, the burst's rate in percent of the usual one, and when it ends.
-    burst: (usize, u32, Micros),
+    /// The bursts of traffic so far.
+    bursts: Vec<TrafficBurst>,
+    /// The workers on which runs are hindered; empty before the first such event.
+    hindered: Vec<usize>,
     /// Checks what workers and callers observe.
     pub oracle: PlatformOracle,
     /// Checks what operators and callers observe of hosts.
@@ -129,11 +133,9 @@
             events,
         } = day;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let limits = deployment.scheduler_limits();
         let hosts = deployment.hosts.iter().enumerate();
-        let hosts = hosts.map(|(index, model)| {
-            let (max_lease_ms, policies) = (deployment.max_lease_ms, deployment.policies);
-            EmulatedHost::new(index, seed, *model, max_lease_ms, policies)
-        });
+        let hosts = hosts.map(|(index, model)| EmulatedHost::new(index, seed, *model, limits));
         let images = |index: usize| {
             deployment
                 .classes
@@ -157,7 +159,8 @@
             monitor: SimulationMonitor::new(&deployment),
             halls: HallMap::new(deployment.workers),
             late_orders: (0, 0),
-            burst: (0, 100, 0),
+            bursts: Vec::new(),
+            hindered: Vec::new(),
             oracle: PlatformOracle::with_bounds(deployment.bounds),
             host_oracle: HostOracle::new(deployment.bounds),
             random,
@@ -200,6 +203,7 @@
     pub fn run(&mut self) {
         while let Some((at, event)) = self.queue.pop_until(self.ends_at) {
             self.now = at;
+            self.oracle.set_time(at / MS);
             self.handle_event(event);
         }
         self.now = self.ends_at;
@@ -233,6 +237,9 @@
             WorldEvent::WorkerRestarts(place) => self.restart_worker(place),
             WorldEvent::WorkerLeaves(incarnation) => self.worker_leaves(incarnation),
             WorldEvent::WorkerRecovers(incarnation) => self.fleet.set_hangs(incarnation, false),
+            WorldEvent::RunsProgress(incarnation, progress) => {
+                self.set_run_progress(incarnation, progress)
+            }
             WorldEvent::HostStarts(host) => self.start_host(host),
             WorldEvent::NextJob(class) => self.next_job(class),
             WorldEvent::InitialJob(class) => self.submit_job(class),
@@ -302,16 +309,12 @@
             HostAction::Tell(notice) => {
                 self.tell_hosts(incarnation, || WorkItem::Notice(notice.clone()))
             }
-            HostAction::Respond(request, served) => self.handle_response(request, served),
-            HostAction::Refuse(request, wait_ms) => self.handle_refusal(request, wait_ms),
+            HostAction::Respond(request, answer) => self.handle_response(request, answer),
             HostAction::Owned(epoch, took_ms) => {
                 self.monitor
                     .record_takeover(self.now, incarnation.host, epoch, took_ms);
             }
-            HostAction::Noted(note) => {
-                self.callers.note(&note);
-                self.monitor.note(&note);
-            }
+            HostAction::Noted(note) => self.monitor.note(&note),
         }
     }
 
@@ -323,8 +326,8 @@
 
     fn start_host(&mut self, host: usize) {
         self.monitor.host_back(self.now, host);
-        let max_lease_ms = self.deployment.max_lease_ms;
-        self.hosts[host].launch(self.now, max_lease_ms);
+        let limits = self.deployment.scheduler_limits();
+        self.hosts[host].launch(self.now, limits);
         let incarnation = self.incarnation_of(host);
         let host = &mut self.hosts[host];
         host.awake = true;
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -45,6 +45,12 @@
     pub fill_paced: u64,
     /// The processors that the filling tasks used at the last reading, in thousandths of a core.
     pub fill_used: u64,
+    /// Filling jobs that wait because the capacity does not suffice for them and for those that have begun.
+    pub filling_held: usize,
+    /// Workers that are reserved for large tasks.
+    pub reserved_workers: usize,
+    /// Runs that were started as copies of slow runs.
+    pub copies: usize,
 }
 
 impl JobScheduler {
@@ -75,6 +81,8 @@
             workers: self.workers.len(),
             dirty: self.dirty.len(),
             stretch: self.backlog.stretch(),
+            reserved_workers: self.reservations.len(),
+            filling_held: self.filling_limits.held_jobs(),
             evacuated_halls: self.evacuated.len(),
             evacuated_runs: evacuated.map(|worker| worker.runs.len()).sum(),
             ..SchedulerCounts::default()
@@ -93,6 +101,7 @@
 impl SchedulerCounts {
     fn add_run(&mut self, record: &RunRecord) {
         let gauge = record.gauge.unwrap_or(0);
+        self.copies += usize::from(record.copy);
         if record.target_ms > 0 {
             self.serving += 1;
             self.over_target += usize::from(gauge > record.target_ms);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -16,11 +16,13 @@
 //! ```
 
 pub mod admission;
+mod answer_patience;
 mod answers;
 mod backlog;
 mod capacity;
 mod commit;
 mod commit_budget;
+pub mod copies;
 mod cost;
 mod crash;
 mod dirty;
@@ -31,6 +33,7 @@
 mod gang;
 mod gauges;
 mod halls;
+mod hedge;
 mod ids;
 mod images;
 mod incarnation;
@@ -51,11 +54,13 @@
 pub mod relay;
 mod renewals;
 mod reports;
+mod reservations;
 mod restart;
 mod roster;
 mod run;
 mod scheduler;
 mod settle;
+mod shares;
 mod silent;
 mod spec;
 mod stage;
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -9,6 +9,7 @@
 
 use sandshelf_model::{Millis, WorkerId};
 
+use crate::copies::ProgressTrack;
 use crate::ids::RunKey;
 use crate::incarnation::IncarnationState;
 use crate::note::{JobNote, LossCause, StopCause};
@@ -80,8 +81,10 @@
             recovery.worker_lost |= recovery.unanswered.contains_key(worker);
         }
         if let Some(state) = self.workers.get_mut(worker) {
-            let may_be_leased =
-                state.renewal_extends_lease || !listed.is_empty() || !unsettled.is_empty();
+            let may_be_leased = state.renewal_extends_lease
+                || state.strays.extend_lease()
+                || !listed.is_empty()
+                || !unsettled.is_empty();
             // The deadline in an order that was meant for the previous incarnation is on the clock
             // of that incarnation. The worker limits the lease to its own maximum.
             let longest = report.clock + self.limits.max_lease_ms;
@@ -142,6 +145,7 @@
             listed: false,
             answered_at: None,
             start_deadline: NO_START_DEADLINE,
+            progress: ProgressTrack::default(),
             ..record
         };
         if let Some(state) = self.workers.get_mut(worker) {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -7,13 +7,16 @@
 use sandshelf_place::QuarantineTracker;
 
 use crate::admission::LoadMeter;
+use crate::answer_patience::AnswerPatience;
 use crate::backlog::BacklogMonitor;
 use crate::capacity::EndedJobSizes;
+use crate::copies::SlowRunWatch;
 use crate::crash::CrashTracker;
 use crate::dirty::{DirtyJobs, UnwrittenEnds};
 use crate::events::{JobAction, JobEvent, WorkerCall};
 use crate::foreign::ForeignRuns;
 use crate::halls::EvacuatedHalls;
+use crate::hedge::StartOrders;
 use crate::ids::{JobNumber, RunKey, TaskKey, WorkerIncarnation};
 use crate::images::ImageTable;
 use crate::interference::InterferenceEstimate;
@@ -26,7 +29,9 @@
 use crate::note::JobNote;
 use crate::progress::ProgressRow;
 use crate::rank::FailedPlacements;
+use crate::reservations::ReservationBook;
 use crate::roster::RosterMembers;
+use crate::shares::{FairShares, FillingLimits, StandingShortage};
 use crate::silent::{SilenceRecords, StoreClock};
 use crate::spec::{JobSpec, QueueRules};
 use crate::takeover::{RecoveryState, TakeoverInfo, FIRST_EPOCH};
@@ -134,14 +139,25 @@
     pub(crate) last_pass: Millis,
     /// The placements that the last pass tried in vain, if it was cut short.
     pub(crate) failed_placements: Option<FailedPlacements>,
+    pub(crate) filling_limits: FillingLimits,
+    pub(crate) shares: FairShares,
+    pub(crate) standing_shortage: StandingShortage,
+    pub(crate) reservations: ReservationBook,
     pub(crate) workers_checked_at: Millis,
     /// Whether the last placement pass left tasks waiting.
     pub(crate) pass_left_tasks: bool,
     pub(crate) last_move: Millis,
+    pub(crate) slow_runs: SlowRunWatch,
     pub(crate) backlog: BacklogMonitor,
     pub(crate) load_meter: LoadMeter,
     /// The number of start orders that were sent and have no answer yet.
     pub(crate) unanswered_starts: usize,
+    /// The start orders of short tasks that may be unanswered.
+    pub(crate) start_orders: StartOrders,
+    /// How long answers to start orders usually take.
+    pub(crate) start_patience: AnswerPatience,
+    /// How much longer than its wait the answer to a lease renewal usually takes.
+    pub(crate) renewal_patience: AnswerPatience,
     pub(crate) last_tick: Millis,
     /// Until when this owner is sure that no other host owns the shard; `Millis::MAX` before the first [`JobEvent::SureUntil`].
     pub(crate) sure_until: Millis,
@@ -223,12 +239,20 @@
             room_changed: false,
             last_pass: 0,
             failed_placements: None,
+            filling_limits: FillingLimits::default(),
+            shares: FairShares::default(),
+            standing_shortage: StandingShortage::default(),
+            reservations: ReservationBook::default(),
             workers_checked_at: 0,
             pass_left_tasks: false,
             last_move: 0,
+            slow_runs: SlowRunWatch::default(),
             backlog: BacklogMonitor::default(),
             load_meter: LoadMeter::default(),
             unanswered_starts: 0,
+            start_orders: StartOrders::default(),
+            start_patience: AnswerPatience::default(),
+            renewal_patience: AnswerPatience::default(),
             last_tick: 0,
             sure_until: Millis::MAX,
             ownership_overdue: false,
@@ -347,16 +371,19 @@
         if sure && now >= self.workers_checked_at + WORKER_CHECK_INTERVAL_MS {
             self.workers_checked_at = now;
             self.check_workers(now);
+            self.hedge_renewals(now);
             self.move_standing_tasks(now);
             self.release_reserved(now);
         }
         self.refresh_roster(now);
         self.forget_ended_sizes(now);
         self.resend_stops(now);
+        self.settle_overdue_starts(now);
         self.settle_verdicts(now);
         self.send_probes(now);
         if sure {
             self.move_slowed_tasks(now);
+            self.check_slow_runs(now);
         }
         self.load_history.refresh(now, &self.backlog);
         self.sample_load(now);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -6,7 +6,8 @@
 use sandshelf_model::{Millis, ResourceSize};
 
 use crate::crash::CrashSuspect;
-use crate::fill::FillAllocator;
+use crate::fill::{FillAllocator, FillRules};
+use crate::hedge::StrayRenewals;
 use crate::ids::RunKey;
 use crate::incarnation::{ClockSample, IncarnationState};
 use crate::interference::{InterferenceEstimate, InterferenceLoads};
@@ -53,6 +54,8 @@
     /// Whether the renewal in flight extends the lease.
     pub(crate) renewal_extends_lease: bool,
     pub(crate) renewal_due_at: Millis,
+    /// Earlier renewals whose answers may still arrive.
+    pub(crate) strays: StrayRenewals,
     /// The pause between an answer and the next renewal, in milliseconds.
     pub(crate) renewal_gap_ms: Millis,
     pub(crate) last_answer: Millis,
@@ -67,6 +70,10 @@
     pub(crate) failed_renewals: u32,
     /// Whether a successor could read a silence record of this worker.
     pub(crate) silence_record: SilenceRecord,
+    /// Until when it has young runs whose progress is watched.
+    pub(crate) watched_until: Millis,
+    /// Until when it has young runs of steps that allow copies.
+    pub(crate) read_closely_until: Millis,
     /// The worker gets no new tasks before this time.
     pub(crate) paused_until: Millis,
     pub(crate) runs: BTreeMap<RunKey, RunRecord>,
@@ -99,6 +106,7 @@
             renewal_acknowledges: 0,
             renewal_extends_lease: false,
             renewal_due_at: now,
+            strays: StrayRenewals::default(),
             renewal_gap_ms: 0,
             last_answer: now,
             silence_logged: false,
@@ -106,6 +114,8 @@
             other_answered: false,
             failed_renewals: 0,
             silence_record,
+            watched_until: 0,
+            read_closely_until: 0,
             paused_until: 0,
             runs: BTreeMap::new(),
             suspects: Vec::new(),
@@ -123,10 +133,11 @@
         &self,
         interference: &InterferenceEstimate,
         history: &LoadHistory,
+        rules: FillRules,
         now: Millis,
     ) -> &FillAllocator {
         self.fill_allocator
-            .get_or_init(|| FillAllocator::new(self, interference, history, now))
+            .get_or_init(|| FillAllocator::new(self, interference, history, rules, now))
     }
 
     /// Discards the cached board because the tasks here, or their readings, have changed.
--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{JobSpec, JobStage, RunKey, RunOutcome, StepSpec, TaskKey};
-use sandshelf_model::{ResourceSize, WorkerId};
+use sandshelf_model::{LoadPolicies, LoadPolicy, ResourceSize, WorkerId};
 use support::emulator::PlatformEmulator;
 use support::faults::FaultPlan;
 use support::oracle::{BrokenRule, PlatformOracle, UsableCapacity};
@@ -83,6 +83,9 @@
             let number = 1_000 + handed_in;
             let mut spec = random_job(&mut random);
             spec.rules.guarded = plan.guards;
+            for step in spec.steps.iter_mut().filter(|_| plan.copies) {
+                step.copies_allowed = !handed_in.is_multiple_of(3);
+            }
             let crasher = draw_crasher(&mut random, number, &spec, &plan);
             if platform.hand_in(number, spec) {
                 handed_in += 1;
@@ -164,6 +167,22 @@
     assert!(broken == 0, "{broken} of {count} seeds: {first_few:?}");
 }
 
+/// Like [`keeps_safety_rules`], for plans in which copies of slow runs start.
+fn keeps_rules_with_copies(seeds: std::ops::Range<u64>, plan: FaultPlan) {
+    let mut copies = 0;
+    let mut broken = Vec::new();
+    for seed in seeds {
+        let platform = run_seed(seed, plan);
+        copies += platform.oracle.copies;
+        let seen = platform.oracle.broken.into_iter();
+        let seen = seen.filter(|(_, rule, _)| *rule != BrokenRule::Away);
+        broken.extend(seen.take(1).map(|seen| (seed, seen)));
+    }
+    println!("{copies} copies, {} broken rules", broken.len());
+    assert!(broken.is_empty(), "{:?}", &broken[..broken.len().min(5)]);
+    assert!(copies > 100, "only {copies} copies");
+}
+
 /// The seeds that an environment variable names as `FIRST:LAST`, for longer runs by hand.
 fn named_seeds(variable: &str, default: &str) -> std::ops::Range<u64> {
     let named = std::env::var(variable).unwrap_or_else(|_| default.to_owned());
@@ -233,6 +252,36 @@
     }
 }
 
+/// A longer run by hand with decisions under load switched on: `SANDSHELF_POLICY_SEEDS=1:2000`, `SANDSHELF_POLICY_PLAN=0` for a single
+/// plan, and `SANDSHELF_POLICIES=hedged_calls,copies` for some of the decisions; an empty list compares with none.
+fn long_policy_run() {
+    let seeds = named_seeds("SANDSHELF_POLICY_SEEDS", "1:5");
+    let plans = [
+        unreliable_calls(),
+        unreliable_workers(),
+        unreliable_owners(),
+        all_faults(),
+        restarting_workers_and_owners(),
+        restarting_workers_and_all_faults(),
+        shrinking_capacity(),
+        halls_cut_and_other_faults(),
+    ];
+    let chosen = std::env::var("SANDSHELF_POLICY_PLAN").ok();
+    let policies = std::env::var("SANDSHELF_POLICIES").map_or(LoadPolicies::all(), |names| {
+        let names = names.split(',').filter(|name| !name.is_empty());
+        let policies = names.map(|name| LoadPolicy::from_name(name).expect("a policy's name"));
+        policies.fold(LoadPolicies::default(), LoadPolicies::with)
+    });
+    for (number, plan) in plans.into_iter().enumerate() {
+        if chosen
+            .as_ref()
+            .is_none_or(|chosen| *chosen == number.to_string())
+        {
+            keeps_safety_rules(seeds.clone(), FaultPlan { policies, ..plan });
+        }
+    }
+}
+
 /// A longer run by hand with halls that are cut off or evacuated: `SANDSHELF_HALL_SEEDS=1:2000`.
 fn long_hall_run() {
     let seeds = named_seeds("SANDSHELF_HALL_SEEDS", "1:5");
@@ -295,8 +344,23 @@
     halls_are_cut_amid_other_faults => keeps_safety_rules(2_000..2_030, halls_cut_and_other_faults());
     halls_are_evacuated => keeps_safety_rules(2_100..2_130, halls_evacuated());
     halls_are_evacuated_and_cut => keeps_safety_rules(2_200..2_230, halls_evacuated_and_cut());
+    policies_with_unreliable_calls => keeps_all_rules(2_500..2_530, with_policies(unreliable_calls()));
+    policies_with_unreliable_workers => keeps_all_rules(2_600..2_630, with_policies(unreliable_workers()));
+    policies_with_unreliable_owners => keeps_all_rules(2_700..2_730, with_policies(unreliable_owners()));
+    policies_amid_all_faults => keeps_all_rules(2_800..2_830, with_policies(all_faults()));
+    policies_with_restarting_workers => keeps_safety_rules(2_900..2_930, with_policies(restarting_workers_and_all_faults()));
+    policies_with_shrinking_capacity => keeps_safety_rules(3_000..3_030, with_policies(shrinking_capacity()));
+    policies_with_halls_cut => keeps_safety_rules(3_100..3_130, with_policies(halls_cut_and_other_faults()));
+    policies_by_hand => long_policy_run();
     halls_by_hand => long_hall_run();
     restarts_by_hand => long_restart_run();
+    copies => keeps_rules_with_copies(3_000..3_030, slow_runs());
+    copies_and_lost_calls => keeps_rules_with_copies(3_100..3_130, slow_runs_and_calls());
+    copies_and_owners => keeps_rules_with_copies(3_200..3_230, slow_runs_and_owners());
+    copies_amid_all_faults => keeps_rules_with_copies(3_300..3_330, slow_runs_and_all_faults());
+    copies_amid_restarts => keeps_rules_with_copies(3_400..3_430, slow_runs_and_restarts());
+    copies_of_crashing_tasks => keeps_rules_with_copies(3_500..3_530, slow_runs_and_crashing_tasks());
+    copies_in_cut_halls => keeps_rules_with_copies(3_600..3_630, slow_runs_and_cut_halls());
     seeds_by_hand => long_run();
     standing_tasks_by_hand => keeps_all_rules(named_seeds("SANDSHELF_AWAY_SEEDS", "500:509"), workers_gone_for_good());
     leases_by_hand => keeps_leases_of_reachable_workers(named_seeds("SANDSHELF_LEASE_SEEDS", "600:609"), lost_calls());
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -1,8 +1,12 @@
 //! The faults of the emulated platform.
 
+use sandshelf_model::LoadPolicies;
+
 /// Which faults are injected; the `u32` fields are probabilities in thousandths.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FaultPlan {
+    /// The decisions under load that the owners have switched on.
+    pub policies: LoadPolicies,
     /// A call to a worker is lost.
     pub lost_calls: u32,
     /// A worker's answer is lost.
@@ -72,9 +76,20 @@
     pub omits_cut_workers: bool,
     /// The longest lease that a worker grants, in milliseconds; 0 means 6 s.
     pub max_lease_ms: u64,
+    /// Whether some runs are slow, steps allow copies, and owners start copies and restart stuck runs.
+    pub copies: bool,
 }
 
 impl FaultPlan {
+    /// The decisions under load that the owners have switched on.
+    pub fn all_policies(&self) -> LoadPolicies {
+        LoadPolicies {
+            copies: self.copies || self.policies.copies,
+            stuck_runs: self.copies || self.policies.stuck_runs,
+            ..self.policies
+        }
+    }
+
     /// The number of workers, with the default applied.
     pub fn worker_count(&self) -> usize {
         match self.workers {
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -45,6 +45,12 @@
 const OVER_TARGET_SECONDS: &str = "sandshelf_over_target_seconds";
 /// The tasks that were given up because they crash their workers.
 const GIVEN_UP: &str = "sandshelf_tasks_given_up_total";
+/// The speculative copies, by event: `started`, `won` if the copy ended first, `lost` if the slow run did.
+const COPIES: &str = "sandshelf_copies_total";
+/// The runs that were stopped because they made too little progress.
+const STUCK_RUNS: &str = "sandshelf_stuck_runs_total";
+/// The restarted tasks that are done, by whether they ended before the stopped run was expected to.
+const RESTARTS: &str = "sandshelf_restarts_judged_total";
 /// The finished jobs, by queue and state.
 const JOBS: &str = "sandshelf_jobs_finished_total";
 /// The seconds from a job's acceptance to its completion, by queue.
@@ -59,6 +65,12 @@
 /// The seconds in which the work left in a queue would be done at the measured rate, by queue.
 const BACKLOG_SECONDS: &str = "sandshelf_backlog_seconds";
 
+/// The filling jobs that were held back because the capacity did not suffice.
+const FILLING_HELD: &str = "sandshelf_filling_jobs_held_total";
+/// The workers that were reserved for large tasks.
+const RESERVATIONS: &str = "sandshelf_reservations_total";
+/// The reservations that ended without a start although the worker could have started the task.
+const RESERVATIONS_IN_VAIN: &str = "sandshelf_reservations_in_vain_total";
 /// The relay messages, or answers in them, that were ignored, by fault.
 const RELAY_FAULTS: &str = "sandshelf_relay_faults_total";
 
@@ -178,6 +190,17 @@
         }
         JobNote::TaskGivenUp { .. } => counter!(GIVEN_UP).increment(1),
         JobNote::WorkerQuarantined(_) => counter!(BELIEFS, "belief" => "failing").increment(1),
+        JobNote::CopyStarted { .. } => counter!(COPIES, "event" => "started").increment(1),
+        JobNote::CopyDecided { copy_won, .. } => {
+            let event = if *copy_won { "won" } else { "lost" };
+            counter!(COPIES, "event" => event).increment(1);
+        }
+        JobNote::RunStuck { .. } => counter!(STUCK_RUNS).increment(1),
+        JobNote::RestartJudged { helped, .. } => {
+            let outcome = if *helped { "helped" } else { "in_vain" };
+            counter!(RESTARTS, "outcome" => outcome).increment(1);
+        }
+        JobNote::WorkerStalled { .. } => counter!(BELIEFS, "belief" => "stalled").increment(1),
         JobNote::JobFinished {
             state,
             queue,
@@ -198,6 +221,12 @@
         | JobNote::CrashWithdrawn { .. }
         | JobNote::OverTarget(_)
         | JobNote::Paced(..) => {}
+        JobNote::WorkerReserved { .. } => counter!(RESERVATIONS).increment(1),
+        JobNote::ReservationEnded { in_vain: true, .. } => {
+            counter!(RESERVATIONS_IN_VAIN).increment(1);
+        }
+        JobNote::ReservationEnded { .. } => {}
+        JobNote::FillingHeld { .. } => counter!(FILLING_HELD).increment(1),
     }
 }
 
@@ -231,6 +260,9 @@
     gauge!("sandshelf_longest_over_target_seconds").set(longest_over.as_secs_f64());
     gauge!("sandshelf_filling_tasks").set(counts.filling as f64);
     gauge!("sandshelf_filling_tasks_slowed").set(counts.slowed as f64);
+    gauge!("sandshelf_reserved_workers").set(counts.reserved_workers as f64);
+    gauge!("sandshelf_filling_jobs_held").set(counts.filling_held as f64);
+    gauge!("sandshelf_copies_running").set(counts.copies as f64);
 }
 
 /// Counts a submission that was refused under load.
