--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -27,6 +27,7 @@
 };
 use crate::load_forecast::LoadHistory;
 use crate::note::JobNote;
+use crate::preemption::PreemptionState;
 use crate::progress::ProgressRow;
 use crate::rank::FailedPlacements;
 use crate::reservations::ReservationBook;
@@ -150,6 +151,7 @@
     pub(crate) slow_runs: SlowRunWatch,
     pub(crate) backlog: BacklogMonitor,
     pub(crate) load_meter: LoadMeter,
+    pub(crate) preemption: PreemptionState,
     /// The number of start orders that were sent and have no answer yet.
     pub(crate) unanswered_starts: usize,
     /// The start orders of short tasks that may be unanswered.
@@ -249,6 +251,7 @@
             slow_runs: SlowRunWatch::default(),
             backlog: BacklogMonitor::default(),
             load_meter: LoadMeter::default(),
+            preemption: PreemptionState::default(),
             unanswered_starts: 0,
             start_orders: StartOrders::default(),
             start_patience: AnswerPatience::default(),
@@ -312,6 +315,7 @@
             return vec![JobAction::Deposed];
         }
         self.place_waiting(now);
+        self.preempt_for_waiting(now);
         self.send_renewals(now);
         self.begin_commit(now);
         std::mem::take(&mut self.actions)
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -8,10 +8,12 @@
 pub mod emulated_worker;
 pub mod emulator;
 pub mod faults;
+pub mod fleet_worker;
 pub mod plans;
 pub mod relaying;
 pub mod restarting;
 pub mod slow_fleet;
+pub mod standing_fleet;
 
 pub use sandshelf_emulator::oracle;
 
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -9,7 +9,9 @@
 use sandshelf_adapter::StoreFault;
 use sandshelf_jobs::admission::{LoadView, RefusalCause, FULL_SHARE_PERMILLE};
 use sandshelf_jobs::relay::{DispatcherStats, RelayFault};
-use sandshelf_jobs::{JobEvent, JobNote, JobStage, OrderAnswer, RenewalAnswer, SchedulerCounts};
+use sandshelf_jobs::{
+    JobEvent, JobNote, JobStage, OrderAnswer, PreemptionReport, RenewalAnswer, SchedulerCounts,
+};
 
 use crate::jobs::labels::label;
 
@@ -57,6 +59,12 @@
 const JOB_SECONDS: &str = "sandshelf_job_seconds";
 /// The jobs that completed later than their objective, by queue.
 const LATE_JOBS: &str = "sandshelf_jobs_late_total";
+/// The decisions to stop runs for waiting tasks, by kind: `standing` if a standing task is stopped, else `lower_priority`.
+const PREEMPTIONS: &str = "sandshelf_preemptions_total";
+/// The ended holds of freed capacity, by outcome.
+const HOLDS: &str = "sandshelf_holds_ended_total";
+/// The runs that used held capacity, counted at the end of the hold.
+const HOLD_USES: &str = "sandshelf_hold_uses_total";
 
 /// The submissions that were refused under load, by queue and cause.
 const REFUSED_JOBS: &str = "sandshelf_jobs_refused_total";
@@ -227,9 +235,22 @@
         }
         JobNote::ReservationEnded { .. } => {}
         JobNote::FillingHeld { .. } => counter!(FILLING_HELD).increment(1),
+        JobNote::Preempted(report) => record_preemption(report),
+        JobNote::HoldEnded { outcome, uses, .. } => {
+            counter!(HOLDS, "outcome" => label(outcome)).increment(1);
+            counter!(HOLD_USES).increment(u64::from(*uses));
+        }
     }
 }
 
+fn record_preemption(report: &PreemptionReport) {
+    let kind = match report.standing {
+        0 => "lower_priority",
+        _ => "standing",
+    };
+    counter!(PREEMPTIONS, "kind" => kind).increment(1);
+}
+
 fn record_finished_job(state: JobStage, queue: &str, took_ms: u64, objective_ms: u64) {
     let queue = queue.to_owned();
     counter!(JOBS, "queue" => queue.clone(), "state" => label(&state)).increment(1);
@@ -263,6 +284,8 @@
     gauge!("sandshelf_reserved_workers").set(counts.reserved_workers as f64);
     gauge!("sandshelf_filling_jobs_held").set(counts.filling_held as f64);
     gauge!("sandshelf_copies_running").set(counts.copies as f64);
+    gauge!("sandshelf_holds").set(counts.holds as f64);
+    gauge!("sandshelf_held_cores").set(counts.held_cpu as f64 / 1_000.0);
 }
 
 /// Counts a submission that was refused under load.
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Display;
 
-use sandshelf_jobs::{FillState, JobNote, OverTargetReport};
+use sandshelf_jobs::{FillState, JobNote, OverTargetReport, PreemptionReport};
 use sandshelf_model::HostId;
 
 use crate::jobs::labels::label;
@@ -285,6 +285,23 @@
                 ("percent", percent),
             ],
         ),
+        JobNote::Preempted(report) => log_preemption(report),
+        JobNote::HoldEnded {
+            waiter,
+            worker,
+            outcome,
+            uses,
+            lasted_ms,
+        } => event(
+            "hold_ended",
+            &[
+                ("task", waiter),
+                ("worker", worker),
+                ("outcome", &label(outcome)),
+                ("uses", uses),
+                ("lasted_ms", lasted_ms),
+            ],
+        ),
         JobNote::CopyStarted { .. }
         | JobNote::CopyDecided { .. }
         | JobNote::RunStuck { .. }
@@ -371,6 +388,27 @@
     }
 }
 
+/// Logs a decision to stop runs for waiting tasks.
+fn log_preemption(report: &PreemptionReport) {
+    event(
+        "preempted",
+        &[
+            ("task", &report.waiter),
+            ("worker", &report.worker),
+            ("priority", &report.priority),
+            ("waiting", &report.waiting),
+            ("waited_ms", &report.waited_ms),
+            ("served", &report.served),
+            ("stopped", &report.stopped),
+            ("standing", &report.standing),
+            ("lost_work", &report.lost_work),
+            ("away", &report.away),
+            ("may_miss", &report.may_miss),
+            ("heard_ms", &report.heard_ms),
+        ],
+    );
+}
+
 /// Logs a stretch in which a serving task was over its target, with the filling tasks beside it, each as
 /// `run:pace:used:sent:taken`: the ordered pace in percent, the processors used in thousandths of a core, and how many milliseconds
 /// ago the pace was sent, and a pace order answered since (`-` for never). An exclamation mark stands before a run that gets no paces.
