--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use sandshelf_jobs::admission::LoadView;
 use sandshelf_jobs::{
     CommitBatch, JobAction, JobEvent, JobScheduler, OwnerTenure, SchedulerCounts, SchedulerLimits,
     TakeoverInfo, WorkerCall, WorkerChanges, WorkerListing,
@@ -68,7 +69,7 @@
     id: HostId,
     name: String,
     strength: HostStrength,
-    limits: SchedulerLimits,
+    pub(super) limits: SchedulerLimits,
     pub(super) lease: ShardLease,
     /// The drawn place in the order in which hosts claim; lower ranks claim earlier.
     rank: u32,
@@ -148,6 +149,11 @@
         owned.workers = list.len();
     }
 
+    /// The load that this owner publishes; `None` if it publishes none.
+    pub(super) fn load_view(&self, now: Millis) -> Option<LoadView> {
+        self.owned.as_ref()?.scheduler.load_view(now)
+    }
+
     pub(super) fn is_owner(&self) -> bool {
         self.owned.is_some()
     }
--- a/crates/emulator/src/host/follow.rs
+++ b/crates/emulator/src/host/follow.rs
@@ -5,6 +5,7 @@
 use sandshelf_jobs::{JobEvent, QueueRules};
 use sandshelf_model::Millis;
 
+use super::admission::answer_to_check;
 use super::takeover::job_events;
 use super::{
     CallBody, EmulatedHost, HostAction, HostPause, RequestAnswer, RequestBody, TransferLimit,
@@ -22,6 +23,8 @@
 const FOLLOW_RETRY_DELAY: Micros = 100 * MS;
 const LIST_INTERVAL: Micros = 700 * MS;
 const REQUEST_TIMEOUT_MS: Millis = 1_200;
+/// When a caller retries that was refused for another reason than load, in milliseconds.
+const RETRY_AFTER_MS: Millis = 250;
 
 /// The host's copy of the configuration.
 #[derive(Debug, Default)]
@@ -70,12 +73,16 @@
             StoreCall::FollowJobs(after) => self.handle_jobs(at, after, reply),
             StoreCall::ListWorkers | StoreCall::FollowWorkers(_) => self.handle_workers(at, reply),
             StoreCall::ReadConfig | StoreCall::FollowConfig(_) => self.handle_config(at, reply),
+            StoreCall::CheckJob(request, _, wait_ms) => {
+                self.actions
+                    .push((at, answer_to_check(request, wait_ms, reply)));
+            }
             StoreCall::PutJob(request, ..)
             | StoreCall::PutCancel(request, _)
             | StoreCall::ReadJob(request, _) => {
                 let answer = match reply {
                     Some(_) => RequestAnswer::Served,
-                    None if rejected => RequestAnswer::Refused,
+                    None if rejected => RequestAnswer::Refused(RETRY_AFTER_MS),
                     None => RequestAnswer::Unknown,
                 };
                 self.actions
@@ -193,10 +200,13 @@
     }
 
     /// Forwards a caller's request to the store, or refuses it if the configuration is unknown or the store is failing.
-    pub(super) fn handle_request(&mut self, at: Micros, body: RequestBody) {
+    pub(super) fn handle_request(&mut self, at: Micros, body: RequestBody, left_ms: Millis) {
         let (request, store_call) = match body {
             RequestBody::Submit(request, number, spec) => {
-                (request, StoreCall::PutJob(request, number, spec))
+                let refusal = self.refusal_of(at, number, &spec, left_ms);
+                let put = StoreCall::PutJob(request, number, spec);
+                let check = |wait_ms| StoreCall::CheckJob(request, number, wait_ms);
+                (request, refusal.map_or(put, check))
             }
             RequestBody::Cancel(request, number) => {
                 (request, StoreCall::PutCancel(request, number))
@@ -205,7 +215,7 @@
         };
         let known = self.config.in_force().is_some();
         if !known || self.store_failures >= REFUSE_AFTER_FAILURES {
-            let refused = HostAction::Respond(request, RequestAnswer::Refused);
+            let refused = HostAction::Respond(request, RequestAnswer::Refused(RETRY_AFTER_MS));
             self.actions.push((at, refused));
             return;
         }
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -3,6 +3,7 @@
 //! It mirrors the daemon's control thread (`crates/sandshelfd/src/jobs`): the work that the thread does between two waits is one
 //! turn here.
 
+mod admission;
 mod calls;
 mod control;
 mod follow;
@@ -13,9 +14,11 @@
 mod writes;
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sandshelf_jobs::admission::LoadView;
 use sandshelf_jobs::{JobEvent, OrderAnswer, SchedulerLimits, WorkerCall};
 use sandshelf_model::Millis;
 
@@ -77,6 +80,8 @@
     listed_at: Micros,
     /// Number of consecutive failed calls to the store.
     store_failures: u32,
+    /// The load that the owner told last, and when it was heard.
+    load: Option<(Millis, Arc<LoadView>)>,
     /// Until when its connections to other hosts are silent.
     hosts_silent_until: Micros,
     /// Measures the scheduler's processor time, if switched on.
@@ -106,6 +111,7 @@
             jobs_after: 0,
             listed_at: 0,
             store_failures: 0,
+            load: None,
             hosts_silent_until: 0,
             meter: SchedulerMeter::default(),
             actions: Vec::new(),
@@ -124,6 +130,7 @@
         self.calls = CallTable::default();
         self.config = ConfigFollower::default();
         self.store_failures = 0;
+        self.load = None;
         self.hosts_silent_until = 0;
         let random = &mut self.random;
         self.control = OwnerControl::new(&self.name, self.incarnation, &self.model, limits, random);
@@ -281,9 +288,9 @@
                 self.resume(at, pause);
                 at
             }
-            WorkItem::Request(body) => {
+            WorkItem::Request(body, left_ms) => {
                 let at = self.spend(now, costs::REQUEST_US);
-                self.handle_request(at, body);
+                self.handle_request(at, body, left_ms);
                 at
             }
             WorkItem::Notice(notice) => {
--- a/crates/emulator/src/world/callers.rs
+++ b/crates/emulator/src/world/callers.rs
@@ -21,7 +21,7 @@
 const RETRY_BUDGET_US: Micros = 3_000 * MS;
 /// How long a caller waits for an answer before it asks another host.
 const TRY_TIMEOUT_US: Micros = 1_300 * MS;
-/// The pause before a retry where a host refused the request or no host was ready.
+/// The pause before a retry where the outcome is unknown or no host was ready.
 const RETRY_PAUSE_US: Micros = 250 * MS;
 /// How many times a caller asks for the state of a job.
 const STATE_QUERIES: u32 = 3;
@@ -165,7 +165,9 @@
             _ => sizes::STORE_CALL_BYTES * 2,
         };
         let incarnation = self.incarnation_of(host);
-        self.send_request(incarnation, WorkItem::Request(body), bytes);
+        let sent = self.callers.requests[request].sent;
+        let left_ms = (sent + RETRY_BUDGET_US).saturating_sub(self.now) / MS;
+        self.send_request(incarnation, WorkItem::Request(body, left_ms), bytes);
         self.queue
             .push(self.now + TRY_TIMEOUT_US, WorldEvent::RetryRequest(request));
     }
@@ -187,10 +189,15 @@
         if known.answered {
             return;
         }
-        known.refusals += u32::from(answer == RequestAnswer::Refused);
-        if answer != RequestAnswer::Served {
+        let pause = match answer {
+            RequestAnswer::Served => None,
+            RequestAnswer::Refused(retry_after_ms) => Some(retry_after_ms * MS),
+            RequestAnswer::Unknown => Some(RETRY_PAUSE_US),
+        };
+        known.refusals += u32::from(matches!(answer, RequestAnswer::Refused(_)));
+        if let Some(pause) = pause {
             self.queue
-                .push(self.now + RETRY_PAUSE_US, WorldEvent::RetryRequest(request));
+                .push(self.now + pause, WorldEvent::RetryRequest(request));
             return;
         }
         known.answered = true;
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -305,7 +305,9 @@
                 let tick = WorldEvent::HostReceives(incarnation, WorkItem::Tick);
                 self.queue.push(at, tick);
             }
-            HostAction::Tell(notice) => self.tell_hosts(incarnation, || WorkItem::Notice(notice)),
+            HostAction::Tell(notice) => {
+                self.tell_hosts(incarnation, || WorkItem::Notice(notice.clone()))
+            }
             HostAction::Respond(request, answer) => self.handle_response(request, answer),
             HostAction::Owned(epoch, took_ms) => {
                 self.monitor
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(scheduler.handle(0, JobEvent::Tick { wall_ms: 0 }).is_empty());
 //! ```
 
+pub mod admission;
 mod answer_patience;
 mod answers;
 mod backlog;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -6,6 +6,7 @@
 use sandshelf_model::{Epoch, Millis, WorkerId};
 use sandshelf_place::QuarantineTracker;
 
+use crate::admission::LoadMeter;
 use crate::answer_patience::AnswerPatience;
 use crate::backlog::BacklogMonitor;
 use crate::capacity::EndedJobSizes;
@@ -149,6 +150,7 @@
     pub(crate) last_move: Millis,
     pub(crate) slow_runs: SlowRunWatch,
     pub(crate) backlog: BacklogMonitor,
+    pub(crate) load_meter: LoadMeter,
     pub(crate) preemption: PreemptionState,
     /// The number of start orders that were sent and have no answer yet.
     pub(crate) unanswered_starts: usize,
@@ -248,6 +250,7 @@
             last_move: 0,
             slow_runs: SlowRunWatch::default(),
             backlog: BacklogMonitor::default(),
+            load_meter: LoadMeter::default(),
             preemption: PreemptionState::default(),
             unanswered_starts: 0,
             start_orders: StartOrders::default(),
@@ -387,6 +390,7 @@
             self.check_slow_runs(now);
         }
         self.load_history.refresh(now, &self.backlog);
+        self.sample_load(now);
         // Load readings change the capacity that serving tasks leave, and jobs become late, without any event that frees capacity.
         self.room_changed |= now >= self.last_pass + MAX_PASS_INTERVAL_MS;
     }
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -2,9 +2,8 @@
 
 use std::fmt::Display;
 
-use sandshelf_jobs::relay::DispatcherStats;
-use sandshelf_jobs::{FillState, JobNote, OverTargetReport, PreemptionReport, SchedulerCounts};
-use sandshelf_model::{Epoch, HostId};
+use sandshelf_jobs::{FillState, JobNote, OverTargetReport, PreemptionReport};
+use sandshelf_model::HostId;
 
 use crate::jobs::labels::label;
 use crate::jobs::meters;
@@ -443,38 +442,3 @@
         ],
     );
 }
-
-/// Logs an owner's load: its jobs, tasks, workers and relays.
-pub fn log_load(epoch: Epoch, counts: &SchedulerCounts, relays: &DispatcherStats) {
-    event(
-        "owner_load",
-        &[
-            ("epoch", &epoch),
-            ("jobs", &counts.jobs),
-            ("waiting", &counts.waiting),
-            ("runs", &counts.runs),
-            ("open_workers", &counts.open_workers),
-            ("workers", &counts.workers),
-            ("unwritten", &counts.dirty),
-            ("stretch", &counts.stretch),
-            ("serving", &counts.serving),
-            ("over_target", &counts.over_target),
-            ("longest_over_ms", &counts.longest_over_ms),
-            ("filling", &counts.filling),
-            ("slowed", &counts.slowed),
-            ("evacuated_halls", &counts.evacuated_halls),
-            ("evacuated_runs", &counts.evacuated_runs),
-            ("fill_wanted", &counts.fill_wanted),
-            ("fill_paced", &counts.fill_paced),
-            ("fill_used", &counts.fill_used),
-            ("filling_held", &counts.filling_held),
-            ("reserved_workers", &counts.reserved_workers),
-            ("copies", &counts.copies),
-            ("holds", &counts.holds),
-            ("held_cpu", &counts.held_cpu),
-            ("relays_offered", &relays.offered),
-            ("relays", &relays.in_use),
-            ("relayed", &relays.open),
-        ],
-    );
-}
