Start a reserved task where its worker has room

Cause: a worker stayed unused although it had room for the task that it was reserved for. Within a pass, a task that fails to start rules out the tasks of its step and all tasks of its size or larger, and the costs of a step's tasks are shared. A task that failed only because the worker is reserved for another one so ruled out that other one too, until the reservation ended.

Change: a task with a reserved worker is tried there first, whatever has failed in the pass; elsewhere the usual rules hold. Without reservations nothing changes.

--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -41,7 +41,8 @@
                 continue;
             }
             for wait in group.tasks {
-                if memo.failed.steps.contains(&wait.task.first_of_step())
+                let failed = memo.failed.steps.contains(&wait.task.first_of_step());
+                if failed && self.reservations.worker_for(&wait.task).is_none()
                     || self.is_standing_held(now, &wait)
                 {
                     continue;
@@ -116,7 +117,8 @@
         let rules = self.rules(&job.spec);
         let service = rules.service.as_str();
         let starving = rank.tier == RankTier::Starving && !memo.jobs_placed.contains(&key.job);
-        if memo.rules_out(service, step, starving) {
+        let reserved = self.reservations.worker_for(&key);
+        if reserved.is_none() && memo.rules_out(service, step, starving) {
             memo.failed.steps.insert(key.first_of_step());
             return;
         }
@@ -141,7 +143,12 @@
         let places = if step.gang {
             self.choose_gang(now, &candidate, memo)
         } else {
-            let chosen = self.choose_worker(now, &candidate, &BTreeMap::new(), memo);
+            let own = reserved.filter(|id| self.is_own_ready(now, id, &candidate));
+            let chosen = match (own, reserved) {
+                (Some(worker), _) => Some(worker.clone()),
+                (None, Some(_)) if memo.has_failed(&key, service, step, starving) => None,
+                (None, _) => self.choose_worker(now, &candidate, &BTreeMap::new(), memo),
+            };
             chosen.map(|worker| vec![(key, worker)])
         };
         match places {
@@ -165,6 +172,12 @@
         }
     }
 
+    /// Whether a task can start on the worker that is reserved for it.
+    fn is_own_ready(&self, now: Millis, id: &WorkerId, candidate: &Candidate<'_>) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| self.is_eligible(now, id, worker, candidate, &[]))
+    }
+
     /// Chooses the eligible worker with the lowest cost. `planned` holds the sizes that earlier members of the same gang take on each
     /// worker.
     ///
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/rank.rs
@@ -158,6 +158,18 @@
             || step.fills && !starving && like(&step.image, &self.failed.images, &step.size)
     }
 
+    /// Whether a task of the same step or a similar task could not be placed.
+    pub(crate) fn has_failed(
+        &self,
+        key: &TaskKey,
+        service: &str,
+        step: &StepSpec,
+        starving: bool,
+    ) -> bool {
+        let of_step = self.failed.steps.contains(&key.first_of_step());
+        of_step || self.rules_out(service, step, starving)
+    }
+
     pub(crate) fn record_failed(
         &mut self,
         key: &TaskKey,
--- a/crates/jobs/src/reservations/book.rs
+++ b/crates/jobs/src/reservations/book.rs
@@ -63,8 +63,10 @@
         reservation.task == *task || leaves_enough || ends_before
     }
 
-    pub(super) fn is_reserved_for(&self, task: &TaskKey) -> bool {
-        let mut reservations = self.by_worker.values();
-        reservations.any(|reservation| reservation.task == *task)
+    /// The worker that is reserved for a task. The task may start there although tasks like it can't.
+    pub(crate) fn worker_for(&self, task: &TaskKey) -> Option<&WorkerId> {
+        let mut reservations = self.by_worker.iter();
+        let found = reservations.find(|(_, reservation)| reservation.task == *task);
+        found.map(|(worker, _)| worker)
     }
 }
--- a/crates/jobs/src/reservations/upkeep.rs
+++ b/crates/jobs/src/reservations/upkeep.rs
@@ -143,7 +143,7 @@
         });
         let wanted = waiting.filter(|(task, _)| {
             let paused = self.reservations.paused.contains_key(task);
-            !paused && !self.reservations.is_reserved_for(task)
+            !paused && self.reservations.worker_for(task).is_none()
         });
         wanted.collect()
     }
--- a/crates/jobs/tests/reservations.rs
+++ b/crates/jobs/tests/reservations.rs
@@ -3,8 +3,10 @@
 mod support;
 mod task_fleet;
 
+use std::collections::BTreeMap;
+
 use sandshelf_jobs::{JobNote, JobSpec, StepSpec};
-use sandshelf_model::{LoadPolicies, LoadPolicy, Millis, ResourceSize};
+use sandshelf_model::{LoadPolicies, LoadPolicy, Millis, ResourceSize, WorkerId};
 use support::{job, step};
 use task_fleet::{TaskFleet, TICK_MS};
 
@@ -18,6 +20,8 @@
 const LARGE: u64 = 50_000;
 /// At most this many workers may be reserved at a time: two, and one of 16 in a larger fleet.
 const MAX_RESERVED: usize = 2;
+/// For how long a reserved worker with room for its task may stay unused: two placement passes and the reports between.
+const MAX_UNUSED_MS: Millis = 300;
 
 fn job_of(queue: &str, count: u32, cpu_millis: u64) -> JobSpec {
     let tasks = StepSpec {
@@ -104,7 +108,51 @@
     assert_eq!(fleet.running_of(LARGE), 2);
 }
 
+/// Guards against other tasks that fail to start in a pass, or other tasks of the same step, ruling out the task that a worker is
+/// reserved for: the worker would stay unused until the reservation ends.
+fn reserved_tasks_start_once_there_is_room(tasks: u32) {
+    let mut fleet = TaskFleet::new(WORKERS, policies(true), false);
+    let room = ResourceSize::new(12_000, 2_000, 0);
+    let mut reserved: BTreeMap<WorkerId, Millis> = BTreeMap::new();
+    let (mut longest, mut made) = (0, 0);
+    for tick in 0..TRAFFIC_MS / TICK_MS {
+        let at = tick * TICK_MS;
+        if at.is_multiple_of(SMALL_INTERVAL_MS / 2 * 5) {
+            for number in 0..3 {
+                fleet.submit(1_000 + tick * 3 + number, job_of("small", 8, 2_000));
+            }
+        }
+        if at.is_multiple_of(LARGE_INTERVAL_MS) {
+            fleet.submit(LARGE + tick, job_of("large", tasks, 12_000));
+        }
+        fleet.tick();
+        for note in std::mem::take(&mut fleet.notes) {
+            match note {
+                JobNote::WorkerReserved { worker, .. } => {
+                    made += 1;
+                    reserved.insert(worker, fleet.rig.now);
+                }
+                JobNote::ReservationEnded { worker, .. } => {
+                    reserved.remove(&worker);
+                }
+                _ => {}
+            }
+        }
+        for (worker, since) in &mut reserved {
+            if !fleet.has_room_on(worker, &room) {
+                *since = fleet.rig.now;
+            }
+            longest = longest.max(fleet.rig.now - *since);
+        }
+    }
+    println!("{tasks} tasks: {made} reservations, unused for {longest} ms at most");
+    assert!(made > 0);
+    assert!(longest <= MAX_UNUSED_MS);
+}
+
 sandshelf_cases::cases! {
+    reserved_single_tasks => reserved_tasks_start_once_there_is_room(1);
+    reserved_tasks_of_one_step => reserved_tasks_start_once_there_is_room(3);
     large_beside_small => large_tasks_find_capacity();
     worker_lost => a_reservation_moves_when_its_worker_dies();
     large_workers_stay_free => small_tasks_leave_large_workers();
--- a/crates/jobs/tests/task_fleet/room.rs
+++ b/crates/jobs/tests/task_fleet/room.rs
@@ -1,8 +1,8 @@
 //! Counts the capacity that the workers of a fleet have left.
 
-use sandshelf_model::ResourceSize;
+use sandshelf_model::{ResourceSize, WorkerId};
 
-use super::TaskFleet;
+use super::{FleetWorker, TaskFleet};
 
 impl TaskFleet {
     /// The processors in use by tasks other than filling ones, and those of all workers, in thousandths of a core.
@@ -23,13 +23,20 @@
     /// The number of workers with room for a task of this size.
     pub fn workers_with_room(&self, room: &ResourceSize) -> usize {
         let alive = self.workers.iter().filter(|worker| !worker.lost);
-        let fitting = alive.filter(|worker| {
-            let runs = worker.runs.keys();
-            let used = runs.fold(*room, |sum, held| {
-                sum.plus(&self.step(held).room()).expect("small sizes")
-            });
-            used.fits_in(&worker.listing.capacity)
+        alive.filter(|worker| self.has_room(worker, room)).count()
+    }
+
+    /// Whether a worker has room for a task of this size.
+    pub fn has_room_on(&self, worker: &WorkerId, room: &ResourceSize) -> bool {
+        let worker = &self.workers[Self::index_of(worker)];
+        !worker.lost && self.has_room(worker, room)
+    }
+
+    fn has_room(&self, worker: &FleetWorker, room: &ResourceSize) -> bool {
+        let runs = worker.runs.keys();
+        let used = runs.fold(*room, |sum, held| {
+            sum.plus(&self.step(held).room()).expect("small sizes")
         });
-        fitting.count()
+        used.fits_in(&worker.listing.capacity)
     }
 }
