Let late filling jobs begin beside a job that can't end in time even alone

Cause: while a new job that could still meet its objective did not fit, no late job began. A job with more work than the whole forecast capacity until it is due never fits beside others, so it held back late jobs although processors were free.

Change: such a job doesn't hold back late ones.

--- a/crates/jobs/src/shares/commitments.rs
+++ b/crates/jobs/src/shares/commitments.rs
@@ -72,6 +72,11 @@
         fits && (counted || self.fits(sum, more.due_at))
     }
 
+    /// Whether a job could end in time if no other had begun.
+    pub(crate) fn fits_alone(&self, more: DueWork) -> bool {
+        self.fits(more.work, more.due_at)
+    }
+
     /// Adds the work of a job that begins.
     pub(crate) fn add(&mut self, more: DueWork) {
         let place = self.due.partition_point(|work| work.due_at <= more.due_at);
--- a/crates/jobs/src/shares/filling.rs
+++ b/crates/jobs/src/shares/filling.rs
@@ -35,7 +35,8 @@
     admitted: BTreeSet<JobNumber>,
     /// The job of a size or queue that has been served less than its share, for which others wait.
     next: Option<JobNumber>,
-    /// Whether a job that could still meet its objective was refused; then others don't begin.
+    /// Whether a job that could still meet its objective was refused; then late jobs don't begin. A job that doesn't fit even alone
+    /// doesn't count, since nothing that waits would let it end in time.
     is_pressed: bool,
 }
 
@@ -86,7 +87,7 @@
             self.commitments.add(more);
             self.admitted.insert(number);
         }
-        self.is_pressed |= is_fresh && !fits;
+        self.is_pressed |= is_fresh && !fits && self.commitments.fits_alone(more);
         self.next = (!rank.has_share && !fits).then_some(number);
         fits
     }
