Hedged calls: ask a worker again after both renewals were answered, and ignore answers of unknown age

Cause: where a renewal and its repetition were both answered before the next one was sent, the first still counted as unanswered. A failure of the next renewal then counted as that of the first, so that no renewal was sent any more unless the worker had another short task. The answer to a start whose run had ended or had been found in a list counted as three seconds old, or as old as the owner, so that no order was hedged for the next answers. Change: a report that arrives while no renewal is in flight counts as the answer to the repeated one. Answers of unknown age don't change the usual time of answers. Result: failure_after_both_answers and end_before_the_answer fail without the change and pass with it; all of hedged_renewals and hedged_starts pass.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -82,7 +82,11 @@
 
     fn run_began(&mut self, now: Millis, worker: &WorkerId, key: RunKey, clock: u64) {
         let sent_at = self.start_sent_at(now, worker, &key);
-        self.start_patience.note_answer(now.saturating_sub(sent_at));
+        // The time of the order is not known if the end of the run was listed before, or if the run was found in a list.
+        let record = self.record_mut(worker, &key);
+        if record.is_some_and(|record| record.ordered_at > 0) {
+            self.start_patience.note_answer(now.saturating_sub(sent_at));
+        }
         let known = self.record_order_clock(now, worker, ClockSample { clock, sent_at });
         if let Some(record) = self.record_mut(worker, &key) {
             let settles = matches!(record.phase, RunPhase::Ordered | RunPhase::Unsettled);
--- a/crates/jobs/src/hedge.rs
+++ b/crates/jobs/src/hedge.rs
@@ -88,6 +88,11 @@
         self.reported = true;
     }
 
+    /// Records that one of them was answered.
+    pub(crate) fn note_answered(&mut self) {
+        self.count = self.count.saturating_sub(1);
+    }
+
     /// The number of the newest end that an answered renewal certainly acknowledged; `newest` is the one that the newest renewal does.
     pub(crate) fn least_acknowledged(&self, newest: u64) -> u64 {
         match self.exist() {
@@ -125,6 +130,12 @@
         stray
     }
 
+    /// Whether a report answers a repeated renewal although the newest one was answered already.
+    pub(crate) fn answers_stray(&self, answer: &RenewalAnswer) -> bool {
+        let reports = matches!(answer, RenewalAnswer::Report(_));
+        reports && self.strays.exist() && self.renewal_sent_at.is_none()
+    }
+
     /// Makes the renewal in flight a stray one, so that another can be sent.
     fn set_renewal_aside(&mut self, now: Millis) {
         let Some(sent_at) = self.renewal_sent_at.take() else {
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -85,6 +85,7 @@
         if state.take_stray(now, &answer) {
             return;
         }
+        let answers_stray = state.answers_stray(&answer);
         let sent = state.renewal_sent_at.take();
         let sent = state.strays.earliest(sent);
         let waited = now.saturating_sub(sent.unwrap_or(now));
@@ -108,6 +109,10 @@
         match answer {
             RenewalAnswer::Report(report) => {
                 self.handle_report(now, worker, sent.unwrap_or(now), report);
+                let state = self.workers.get_mut(worker);
+                if let Some(state) = state.filter(|_| answers_stray) {
+                    state.strays.note_answered();
+                }
             }
             RenewalAnswer::Fenced => self.deposed = true,
             RenewalAnswer::Failed(answer) => {
--- a/crates/jobs/tests/hedged_renewals.rs
+++ b/crates/jobs/tests/hedged_renewals.rs
@@ -182,6 +182,20 @@
     assert_eq!(retried, 1, "the failure is that of the newest renewal");
 }
 
+/// Guards against a worker that is never asked again: both renewals tell of the end of its only run, and the next renewal fails.
+fn a_failure_after_both_were_answered() {
+    let (mut rig, run) = owner_with_repeated_renewal();
+    let end = end_report(1, run, RunOutcome::Done);
+    rig.report(WORKER, vec![], vec![end.clone()]);
+    assert!(take_renewals(&mut rig).is_empty(), "the end is not durable");
+    rig.report(WORKER, vec![], vec![end]);
+    rig.commit_all();
+    rig.advance(TICK_MS);
+    assert_eq!(take_renewals(&mut rig).len(), 1);
+    fail_renewal(&mut rig);
+    assert_eq!(renewals_within(&mut rig, 300), 1, "the renewal is retried");
+}
+
 sandshelf_cases::cases! {
     short_task => repeated_when_overdue(true, step(1), 1);
     short_task_without_the_policy => repeated_when_overdue(false, step(1), 0);
@@ -190,5 +204,6 @@
     dead_worker => a_dead_worker();
     old_report => an_old_report_after_a_newer_one();
     first_renewal_never_ends => a_first_renewal_that_never_ends();
+    failure_after_both_answers => a_failure_after_both_were_answered();
     unanswered_acknowledgement => an_acknowledgement_in_an_unanswered_renewal();
 }
--- a/crates/jobs/tests/hedged_starts.rs
+++ b/crates/jobs/tests/hedged_starts.rs
@@ -146,6 +146,24 @@
     assert!(!early, "the answer is not late yet");
 }
 
+/// Guards against orders that wait for seconds: the worker lists the end of a run before the answer to its start arrives, so that the
+/// time of that answer is not known.
+fn an_end_before_the_answer() {
+    let mut rig = owner(true);
+    let (worker, start) = unanswered_start(&mut rig, step(1));
+    rig.now += 10;
+    let end = end_report(1, start.key, RunOutcome::Done);
+    rig.report(&worker, vec![], vec![end]);
+    rig.start_answered(&worker, start.key, OrderAnswer::Done(rig.now));
+    rig.commit_all();
+    rig.hand_in(8, 0, job(vec![step(1)]));
+    let (_, start) = rig.peek_starts().pop().expect("a start");
+    rig.actions.clear();
+    let stopped = stopped_after_ms(&mut rig, start.key);
+    let soon = stopped.is_some_and(|after| after <= GIVEN_UP_BY_MS);
+    assert!(soon, "{stopped:?}");
+}
+
 /// Guards against an owner on a slow host that takes answers for missing that have arrived and wait to be processed.
 fn an_owner_that_is_behind() {
     let mut rig = owner(true);
@@ -170,5 +188,6 @@
     answered_after_the_stop => an_answer_after_the_stop();
     refused_after_the_stop => a_refusal_after_the_stop();
     usually_slow_answers => answers_that_usually_take_long();
+    end_before_the_answer => an_end_before_the_answer();
     owner_behind => an_owner_that_is_behind();
 }
