Preemption: spare standing gangs and held tasks, release unused parts of rooms, let drained tasks wait for stops

Four faults, each with a test that failed before:

- A member of a standing gang could be preempted.
The end of one member ends all, more than the step may miss.
Standing gangs are not stopped any more.
- Runs were stopped for standing tasks that fair order holds back: a filling run for a task that no pass would start.
- A small task that started in a held room kept the whole room held for as long as it ran.
- A standing task that was moved off a draining worker could become unavailable before the stop of a preempted task of its step took effect.
The stop then ended a task at work beyond `may_miss`.
The move waits for that stop, at most until it has timed out.

--- a/crates/jobs/src/copies/standing.rs
+++ b/crates/jobs/src/copies/standing.rs
@@ -99,7 +99,7 @@
     }
 
     /// Whether a standing task is at work by its newest reading.
-    fn is_at_work(&self, now: Millis, key: &TaskKey, task: &TaskState) -> bool {
+    pub(crate) fn is_at_work(&self, now: Millis, key: &TaskKey, task: &TaskState) -> bool {
         let TaskStage::Live { worker, run } = &task.stage else {
             return false;
         };
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -210,6 +210,9 @@
             moved.extend(standing.map(|(key, _)| (id.clone(), *key)));
         }
         for (worker, key) in moved {
+            if self.must_await_preemption(now, &key) {
+                continue;
+            }
             self.stop_run(now, &worker, key, StopCause::Draining);
         }
     }
--- a/crates/jobs/src/preemption/demands.rs
+++ b/crates/jobs/src/preemption/demands.rs
@@ -115,6 +115,8 @@
         let mut groups: Vec<DemandGroup<'_>> = Vec::new();
         // The step of the task before, and the index of its group if runs may be stopped for it.
         let mut last: Option<(TaskKey, Option<usize>)> = None;
+        // The last step of which fair order holds back a task: it does so with all its tasks that have not run.
+        let mut held_step: Option<TaskKey> = None;
         for wait in self.waiting.iter().take(MAX_TASKS_PER_PLAN) {
             let key = wait.task;
             let Some(job) = self.jobs.get(&key.job) else {
@@ -133,7 +135,15 @@
             let Some(place) = place else {
                 continue;
             };
-            if self.caution_of(&key) == StartCaution::Usual {
+            // Nothing is stopped for tasks that the next pass would not start.
+            let held = match held_step == Some(first) {
+                true => self.may_be_held(wait),
+                false => self.is_standing_held(now, wait),
+            };
+            if held {
+                held_step = Some(first);
+            }
+            if !held && self.caution_of(&key) == StartCaution::Usual {
                 groups[place].add(key, task.waiting_since);
             }
         }
--- a/crates/jobs/src/preemption/holds.rs
+++ b/crates/jobs/src/preemption/holds.rs
@@ -46,6 +46,8 @@
     pub(crate) uses: u32,
     /// Since when the room has been free and unused.
     pub(crate) unused_since: Option<Millis>,
+    /// Since when only a part of the room has been used.
+    pub(crate) part_unused_since: Option<Millis>,
 }
 
 /// A hold that has ended.
@@ -116,6 +118,51 @@
         };
     }
 
+    /// Gives up the part of the room that has not been used for `unused_ms`. Otherwise a small task would keep all of it held.
+    fn release_unused_part(
+        &mut self,
+        now: Millis,
+        unused_ms: Millis,
+        runs: &BTreeMap<RunKey, RunRecord>,
+        scope_of: &impl Fn(&RunKey) -> Option<TaskScope>,
+        users: &BTreeSet<RunKey>,
+    ) {
+        let unused = match self.user {
+            Some(_) => self.room_beside_users(runs, scope_of, users),
+            None => ResourceSize::default(),
+        };
+        if unused == ResourceSize::default() {
+            self.part_unused_since = None;
+            return;
+        }
+        let since = *self.part_unused_since.get_or_insert(now);
+        if now >= since + unused_ms {
+            self.room = self.room.saturating_minus(&unused);
+            self.part_unused_since = None;
+        }
+    }
+
+    /// The part of the room that neither its user nor other runs use that may use it and use no other hold.
+    fn room_beside_users(
+        &self,
+        runs: &BTreeMap<RunKey, RunRecord>,
+        scope_of: &impl Fn(&RunKey) -> Option<TaskScope>,
+        users: &BTreeSet<RunKey>,
+    ) -> ResourceSize {
+        let unused = self.unused_room(runs);
+        if unused == ResourceSize::default() {
+            return unused;
+        }
+        let admitted = |key| scope_of(key).is_some_and(|scope| self.scope.admits(&scope));
+        let others = runs
+            .iter()
+            .filter(|(_, record)| record.ordered_at >= self.since);
+        let others = others.filter(|(key, _)| !users.contains(key) && admitted(key));
+        others.fold(unused, |unused, (_, record)| {
+            unused.saturating_minus(&record.room)
+        })
+    }
+
     /// A run that was started after the stops were ordered, may use the room and uses no other hold.
     fn find_user(
         &self,
@@ -209,6 +256,8 @@
                     None => Some(HoldOutcome::WorkerGone),
                     Some(runs) => {
                         hold.refresh(now, runs, &scope_of, &mut users);
+                        let unused_ms = limits.unused_ms;
+                        hold.release_unused_part(now, unused_ms, runs, &scope_of, &users);
                         hold.outcome(now, limits)
                     }
                 };
--- a/crates/jobs/src/preemption/mod.rs
+++ b/crates/jobs/src/preemption/mod.rs
@@ -23,6 +23,7 @@
 use self::plan::{plan_preemptions, PreemptionChoice, MAX_DEMANDS_COMPARED};
 use crate::cost::Candidate;
 use crate::ids::{RunKey, TaskKey};
+use crate::job::TaskStage;
 use crate::limits::TICK_MS;
 use crate::note::{JobNote, PreemptionReport, StopCause};
 use crate::scheduler::JobScheduler;
@@ -125,6 +126,7 @@
                 user: None,
                 uses: 0,
                 unused_since: None,
+                part_unused_since: None,
             };
             self.preemption.holds.add(target.clone(), hold);
         }
@@ -236,6 +238,53 @@
         rooms.fold(free, |free, (_, room)| free.saturating_minus(&room))
     }
 
+    /// Whether the stop of a standing task has to wait: the stop of a preempted task of its step is under way, and the step would then
+    /// miss more than it may when that stop ends a task at work.
+    pub(crate) fn must_await_preemption(&self, now: Millis, run: &RunKey) -> bool {
+        let stopped = self.preemption.stopped_at.iter();
+        let step = run.task.first_of_step();
+        let under_way = |(task, at): (&TaskKey, &Millis)| {
+            now < *at + self.hold_limits().pending_ms()
+                && task.first_of_step() == step
+                && self.is_stopping(task)
+        };
+        if !stopped.into_iter().any(under_way) {
+            return false;
+        }
+        let job = self.jobs.get(&run.task.job);
+        let views = job.and_then(|job| job.step_spec(&run.task).zip(job.step(&run.task)));
+        let Some((spec, tasks)) = views else {
+            return false;
+        };
+        let others = (0u32..).zip(&tasks.tasks);
+        let others = others.filter(|(index, _)| *index != run.task.index);
+        let away = others.filter(|(index, task)| {
+            let key = TaskKey {
+                index: *index,
+                ..run.task
+            };
+            !self.is_at_work(now, &key, task)
+        });
+        // Beside the preempted task, which is one of these, at most `may_miss` less one may be unavailable.
+        away.count() + 1 > spec.may_miss.unwrap_or(0) as usize
+    }
+
+    /// Whether the run of a task is being stopped.
+    fn is_stopping(&self, task: &TaskKey) -> bool {
+        let job = self.jobs.get(&task.job);
+        let stage = job.and_then(|job| job.task(task)).map(|task| &task.stage);
+        let Some(TaskStage::Live { worker, run }) = stage else {
+            return false;
+        };
+        let key = RunKey {
+            task: *task,
+            run: *run,
+        };
+        let record = self.workers.get(worker);
+        let record = record.and_then(|worker| worker.runs.get(&key));
+        record.is_some_and(|record| record.phase.is_stopping())
+    }
+
     /// The number of holds and the processors that they hold, in thousandths of a core, for gauges.
     pub(crate) fn held_capacity(&self) -> (usize, u64) {
         let holds = self.preemption.holds.all();
--- a/crates/jobs/src/preemption/views.rs
+++ b/crates/jobs/src/preemption/views.rs
@@ -106,7 +106,7 @@
         view.priority = facts.priority;
         if let Some(step) = facts.allowance {
             view.kind = RunKind::Standing(step);
-            self.view_standing(&mut view, step, worker, record);
+            self.view_standing(&mut view, (step, facts.gang), worker, record);
             return view;
         }
         if let RunPhase::Running(_) = record.phase {
@@ -134,11 +134,12 @@
         }
     }
 
-    /// Views a standing run; it counts as at work if nothing speaks against it.
+    /// Views a standing run; it counts as at work if nothing speaks against it. A standing gang is never stopped: the end of one member
+    /// would end all, more than the step may miss.
     fn view_standing(
         &mut self,
         view: &mut RunView,
-        step: usize,
+        (step, gang): (usize, bool),
         worker: &WorkerState,
         record: &RunRecord,
     ) {
@@ -154,7 +155,9 @@
         let limits = &self.scheduler.limits;
         let away_ms = limits.stop_timeout_ms + limits.restore_ms;
         view.lost_work = away_ms * record.cpu_millis / 1_000;
-        view.outlook = self.stop_outlook(&view.key.task);
+        if !gang {
+            view.outlook = self.stop_outlook(&view.key.task);
+        }
     }
 
     fn stop_outlook(&self, task: &TaskKey) -> RunOutlook {
--- a/crates/jobs/src/shares/shortage.rs
+++ b/crates/jobs/src/shares/shortage.rs
@@ -124,7 +124,7 @@
     /// Whether a standing task may leave its capacity to short ones: it has not run yet. The platform counts a task that has run as lost
     /// when it could have been started again for three seconds, and capacity that short tasks free and take again counts as such.
     /// Whether a task of an earlier owner's job has run is not known.
-    fn may_be_held(&self, wait: &WaitKey) -> bool {
+    pub(crate) fn may_be_held(&self, wait: &WaitKey) -> bool {
         let Some(job) = self.jobs.get(&wait.task.job).filter(|job| !job.inherited) else {
             return false;
         };
