Hedged calls: a restarted worker's first report is not an old one

Cause: the clock of a restarted worker begins anew. While a repeated renewal was unanswered, the first report of the new incarnation looked older than the newest one and was dropped; the restart was noticed only after the other renewal had failed and was retried. Change: a report of another incarnation is handled at once, as it is without repeated renewals. Result: restart_told_by_the_repetition fails without the change and passes with it.

--- a/crates/jobs/src/hedge.rs
+++ b/crates/jobs/src/hedge.rs
@@ -106,6 +106,7 @@
     /// Takes an answer after which the renewal in flight stays the next one: the failure of a renewal that was repeated, or a report
     /// that is older than the newest one. Returns whether it is such an answer.
     ///
+    /// The clock of a restarted worker begins anew, so that its first report is not an old one.
     /// Where the worker has not reported since the renewal was repeated, its failure counts like any other.
     pub(crate) fn take_stray(&mut self, now: Millis, answer: &RenewalAnswer) -> bool {
         self.strays.expire(now);
@@ -116,7 +117,8 @@
             RenewalAnswer::Failed(OrderAnswer::Unknown | OrderAnswer::NotSent) => true,
             RenewalAnswer::Report(report) => {
                 let newest = self.incarnation.newest_clock();
-                newest.is_some_and(|newest| report.clock < newest)
+                let restarted = self.incarnation.is_other(report.incarnation);
+                !restarted && newest.is_some_and(|newest| report.clock < newest)
             }
             RenewalAnswer::Failed(_) | RenewalAnswer::Fenced => false,
         };
--- a/crates/jobs/tests/hedged_renewals.rs
+++ b/crates/jobs/tests/hedged_renewals.rs
@@ -7,7 +7,7 @@
 
 use sandshelf_jobs::{
     JobAction, JobEvent, OrderAnswer, RenewalAnswer, RenewalCall, RenewalReport, RunKey,
-    RunOutcome, SchedulerLimits, StepSpec, TakeoverInfo, WorkerCall,
+    RunOutcome, SchedulerLimits, StepSpec, TakeoverInfo, WorkerCall, WorkerIncarnation,
 };
 use sandshelf_model::{LoadPolicies, LoadPolicy, Millis};
 use support::{end_report, job, run_report, step, SchedulerRig};
@@ -196,6 +196,35 @@
     assert_eq!(renewals_within(&mut rig, 300), 1, "the renewal is retried");
 }
 
+/// A report of this incarnation without runs.
+fn report_of(incarnation: u64, clock: Millis) -> RenewalReport {
+    RenewalReport {
+        incarnation: Some(WorkerIncarnation(incarnation)),
+        carrier_late_ms: 0,
+        clock,
+        running: vec![],
+        ended: vec![],
+    }
+}
+
+/// Guards against taking the first report of a restarted worker for an old one, since its clock begins anew: the runs of the
+/// incarnation before have ended.
+fn a_restart_told_by_the_repeated_renewal() {
+    let (mut rig, run) = owner_with_repeated_renewal();
+    let known = RenewalReport {
+        running: vec![run_report(run)],
+        ..report_of(1, rig.now)
+    };
+    rig.answer_renewal(WORKER, known);
+    take_renewals(&mut rig);
+    rig.now += 50;
+    rig.answer_renewal(WORKER, report_of(2, 20));
+    rig.advance(TICK_MS);
+    let starts = rig.peek_starts();
+    assert_eq!(starts.len(), 1, "the task starts again");
+    assert_eq!(starts[0].1.key.task, run.task);
+}
+
 sandshelf_cases::cases! {
     short_task => repeated_when_overdue(true, step(1), 1);
     short_task_without_the_policy => repeated_when_overdue(false, step(1), 0);
@@ -205,5 +234,6 @@
     old_report => an_old_report_after_a_newer_one();
     first_renewal_never_ends => a_first_renewal_that_never_ends();
     failure_after_both_answers => a_failure_after_both_were_answered();
+    restart_told_by_the_repetition => a_restart_told_by_the_repeated_renewal();
     unanswered_acknowledgement => an_acknowledgement_in_an_unanswered_renewal();
 }
