Admit a filling job that is too wide for its span by its objective

Cause: a filling job begins only if its work fits until 1.2 times the time that it needs at full pace. A job too wide for that on all the capacity together never began while any other filling job was at work, also where its objective left time enough.

Change: such a job is admitted if its work fits until its objective.

--- a/crates/jobs/src/shares/filling.rs
+++ b/crates/jobs/src/shares/filling.rs
@@ -106,12 +106,20 @@
             return false;
         }
         let service = self.rules(&job.spec).service.clone();
-        let more = DueWork {
+        let mut more = DueWork {
             due_at: due_at(now, &group.rank, job),
             work: remaining_work(job, |_| 0),
         };
+        let objective_at = job.due.objective_at;
         self.refresh_filling(now, &service);
         let filling = self.filling_limits.services.get_mut(&service);
+        if filling
+            .as_ref()
+            .is_some_and(|filling| !filling.commitments.fits_alone(more))
+        {
+            // The job is too wide to end within its span on all free capacity together.
+            more.due_at = more.due_at.max(objective_at);
+        }
         let admits = filling.is_none_or(|filling| filling.admit(group.job, more, &group.rank));
         self.note_held(now, group.job, &service, more, !admits);
         !admits
