Preemption: repeat no unanswered stop once the step misses as many tasks as it may

A stop without an answer was repeated every 600 ms whatever happened meanwhile. Other tasks of the step that were lost with their worker in between count as unavailable after 4.5 s, and the repeated stop then ended a task at work beyond `may_miss`. The repetition now waits until enough others are at work. The order sent first may still take effect late; that can't be undone.

--- a/crates/jobs/src/preemption/mod.rs
+++ b/crates/jobs/src/preemption/mod.rs
@@ -181,8 +181,9 @@
             return;
         }
         self.preemption.refreshed_at = now;
-        let stopped_at = &mut self.preemption.stopped_at;
-        stopped_at.retain(|_, at| now < *at + REPEAT_PAUSE_MS);
+        let mut stopped_at = std::mem::take(&mut self.preemption.stopped_at);
+        stopped_at.retain(|task, at| now < *at + REPEAT_PAUSE_MS || self.is_stopping(task));
+        self.preemption.stopped_at = stopped_at;
         if self.preemption.holds.is_empty() {
             return;
         }
@@ -241,32 +242,48 @@
     /// Whether the stop of a standing task has to wait: the stop of a preempted task of its step is under way, and the step would then
     /// miss more than it may when that stop ends a task at work.
     pub(crate) fn must_await_preemption(&self, now: Millis, run: &RunKey) -> bool {
-        let stopped = self.preemption.stopped_at.iter();
+        let mut stopped = self.preemption.stopped_at.iter();
         let step = run.task.first_of_step();
         let under_way = |(task, at): (&TaskKey, &Millis)| {
             now < *at + self.hold_limits().pending_ms()
                 && task.first_of_step() == step
                 && self.is_stopping(task)
         };
-        if !stopped.into_iter().any(under_way) {
+        if !stopped.any(under_way) {
             return false;
         }
-        let job = self.jobs.get(&run.task.job);
-        let views = job.and_then(|job| job.step_spec(&run.task).zip(job.step(&run.task)));
-        let Some((spec, tasks)) = views else {
+        // Beside the preempted task, which is one of these, at most `may_miss` less one may be unavailable.
+        self.others_missed(now, &run.task)
+            .is_some_and(|(away, may_miss)| away + 1 > may_miss)
+    }
+
+    /// Whether the stop of a preempted task, of which no answer has arrived, must not be ordered again: so many others of its step have
+    /// become unavailable since.
+    pub(crate) fn must_not_stop_again(&self, now: Millis, run: &RunKey) -> bool {
+        if !self.preemption.stopped_at.contains_key(&run.task) {
             return false;
-        };
-        let others = (0u32..).zip(&tasks.tasks);
-        let others = others.filter(|(index, _)| *index != run.task.index);
-        let away = others.filter(|(index, task)| {
+        }
+        let job = self.jobs.get(&run.task.job);
+        let step = job.and_then(|job| job.step_spec(&run.task));
+        let missed = self.others_missed(now, &run.task);
+        step.is_some_and(|step| step.standing)
+            && missed.is_some_and(|(away, may_miss)| away >= may_miss)
+    }
+
+    /// How many other tasks of a step are not at work, and how many the step may miss.
+    fn others_missed(&self, now: Millis, task: &TaskKey) -> Option<(usize, usize)> {
+        let job = self.jobs.get(&task.job)?;
+        let (spec, step) = (job.step_spec(task)?, job.step(task)?);
+        let others = (0u32..).zip(&step.tasks);
+        let others = others.filter(|(index, _)| *index != task.index);
+        let away = others.filter(|(index, state)| {
             let key = TaskKey {
                 index: *index,
-                ..run.task
+                ..*task
             };
-            !self.is_at_work(now, &key, task)
+            !self.is_at_work(now, &key, state)
         });
-        // Beside the preempted task, which is one of these, at most `may_miss` less one may be unavailable.
-        away.count() + 1 > spec.may_miss.unwrap_or(0) as usize
+        Some((away.count(), spec.may_miss.unwrap_or(0) as usize))
     }
 
     /// Whether the run of a task is being stopped.
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -49,6 +49,11 @@
             let record = self.record_mut(&worker, &key);
             let phase = record.map(|record| &mut record.phase);
             if let Some(RunPhase::Stopping { answered: None, .. }) = phase {
+                if self.must_not_stop_again(now, &key) {
+                    self.stop_queue
+                        .push_back((now + STOP_RETRY_MS, worker, key));
+                    continue;
+                }
                 self.send_stop(now, &worker, key);
             }
         }
--- a/crates/jobs/tests/preemption_faults.rs
+++ b/crates/jobs/tests/preemption_faults.rs
@@ -198,7 +198,39 @@
     }
 }
 
+/// Guards against the repetition of an unanswered stop after other tasks of the step were lost with their worker.
+fn an_unanswered_stop_is_not_repeated_beyond_the_allowance() {
+    let mut fleet = StandingFleet::new(FleetSetup {
+        workers: 4,
+        seed: 1,
+        preemption: true,
+    });
+    fleet.hand_in(standing_job(Some(1)));
+    let mut rest = standing_job(Some(0));
+    rest.steps[0].count = 22 - STANDING_COUNT;
+    fleet.hand_in(rest);
+    fleet.play(3_000);
+    for worker in fleet.workers.values_mut() {
+        worker.ignores_stops = true;
+    }
+    fleet.hand_in(short_job(1, 1));
+    fleet.play(50);
+    let (_, at, run) = fleet.counts.preempted[0].clone();
+    let mut others = fleet
+        .workers
+        .iter_mut()
+        .filter(|(name, worker)| **name != at && worker.runs.keys().any(|run| run.task.job.0 == 1));
+    others.next().expect("a worker").1.lost = true;
+    fleet.play(5_000);
+    for worker in fleet.workers.values_mut() {
+        worker.ignores_stops = false;
+    }
+    fleet.play(12_000);
+    assert!(fleet.workers[&at].runs.contains_key(&run));
+}
+
 sandshelf_cases::cases! {
+    unanswered_stop => an_unanswered_stop_is_not_repeated_beyond_the_allowance();
     standing_gang => a_standing_gang_is_left_alone(true, 0);
     standing_tasks => a_standing_gang_is_left_alone(false, 1);
     held_standing_task => nothing_is_stopped_for_a_held_task(true, 0);
