Show hedged calls in logs and metrics

An operator could not tell a start that was given up as overdue from one whose call timed out, nor see repeated renewals.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -66,7 +66,9 @@
                 self.drop_run(now, worker, &key);
                 self.lose_worker(now, worker, LossCause::Replaced);
             }
-            OrderAnswer::Unknown => self.run_unsettled(now, worker, key),
+            OrderAnswer::Unknown => {
+                self.run_unsettled(now, worker, key, StopCause::Unsettled);
+            }
         }
     }
 
@@ -122,11 +124,18 @@
         }
     }
 
-    pub(crate) fn run_unsettled(&mut self, now: Millis, worker: &WorkerId, key: RunKey) {
+    /// Stops a run whose start order got no answer; the worker's answers then settle whether it exists.
+    pub(crate) fn run_unsettled(
+        &mut self,
+        now: Millis,
+        worker: &WorkerId,
+        key: RunKey,
+        cause: StopCause,
+    ) {
         if let Some(record) = self.record_mut(worker, &key) {
             if record.phase == RunPhase::Ordered {
                 record.phase = RunPhase::Unsettled;
-                self.stop_run(now, worker, key, StopCause::Unsettled);
+                self.stop_run(now, worker, key, cause);
             }
         }
     }
--- a/crates/jobs/src/hedge.rs
+++ b/crates/jobs/src/hedge.rs
@@ -12,6 +12,7 @@
 
 use crate::ids::RunKey;
 use crate::limits::MAX_ORDER_AGE_MS;
+use crate::note::{JobNote, StopCause};
 use crate::reports::{OrderAnswer, RenewalAnswer};
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
@@ -178,7 +179,7 @@
         while let Some((worker, run)) = self.start_orders.take_sent_by(sent_by) {
             let phase = self.record_mut(&worker, &run).map(|record| record.phase);
             if self.hedges_calls() && phase == Some(RunPhase::Ordered) {
-                self.run_unsettled(now, &worker, run);
+                self.run_unsettled(now, &worker, run, StopCause::Overdue);
             }
         }
     }
@@ -197,6 +198,10 @@
                 state.set_renewal_aside(now);
             }
             self.schedule_renewal(&id, now);
+            self.note(JobNote::RenewalRepeated {
+                worker: id,
+                overdue_ms,
+            });
         }
     }
 }
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -296,6 +296,13 @@
         /// The number of runs that are stalled.
         runs: usize,
     },
+    /// A lease renewal got no answer as soon as usual and was repeated, since a short task may have ended meanwhile.
+    RenewalRepeated {
+        /// The worker.
+        worker: WorkerId,
+        /// How much longer than its wait a renewal may take before it counts as overdue, in milliseconds.
+        overdue_ms: Millis,
+    },
     /// Runs are stopped for waiting tasks.
     Preempted(PreemptionReport),
     /// Capacity that stops have freed is not held any more.
@@ -381,6 +388,8 @@
     Draining,
     /// The start order of the run got no answer.
     Unsettled,
+    /// The start order of the run got no answer as soon as usual.
+    Overdue,
     /// The run was slowed down for long and can run faster on another worker.
     Slowed,
     /// The run makes no progress and can end earlier on another worker.
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -59,6 +59,8 @@
 const JOB_SECONDS: &str = "sandshelf_job_seconds";
 /// The jobs that completed later than their objective, by queue.
 const LATE_JOBS: &str = "sandshelf_jobs_late_total";
+/// The lease renewals that were repeated because their answers were overdue.
+const REPEATED_RENEWALS: &str = "sandshelf_repeated_renewals_total";
 /// The decisions to stop runs for waiting tasks, by kind: `standing` if a standing task is stopped, else `lower_priority`.
 const PREEMPTIONS: &str = "sandshelf_preemptions_total";
 /// The ended holds of freed capacity, by outcome.
@@ -235,6 +237,7 @@
         }
         JobNote::ReservationEnded { .. } => {}
         JobNote::FillingHeld { .. } => counter!(FILLING_HELD).increment(1),
+        JobNote::RenewalRepeated { .. } => counter!(REPEATED_RENEWALS).increment(1),
         JobNote::Preempted(report) => record_preemption(report),
         JobNote::HoldEnded { outcome, uses, .. } => {
             counter!(HOLDS, "outcome" => label(outcome)).increment(1);
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -285,6 +285,10 @@
                 ("percent", percent),
             ],
         ),
+        JobNote::RenewalRepeated { worker, overdue_ms } => event(
+            "renewal_repeated",
+            &[("worker", worker), ("overdue_ms", overdue_ms)],
+        ),
         JobNote::Preempted(report) => log_preemption(report),
         JobNote::HoldEnded {
             waiter,
