--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -14,6 +14,7 @@
 pub mod restarting;
 pub mod slow_fleet;
 pub mod standing_fleet;
+pub mod standing_jobs;
 
 pub use sandshelf_emulator::oracle;
 
--- a/crates/jobs/tests/support/standing_fleet.rs
+++ b/crates/jobs/tests/support/standing_fleet.rs
@@ -9,13 +9,14 @@
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
     HoldOutcome, JobAction, JobEvent, JobNote, JobNumber, JobSpec, JobStage, OrderAnswer,
-    RefusalReason, RenewalAnswer, RunKey, RunReport, SchedulerLimits, StepSpec, StopCause,
-    TakeoverInfo, TaskKey, WorkerCall, WorkerListing,
+    RefusalReason, RenewalAnswer, RunKey, RunReport, StepSpec, StopCause, TakeoverInfo, TaskKey,
+    WorkerCall, WorkerListing,
 };
-use sandshelf_model::{LoadPolicies, Millis, ResourceSize, WorkerId};
+use sandshelf_model::{Millis, ResourceSize, WorkerId};
 
 use super::fleet_worker::{FleetRun, FleetWorker};
-use super::{job, listing, step, SchedulerRig};
+pub use super::standing_jobs::*;
+use super::{listing, SchedulerRig};
 
 pub const TICK_MS: Millis = 25;
 /// The platform counts a task as unavailable that has not been at work for this long.
@@ -24,14 +25,6 @@
 const LOST_CALL_MS: Millis = 500;
 /// The shortest and the longest time that a stop takes.
 pub const STOP_MS: (Millis, Millis) = (100, 900);
-/// The size of a short task and how long it takes.
-pub const SHORT_CPU: u64 = 2_600;
-pub const SHORT_MS: Millis = 800;
-/// The size of a standing task.
-pub const STANDING_CPU: u64 = 3_200;
-/// The number of tasks of a standing step.
-pub const STANDING_COUNT: u32 = 14;
-
 /// What a test asks of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetSetup {
@@ -79,49 +72,6 @@
     pub epoch: u64,
 }
 
-pub fn short_job(tasks: u32, steps: usize) -> JobSpec {
-    let steps = (0..steps).map(|place| StepSpec {
-        size: ResourceSize::new(SHORT_CPU, 2_000, 0),
-        estimate_ms: SHORT_MS,
-        after: place.checked_sub(1).into_iter().collect(),
-        ..step(tasks)
-    });
-    job(steps.collect())
-}
-
-pub fn standing_job(may_miss: Option<u32>) -> JobSpec {
-    job(vec![StepSpec {
-        size: ResourceSize::new(STANDING_CPU, 8_000, 0),
-        standing: true,
-        may_miss,
-        ..step(STANDING_COUNT)
-    }])
-}
-
-pub fn filling_job(tasks: u32, memory_mib: u64, run_ms: Millis) -> JobSpec {
-    let mut spec = job(vec![StepSpec {
-        size: ResourceSize::new(500, memory_mib, 0),
-        fills: true,
-        checkpoints: true,
-        estimate_ms: run_ms,
-        image: "index".to_owned(),
-        ..step(tasks)
-    }]);
-    spec.rules.priority = 2;
-    spec.rules.stretch = 10.0;
-    spec
-}
-
-pub fn limits(preemption: bool) -> SchedulerLimits {
-    SchedulerLimits {
-        policies: LoadPolicies {
-            preemption,
-            ..LoadPolicies::default()
-        },
-        ..SchedulerLimits::default()
-    }
-}
-
 impl StandingFleet {
     /// A fleet of which every third worker has 1.5 times the capacity of the others.
     pub fn new(setup: FleetSetup) -> Self {
