Log from what the end of a worker's lease is concluded

The logs did not tell why an owner took a silent worker's lease to be over, nor how long the leases are that an owner grants while its renewals are overdue. `lease_expired` gives the clock and the deadline that were compared, `worker_fenced` the clock of the first answer and how long an inherited lease may last after it, and `ownership_overdue` the granted length. Behaviour is unchanged.

--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -113,7 +113,7 @@
 
     /// The lowest value that the worker's clock can show at `now`, at the slowest rate that is
     /// allowed.
-    fn lowest_clock(&self, now: Millis) -> Option<WorkerClock> {
+    pub(crate) fn lowest_clock(&self, now: Millis) -> Option<WorkerClock> {
         let reading = self.reading?;
         let passed = now.saturating_sub(reading.at) * MIN_CLOCK_RATE_PERCENT / 100;
         Some(reading.clock + passed)
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -93,6 +93,21 @@
         worker: WorkerId,
         /// The incarnation that answered, if the worker reports it.
         incarnation: Option<WorkerIncarnation>,
+        /// The worker's clock in the answer, in milliseconds.
+        clock: WorkerClock,
+        /// How long after that an earlier owner's lease may last, in milliseconds on the worker's clock.
+        lease_left_ms: Millis,
+    },
+    /// The lease of a silent worker with runs has expired.
+    LeaseExpired {
+        /// The worker.
+        worker: WorkerId,
+        /// The lowest value that the worker's clock can show now, in milliseconds.
+        clock: WorkerClock,
+        /// The latest deadline that the lease may have on that clock, in milliseconds.
+        deadline: WorkerClock,
+        /// How long ago the worker answered last, in milliseconds.
+        unheard_ms: Millis,
     },
     /// A worker has restarted under the same id: the runs of its previous incarnation are lost.
     WorkerRestarted {
@@ -147,6 +162,16 @@
         /// For how long this owner knew the hall as evacuated, in milliseconds.
         lasted_ms: Millis,
     },
+    /// The owner can't renew its ownership at present, or can again. Meanwhile it grants longer leases, all of which end within the
+    /// usual length after it becomes unsure.
+    OwnershipOverdue {
+        /// Whether renewals are overdue.
+        overdue: bool,
+        /// The length of the leases that it grants now, in milliseconds.
+        lease_ms: Millis,
+        /// How much longer it is sure that nobody else owns the shard, in milliseconds.
+        sure_for_ms: Millis,
+    },
     /// The owner can't renew its ownership, so that another host may own the shard by now: it starts no task and prolongs no lease.
     Unsure,
     /// The owner is sure again that no other host owns the shard.
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -81,6 +81,19 @@
         longest.min(self.limits.max_lease_ms).max(lease)
     }
 
+    /// Handles that renewals of the ownership are overdue, or not any more.
+    pub(crate) fn set_ownership_overdue(&mut self, now: Millis, overdue: bool) {
+        if self.ownership_overdue == overdue {
+            return;
+        }
+        self.ownership_overdue = overdue;
+        self.note(JobNote::OwnershipOverdue {
+            overdue,
+            lease_ms: self.granted_lease_ms(now),
+            sure_for_ms: self.sure_until.saturating_sub(now),
+        });
+    }
+
     /// Schedules the removal of progress rows without a job. An earlier owner may have ended after
     /// it removed a job and before it removed the job's progress.
     fn forget_orphaned_progress(&mut self, now: Millis) {
@@ -144,10 +157,25 @@
             self.note(JobNote::WorkerSilent(id));
         }
         for id in expired {
+            self.log_expired_lease(now, &id);
             self.handle_worker_loss(now, &id, LossCause::LeaseOver);
         }
         for id in idle {
             self.forget_silent(now, &id);
         }
     }
+
+    /// Logs from what the end of a worker's lease was concluded.
+    fn log_expired_lease(&mut self, now: Millis, worker: &WorkerId) {
+        let Some(state) = self.workers.get(worker) else {
+            return;
+        };
+        let note = JobNote::LeaseExpired {
+            worker: worker.clone(),
+            clock: state.incarnation.lowest_clock(now).unwrap_or(0),
+            deadline: state.incarnation.lease_deadline,
+            unheard_ms: now.saturating_sub(state.last_answer),
+        };
+        self.note(note);
+    }
 }
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -154,9 +154,10 @@
         state.suspects.clear();
         let first = !state.incarnation.fenced;
         state.incarnation.fenced = true;
+        let lease_left_ms = self.inherited_lease_ms;
         if first {
             // Until this owner extends it, the lease is the one that the earlier owner granted.
-            let inherited = report.clock + self.inherited_lease_ms;
+            let inherited = report.clock + lease_left_ms;
             state.incarnation.lease_deadline = state.incarnation.lease_deadline.max(inherited);
         }
         let noted = state.incarnation.noted;
@@ -165,6 +166,8 @@
             self.note(JobNote::Fenced {
                 worker: worker.clone(),
                 incarnation: report.incarnation,
+                clock: report.clock,
+                lease_left_ms,
             });
         }
         let mut ended = BTreeSet::new();
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -354,7 +354,7 @@
             }
             JobEvent::Committed(id) => self.handle_commit(now, id),
             JobEvent::SureUntil(until) => self.handle_tenure(now, until),
-            JobEvent::OwnershipOverdue(overdue) => self.ownership_overdue = overdue,
+            JobEvent::OwnershipOverdue(overdue) => self.set_ownership_overdue(now, overdue),
             JobEvent::Tick { wall_ms } => self.tick(now, wall_ms),
         }
     }
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -222,6 +222,8 @@
         | JobNote::TakeoverOver { .. }
         | JobNote::Unfound(_)
         | JobNote::Fenced { .. }
+        | JobNote::LeaseExpired { .. }
+        | JobNote::OwnershipOverdue { .. }
         | JobNote::WorkerRestarted { .. }
         | JobNote::EndPassedOver { .. }
         | JobNote::WorkerDraining { .. }
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -131,9 +131,30 @@
         JobNote::Fenced {
             worker,
             incarnation,
+            clock,
+            lease_left_ms,
         } => event(
             "worker_fenced",
-            &[("worker", worker), ("life", &or_none(incarnation.as_ref()))],
+            &[
+                ("worker", worker),
+                ("life", &or_none(incarnation.as_ref())),
+                ("clock", clock),
+                ("lease_left_ms", lease_left_ms),
+            ],
+        ),
+        JobNote::LeaseExpired {
+            worker,
+            clock,
+            deadline,
+            unheard_ms,
+        } => event(
+            "lease_expired",
+            &[
+                ("worker", worker),
+                ("clock", clock),
+                ("deadline", deadline),
+                ("unheard_ms", unheard_ms),
+            ],
         ),
         JobNote::WorkerRestarted {
             worker,
@@ -191,6 +212,18 @@
         JobNote::HallBack { hall, lasted_ms } => {
             event_always("hall_back", &[("hall", hall), ("lasted_ms", lasted_ms)]);
         }
+        JobNote::OwnershipOverdue {
+            overdue,
+            lease_ms,
+            sure_for_ms,
+        } => event_always(
+            "ownership_overdue",
+            &[
+                ("overdue", overdue),
+                ("lease_ms", lease_ms),
+                ("sure_for_ms", sure_for_ms),
+            ],
+        ),
         JobNote::Unsure => event_always("ownership_unsure", &[]),
         JobNote::SureAgain { lasted_ms } => {
             event_always("ownership_sure", &[("lasted_ms", lasted_ms)]);
