Count inherited leases from the claim, also on workers that have answered

What callers saw: after a takeover from an owner that the store had turned away, tasks ran twice at once.

Cause: an owner that can't renew its ownership grants each lease up to the end of one that it might still grant when it becomes unsure, up to 6 s. The wait of its successor for workers that never answer counts from the claim and covers that. A worker's first answer replaced this bound by the published length of leases, 4 s, from the answer on. A worker that fell silent right after its first answer was given up before its lease was over.

The promise: nobody takes a lease to end before its worker does. An incarnation now keeps the end of earlier owners' leases beside the deadlines of this owner, on the owner's clock, and a lease is over when both are (`inherited_lease_end`). The first answer no longer ends the wait that counts from the claim; a silence record still does, since nobody extends a lease while one can be read. For an incarnation that the earlier owner did not know, whose orders bear deadlines on another clock, only the worker's own limit counts. Silence records are computed from the same value. No length and no margin is changed.

The emulators could not play the order of events: nothing turned away a single owner, workers were cut off independently of takeovers, and a successor of a planned stop did not add the time that such claims add.

--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -100,6 +100,8 @@
     StoreRefuses(HostChoice, Millis),
     /// This number of workers carry out orders without an answer for this time.
     WorkersHang(usize, Millis),
+    /// This percentage of the workers is cut off from all hosts for this time, and keeps running tasks.
+    WorkersCut(usize, Millis),
 }
 
 /// A scenario to simulate.
--- a/crates/emulator/src/days.rs
+++ b/crates/emulator/src/days.rs
@@ -9,6 +9,8 @@
 /// How long a day with an overload until its end continues, in milliseconds: until filling jobs are of no use any more, so that the
 /// outcomes of all of them are known.
 const OVERLOAD_COOL_DOWN_MS: Millis = 30_000;
+/// How long after the store has begun to refuse the owner's calls its successor has just reached all workers, in milliseconds.
+const CUT_AFTER_REFUSAL_MS: Millis = 1_800;
 /// The index of the class of short jobs.
 const SHORT_CLASS: usize = 0;
 /// The index of the class of filling jobs, which has most of the bursts of traffic.
@@ -17,7 +19,7 @@
 const STANDING_CLASS: usize = 2;
 
 /// The names of the days, each with a description.
-pub const DAYS: [(&str, &str); 23] = [
+pub const DAYS: [(&str, &str); 24] = [
     ("calm", "nothing goes wrong"),
     ("burst", "a burst of filling jobs with a strong owner; many orders are late"),
     ("long-burst", "2.6 times the usual rate of filling jobs for 12 s"),
@@ -52,6 +54,10 @@
         "cuts",
         "the owner's hall is cut off outward, inward and outward again, and hall 1 in both directions",
     ),
+    (
+        "turned-away",
+        "the store refuses the owner's calls, twice, and a sixth of the workers is cut off when the next owner has just reached them",
+    ),
     (
         "overload",
         "twice the usual rate of filling jobs from second 8 to the end",
@@ -169,6 +175,10 @@
                 22_000,
                 DayEvent::CutHall(HallChoice::Number(1), CutDirection::Both, 4_000),
             ),
+        "turned-away" => [6_000, 20_000].into_iter().fold(calm, |day, at| {
+            day.with(at, DayEvent::StoreRefuses(HostChoice::Owner, 7_000))
+                .with(at + CUT_AFTER_REFUSAL_MS, DayEvent::WorkersCut(17, 5_500))
+        }),
         _ => return contended_day(name, calm),
     })
 }
--- a/crates/emulator/src/world/cuts.rs
+++ b/crates/emulator/src/world/cuts.rs
@@ -1,4 +1,5 @@
-//! Network partitions: halls that are cut off from all other halls and from the store, in one direction or both.
+//! Network partitions: halls that are cut off from all other halls and from the store, in one direction or both, and single workers that
+//! are cut off from all hosts.
 //!
 //! Each host and each worker is in a hall; the store and the callers are in none. A message that a cut stops is lost,
 //! and its sender waits until its timeout. Callers reach every host.
@@ -18,11 +19,19 @@
     until: Micros,
 }
 
+/// A cut of the worker at one place.
+#[derive(Clone, Copy, Debug)]
+struct WorkerCut {
+    place: usize,
+    until: Micros,
+}
+
 /// The halls of hosts and workers, and all cuts.
 #[derive(Debug)]
 pub(super) struct HallMap {
     workers: usize,
     cuts: Vec<HallCut>,
+    worker_cuts: Vec<WorkerCut>,
 }
 
 impl HallMap {
@@ -30,6 +39,7 @@
         Self {
             workers,
             cuts: Vec::new(),
+            worker_cuts: Vec::new(),
         }
     }
 
@@ -54,6 +64,18 @@
         });
     }
 
+    pub(super) fn cut_worker(&mut self, place: usize, until: Micros) {
+        self.worker_cuts.push(WorkerCut { place, until });
+    }
+
+    fn is_cut_worker(&self, now: Micros, peer: CallPeer) -> bool {
+        let CallPeer::Worker(place) = peer else {
+            return false;
+        };
+        let mut cuts = self.worker_cuts.iter().filter(|cut| now < cut.until);
+        cuts.any(|cut| cut.place == place)
+    }
+
     fn passes(&self, now: Micros, from: Option<usize>, to: Option<usize>) -> bool {
         let mut cuts = self.cuts.iter().filter(|cut| now < cut.until);
         !cuts.any(|cut| cut.direction.stops(cut.hall, from, to))
@@ -73,12 +95,12 @@
     /// Whether messages of a host to a peer arrive.
     pub(super) fn reaches(&self, now: Micros, host: usize, peer: CallPeer) -> bool {
         let from = Some(self.hall_of_host(host));
-        self.passes(now, from, self.hall_of_peer(peer))
+        !self.is_cut_worker(now, peer) && self.passes(now, from, self.hall_of_peer(peer))
     }
 
     /// Whether messages of a peer to a host arrive.
     pub(super) fn reaches_back(&self, now: Micros, host: usize, peer: CallPeer) -> bool {
         let to = Some(self.hall_of_host(host));
-        self.passes(now, self.hall_of_peer(peer), to)
+        !self.is_cut_worker(now, peer) && self.passes(now, self.hall_of_peer(peer), to)
     }
 }
--- a/crates/emulator/src/world/day_events.rs
+++ b/crates/emulator/src/world/day_events.rs
@@ -105,6 +105,14 @@
                     self.hang_worker(place, for_ms);
                 }
             }
+            DayEvent::WorkersCut(percent, for_ms) => {
+                let until = until(for_ms);
+                self.monitor.disturb_workers(until);
+                for place in self.draw_workers(self.fleet.count() * percent / 100) {
+                    self.halls.cut_worker(place, until);
+                    self.hang_worker(place, for_ms);
+                }
+            }
         }
     }
 
--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -38,6 +38,12 @@
     matches!((one, other), (Some(one), Some(other)) if one != other)
 }
 
+/// How long a span of a worker's clock lasts at most, in milliseconds: at the slowest rate that is
+/// allowed.
+pub(crate) fn longest_wait(span: Millis) -> Millis {
+    (span * 100).div_ceil(MIN_CLOCK_RATE_PERCENT)
+}
+
 /// What this owner knows of one incarnation of a worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct IncarnationState {
@@ -47,8 +53,10 @@
     /// Whether it has answered under this owner's epoch.
     pub(crate) fenced: bool,
     reading: Option<ClockReading>,
-    /// The latest lease deadline that was sent to it, on its clock.
+    /// The latest lease deadline that this owner sent to it, on its clock.
     pub(crate) lease_deadline: WorkerClock,
+    /// Until when a lease of an earlier owner may last there, on the scheduler's clock; 0 if none is left.
+    pub(crate) inherited_until: Millis,
     /// The number of the newest end that was processed; end numbers increase.
     pub(crate) noted: u64,
     /// Ends up to this number are durable and may be acknowledged.
@@ -124,13 +132,15 @@
     pub(crate) fn lease_expires_at(&self) -> Option<Millis> {
         let reading = self.reading?;
         let left = (self.lease_deadline + 1).saturating_sub(reading.clock);
-        Some(reading.at + (left * 100).div_ceil(MIN_CLOCK_RATE_PERCENT))
+        let own = reading.at + longest_wait(left);
+        Some(own.max(self.inherited_until))
     }
 
-    /// Whether every lease granted to this incarnation has certainly expired.
+    /// Whether every lease granted to this incarnation, by this owner or an earlier one, has
+    /// certainly expired.
     pub(crate) fn lease_has_expired(&self, now: Millis) -> bool {
-        self.lowest_clock(now)
-            .is_some_and(|clock| clock > self.lease_deadline)
+        let own_has_expired = |clock| clock > self.lease_deadline;
+        now >= self.inherited_until && self.lowest_clock(now).is_some_and(own_has_expired)
     }
 
     /// Whether ends were processed that are not durable yet.
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -95,7 +95,7 @@
         incarnation: Option<WorkerIncarnation>,
         /// The worker's clock in the answer, in milliseconds.
         clock: WorkerClock,
-        /// How long after that an earlier owner's lease may last, in milliseconds on the worker's clock.
+        /// How much longer a lease of an earlier owner may last there, in milliseconds.
         lease_left_ms: Millis,
     },
     /// The lease of a silent worker with runs has expired.
@@ -104,7 +104,7 @@
         worker: WorkerId,
         /// The lowest value that the worker's clock can show now, in milliseconds.
         clock: WorkerClock,
-        /// The latest deadline that the lease may have on that clock, in milliseconds.
+        /// The latest deadline on that clock that this owner sent to it, in milliseconds.
         deadline: WorkerClock,
         /// How long ago the worker answered last, in milliseconds.
         unheard_ms: Millis,
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -3,10 +3,12 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use crate::ids::{JobNumber, TaskKey};
+use crate::incarnation::longest_wait;
 use crate::job::JobState;
 use crate::limits::ROSTER_CHECK_INTERVAL_MS;
 use crate::note::{JobNote, LossCause};
 use crate::scheduler::JobScheduler;
+use crate::takeover::FIRST_EPOCH;
 
 impl JobScheduler {
     /// Ends the takeover once every worker has answered, or none can hold a lease of an earlier
@@ -66,8 +68,9 @@
     /// roster is durable it grants no longer leases than the ones it inherited.
     ///
     /// While it can't renew its ownership, it grants each lease up to the end of one that it might
-    /// still grant when it becomes unsure. A successor waits for such leases anyway, and if this
-    /// owner dies in an outage of the store, its runs outlast the outage by up to two seconds more.
+    /// still grant when it becomes unsure. A successor counts on such leases
+    /// ([`JobScheduler::inherited_lease_end`]), and if this owner dies in an outage of the store,
+    /// its runs outlast the outage by up to two seconds more.
     pub(crate) fn granted_lease_ms(&self, now: Millis) -> Millis {
         let own = self.limits.lease_ms();
         let lease = match self.lease_published {
@@ -81,6 +84,32 @@
         longest.min(self.limits.max_lease_ms).max(lease)
     }
 
+    /// Until when a lease of an earlier owner may last on a worker whose first answer arrives now.
+    /// `known` says whether the earlier owner knew the incarnation that answers.
+    ///
+    /// An owner that can't renew its ownership grants longer leases than it has published, so the
+    /// published length from the answer on is not enough. All of them end by `inherited_until`,
+    /// whenever the worker answers. A silence record may end them earlier; the published length is
+    /// waited for in any case. An order that was meant for another incarnation bears a deadline on
+    /// another clock, so that only the worker's own limit binds it.
+    pub(crate) fn inherited_lease_end(
+        &self,
+        now: Millis,
+        worker: &WorkerId,
+        known: bool,
+    ) -> Millis {
+        if self.epoch == FIRST_EPOCH || now >= self.inherited_until {
+            return 0;
+        }
+        if !known {
+            return now + longest_wait(self.limits.max_lease_ms);
+        }
+        let recovery = self.recovery.as_ref();
+        let recorded = recovery.map_or(self.inherited_until, |recovery| recovery.over_at(worker));
+        let published = now + longest_wait(self.inherited_lease_ms);
+        self.inherited_until.min(recorded.max(published))
+    }
+
     /// Handles that renewals of the ownership are overdue, or not any more.
     pub(crate) fn set_ownership_overdue(&mut self, now: Millis, overdue: bool) {
         if self.ownership_overdue == overdue {
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -139,7 +139,10 @@
         sent_at: Millis,
         report: RenewalReport,
     ) {
+        let known = self.workers.get(worker);
+        let known = known.is_some_and(|state| state.incarnation.id == report.incarnation);
         self.update_incarnation(now, worker, sent_at, &report);
+        let inherited_until = self.inherited_lease_end(now, worker, known);
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -154,11 +157,8 @@
         state.suspects.clear();
         let first = !state.incarnation.fenced;
         state.incarnation.fenced = true;
-        let lease_left_ms = self.inherited_lease_ms;
         if first {
-            // Until this owner extends it, the lease is the one that the earlier owner granted.
-            let inherited = report.clock + lease_left_ms;
-            state.incarnation.lease_deadline = state.incarnation.lease_deadline.max(inherited);
+            state.incarnation.inherited_until = inherited_until;
         }
         let noted = state.incarnation.noted;
         self.withdraw_crash(now, worker, report.incarnation);
@@ -167,7 +167,7 @@
                 worker: worker.clone(),
                 incarnation: report.incarnation,
                 clock: report.clock,
-                lease_left_ms,
+                lease_left_ms: inherited_until.saturating_sub(now),
             });
         }
         let mut ended = BTreeSet::new();
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -115,11 +115,12 @@
     pub(crate) renewal_queue: BTreeSet<(Millis, WorkerId)>,
     /// Whether ends were recorded for which no commit was requested yet.
     pub(crate) unacknowledged: bool,
-    /// The longest lease that a worker may hold, in milliseconds, as published in the roster for a successor.
+    /// The length of leases, in milliseconds, as published in the roster for a successor: the longest that this owner grants while it
+    /// can renew its ownership, or the length that an earlier owner published, while its leases may last and it is longer.
     pub(crate) roster_lease_ms: Millis,
-    /// The longest lease that an earlier owner granted, in milliseconds.
+    /// The length of leases that earlier owners published, in milliseconds. One that could not renew its ownership granted longer ones.
     pub(crate) inherited_lease_ms: Millis,
-    /// From this time on no lease of an earlier owner can be valid.
+    /// From this time on no lease of an earlier owner can be valid, however long it was.
     pub(crate) inherited_until: Millis,
     /// Whether the durable roster allows leases as long as this owner's. Until then this owner grants none longer than an earlier owner's.
     pub(crate) lease_published: bool,
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -50,8 +50,8 @@
 }
 
 impl TakeoverInfo {
-    /// The longest lease that an earlier owner may have granted, in milliseconds; 0 for the first
-    /// owner.
+    /// The longest lease that an earlier owner may have granted while it could renew its ownership,
+    /// in milliseconds; 0 for the first owner.
     pub(crate) fn inherited_lease_ms(&self, limits: &SchedulerLimits) -> Millis {
         let trusted = self.rules_since > 0 && self.roster.epoch >= self.rules_since;
         match self.epoch {
--- a/crates/jobs/tests/emulated.rs
+++ b/crates/jobs/tests/emulated.rs
@@ -291,6 +291,13 @@
     keeps_safety_rules(seeds, halls_evacuated_and_cut());
 }
 
+/// A longer run by hand with owners that are turned away or change in outages: `SANDSHELF_OWNER_SEEDS=1:2000`.
+fn long_owner_run() {
+    let seeds = named_seeds("SANDSHELF_OWNER_SEEDS", "1:5");
+    keeps_safety_rules(seeds.clone(), owners_turned_away());
+    keeps_safety_rules(seeds, owners_change_in_outages());
+}
+
 /// The oracle reports exactly one violation, of the given rule.
 fn oracle_reports(rule: BrokenRule, events: impl Fn(&mut PlatformOracle)) {
     let mut oracle = PlatformOracle::default();
@@ -320,6 +327,8 @@
     calls_lost_and_late => keeps_all_rules(100..130, unreliable_calls());
     workers_crash_leave_and_are_cut => keeps_all_rules(200..230, unreliable_workers());
     owners_die_freeze_and_lose_the_store => keeps_all_rules(300..330, unreliable_owners());
+    owners_are_turned_away => keeps_safety_rules(3_700..3_730, owners_turned_away());
+    owners_change_in_outages_of_the_store => keeps_safety_rules(3_800..3_830, owners_change_in_outages());
     leases_of_reachable_workers => keeps_leases_of_reachable_workers(600..630, lost_calls());
     late_store_clocks => keeps_safety_rules(700..730, late_clocks());
     unlisted_workers_and_slow_writes => keeps_safety_rules(800..830, unlisted_workers());
@@ -353,6 +362,7 @@
     policies_with_halls_cut => keeps_safety_rules(3_100..3_130, with_policies(halls_cut_and_other_faults()));
     policies_by_hand => long_policy_run();
     halls_by_hand => long_hall_run();
+    owners_by_hand => long_owner_run();
     restarts_by_hand => long_restart_run();
     copies => keeps_rules_with_copies(3_000..3_030, slow_runs());
     copies_and_lost_calls => keeps_rules_with_copies(3_100..3_130, slow_runs_and_calls());
--- a/crates/jobs/tests/support/emulated_worker.rs
+++ b/crates/jobs/tests/support/emulated_worker.rs
@@ -60,6 +60,8 @@
     pub listed_from: Millis,
     pub cut_since: Millis,
     pub cut_until: Millis,
+    /// From when and until when it is cut off next, if that is due.
+    pub cut_next: Option<(Millis, Millis)>,
     pub leaves_at: Option<Millis>,
     pub draining_since: Option<Millis>,
     /// Whether no other worker takes its place when it leaves.
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -103,6 +103,8 @@
     evacuated: BTreeSet<usize>,
     scheduler: JobScheduler,
     frozen_until: Millis,
+    /// Until when the store turns the owner's host away.
+    turned_away_until: Millis,
     listed_at: Millis,
     seen_jobs: usize,
 }
@@ -127,6 +129,8 @@
     owners: Vec<EmulatedOwner>,
     epoch: u64,
     owner_alive_at: Millis,
+    /// Whether the last owner has released the shard as planned.
+    released: bool,
     jobs: Vec<(JobNumber, Option<JobSpec>)>,
     pub progress: BTreeMap<JobNumber, ProgressRow>,
     roster: WorkerRoster,
@@ -163,6 +167,7 @@
             owners: Vec::new(),
             epoch: 0,
             owner_alive_at: 0,
+            released: false,
             jobs: Vec::new(),
             progress: BTreeMap::new(),
             roster: WorkerRoster::default(),
@@ -273,8 +278,12 @@
                 owner.frozen_until = until;
             }
         }
+        if self.plan.turn_aways > 0 && self.chance(self.plan.turn_aways) {
+            self.turn_owner_away();
+        }
         if self.plan.hand_overs > 0 && self.chance(self.plan.hand_overs) {
             self.owners.pop();
+            self.released = true;
             self.owner_alive_at = (self.now + RELEASE_TO_CLAIM_MS).saturating_sub(CLAIM_AFTER_MS);
         }
         for index in 0..self.workers.len() {
--- a/crates/jobs/tests/support/emulator/orders.rs
+++ b/crates/jobs/tests/support/emulator/orders.rs
@@ -145,9 +145,13 @@
 
     pub(super) fn renew(&mut self, index: usize, epoch: u64, call: &RenewalCall) -> RenewalAnswer {
         let now = self.now;
+        let first = self.workers[index].fence < epoch;
         if !self.accept_fence(index, epoch) {
             return RenewalAnswer::Fenced;
         }
+        if first {
+            self.draw_cut_after_takeover(index);
+        }
         let max_lease = self.max_lease_ms();
         let worker = &mut self.workers[index];
         let clock = worker.clock(now);
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -38,7 +38,7 @@
             return;
         }
         let current = self.owners.iter().find(|owner| owner.epoch == self.epoch);
-        let writes = |owner: &EmulatedOwner| self.without_store_until(owner.hall).is_none();
+        let writes = |owner: &EmulatedOwner| self.store_healed_at(owner).is_none();
         let alive = current.is_some_and(|owner| self.now >= owner.frozen_until && writes(owner));
         match alive {
             true => self.owner_alive_at = self.now,
@@ -49,9 +49,14 @@
         }
         self.owner_alive_at = self.now;
         self.epoch += 1;
+        let released = std::mem::take(&mut self.released);
         let info = TakeoverInfo {
             epoch: self.epoch,
             claimed_at: self.now + TAKEOVER_MS,
+            earlier_orders_until: match released {
+                true => self.now + SHARD_LEASE_MS,
+                false => 0,
+            },
             claim_version: self.jobs.len() as u64,
             progress: self.progress.clone(),
             rules_since: 1,
@@ -73,6 +78,7 @@
             evacuated: BTreeSet::new(),
             scheduler: JobScheduler::new(limits, info),
             frozen_until: self.now + TAKEOVER_MS,
+            turned_away_until: 0,
             listed_at: 0,
             seen_jobs: 0,
         });
@@ -84,9 +90,9 @@
         self.remove_superseded_owners();
         let epochs: Vec<u64> = self.owners.iter().map(|owner| owner.epoch).collect();
         for epoch in epochs {
-            let hall = self.owner_hall(epoch);
-            let cut_off = hall.is_some_and(|hall| self.without_store_until(hall).is_some());
-            let reachable = store_up && !cut_off;
+            let owner = self.owners.iter().find(|owner| owner.epoch == epoch);
+            let served = owner.is_none_or(|owner| self.store_healed_at(owner).is_none());
+            let reachable = store_up && served;
             let cut = self.hall_cut();
             let Some(owner) = self.owners.iter_mut().find(|owner| owner.epoch == epoch) else {
                 continue;
@@ -238,10 +244,24 @@
         owner.map(|owner| owner.hall)
     }
 
+    /// The store turns the current owner's host away for some seconds.
+    pub(super) fn turn_owner_away(&mut self) {
+        let until = self.now + self.random.random_range(1_000..9_000);
+        if let Some(owner) = self.owners.last_mut() {
+            owner.turned_away_until = until;
+        }
+    }
+
+    /// From when on the store serves an owner that it doesn't serve now.
+    fn store_healed_at(&self, owner: &EmulatedOwner) -> Option<Millis> {
+        let turned_away = Some(owner.turned_away_until).filter(|until| self.now < *until);
+        self.without_store_until(owner.hall).max(turned_away)
+    }
+
     fn commit(&mut self, epoch: u64, batch: CommitBatch) {
         let takes = 5 + self.random_below(self.plan.slow_writes_ms);
-        let hall = self.owner_hall(epoch);
-        let healed = hall.and_then(|hall| self.without_store_until(hall));
+        let owner = self.owners.iter().find(|owner| owner.epoch == epoch);
+        let healed = owner.and_then(|owner| self.store_healed_at(owner));
         let from = self.now.max(self.store_out_until);
         let at = from.max(healed.unwrap_or(0)) + takes;
         self.send(at, Message::Written(epoch, batch));
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -46,6 +46,7 @@
             listed_from: 0,
             cut_since: 0,
             cut_until: 0,
+            cut_next: None,
             leaves_at: None,
             draining_since: None,
             leaves_for_good: false,
@@ -184,6 +185,7 @@
         for index in 0..self.workers.len() {
             self.clear_replaced_entries(index);
             self.crash_under_tasks(index);
+            self.begin_due_cut(index);
             if self.workers[index].leaves_at.is_some_and(|at| now >= at) {
                 self.replace_worker(index);
             }
@@ -232,6 +234,25 @@
         }
     }
 
+    /// Draws whether a worker that answers a new owner for the first time is cut off right after that.
+    pub(super) fn draw_cut_after_takeover(&mut self, index: usize) {
+        if self.plan.cuts_after_takeover == 0 || !self.chance(self.plan.cuts_after_takeover) {
+            return;
+        }
+        let from = self.now + self.random.random_range(5..500);
+        let until = from + self.random.random_range(3_000..9_000);
+        self.workers[index].cut_next = Some((from, until));
+    }
+
+    fn begin_due_cut(&mut self, index: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[index];
+        if let Some((_, until)) = worker.cut_next.take_if(|(from, _)| now >= *from) {
+            worker.cut_since = now;
+            worker.cut_until = until;
+        }
+    }
+
     /// Crashes a worker once a task that crashes it has run for its time.
     fn crash_under_tasks(&mut self, index: usize) {
         let worker = &self.workers[index];
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -59,6 +59,10 @@
     pub freezes: u32,
     /// Each second: a hall is cut off for some seconds, outward, inward or both.
     pub hall_cuts: u32,
+    /// Each second: the store turns the owner's host away for some seconds and serves all others.
+    pub turn_aways: u32,
+    /// For each worker that answers a new owner for the first time: it is cut off right after that for some seconds, and keeps running.
+    pub cuts_after_takeover: u32,
     /// Each second: operators evacuate a hall, or return one to service.
     pub evacuations: u32,
     /// Each second: the store is unavailable for some seconds.
--- a/crates/jobs/tests/support/plans.rs
+++ b/crates/jobs/tests/support/plans.rs
@@ -71,6 +71,30 @@
     }
 }
 
+/// The store turns owners away and serves the other hosts, and workers are cut off right after they have answered the next owner.
+pub fn owners_turned_away() -> FaultPlan {
+    FaultPlan {
+        turn_aways: 150,
+        cuts_after_takeover: 150,
+        guards: true,
+        standing: true,
+        ..FaultPlan::default()
+    }
+}
+
+/// Owners that are turned away, die or hand over, also while the store is out for all hosts, with workers that are cut off right after
+/// they have answered the next owner.
+pub fn owners_change_in_outages() -> FaultPlan {
+    FaultPlan {
+        turn_aways: 80,
+        outages: 120,
+        deaths: 100,
+        hand_overs: 100,
+        max_lease_ms: 10_000,
+        ..owners_turned_away()
+    }
+}
+
 /// Workers that leave or are lost for good while owners die or hand over; leases of 10 s at most.
 pub fn workers_gone_for_good() -> FaultPlan {
     FaultPlan {
