--- /dev/null
+++ b/crates/jobs/tests/full_end_lists.rs
@@ -0,0 +1,72 @@
+//! A worker that has more ends to list than a list holds.
+//!
+//! Guards against tasks that run again although they have ended as done. While the store is out nothing can be acknowledged, and a worker
+//! soon has more ends than the 500 that a list holds. The runs whose ends are not among them are neither running nor listed as ended; the
+//! owner took them for lost and started their tasks again.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use sandshelf_jobs::{EndReport, RunKey, RunOutcome, StepSpec, TaskKey};
+use sandshelf_model::ResourceSize;
+use support::{end_report, job, run_report, step, SchedulerRig};
+
+/// The most ends in one list of a worker.
+const MAX_LISTED_ENDS: usize = 500;
+const WORKER: &str = "w-1";
+
+/// An owner whose only worker runs this number of short tasks.
+fn owner_of_tasks(count: usize) -> (SchedulerRig, Vec<RunKey>) {
+    let mut rig = SchedulerRig::with_workers(&[WORKER]);
+    let spec = StepSpec {
+        size: ResourceSize::new(10, 10, 0),
+        ..step(count as u32)
+    };
+    rig.hand_in(7, 0, job(vec![spec]));
+    let mut running = Vec::new();
+    while running.len() < count {
+        let starts = rig.take_starts();
+        running.extend(starts.iter().map(|(_, start)| start.key));
+        rig.report(
+            WORKER,
+            running.iter().copied().map(run_report).collect(),
+            vec![],
+        );
+        rig.advance(25);
+        assert!(rig.now < 20_000, "{} of {count} started", running.len());
+    }
+    (rig, running)
+}
+
+/// Ends beyond a full list are neither lost nor run again, and complete the job once they are listed.
+fn tasks_with_unlisted_ends_run_once(count: usize) {
+    let (mut rig, running) = owner_of_tasks(count);
+    let ends = running.iter().zip(1..);
+    let ends: Vec<EndReport> = ends
+        .map(|(run, number)| end_report(number, *run, RunOutcome::Done))
+        .collect();
+    for _ in 0..10 {
+        let listed = ends.iter().take(MAX_LISTED_ENDS).cloned();
+        rig.report(WORKER, vec![], listed.collect());
+        rig.advance(100);
+    }
+    let again: BTreeSet<TaskKey> = rig
+        .peek_starts()
+        .iter()
+        .map(|(_, start)| start.key.task)
+        .collect();
+    assert_eq!(again.len(), 0, "tasks that run again");
+    let mut batches = rig.commit_all();
+    let rest = ends.iter().skip(MAX_LISTED_ENDS).cloned();
+    rig.report(WORKER, vec![], rest.collect());
+    batches.extend(rig.commit_all());
+    let rows = batches.into_iter().flat_map(|batch| batch.progress);
+    let stage = rows.last().map(|(_, row)| row.stage);
+    assert_eq!(stage, Some(sandshelf_jobs::JobStage::Completed));
+}
+
+sandshelf_cases::cases! {
+    ends_that_fill_a_list => tasks_with_unlisted_ends_run_once(MAX_LISTED_ENDS - 1);
+    ends_beyond_a_full_list => tasks_with_unlisted_ends_run_once(MAX_LISTED_ENDS + 100);
+}
