--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -43,6 +43,7 @@
 mod limits;
 mod load_forecast;
 mod note;
+mod note_reports;
 mod over_target;
 mod pacing;
 mod place;
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 mod load_notes;
 mod meters;
 mod news;
+mod note_reports;
 mod notes;
 mod owner;
 mod pages;
