Wait for the lease of a draining worker that is cut off

Callers saw tasks run twice: a draining worker whose entry had lapsed and that took no connection counted as having left, although a worker that is cut off looks the same. Its runs were started elsewhere at once, up to a whole lease before they ended there. Entries lapse while the store is out, so that one refused call shortly after its return sufficed. remove_if_left now removes the worker only once nothing can be leased there.

lease_ends unlisted_draining_worker_refuses_renewal, unlisted_draining_worker_refuses_stop and end_on_unlisted_draining_worker failed before (started 3,975 ms before the lease was over) and pass.

--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -12,6 +12,7 @@
 use crate::run::{RunPhase, RunRecord};
 use crate::scheduler::JobScheduler;
 use crate::stage::JobStage;
+use crate::worker::WorkerState;
 
 impl JobScheduler {
     /// Orders a run to stop, unless it was ordered already.
@@ -373,11 +374,12 @@
         }
     }
 
-    /// Removes a draining worker that is not listed any more. It has left, since it takes no
-    /// connection.
+    /// Removes a draining worker that is not listed any more and takes no connection, once nothing
+    /// can be leased there. Until then it may be cut off and run on.
     pub(crate) fn remove_if_left(&mut self, now: Millis, worker: &WorkerId) {
-        let left = |state: &crate::worker::WorkerState| state.entry.draining && !state.listed;
-        if self.workers.get(worker).is_some_and(left) {
+        let left = |state: &WorkerState| state.entry.draining && !state.listed;
+        let left = self.workers.get(worker).is_some_and(left);
+        if left && now >= self.lease_expires_at(now, worker) {
             self.lose_worker(now, worker, LossCause::Left);
         }
     }
