Forget a silent worker only once its lease is over

A silent worker that lists omit was forgotten as soon as no run of it was known, with the lease that it held and with what it had reported of jobs that were not read yet. When it came back, a start there counted on the shorter lease of a new worker; when the jobs were read, their runs there were started elsewhere. check_workers now keeps such a worker until its lease, this owner's or an earlier one's, is over.

--- a/crates/jobs/src/crash/losses.rs
+++ b/crates/jobs/src/crash/losses.rs
@@ -200,8 +200,8 @@
         }
     }
 
-    /// Removes a worker that is silent, not listed any more and without runs. It is presumed to
-    /// have crashed.
+    /// Removes a worker that is silent, not listed any more, and without runs and leases. It is
+    /// presumed to have crashed.
     pub(crate) fn forget_silent(&mut self, now: Millis, id: &WorkerId) {
         self.remember_presumed_crash(id);
         self.note_crash(now, id);
--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -143,6 +143,12 @@
         now >= self.inherited_until && self.lowest_clock(now).is_some_and(own_has_expired)
     }
 
+    /// Whether it certainly holds no lease: none was granted, or all have expired.
+    pub(crate) fn is_unleased(&self, now: Millis) -> bool {
+        let ungranted = self.lease_deadline == 0 && now >= self.inherited_until;
+        ungranted || self.lease_has_expired(now)
+    }
+
     /// Whether ends were processed that are not durable yet.
     pub(crate) fn has_unwritten(&self) -> bool {
         self.noted > self.durable
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -172,7 +172,8 @@
                 silent.push(id.clone());
             }
             if worker.runs.is_empty() {
-                if !worker.listed && !unanswered && worker.is_silent(now) {
+                let unleased = !unanswered && worker.incarnation.is_unleased(now);
+                if !worker.listed && worker.is_silent(now) && unleased {
                     idle.push(id.clone());
                 }
             } else if worker.is_silent(now) && worker.incarnation.lease_has_expired(now) {
