Emulator of the jobs crate: outages of the store in series with joins, drains, cuts and new owners

Tasks ran twice around outages of the store, and the emulator could not play what surrounds them: entries that lapse while the store is out and are back up to two seconds after its return, draining workers that are cut off and refuse connections, workers that join right before the store goes out, a host that claims again at once, and ends that are acknowledged only after the task has started again. Writes of an owner that died in an outage were always done after it; now an owner that has died sends nothing again.

Two causes are shown: a draining worker that is not listed and refuses connections counts as having left, and a worker whose roster entry is not durable is waited for by no successor.

--- a/crates/jobs/tests/support/emulated_worker.rs
+++ b/crates/jobs/tests/support/emulated_worker.rs
@@ -60,6 +60,10 @@
     pub listed_from: Millis,
     pub cut_since: Millis,
     pub cut_until: Millis,
+    /// Whether connections are refused, rather than time out, while it is cut off.
+    pub cut_refuses: bool,
+    /// Until when lists omit it although it is up.
+    pub unlisted_until: Millis,
     /// From when and until when it is cut off next, if that is due.
     pub cut_next: Option<(Millis, Millis)>,
     pub leaves_at: Option<Millis>,
--- a/crates/jobs/tests/support/emulator/injection.rs
+++ b/crates/jobs/tests/support/emulator/injection.rs
@@ -10,6 +10,9 @@
         if self.chance(self.plan.outages) {
             self.store_out_until = self.now + self.random.random_range(500..5_000);
         }
+        if self.plan.outage_series > 0 && self.chance(self.plan.outage_series) {
+            self.plan_outage_series();
+        }
         if self.plan.hall_cuts > 0 && self.chance(self.plan.hall_cuts) {
             self.cut_off_hall();
         }
@@ -54,6 +57,7 @@
                 let until = self.now + self.random.random_range(500..9_000);
                 self.workers[index].cut_since = self.now;
                 self.workers[index].cut_until = until;
+                self.workers[index].cut_refuses = false;
             }
             if self.chance(self.plan.drains) && self.workers[index].leaves_at.is_none() {
                 self.workers[index].draining_since = Some(self.now);
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -4,7 +4,10 @@
 mod halls;
 mod injection;
 mod orders;
+mod outages;
 mod owners;
+mod second_runs;
+pub mod traffic;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +22,8 @@
 use sandshelf_model::{Millis, WorkerId};
 
 use self::halls::HallCut;
+use self::outages::PlannedFault;
+use self::second_runs::SecondRuns;
 use super::emulated_worker::EmulatedWorker;
 use super::faults::FaultPlan;
 use super::oracle::PlatformOracle;
@@ -63,6 +68,11 @@
     Arrives(SentCall),
     Answered(u64, JobEvent),
     Written(u64, CommitBatch),
+    /// A write is sent again that the store did not take.
+    Rewritten(u64, CommitBatch),
+    /// The owner of an epoch has read the progress of the jobs.
+    StateRead(u64),
+    Fault(PlannedFault),
 }
 
 /// A call in flight to a worker.
@@ -108,6 +118,8 @@
     turned_away_until: Millis,
     listed_at: Millis,
     seen_jobs: usize,
+    /// Whether it has not read the progress of the jobs yet.
+    state_pending: bool,
 }
 
 /// The whole platform with its owners.
@@ -132,6 +144,11 @@
     owner_alive_at: Millis,
     /// Whether the last owner has released the shard as planned.
     released: bool,
+    /// From when on the host of an owner that died claims the shard again, without waiting for the end of the ownership.
+    reclaims_from: Option<Millis>,
+    /// A worker that has joined; the store goes out once the owner has read it in a list.
+    joined: Option<WorkerId>,
+    second_runs: SecondRuns,
     jobs: Vec<(JobNumber, Option<JobSpec>)>,
     pub progress: BTreeMap<JobNumber, ProgressRow>,
     roster: WorkerRoster,
@@ -169,6 +186,9 @@
             epoch: 0,
             owner_alive_at: 0,
             released: false,
+            reclaims_from: None,
+            joined: None,
+            second_runs: SecondRuns::default(),
             jobs: Vec::new(),
             progress: BTreeMap::new(),
             roster: WorkerRoster::default(),
@@ -271,6 +291,9 @@
                 Message::Arrives(sent) => self.handle_arrival(sent),
                 Message::Answered(epoch, event) => self.deliver_event(epoch, event),
                 Message::Written(epoch, batch) => self.write(epoch, batch),
+                Message::Rewritten(epoch, batch) => self.commit(epoch, batch),
+                Message::StateRead(epoch) => self.read_state(epoch),
+                Message::Fault(fault) => self.inject_planned(fault),
             }
         }
     }
@@ -288,6 +311,10 @@
             Some(known) => arrives < known.cut_until,
             None => self.is_gone_for_good(&worker),
         };
+        if known.is_some_and(|known| cut && known.cut_refuses) {
+            let event = answer_event(&worker, &call, OrderAnswer::Unreachable);
+            return self.send(arrives, Message::Answered(epoch, event));
+        }
         let (from, to) = (self.owner_hall(epoch), self.worker_hall(&worker));
         let blocked = self.blocked_until(from, to);
         let late = order && self.chance(self.plan.late_orders);
--- a/crates/jobs/tests/support/emulator/orders.rs
+++ b/crates/jobs/tests/support/emulator/orders.rs
@@ -16,6 +16,8 @@
 /// In plans with copies, this share of the runs takes this many times as long.
 const SLOW_RUNS_PERCENT: u32 = 15;
 const SLOW_RUN_FACTOR: Millis = 7;
+/// The most ends in one list of a worker.
+const MAX_LISTED_ENDS: usize = 500;
 
 impl PlatformEmulator {
     /// Records the epoch of a call as the worker's fence; returns false if the worker has seen a
@@ -110,7 +112,10 @@
         if let Some(since) = since.filter(|_| undisturbed) {
             self.oracle.started_in_evacuated(now, *since, call.key);
         }
+        self.second_runs.note_start(now, &id, call.key);
+        let seen = self.oracle.broken.len();
         self.oracle.started(now, &id, call.key, undisturbed);
+        self.explain_since(seen, &task);
         OrderAnswer::Done(clock)
     }
 
@@ -158,10 +163,12 @@
         if let Some(deadline) = call.deadline {
             worker.lease_until = worker.lease_until.max(deadline.min(clock + max_lease));
         }
+        let mut acknowledged = Vec::new();
         for (at, end) in &worker.ended {
             // An end does not count as acknowledged if its worker's lease has expired since.
             if end.number <= call.last_seen && worker.lapsed_at <= *at {
                 self.oracle.acknowledged_at(now, end.key, end.outcome);
+                acknowledged.push(end.key);
             }
         }
         worker.ended.retain(|(_, end)| end.number > call.last_seen);
@@ -177,12 +184,17 @@
             },
             gauge: None,
         });
-        RenewalAnswer::Report(RenewalReport {
+        let ended = worker.ended.iter().take(MAX_LISTED_ENDS);
+        let report = RenewalReport {
             incarnation: Some(worker.incarnation),
             carrier_late_ms: 0,
             clock,
             running: running.collect(),
-            ended: worker.ended.iter().map(|(_, end)| end.clone()).collect(),
-        })
+            ended: ended.map(|(_, end)| end.clone()).collect(),
+        };
+        for key in acknowledged {
+            self.check_acknowledged(key);
+        }
+        RenewalAnswer::Report(report)
     }
 }
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -1,12 +1,12 @@
 //! The emulated owners: which host owns the shard, and how its actions are carried out.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use rand::RngExt;
 use sandshelf_jobs::{
-    CommitBatch, JobAction, JobEvent, JobScheduler, OwnerTenure, SchedulerLimits, TakeoverInfo,
-    WorkerListing,
+    CommitBatch, JobAction, JobEvent, JobNumber, JobScheduler, JobSpec, OwnerTenure,
+    SchedulerLimits, TakeoverInfo, WorkerListing,
 };
 
 use sandshelf_model::{Millis, WorkerId};
@@ -29,6 +29,23 @@
     ([10, 0, 0, 1], place as u16 + 1).into()
 }
 
+impl EmulatedOwner {
+    /// The jobs and cancellations that it has not read yet.
+    fn take_unseen(&mut self, jobs: &[(JobNumber, Option<JobSpec>)]) -> Vec<JobEvent> {
+        let first = std::mem::replace(&mut self.seen_jobs, jobs.len());
+        let unseen = jobs[first..].iter().enumerate();
+        let events = unseen.map(|(index, (number, spec))| match spec {
+            Some(spec) => JobEvent::JobListed {
+                number: *number,
+                version: (first + index + 1) as u64,
+                spec: Box::new(spec.clone()),
+            },
+            None => JobEvent::CancelAsked(*number),
+        });
+        events.collect()
+    }
+}
+
 impl PlatformEmulator {
     /// Lets a new owner claim the shard if the current one has not been alive for `CLAIM_AFTER_MS`.
     pub(super) fn elect(&mut self) {
@@ -44,12 +61,15 @@
             true => self.owner_alive_at = self.now,
             false => self.disturbed_at = self.now,
         }
-        if self.now < self.owner_alive_at + CLAIM_AFTER_MS && self.epoch > 0 {
+        let reclaims = self.reclaims_from.is_some_and(|from| self.now >= from) && !alive;
+        if self.now < self.owner_alive_at + CLAIM_AFTER_MS && self.epoch > 0 && !reclaims {
             return;
         }
+        self.reclaims_from = None;
         self.owner_alive_at = self.now;
         self.epoch += 1;
-        let released = std::mem::take(&mut self.released);
+        let released = std::mem::take(&mut self.released) || reclaims;
+        let state_pending = self.plan.state_read_ms > 0;
         let info = TakeoverInfo {
             epoch: self.epoch,
             claimed_at: self.now + TAKEOVER_MS,
@@ -58,7 +78,11 @@
                 false => 0,
             },
             claim_version: self.jobs.len() as u64,
-            progress: self.progress.clone(),
+            state_pending,
+            progress: match state_pending {
+                true => BTreeMap::new(),
+                false => self.progress.clone(),
+            },
             rules_since: 1,
             roster: self.roster.clone(),
             silent: self.silent.clone(),
@@ -81,7 +105,38 @@
             turned_away_until: 0,
             listed_at: 0,
             seen_jobs: 0,
+            state_pending,
         });
+        if state_pending {
+            let takes = TAKEOVER_MS + self.random_below(self.plan.state_read_ms);
+            self.send(self.now + takes, Message::StateRead(self.epoch));
+        }
+    }
+
+    /// An owner has read the progress of the jobs, unless the store has gone out meanwhile.
+    pub(super) fn read_state(&mut self, epoch: u64) {
+        let Some(owner) = self.owners.iter().find(|owner| owner.epoch == epoch) else {
+            return;
+        };
+        let healed = self.store_healed_at(owner).unwrap_or(0);
+        let healed = healed.max(self.store_out_until).max(owner.frozen_until);
+        if self.now < healed {
+            let takes = self.random_below(self.plan.state_read_ms);
+            return self.send(healed + takes, Message::StateRead(epoch));
+        }
+        let mut events = vec![JobEvent::StateRead {
+            progress: self.progress.clone(),
+            claim_version: self.jobs.len() as u64,
+        }];
+        let Some(owner) = self.owners.iter_mut().find(|owner| owner.epoch == epoch) else {
+            return;
+        };
+        owner.state_pending = false;
+        events.extend(owner.take_unseen(&self.jobs));
+        let actions = owner.scheduler.handle_all(self.now, events);
+        for action in actions {
+            self.apply_action(epoch, action);
+        }
     }
 
     pub(super) fn step_owners(&mut self) {
@@ -118,17 +173,9 @@
             // Only the current owner reads the store; a superseded one learns of it from the
             // workers.
             if reachable && epoch == self.epoch {
-                let unseen = self.jobs[owner.seen_jobs..].iter().enumerate();
-                let first = owner.seen_jobs;
-                events.extend(unseen.map(|(index, (number, spec))| match spec {
-                    Some(spec) => JobEvent::JobListed {
-                        number: *number,
-                        version: (first + index + 1) as u64,
-                        spec: Box::new(spec.clone()),
-                    },
-                    None => JobEvent::CancelAsked(*number),
-                }));
-                owner.seen_jobs = self.jobs.len();
+                if !owner.state_pending {
+                    events.extend(owner.take_unseen(&self.jobs));
+                }
                 let evacuated: BTreeSet<usize> = self.evacuated.keys().copied().collect();
                 if owner.evacuated != evacuated {
                     let halls = evacuated.iter().map(|hall| hall_name(*hall));
@@ -142,6 +189,7 @@
                     let listed = |worker: &&EmulatedWorker| {
                         let up = now >= worker.down_until.max(worker.listed_from);
                         let up = up && !is_unlisted(cut, now, worker.place);
+                        let up = up && now >= worker.unlisted_until;
                         (!omits_cut_workers || worker.is_listed(now)) && up
                     };
                     let entries = self.workers.iter().filter(listed).map(|worker| {
@@ -185,9 +233,14 @@
                 let late = self.random_below(self.plan.late_clock_ms);
                 self.send(now + late, Message::Answered(epoch, event));
             }
+            let lists = |event: &JobEvent| matches!(event, JobEvent::WorkersListed(_));
+            let listed = events.iter().any(lists);
             for event in events {
                 self.deliver_event(epoch, event);
             }
+            if listed {
+                self.note_list_read();
+            }
         }
     }
 
@@ -231,7 +284,7 @@
 
     fn apply_action(&mut self, epoch: u64, action: JobAction) {
         match action {
-            JobAction::Note(_) => {}
+            JobAction::Note(note) => self.second_runs.note_conclusion(self.now, epoch, &note),
             JobAction::Deposed => self.owners.retain(|owner| owner.epoch != epoch),
             JobAction::Commit(batch) => self.commit(epoch, batch),
             JobAction::Call { worker, call, .. } => self.call(epoch, worker, call),
@@ -258,13 +311,19 @@
         self.without_store_until(owner.hall).max(turned_away)
     }
 
-    fn commit(&mut self, epoch: u64, batch: CommitBatch) {
-        let takes = 5 + self.random_below(self.plan.slow_writes_ms);
+    /// Sends a write to the store. A write that the store does not take is sent again once it does, unless its owner has died by then.
+    pub(super) fn commit(&mut self, epoch: u64, batch: CommitBatch) {
         let owner = self.owners.iter().find(|owner| owner.epoch == epoch);
-        let healed = owner.and_then(|owner| self.store_healed_at(owner));
-        let from = self.now.max(self.store_out_until);
-        let at = from.max(healed.unwrap_or(0)) + takes;
-        self.send(at, Message::Written(epoch, batch));
+        let Some(owner) = owner else {
+            return;
+        };
+        let healed = self.store_healed_at(owner).unwrap_or(0);
+        let healed = healed.max(self.store_out_until);
+        if self.now < healed {
+            return self.send(healed, Message::Rewritten(epoch, batch));
+        }
+        let takes = 5 + self.random_below(self.plan.slow_writes_ms);
+        self.send(self.now + takes, Message::Written(epoch, batch));
     }
 
     /// Stores a write, unless another owner has claimed since.
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -46,6 +46,8 @@
             listed_from: 0,
             cut_since: 0,
             cut_until: 0,
+            cut_refuses: false,
+            unlisted_until: 0,
             cut_next: None,
             leaves_at: None,
             draining_since: None,
@@ -229,6 +231,7 @@
                     checkpoint: None,
                 };
                 worker.ended.push((now, end));
+                self.second_runs.note_end(now, key, outcome);
                 self.oracle.ended(&worker.id, key, Some(outcome));
             }
         }
@@ -250,6 +253,7 @@
         if let Some((_, until)) = worker.cut_next.take_if(|(from, _)| now >= *from) {
             worker.cut_since = now;
             worker.cut_until = until;
+            worker.cut_refuses = false;
         }
     }
 
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -67,8 +67,29 @@
     pub evacuations: u32,
     /// Each second: the store is unavailable for some seconds.
     pub outages: u32,
+    /// Each second: a worker joins, drains, is cut off and is omitted, the store goes out, and the owner changes, in a series whose parts
+    /// overlap.
+    pub outage_series: u32,
+    /// Of a thousand series of an outage, how many begin with a worker that joins; the store goes out right after the owner has read of it.
+    pub joins: u32,
+    /// Of a thousand workers, for each series: it announces that it drains, and runs on until it leaves some seconds later.
+    pub draining_in_outages: u32,
+    /// Of a thousand workers, for each series: it is cut off for some seconds, and keeps running.
+    pub cut_in_outages: u32,
+    /// Of a thousand cuts of a series, how many make connections fail at once; the others get no answer.
+    pub refusing_cuts: u32,
+    /// Of a thousand workers, for each series: its entry lapses while the store is out, and is back up to two seconds after its return.
+    pub lapsing_entries: u32,
+    /// Of a thousand series, how many bring a new owner.
+    pub owner_changes: u32,
+    /// Of a thousand such changes of owner, in how many the same host claims the shard again as soon as it can.
+    pub reclaims: u32,
+    /// Upper bound of the time that a new owner takes to read the progress of the jobs, in milliseconds; 0 if it is known at the claim.
+    pub state_read_ms: u64,
     /// Whether workers reject runs that exceed their capacity.
     pub guards: bool,
+    /// Upper bound of the work of a task that ends, in milliseconds; 0 means 1.5 s.
+    pub longest_task_ms: u64,
     /// Whether there are standing jobs, whose tasks run until they are cancelled.
     pub standing: bool,
     /// Upper bound of a write's extra latency, in milliseconds.
@@ -94,6 +115,14 @@
         }
     }
 
+    /// Upper bound of the work of a task that ends, with the default applied.
+    pub fn longest_task_ms(&self) -> u64 {
+        match self.longest_task_ms {
+            0 => 1_500,
+            longest => longest,
+        }
+    }
+
     /// The number of workers, with the default applied.
     pub fn worker_count(&self) -> usize {
         match self.workers {
