Failing test: a new owner takes a draining worker that it has not reached for left

The first list of a new owner omits the worker, which refuses connections. It counts as having left although the lease of the earlier owner lasts; the owner knows of no run there, so that the takeover is over at once and the worker's tasks start elsewhere.

--- a/crates/jobs/tests/leases_in_outages.rs
+++ b/crates/jobs/tests/leases_in_outages.rs
@@ -58,6 +58,24 @@
     }
 }
 
+/// The first list of a new owner omits a draining worker, which takes no connection: what it runs does not start elsewhere while the lease of
+/// the earlier owner may last, although this owner knows of no run there.
+fn a_draining_worker_is_waited_for_by_a_new_owner() {
+    let mut rig = SchedulerRig::new(second_owner(&["w-1", "w-2"]));
+    let claimed_at = rig.now;
+    rig.hand_in(7, 50, job(vec![step(1)]));
+    rig.list_entries(vec![draining_entry("w-1"), listing("w-2")]);
+    rig.list(&["w-2"]);
+    while rig.now < claimed_at + LEASE_LEFT_MS {
+        let refused = RenewalAnswer::Failed(OrderAnswer::Unreachable);
+        rig.handle(JobEvent::RenewalAnswered(WorkerId::from("w-1"), refused));
+        rig.report("w-2", vec![], vec![]);
+        let starts = rig.peek_starts();
+        assert!(starts.is_empty(), "{} ms: {starts:?}", rig.now - claimed_at);
+        rig.advance(100);
+    }
+}
+
 /// A job with more tasks than one worker has room for.
 fn wide_job() -> JobSpec {
     job(vec![StepSpec {
@@ -110,5 +128,6 @@
 sandshelf_cases::cases! {
     draining_worker_refuses_a_renewal => a_draining_worker_keeps_its_leased_run(RefusedCall::Renewal);
     draining_worker_refuses_a_stop => a_draining_worker_keeps_its_leased_run(RefusedCall::Stop);
+    unanswered_draining_worker_refuses_a_renewal => a_draining_worker_is_waited_for_by_a_new_owner();
     worker_outside_the_durable_roster => a_worker_outside_the_roster_keeps_its_leased_runs();
 }
