Failing test: a run of a job that a new owner has not read yet is forgotten with its silent worker

A new owner renews leases before it has read the jobs. If the store goes out again meanwhile, a worker that has reported a run of an unread job and falls silent, while lists omit it, counts as idle after 1.2 s and is forgotten with that report (forget_silent). Once the job is read, nobody reports its task, and it starts elsewhere although its lease lasts.

--- a/crates/jobs/tests/leases_in_outages.rs
+++ b/crates/jobs/tests/leases_in_outages.rs
@@ -2,15 +2,20 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use sandshelf_jobs::{
     JobEvent, JobSpec, OrderAnswer, RenewalAnswer, RunKey, StepSpec, TakeoverInfo, WorkerListing,
 };
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
-use support::{job, listing, run_report, second_owner, step, SchedulerRig};
+use support::{job, listing, run_report, second_owner, step, task, SchedulerRig};
 
 /// How long a lease that is not renewed lasts at least after its worker was last heard.
 const LEASE_LEFT_MS: Millis = 3_900;
 
+/// How long a worker is silent before its owner takes note.
+const SILENCE_MS: Millis = 2_500;
+
 fn draining_entry(name: &str) -> WorkerListing {
     WorkerListing {
         draining: true,
@@ -76,6 +81,39 @@
     }
 }
 
+/// A worker reports a run of a job that a new owner has not read yet, and falls silent while lists omit it: the task does not start
+/// elsewhere once the job is read, as long as the run is leased.
+fn a_run_of_an_unread_job_is_kept() {
+    let mut rig = SchedulerRig::new(TakeoverInfo {
+        state_pending: true,
+        ..second_owner(&["w-1", "w-2"])
+    });
+    let claimed_at = rig.now;
+    let run = RunKey {
+        task: task(7, 0, 0),
+        run: (1 << 20) + 1,
+    };
+    rig.list(&["w-2"]);
+    rig.report("w-1", vec![run_report(run)], vec![]);
+    while rig.now < claimed_at + SILENCE_MS {
+        rig.advance(100);
+        rig.fail_renewal("w-1");
+        rig.report("w-2", vec![], vec![]);
+    }
+    rig.handle(JobEvent::StateRead {
+        progress: BTreeMap::new(),
+        claim_version: 100,
+    });
+    rig.hand_in(7, 50, job(vec![step(1)]));
+    while rig.now < claimed_at + LEASE_LEFT_MS {
+        let starts = rig.peek_starts();
+        assert!(starts.is_empty(), "{} ms: {starts:?}", rig.now - claimed_at);
+        rig.advance(100);
+        rig.fail_renewal("w-1");
+        rig.report("w-2", vec![], vec![]);
+    }
+}
+
 /// A job with more tasks than one worker has room for.
 fn wide_job() -> JobSpec {
     job(vec![StepSpec {
@@ -129,5 +167,6 @@
     draining_worker_refuses_a_renewal => a_draining_worker_keeps_its_leased_run(RefusedCall::Renewal);
     draining_worker_refuses_a_stop => a_draining_worker_keeps_its_leased_run(RefusedCall::Stop);
     unanswered_draining_worker_refuses_a_renewal => a_draining_worker_is_waited_for_by_a_new_owner();
+    silent_worker_with_a_run_of_an_unread_job => a_run_of_an_unread_job_is_kept();
     worker_outside_the_durable_roster => a_worker_outside_the_roster_keeps_its_leased_runs();
 }
--- a/crates/jobs/tests/outage_series.rs
+++ b/crates/jobs/tests/outage_series.rs
@@ -7,7 +7,9 @@
 use support::emulator::traffic::run_seed;
 use support::faults::FaultPlan;
 use support::oracle::BrokenRule;
-use support::plans::{outages_after_joins, outages_in_series, outages_with_drains};
+use support::outage_plans::{
+    outages_after_joins, outages_amid_takeovers, outages_in_series, outages_with_drains,
+};
 
 /// The seeds that an environment variable names as `FIRST:LAST`, for longer runs by hand.
 fn named_seeds(variable: &str, default: &str) -> std::ops::Range<u64> {
@@ -41,6 +43,7 @@
         outages_in_series(),
         outages_with_drains(),
         outages_after_joins(),
+        outages_amid_takeovers(),
     ];
     let chosen = std::env::var("SANDSHELF_SERIES_PLAN").ok();
     for (number, plan) in plans.into_iter().enumerate() {
@@ -57,5 +60,6 @@
     faults_overlap_with_outages => keeps_safety_rules(1..101, outages_in_series());
     drains_overlap_with_outages => keeps_safety_rules(1..101, outages_with_drains());
     workers_join_before_outages => keeps_safety_rules(1..101, outages_after_joins());
+    outages_overlap_with_takeovers => keeps_safety_rules(501..601, outages_amid_takeovers());
     outage_series_by_hand => long_run();
 }
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -149,6 +149,8 @@
     /// A worker that has joined; the store goes out once the owner has read it in a list.
     joined: Option<WorkerId>,
     second_runs: SecondRuns,
+    /// Whether new faults are injected at present.
+    injects: bool,
     jobs: Vec<(JobNumber, Option<JobSpec>)>,
     pub progress: BTreeMap<JobNumber, ProgressRow>,
     roster: WorkerRoster,
@@ -189,6 +191,7 @@
             reclaims_from: None,
             joined: None,
             second_runs: SecondRuns::default(),
+            injects: false,
             jobs: Vec::new(),
             progress: BTreeMap::new(),
             roster: WorkerRoster::default(),
@@ -243,6 +246,7 @@
     /// Advances the clock by `millis`; with `faults`, new faults are injected.
     pub fn advance(&mut self, millis: Millis, faults: bool) {
         let until = self.now + millis;
+        self.injects = faults;
         while self.now < until {
             self.now += STEP_MS;
             if faults && self.now.is_multiple_of(1_000) {
--- a/crates/jobs/tests/support/emulator/outages.rs
+++ b/crates/jobs/tests/support/emulator/outages.rs
@@ -3,7 +3,7 @@
 use rand::RngExt;
 use sandshelf_model::{Millis, WorkerId};
 
-use super::{Message, PlatformEmulator};
+use super::{Message, PlatformEmulator, TAKEOVER_MS};
 
 /// The most workers that there are once workers join.
 const MAX_WORKERS: usize = 12;
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Draws whether the store goes out again right after a claim.
+    pub(super) fn draw_outage_after_claim(&mut self) {
+        let wanted = self.injects && self.plan.outages_after_claims > 0;
+        if wanted && self.chance(self.plan.outages_after_claims) {
+            let begins_at = self.now + self.random.random_range(TAKEOVER_MS..500);
+            self.send(begins_at, Message::Fault(PlannedFault::Outage));
+        }
+    }
+
     /// The store goes out; entries lapse meanwhile, workers are cut off, and the owner changes.
     fn begin_outage(&mut self) {
         let lasts = self.random.random_range(500..6_000);
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -107,6 +107,7 @@
             seen_jobs: 0,
             state_pending,
         });
+        self.draw_outage_after_claim();
         if state_pending {
             let takes = TAKEOVER_MS + self.random_below(self.plan.state_read_ms);
             self.send(self.now + takes, Message::StateRead(self.epoch));
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -84,6 +84,8 @@
     pub owner_changes: u32,
     /// Of a thousand such changes of owner, in how many the same host claims the shard again as soon as it can.
     pub reclaims: u32,
+    /// Of a thousand claims, after how many the store goes out again right away.
+    pub outages_after_claims: u32,
     /// Upper bound of the time that a new owner takes to read the progress of the jobs, in milliseconds; 0 if it is known at the claim.
     pub state_read_ms: u64,
     /// Whether workers reject runs that exceed their capacity.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod emulator;
 pub mod faults;
 pub mod fleet_worker;
+pub mod outage_plans;
 pub mod plans;
 pub mod relaying;
 pub mod restarting;
