Tests of leases in outages: the roster is durable before the outage

The draining worker's tests start their run once the worker's roster entry is durable, so that they hold whatever an owner waits for before it uses a worker.

--- a/crates/jobs/tests/leases_in_outages.rs
+++ b/crates/jobs/tests/leases_in_outages.rs
@@ -46,12 +46,16 @@
 /// The first list after an outage omits a draining worker that takes no connection: its run does not start elsewhere while it is leased.
 fn a_draining_worker_keeps_its_leased_run(call: RefusedCall) {
     let mut rig = SchedulerRig::with_workers(&["w-1"]);
+    rig.commit_all();
+    rig.report("w-1", vec![], vec![]);
     rig.hand_in(7, 0, job(vec![step(1)]));
     let (_, start) = rig.take_starts().pop().expect("a start");
     rig.report("w-1", vec![run_report(start.key)], vec![]);
     rig.list_entries(vec![draining_entry("w-1"), listing("w-2")]);
     rig.report("w-1", vec![run_report(start.key)], vec![]);
     rig.report("w-2", vec![], vec![]);
+    rig.commit_all();
+    rig.report("w-1", vec![run_report(start.key)], vec![]);
     let heard_at = rig.now;
     rig.list(&["w-2"]);
     while rig.now < heard_at + LEASE_LEFT_MS {
