Give a worker no tasks before the roster that names it is durable

Callers saw tasks run twice after an owner had died in an outage of the store: a worker that had just come, or had come back, was given tasks at once. A worker is open only once a commit that names it has taken effect (WorkerState::published); it is closed again when it leaves the roster.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -199,6 +199,7 @@
         };
         self.note_records_removed(now, id);
         self.lease_published |= commit.roster_head;
+        self.note_published();
         self.release_noted(now, commit.crashed);
         let gap = self.backlog.renewal_gap_ms();
         for ends in commit.noted {
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -187,6 +187,7 @@
         let silence_record = self.silence_records.state_of(&worker);
         let mut state = WorkerState::new(entry, now, silence_record);
         state.expected = true;
+        state.published = true;
         state.incarnation = IncarnationState::new(incarnation);
         self.workers.insert(worker.clone(), state);
         self.worker_order = None;
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -150,11 +150,25 @@
             return;
         }
         self.roster_checked_at = now;
-        for (id, worker) in &self.workers {
+        for (id, worker) in &mut self.workers {
             match worker.may_hold_tasks() || self.foreign.has_reports_of(id) {
                 true if self.roster.contains(id) => {}
                 true => self.roster.add(id),
-                false => self.roster.remove(id),
+                false => {
+                    worker.published = false;
+                    self.roster.remove(id);
+                }
+            }
+        }
+    }
+
+    /// Handles a commit that took effect: the workers in its pages of the roster may be given tasks.
+    pub(crate) fn note_published(&mut self) {
+        for id in self.roster.note_committed() {
+            let worker = self.workers.get_mut(&id);
+            if let Some(worker) = worker.filter(|worker| !worker.published) {
+                worker.published = true;
+                self.room_changed = true;
             }
         }
     }
--- a/crates/jobs/src/roster.rs
+++ b/crates/jobs/src/roster.rs
@@ -101,6 +101,8 @@
 pub(crate) struct RosterMembers {
     pages: BTreeMap<WorkerPage, BTreeSet<WorkerId>>,
     changed: BTreeSet<WorkerPage>,
+    /// The members of the pages in the commit in flight.
+    requested: BTreeSet<WorkerId>,
     pub(crate) head_changed: bool,
 }
 
@@ -125,6 +127,7 @@
 
     /// Removes a worker if it is contained.
     pub(crate) fn remove(&mut self, worker: &WorkerId) {
+        self.requested.remove(worker);
         let page = WorkerPage::of(worker);
         let workers = self.pages.get_mut(&page);
         if workers.is_some_and(|workers| workers.remove(worker)) {
@@ -152,6 +155,14 @@
     /// Records that a page is written with the next commit.
     pub(crate) fn note_requested(&mut self, page: WorkerPage) {
         self.changed.remove(&page);
+        let members = self.pages.get(&page).into_iter().flatten();
+        self.requested.extend(members.cloned());
+    }
+
+    /// Handles that the commit in flight took effect. Returns the members that it wrote and that are
+    /// still contained.
+    pub(crate) fn note_committed(&mut self) -> BTreeSet<WorkerId> {
+        std::mem::take(&mut self.requested)
     }
 
     /// The present content of a page.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -46,6 +46,8 @@
     pub(crate) evacuated: bool,
     /// Whether this owner waited for its answer at the takeover.
     pub(crate) expected: bool,
+    /// Whether the durable roster names it, so that a successor waits for it.
+    pub(crate) published: bool,
     /// The state of its current incarnation.
     pub(crate) incarnation: IncarnationState,
     pub(crate) renewal_sent_at: Option<Millis>,
@@ -103,6 +105,7 @@
             unreadable: false,
             evacuated: false,
             expected: false,
+            published: false,
             incarnation: IncarnationState::default(),
             renewal_sent_at: None,
             renewal_wait_ms: 0,
@@ -267,7 +270,8 @@
         self.incarnation.is_other(self.entry.incarnation)
     }
 
-    /// Whether it may be given tasks, which extends its lease. A worker that answers exists, even
+    /// Whether it may be given tasks, which extends its lease. A successor has to know of it, so its
+    /// entry in the roster must be durable. A worker that answers exists, even
     /// if a worker list omits it because of problems with the store. While it is unknown which
     /// incarnation answers, its clock is unknown as well: an order could be late at once, or be
     /// carried out hours later.
@@ -276,6 +280,7 @@
         let leaves = self.entry.draining || self.missing || self.evacuated || restarted;
         let extendable = self.silence_record == SilenceRecord::None;
         self.incarnation.fenced
+            && self.published
             && extendable
             && !leaves
             && now >= self.paused_until
--- a/crates/jobs/tests/copies.rs
+++ b/crates/jobs/tests/copies.rs
@@ -355,6 +355,9 @@
     assert_eq!(noted, 1);
     let names = ["w-1", "w-2", "w-3", "w-5"];
     rig.rig.list(&names);
+    for _ in 0..3 {
+        rig.rig.publish_workers();
+    }
     rig.rig.report("w-5", vec![], vec![]);
     rig.rig.advance(100);
     assert!(rig.rig.take_starts().is_empty());
--- a/crates/jobs/tests/halls.rs
+++ b/crates/jobs/tests/halls.rs
@@ -83,6 +83,7 @@
     rig.hand_in(1, 0, job(vec![standing_step]));
     let (_, start) = rig.take_starts().pop().expect("a start");
     rig.list_entries(entries());
+    rig.commit_all();
     rig.report("w-2", vec![], vec![]);
     evacuate(&mut rig, &["north"]);
     for _ in 0..30 {
--- a/crates/jobs/tests/incarnations.rs
+++ b/crates/jobs/tests/incarnations.rs
@@ -295,6 +295,7 @@
         renewal_report(2, 1_010, vec![run_report(started[0])], vec![]),
     );
     rig.list(&["w-1", "w-2"]);
+    rig.commit_all();
     rig.report("w-2", vec![], vec![]);
     for _ in 0..56 {
         rig.advance(100);
--- a/crates/jobs/tests/lease_places.rs
+++ b/crates/jobs/tests/lease_places.rs
@@ -102,6 +102,7 @@
     let report = incarnation_report(2, rig.now, vec![run_report(start.key)]);
     rig.answer_renewal("w-1", report);
     rig.list(&["w-1", "w-2"]);
+    rig.commit_all();
     rig.actions.clear();
     while rig.peek_starts().is_empty() {
         rig.advance(25);
@@ -120,6 +121,7 @@
 fn a_run_of_a_job_that_is_read_late_runs_once() {
     let mut rig = SchedulerRig::new(second_owner(&["w-1"]));
     rig.list(&["w-1", "w-2"]);
+    rig.commit_all();
     let running = || vec![run_report(earlier_run())];
     while rig.now < 1_000 + FOREIGN_RETENTION_MS + 200 {
         rig.report("w-1", running(), vec![]);
--- a/crates/jobs/tests/leases_in_outages.rs
+++ b/crates/jobs/tests/leases_in_outages.rs
@@ -129,6 +129,7 @@
 /// The runs that an owner orders after it has read of the worker w-2, which is right before the store goes out: nothing is durable any more.
 fn start_in_an_outage(rig: &mut SchedulerRig) -> Vec<(String, RunKey)> {
     rig.commit_all();
+    rig.defers_roster = true;
     rig.list(&["w-1", "w-2"]);
     rig.report("w-2", vec![], vec![]);
     rig.hand_in(7, 50, wide_job());
--- a/crates/jobs/tests/order.rs
+++ b/crates/jobs/tests/order.rs
@@ -101,6 +101,7 @@
     rig.hand_in(1, 50, submitted(0));
     rig.hand_in(2, 51, submitted(60));
     rig.list(&["w-1"]);
+    rig.commit_all();
     rig.report("w-1", vec![], vec![]);
     let first = rig.take_starts().pop().expect("a start").1.key;
     assert_eq!(first.task.job.0, 2);
--- a/crates/jobs/tests/outage_leases.rs
+++ b/crates/jobs/tests/outage_leases.rs
@@ -90,6 +90,7 @@
     let mut rig = SchedulerRig::with_limits(long_leases(), info);
     rig.hand_in(7, 50, job(vec![step(1)]));
     rig.list(&["w-2"]);
+    rig.commit_all();
     while rig.peek_starts().is_empty() {
         rig.advance(25);
         rig.fail_renewal("w-1");
--- a/crates/jobs/tests/pacing.rs
+++ b/crates/jobs/tests/pacing.rs
@@ -162,6 +162,8 @@
             vec![],
         );
     }
+    // Interference is written along with other changes.
+    rig.hand_in(8, 1, job(vec![step(1)]));
     let learned = rig
         .commit_all()
         .into_iter()
--- a/crates/jobs/tests/preemption_memory.rs
+++ b/crates/jobs/tests/preemption_memory.rs
@@ -88,6 +88,7 @@
         entry
     });
     rig.list_entries(entries.collect());
+    rig.commit_all();
     for name in &names {
         rig.report(name, vec![], vec![]);
     }
--- a/crates/jobs/tests/silence_records.rs
+++ b/crates/jobs/tests/silence_records.rs
@@ -305,6 +305,7 @@
 fn a_first_report_is_under_the_inherited_lease() {
     let rows = DurableRows::with_silence_record(STORE_CLOCK_AHEAD_MS + 12_000);
     let mut rig = owner_after(9_000, 1, rows);
+    rig.commit_all();
     let key = RunKey {
         task: task(7, 0, 0),
         run: 11,
