Rely on no other host once one that the store serves may claim

Callers could see two runs of one task at once: in an outage of the store that spares a host, or where a proxy turns most hosts away, an owner that could not renew went on granting leases and taking leases to be over while the served host claimed the shard. The successor waits from its claim for the leases that it knows of plus a margin, which the owner's later leases outlast.

Cause: OutageQuorum took the time that half of the hosts of each hall vouch for. A host that had replied that it may claim in less than a whole lease was outvoted by those without the store.

A host without the store replies with a whole lease, so a smaller value shows that it has the owner's row. Such a host now bounds the time for all halls, also after its connection has ended or while later replies of it are ignored for a gap, until an accepted reply shows that it lost the store, or the owner renews. Hosts that did not reply are counted as before.

--- a/crates/jobs/src/relay/quorum.rs
+++ b/crates/jobs/src/relay/quorum.rs
@@ -7,6 +7,10 @@
 //!
 //! A host that doesn't reply may be dead, or cut off together with the workers of its hall. Therefore half of the hosts have to reply in each
 //! hall with workers. Not all hosts are required, since a single dead host would end all work in a long outage.
+//!
+//! A host without the store replies with a whole lease of the shard. One that replies with less has seen the owner's row and may claim it,
+//! whatever the other hosts report and although its connection may end before it claims. So the owner relies on no time beyond that
+//! host's reply until the host reports that it lost the store, too.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,6 +34,8 @@
     disconnected_at: Option<Millis>,
     /// The host doesn't claim the shard before this time.
     unclaimed_until: Millis,
+    /// The newest query to which the host replied that it may claim in less than a whole lease; none once it has lost the store.
+    may_claim: Option<u64>,
 }
 
 /// The hosts that an owner queries, and what they have replied.
@@ -38,6 +44,8 @@
     members: BTreeMap<HostId, QuorumMember>,
     /// By the owner's newest renewal, nobody claims the shard before this time.
     renewed_until: Millis,
+    /// How long a host without the store can't claim the shard, in milliseconds.
+    lease_ms: Millis,
     /// When each of the newest queries was sent, by query number.
     queried_at: BTreeMap<u64, Millis>,
     query_count: u64,
@@ -51,6 +59,7 @@
             hall: hall.clone(),
             disconnected_at: None,
             unclaimed_until: 0,
+            may_claim: None,
         });
         member.disconnected_at = None;
     }
@@ -66,9 +75,15 @@
     }
 
     /// Starts a query and returns its number. The owner last renewed at `renewed_at`, so that nobody claims the shard before
-    /// `renewed_until`. Hosts whose connections ended before that renewal are forgotten.
+    /// `renewed_until`. Hosts whose connections ended before that renewal are forgotten, and so is which hosts might have claimed.
     pub(super) fn ask(&mut self, now: Millis, renewed_at: Millis, renewed_until: Millis) -> u64 {
+        if renewed_until > self.renewed_until {
+            self.members
+                .values_mut()
+                .for_each(|member| member.may_claim = None);
+        }
         self.renewed_until = renewed_until;
+        self.lease_ms = renewed_until.saturating_sub(renewed_at);
         let recent =
             |member: &QuorumMember| member.disconnected_at.is_none_or(|at| at >= renewed_at);
         self.members.retain(|_, member| recent(member));
@@ -93,13 +108,20 @@
             return;
         };
         let known = member.unclaimed_until.max(self.renewed_until);
-        if *asked <= known {
+        let joins = *asked <= known;
+        if observation.claims_after_ms < self.lease_ms {
+            member.may_claim = member.may_claim.max(Some(number));
+        } else if joins && member.may_claim.is_some_and(|query| query < number) {
+            member.may_claim = None;
+        }
+        if joins {
             // The host replied after the query was sent, so its period ends no earlier than counted from the sending.
             member.unclaimed_until = known.max(asked + observation.claims_after_ms);
         }
     }
 
-    /// The time before which no host claims the shard, by the replies of half of the hosts of each hall; none if too few replied.
+    /// The time before which no host claims the shard, by the replies of half of the hosts of each hall and of every host that may claim;
+    /// none if too few replied.
     pub(super) fn unclaimed_until<'a>(
         &'a self,
         now: Millis,
@@ -117,6 +139,12 @@
             .into_iter()
             .map(|hall| self.hall_unclaimed_until(hall, own_hall));
         let until = unclaimed.min().flatten()?;
+        let claimants = self
+            .members
+            .values()
+            .filter(|member| member.may_claim.is_some());
+        let claimed_from = claimants.map(|member| member.unclaimed_until.max(self.renewed_until));
+        let until = claimed_from.fold(until, Millis::min);
         Some(until.min(now + MAX_UNCLAIMED_MS))
     }
 
