Let the bound of the store's clock grow with the age of its reading

Callers could see a task run twice: where the store's clock runs a little faster than the owner's, the silence record of a worker ended before the worker's lease, and a successor, which waits no longer than the record says, started the tasks elsewhere.

Cause: StoreClock::note kept the lowest lead of all readings for good, so that an owner that has run for long used a lead from its beginning.

The daemon had the right rule for the same value. It is now the one implementation: ClockBound in the jobs crate, in which the bound of a reading grows by 1 in 1,000 of its age and is replaced by a newer reading that is lower.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -33,8 +33,9 @@
 use crate::reservations::ReservationBook;
 use crate::roster::RosterMembers;
 use crate::shares::{FairShares, FillingLimits, StandingShortage};
-use crate::silent::{SilenceRecords, StoreClock};
+use crate::silent::SilenceRecords;
 use crate::spec::{JobSpec, QueueRules};
+use crate::store_clock::ClockBound;
 use crate::takeover::{RecoveryState, TakeoverInfo, FIRST_EPOCH};
 use crate::wait_key::WaitKey;
 use crate::worker::WorkerState;
@@ -124,7 +125,7 @@
     pub(crate) inherited_until: Millis,
     /// Whether the durable roster allows leases as long as this owner's. Until then this owner grants none longer than an earlier owner's.
     pub(crate) lease_published: bool,
-    pub(crate) store_clock: StoreClock,
+    pub(crate) store_clock: ClockBound,
     pub(crate) silence_records: SilenceRecords,
     pub(crate) recovery: Option<RecoveryState>,
     pub(crate) claimed_at: Millis,
@@ -221,7 +222,7 @@
             inherited_lease_ms,
             inherited_until,
             lease_published: info.epoch == FIRST_EPOCH || inherited_lease_ms >= own_lease_ms,
-            store_clock: StoreClock::default(),
+            store_clock: ClockBound::default(),
             silence_records: SilenceRecords::default(),
             claimed_at: info.claimed_at,
             foreign: ForeignRuns::default(),
--- a/crates/jobs/src/silent.rs
+++ b/crates/jobs/src/silent.rs
@@ -44,29 +44,6 @@
     pub lives: BTreeMap<WorkerId, WorkerIncarnation>,
 }
 
-/// An estimate of the store's clock from its answers.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct StoreClock {
-    /// An upper bound of its lead over the scheduler's clock, in milliseconds; `None` before the
-    /// first answer.
-    lead_ms: Option<i64>,
-}
-
-impl StoreClock {
-    /// Records that the store's clock showed `at_most_ms` at most at the scheduler's time `at`.
-    /// Both clocks run at the same rate, so the lowest bound stays valid.
-    pub(crate) fn note(&mut self, at: Millis, at_most_ms: u64) {
-        let lead_ms = at_most_ms as i64 - at as i64;
-        self.lead_ms = Some(self.lead_ms.map_or(lead_ms, |known| known.min(lead_ms)));
-    }
-
-    /// The highest value that the store's clock can show at a time of the scheduler's clock.
-    fn max_clock_at(&self, at: Millis) -> Option<u64> {
-        let shown = at as i64 + self.lead_ms?;
-        u64::try_from(shown).ok()
-    }
-}
-
 /// A change of the stored silence records.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SilenceChange {
@@ -256,7 +233,7 @@
         self.silence_records.remove_unknown(&self.workers);
         for id in self.silent_without_record(now) {
             let over_at = self.lease_expires_at(now, &id);
-            if let Some(over_at) = self.store_clock.max_clock_at(over_at) {
+            if let Some(over_at) = self.store_clock.at_most(over_at) {
                 let state = self.workers.get(&id);
                 let incarnation = state.and_then(|state| state.incarnation.id);
                 let suspects = state.map_or_else(Vec::new, |state| self.crash_suspects(state));
