Adopt runs that are being stopped when their job's row is read

Callers could see a task at work twice: a worker reports a run of a job whose row a slow store has not returned 15 s after the claim. The owner orders the run to stop as one of an unknown job; if the row is read then, its task was started beside the run that still goes on.

Cause: after FOREIGN_RUN_RETENTION_MS is_foreign is false, and a run that is being stopped for an unknown job was not connected with the job once its row was read.

Jobs of which such runs were stopped are remembered. When the row of one is read, the runs that workers still hold are adopted, so that their tasks are started again only after an end, a settled stop or the end of the lease.

--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -12,8 +12,8 @@
 use crate::incarnation::ClockSample;
 use crate::job::TaskStage;
 use crate::limits::{
-    CLEARED_AFTER_MS, FOREIGN_RUN_RETENTION_MS, IDLE_RENEWAL_WAIT_MS, RENEWAL_RETRY_PAUSE_MS,
-    RENEWAL_WAIT_MS, SILENCE_RECORD_RENEWAL_PAUSE_MS, TICK_MS, UNACKNOWLEDGED_RENEWAL_PAUSE_MS,
+    CLEARED_AFTER_MS, IDLE_RENEWAL_WAIT_MS, RENEWAL_RETRY_PAUSE_MS, RENEWAL_WAIT_MS,
+    SILENCE_RECORD_RENEWAL_PAUSE_MS, TICK_MS, UNACKNOWLEDGED_RENEWAL_PAUSE_MS,
     UNREACHABLE_PAUSE_MS,
 };
 use crate::note::{JobNote, LossCause, StopCause};
@@ -308,21 +308,16 @@
         }
         self.note_progress(now, worker, &key, clock);
         if !adopted && !copied {
+            if self.is_unknown(&key.task.job) {
+                self.foreign.note_stopped(key.task.job);
+            }
             self.stop_run(now, worker, key, StopCause::Superseded);
         }
     }
 
-    /// Whether a run belongs to a job that is not known yet but may exist: an earlier owner may
-    /// have started it shortly before this one took over.
-    fn is_foreign(&self, now: Millis, key: &RunKey) -> bool {
-        let job = &key.task.job;
-        let unknown = !self.jobs.contains_key(job) && !self.finished.contains(job);
-        unknown && (self.state_pending || now < self.claimed_at + FOREIGN_RUN_RETENTION_MS)
-    }
-
     /// Adopts a run that an earlier owner started, or takes back one that was given up. Starting
     /// the task again would make it run twice.
-    fn adopt(&mut self, worker: &WorkerId, key: &RunKey) {
+    pub(crate) fn adopt(&mut self, worker: &WorkerId, key: &RunKey) {
         let job = self.jobs.get(&key.task.job);
         let step = job.and_then(|job| job.step(&key.task));
         if step.is_some_and(|step| step.waits(key.task.index, false)) {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -329,7 +329,10 @@
                 number,
                 version,
                 spec,
-            } => self.handle_job_listed(now, number, version, *spec),
+            } => {
+                self.handle_job_listed(now, number, version, *spec);
+                self.adopt_stopped_runs(number);
+            }
             JobEvent::StateRead {
                 progress,
                 claim_version,
