Count unanswered renewals as leases of a worker's next incarnation

Callers could see a task run twice: a renewal that timed out reached its worker after the worker's restart and leased the runs of the new incarnation. When the worker then fell silent, its task was started elsewhere before that lease was over.

Cause: begin_incarnation looked at the newest renewal only. An earlier one without answer may be carried out by the next incarnation too, and later than the report that shows the restart.

The state of a worker keeps until when an unanswered or repeated renewal that extends the lease may still be carried out, for 3 s as for other orders whose send time is not known, also across restarts. Until then, and while a start order without answer may be carried out, the new incarnation counts as leased for the longest lease from that time on.

--- a/crates/jobs/src/hedge.rs
+++ b/crates/jobs/src/hedge.rs
@@ -144,6 +144,9 @@
         let Some(sent_at) = self.renewal_sent_at.take() else {
             return;
         };
+        if self.renewal_extends_lease {
+            self.note_late_renewal(now);
+        }
         let before = self.strays;
         self.strays = StrayRenewals {
             count: before.count + 1,
@@ -155,6 +158,11 @@
         };
     }
 
+    /// Records that a renewal that extends the lease has got no answer.
+    pub(crate) fn note_late_renewal(&mut self, now: Millis) {
+        self.incarnation.late_renewals_until = now + MAX_ORDER_AGE_MS;
+    }
+
     /// Whether the renewal in flight is overdue and a short task may have ended meanwhile.
     fn needs_hedge(&self, now: Millis, overdue_ms: Millis) -> bool {
         let overdue = |sent_at: Millis| now >= sent_at + self.renewal_wait_ms + overdue_ms;
--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -57,6 +57,9 @@
     pub(crate) lease_deadline: WorkerClock,
     /// Until when a lease of an earlier owner may last there, on the scheduler's clock; 0 if none is left.
     pub(crate) inherited_until: Millis,
+    /// Until when a renewal that extends the lease and got no answer may still be carried out, by this incarnation or a later one, on the
+    /// scheduler's clock.
+    pub(crate) late_renewals_until: Millis,
     /// The number of the newest end that was processed; end numbers increase.
     pub(crate) noted: u64,
     /// Ends up to this number are durable and may be acknowledged.
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -118,6 +118,9 @@
             RenewalAnswer::Failed(answer) => {
                 state.note_doubt(now);
                 state.failed_renewals += 1;
+                if answer == OrderAnswer::Unknown && state.renewal_extends_lease {
+                    state.note_late_renewal(now);
+                }
                 self.schedule_renewal(worker, now + RENEWAL_RETRY_PAUSE_MS);
                 match answer {
                     OrderAnswer::Replaced => self.lose_worker(now, worker, LossCause::Replaced),
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -12,6 +12,7 @@
 use crate::copies::ProgressTrack;
 use crate::ids::RunKey;
 use crate::incarnation::IncarnationState;
+use crate::limits::MAX_ORDER_AGE_MS;
 use crate::note::{JobNote, LossCause, StopCause};
 use crate::reports::RenewalReport;
 use crate::run::{RunPhase, RunRecord};
@@ -81,15 +82,23 @@
             recovery.worker_lost |= recovery.unanswered.contains_key(worker);
         }
         if let Some(state) = self.workers.get_mut(worker) {
-            let may_be_leased = state.renewal_extends_lease
+            let orders = unsettled.iter();
+            let orders_until = orders.map(|(_, record)| record.ordered_at + MAX_ORDER_AGE_MS);
+            let late_renewals_until = state.incarnation.late_renewals_until;
+            let carried_out_until = orders_until.fold(late_renewals_until, Millis::max);
+            let late_ms = carried_out_until.saturating_sub(now);
+            let may_be_leased = late_ms > 0
+                || state.renewal_extends_lease
                 || state.strays.extend_lease()
                 || !listed.is_empty()
                 || !unsettled.is_empty();
             // The deadline in an order that was meant for the previous incarnation is on the clock
-            // of that incarnation. The worker limits the lease to its own maximum.
-            let longest = report.clock + self.limits.max_lease_ms;
+            // of that incarnation. The worker limits the lease to its own maximum, from the time at
+            // which it carries the order out.
+            let longest = report.clock + late_ms + self.limits.max_lease_ms;
             let lease_deadline = longest.min(state.incarnation.lease_deadline);
             state.incarnation = IncarnationState::new(report.incarnation);
+            state.incarnation.late_renewals_until = late_renewals_until;
             state.incarnation.lease_deadline = if may_be_leased { lease_deadline } else { 0 };
             state.paused_until = now;
         }
