An owner that knows no other host relies on its own renewals only

It stayed sure of its ownership for 2 s at any time of an outage and went on granting leases of 6 s up to its successor's claim, which waits for 5.1 s; the runs lapsed 24 to 221 ms after their tasks had started elsewhere, by a grant of the former owner (lapsed_grant). Hosts may not have connected yet, or never connect. Without any known host the quorum now confirms nothing.

tenure only_host demanded the opposite: that an owner without known hosts goes on. The trace shows that the owner can't tell it from one whose hosts have not connected; no_known_host replaces it and checks 10 s in place of one moment. The price: a deployment of a single host lets running work lapse in an outage of the store of more than two seconds and a lease.

--- a/crates/jobs/src/relay/quorum.rs
+++ b/crates/jobs/src/relay/quorum.rs
@@ -6,7 +6,8 @@
 //! join without a gap; otherwise a reply is ignored, since the host may have claimed the shard in between and be down by now.
 //!
 //! A host that doesn't reply may be dead, or cut off together with the workers of its hall. Therefore half of the hosts have to reply in each
-//! hall with workers. Not all hosts are required, since a single dead host would end all work in a long outage.
+//! hall with workers. Not all hosts are required, since a single dead host would end all work in a long outage. An owner that knows no other
+//! host can ask nobody: hosts that never connect, or have not connected yet, may claim.
 //!
 //! A host without the store replies with a whole lease of the shard. One that replies with less has seen the owner's row and may claim it,
 //! whatever the other hosts report and although its connection may end before it claims. So the owner relies on no time beyond that
@@ -20,7 +21,7 @@
 
 /// How long the refusal of a host of another version counts. Such a host keeps connecting, and while it does, its replies are unknown.
 const REFUSAL_EFFECT_MS: Millis = 5_000;
-/// The longest time from now for which the shard counts as unclaimed. It limits an owner that knows no other host to the period that another
+/// The longest time from now for which the shard counts as unclaimed. It limits an owner that is alone in its hall to the period that another
 /// host's reply would give.
 const MAX_UNCLAIMED_MS: Millis = 1_200;
 /// How many of the newest queries are remembered; replies to older ones arrive too late to be of use.
@@ -134,6 +135,9 @@
         {
             return None;
         }
+        if self.members.is_empty() {
+            return None;
+        }
         halls.extend(self.members.values().map(|member| &member.hall));
         let unclaimed = halls
             .into_iter()
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -178,12 +178,15 @@
     assert_eq!(unclaimed_until(&dispatcher, 610), Some(600 + LEASE_MS));
 }
 
-/// An owner that knows no other host, with all workers in its hall, relies on its own observation,
-/// which lasts no longer than another host's would.
-fn an_owner_that_is_alone_goes_on() {
+/// Guards against an owner that relies on its own observation because no other host has connected:
+/// one that has not connected may claim.
+fn an_owner_that_knows_no_other_host_is_unsure() {
     let mut dispatcher = RelayDispatcher::new(EPOCH, 500);
     dispatcher.note_workers([(WorkerId::from("w-1"), HallId::from(HALLS[0]))]);
-    assert_eq!(unclaimed_until(&dispatcher, 5_000), Some(5_000 + LEASE_MS));
+    for now in (600..10_000).step_by(200) {
+        dispatcher.ask(now, 0, LEASE_MS);
+        assert_eq!(unclaimed_until(&dispatcher, now), None);
+    }
 }
 
 /// Another host in the owner's hall that doesn't answer may have claimed.
@@ -278,7 +281,7 @@
     half_of_the_own_hall_dead => hosts_of_a_hall_may_be_dead(0, 2, true);
     most_of_the_own_hall_dead => hosts_of_a_hall_may_be_dead(0, 3, false);
     alone_in_its_hall => an_owner_alone_in_its_hall_is_confirmed();
-    only_host => an_owner_that_is_alone_goes_on();
+    no_known_host => an_owner_that_knows_no_other_host_is_unsure();
     silent_host_in_its_hall => another_hosts_silence_ends_certainty();
     cut_hall => a_cut_off_hall_is_not_confirmed();
     gap_between_answers => answers_must_not_leave_gaps();
