Start nothing once a successor may have claimed the shard

Callers could see a task at work twice: an owner that can't renew learns of a new job and starts it on a worker that its successor doesn't reach. The successor starts the job elsewhere at once.

Cause: an owner started tasks while it was sure of itself, up to 800 ms after the time from which another host may claim. A successor waits for unreached workers only with jobs that are older than its claim.

The owner now places no task from the time from which another host may claim, so that what it starts is older than a successor's claim. Leases are renewed and ends are processed until it is unsure, as before.

--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -24,7 +24,7 @@
         let pause = self.backlog.pass_pause_ms(self.waiting.len());
         let paused = self.pass_left_tasks && now < self.last_pass + pause;
         let max_unanswered_starts = self.backlog.max_unanswered_starts();
-        if self.may_be_succeeded(now) || paused || self.unanswered_starts >= max_unanswered_starts {
+        if self.may_be_claimed(now) || paused || self.unanswered_starts >= max_unanswered_starts {
             return;
         }
         if !std::mem::take(&mut self.room_changed) || self.waiting.is_empty() {
--- a/crates/jobs/src/tenure.rs
+++ b/crates/jobs/src/tenure.rs
@@ -9,6 +9,9 @@
 //! elsewhere, and treats no lease as expired, since the successor may have extended it. It still
 //! processes ends and stops runs that are over for good: both are right under either owner.
 //!
+//! A successor doesn't wait before it starts jobs that are newer than its claim. So an owner places no
+//! task from the time at which a successor may have claimed, which is somewhat earlier.
+//!
 //! When the store is out for all hosts, nobody can take over. Hosts that report so keep an owner
 //! sure ([`OwnerTenure::note_unclaimed`]), so that work continues during the outage.
 
@@ -21,6 +24,8 @@
 /// The part of the takeover margin that the owner leaves for sending its orders, in milliseconds.
 /// The margin is the time by which a successor waits longer than the leases last.
 const ORDER_SENDING_MS: Millis = 200;
+/// How long an owner remains sure of itself after a successor may have claimed, in milliseconds.
+const SURE_AFTER_CLAIM_MS: Millis = TAKEOVER_MARGIN_MS - ORDER_SENDING_MS;
 
 /// Tracks until when an owner can be sure that no successor has taken over.
 #[derive(Clone, Copy, Debug)]
@@ -56,7 +61,7 @@
     /// The time until which an unnoticed successor would still wait for everything that this owner
     /// orders.
     pub fn sure_until(&self) -> Millis {
-        self.unclaimed_until + TAKEOVER_MARGIN_MS - ORDER_SENDING_MS
+        self.unclaimed_until + SURE_AFTER_CLAIM_MS
     }
 }
 
@@ -72,6 +77,13 @@
         now >= self.sure_until
     }
 
+    /// Whether a successor may have claimed, as far as this owner knows. The successor starts jobs that
+    /// are newer than its claim without waiting for workers that it can't reach, so that this owner
+    /// may not start them any more.
+    pub(crate) fn may_be_claimed(&self, now: Millis) -> bool {
+        now + SURE_AFTER_CLAIM_MS >= self.sure_until
+    }
+
     /// Logs when this owner becomes unsure of its ownership, and when it is sure again.
     pub(crate) fn check_tenure(&mut self, now: Millis) {
         match (self.may_be_succeeded(now), self.unsure_since) {
