Grown emulator: owners lost in outages, cuts after a takeover, and drains beside cuts that refuse

In an outage that all hosts share, an owner goes on as long as the other hosts reply that they won't claim. The emulator lacked these replies, so that owners were unsure after 2 s and no lease outlived a takeover; it now has them, with the daemon's own claim periods. New events: entries that lapse and return up to 2 s late, cuts of workers right after their first answer to the next owner, and cuts that refuse connections until the entry has lapsed. TWICE now counts a start between a done end and its acknowledgement as well, unless the lease lapsed in between.

--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -102,6 +102,14 @@
     WorkersHang(usize, Millis),
     /// This percentage of the workers is cut off from all hosts for this time, and keeps running tasks.
     WorkersCut(usize, Millis),
+    /// Like `WorkersCut`, but connections to these workers are closed and refused instead of getting no answer, and their entries lapse
+    /// if this time is long enough.
+    WorkersRefuse(usize, Millis),
+    /// This percentage of the workers is cut off as by `WorkersCut`, each of them for this time and shortly after it has first answered
+    /// the next owner. A worker that two such events of a day choose is cut off once, for the longer time.
+    CutAfterTakeover(usize, Millis),
+    /// The entries of this percentage of the workers lapse at once, and return up to 2 s after this time.
+    EntriesLapse(usize, Millis),
 }
 
 /// A scenario to simulate.
--- a/crates/emulator/src/days.rs
+++ b/crates/emulator/src/days.rs
@@ -11,6 +11,8 @@
 const OVERLOAD_COOL_DOWN_MS: Millis = 30_000;
 /// How long after the store has begun to refuse the owner's calls its successor has just reached all workers, in milliseconds.
 const CUT_AFTER_REFUSAL_MS: Millis = 1_800;
+/// How long workers drain that are cut off meanwhile, in milliseconds.
+const DRAIN_FOR_MS: Millis = 12_000;
 /// The index of the class of short jobs.
 const SHORT_CLASS: usize = 0;
 /// The index of the class of filling jobs, which has most of the bursts of traffic.
@@ -19,7 +21,7 @@
 const STANDING_CLASS: usize = 2;
 
 /// The names of the days, each with a description.
-pub const DAYS: [(&str, &str); 24] = [
+pub const DAYS: [(&str, &str); 26] = [
     ("calm", "nothing goes wrong"),
     ("burst", "a burst of filling jobs with a strong owner; many orders are late"),
     ("long-burst", "2.6 times the usual rate of filling jobs for 12 s"),
@@ -58,6 +60,14 @@
         "turned-away",
         "the store refuses the owner's calls, twice, and a sixth of the workers is cut off when the next owner has just reached them",
     ),
+    (
+        "outages",
+        "the store is silent three times, entries of workers lapse, the owner is killed in it, and two fifths of the workers are cut off when they have just answered the next owner",
+    ),
+    (
+        "drains",
+        "a third of the workers drains, and a sixth of all workers refuses connections until its entries have lapsed, twice",
+    ),
     (
         "overload",
         "twice the usual rate of filling jobs from second 8 to the end",
@@ -179,10 +189,42 @@
             day.with(at, DayEvent::StoreRefuses(HostChoice::Owner, 7_000))
                 .with(at + CUT_AFTER_REFUSAL_MS, DayEvent::WorkersCut(17, 5_500))
         }),
+        "outages" => outages(calm),
+        "drains" => drains(calm),
         _ => return contended_day(name, calm),
     })
 }
 
+/// Outages of the store in which entries lapse and the owner is killed early or late, with cuts from the next owner's first answers on
+/// that end before and after the leases of the killed owner.
+fn outages(calm: DayPlan) -> DayPlan {
+    let rounds = [
+        (4_000, 4_200, 3_800),
+        (15_000, 5_200, 4_900),
+        (26_000, 4_200, 1_500),
+    ];
+    rounds
+        .into_iter()
+        .fold(calm, |day, (at, silent_ms, killed_after_ms)| {
+            day.with(at, DayEvent::StoreSilent(silent_ms))
+                .with(at, DayEvent::EntriesLapse(60, silent_ms))
+                .with(
+                    at + killed_after_ms,
+                    DayEvent::Kill(HostChoice::Owner, 3_000),
+                )
+                .with(at + killed_after_ms, DayEvent::CutAfterTakeover(20, 4_500))
+                .with(at + killed_after_ms, DayEvent::CutAfterTakeover(20, 6_000))
+        })
+}
+
+/// Drains beside cuts that refuse connections until entries have lapsed, while the store is well.
+fn drains(calm: DayPlan) -> DayPlan {
+    [6_000, 20_000].into_iter().fold(calm, |day, at| {
+        day.with(at, DayEvent::WorkersReclaimed(30, DRAIN_FOR_MS))
+            .with(at + 900, DayEvent::WorkersRefuse(17, 4_800))
+    })
+}
+
 /// The days on which callers compete for too little capacity.
 fn contended_day(name: &str, calm: DayPlan) -> Option<DayPlan> {
     let length = calm.length_ms;
--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -7,13 +7,14 @@
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::admission::LoadView;
 use sandshelf_jobs::{
-    CommitBatch, JobAction, JobEvent, JobScheduler, OwnerTenure, SchedulerCounts, SchedulerLimits,
-    TakeoverInfo, WorkerCall, WorkerChanges, WorkerListing,
+    CommitBatch, JobAction, JobEvent, JobScheduler, SchedulerCounts, SchedulerLimits, TakeoverInfo,
+    WorkerCall, WorkerChanges, WorkerListing,
 };
 use sandshelf_lease::{LeaseStage, LeaseTimes, OwnerWatch, ShardLease};
 use sandshelf_model::{HostId, Millis, WorkerId};
 
 use super::takeover::TakeoverReading;
+use super::tenure::ShardTenure;
 use super::writes::{WriteState, READ_TIMEOUT_MS};
 use super::{
     CallBody, CallPeer, EmulatedHost, HostAction, HostFault, HostModel, HostStrength, WorkItem,
@@ -25,9 +26,8 @@
 use crate::worker::place_of;
 
 // Same values as in the daemon: `jobs/owner.rs`, `jobs/owner/claim.rs`, `jobs/owner/strength.rs` and `jobs/writer.rs`.
-const SHARD_LEASE_MS: Millis = 1_200;
+pub(super) const SHARD_LEASE_MS: Millis = 1_200;
 const CLAIM_STAGGER_MS: Millis = 6;
-const OVERDUE_AFTER_MS: Millis = 750;
 const FIRST_CLAIM_RANK_FACTOR: u32 = 5;
 const KEEP_FINISHED_MS: Millis = 130_000;
 
@@ -54,13 +54,9 @@
     queues_version: u64,
     /// Number of workers in the last list.
     workers: usize,
-    tenure: OwnerTenure,
-    /// The last time sent to the scheduler up to which no other host can have become the owner, in milliseconds.
-    sure_until: Millis,
+    pub(super) tenure: ShardTenure,
     /// The list of workers as read; `None` before the first one.
     list: Option<WorkerList>,
-    /// Whether the scheduler was told that the ownership is overdue.
-    overdue: bool,
 }
 
 /// State of the control thread of one process of a host.
@@ -221,30 +217,6 @@
         }
     }
 
-    /// Notifies the scheduler up to which time no other host can have become the owner. Hosts don't talk to each other here, so
-    /// that no quorum of hosts extends this time during a store outage that all of them share.
-    fn check_tenure(&mut self, at: Micros) {
-        let renewed_at = self.control.lease.last_renewal();
-        let (Some(renewed_at), Some(owned)) = (renewed_at, &mut self.control.owned) else {
-            return;
-        };
-        owned.tenure.note_renewed(renewed_at);
-        let mut events = Vec::new();
-        let until = owned.tenure.sure_until();
-        if owned.sure_until != until && self.model.fault != HostFault::NeverUnsure {
-            owned.sure_until = until;
-            events.push(JobEvent::SureUntil(until));
-        }
-        let overdue = at / MS >= renewed_at + OVERDUE_AFTER_MS;
-        if owned.overdue != overdue {
-            owned.overdue = overdue;
-            events.push(JobEvent::OwnershipOverdue(overdue));
-        }
-        if !events.is_empty() {
-            self.handle_events(at, events);
-        }
-    }
-
     pub(super) fn refresh_queues(&mut self, at: Micros) {
         let version = self.config.in_force().map_or(0, |config| config.version);
         let Some(owned) = &mut self.control.owned else {
@@ -410,10 +382,8 @@
             scheduler: JobScheduler::new(limits, info),
             queues_version: 0,
             workers: 0,
-            tenure: OwnerTenure::new(SHARD_LEASE_MS, self.control.claimed_at),
-            sure_until: 0,
+            tenure: ShardTenure::new(self.control.claimed_at),
             list: None,
-            overdue: false,
         });
         self.list_workers(at);
         self.refresh_queues(at);
--- a/crates/emulator/src/host/mod.rs
+++ b/crates/emulator/src/host/mod.rs
@@ -10,6 +10,7 @@
 mod model;
 mod notices;
 mod takeover;
+mod tenure;
 mod work;
 mod writes;
 
@@ -298,6 +299,11 @@
                 self.handle_notice(at, &notice);
                 at
             }
+            WorkItem::Unclaimed(asked, until) => {
+                let at = self.spend(now, costs::NOTICE_US);
+                self.handle_unclaimed(at, asked, until);
+                at
+            }
             WorkItem::OwnerEnded(epoch) => {
                 let at = self.spend(now, costs::CONNECT_US);
                 self.handle_ended_owner(at, epoch);
--- a/crates/emulator/src/host/work.rs
+++ b/crates/emulator/src/host/work.rs
@@ -34,6 +34,9 @@
     Request(RequestBody, Millis),
     /// The owner tells of a renewal of its ownership.
     Notice(RenewalNotice),
+    /// The other hosts have replied to the query that was sent at the first time: none of them claims the shard before the second one,
+    /// both in milliseconds.
+    Unclaimed(Millis, Millis),
     /// Nobody listens any more at the address of the owner of this epoch.
     OwnerEnded(u64),
 }
@@ -108,6 +111,8 @@
     Pause(HostPause, Micros),
     /// Tells all other hosts of a renewal.
     Tell(RenewalNotice),
+    /// Asks all other hosts at a time, in milliseconds, for how long they don't claim the shard.
+    QueryHosts(Millis),
     /// Ticks again at a time.
     Tick(Micros),
     /// Answers a request, given by its number.
--- a/crates/emulator/src/oracle/copies.rs
+++ b/crates/emulator/src/oracle/copies.rs
@@ -51,6 +51,31 @@
         }
     }
 
+    /// Records a start after successful ends of the task that were not acknowledged so far.
+    pub(super) fn note_start_after_end(&mut self, key: RunKey) {
+        let first = RunKey { run: 0, ..key };
+        let last = RunKey {
+            run: u64::MAX,
+            ..key
+        };
+        for (_, started) in self.started_since.range_mut(first..=last) {
+            started.push(key);
+        }
+    }
+
+    /// Reports the starts between a successful end of the task and its acknowledgement, unless its step allows copies.
+    pub(super) fn check_started_since(&mut self, key: RunKey) {
+        let started = self.started_since.remove(&key).unwrap_or_default();
+        let allowed = self.step(&key.task).is_none_or(|step| step.copies_allowed);
+        if allowed || started.is_empty() {
+            return;
+        }
+        let history = self.history.get(&key.task);
+        let what =
+            format!("{started:?} started before the end of {key} was acknowledged: {history:?}");
+        self.report(self.now, BrokenRule::Twice, what);
+    }
+
     /// Reports a start after the task's attempts were used up. Copies may start until shortly after that, and by an owner that is
     /// not in touch.
     pub(super) fn check_attempts(
--- a/crates/emulator/src/oracle/mod.rs
+++ b/crates/emulator/src/oracle/mod.rs
@@ -157,6 +157,8 @@
     done: BTreeSet<TaskKey>,
     /// When a successful end of each task was first acknowledged.
     acknowledged: BTreeMap<TaskKey, Millis>,
+    /// The successful runs whose ends were never acknowledged, each with the runs of its task that have started since its end.
+    started_since: BTreeMap<RunKey, Vec<RunKey>>,
     /// When each job was first shown as completed.
     completed: BTreeMap<JobNumber, Millis>,
     /// The failed runs of each task, each with when its end was acknowledged.
@@ -254,6 +256,7 @@
         let step = &spec.steps[task.step as usize];
         self.check_concurrent(worker, key, step);
         self.check_ended(worker, key, step, in_touch);
+        self.note_start_after_end(key);
         if self.crashes.begin(&task, in_touch) {
             let what = format!("{key} after three worker crashes while it ran");
             self.report(now, BrokenRule::Budget, what);
@@ -332,6 +335,7 @@
         let succeeded = outcome == Some(RunOutcome::Done);
         if succeeded {
             self.check_second_end(key);
+            self.started_since.insert(key, Vec::new());
         }
         let done = succeeded && self.done.insert(key.task);
         if let Some(open) = self.open.get_mut(&key.task.job) {
@@ -375,6 +379,7 @@
         task_history.push(format!("{} acknowledged as {outcome:?}", key.run));
         match outcome {
             RunOutcome::Done => {
+                self.check_started_since(key);
                 self.acknowledged.entry(key.task).or_insert(self.now);
             }
             RunOutcome::Failed => {
--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -145,6 +145,11 @@
         !self.ended.is_empty()
     }
 
+    /// Whether an order of this epoch fences an earlier owner.
+    pub fn would_fence(&self, epoch: u64) -> bool {
+        0 < self.fence && self.fence < epoch
+    }
+
     /// The next time at which a run ends or the lease runs out if no order arrives; `None` if there are no runs.
     pub fn next_change(&self) -> Option<Micros> {
         let ends = self.runs.values();
--- a/crates/emulator/src/world/cuts.rs
+++ b/crates/emulator/src/world/cuts.rs
@@ -2,7 +2,7 @@
 //! are cut off from all hosts.
 //!
 //! Each host and each worker is in a hall; the store and the callers are in none. A message that a cut stops is lost,
-//! and its sender waits until its timeout. Callers reach every host.
+//! and its sender waits until its timeout, unless the cut refuses connections. Callers reach every host.
 
 use crate::day::CutDirection;
 use crate::host::CallPeer;
@@ -19,10 +19,20 @@
     until: Micros,
 }
 
+/// What happens to calls to a worker that is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CutManner {
+    /// They are lost.
+    Silent,
+    /// Their connections are refused.
+    Refusing,
+}
+
 /// A cut of the worker at one place.
 #[derive(Clone, Copy, Debug)]
 struct WorkerCut {
     place: usize,
+    manner: CutManner,
     until: Micros,
 }
 
@@ -64,16 +74,29 @@
         });
     }
 
-    pub(super) fn cut_worker(&mut self, place: usize, until: Micros) {
-        self.worker_cuts.push(WorkerCut { place, until });
+    pub(super) fn cut_worker(&mut self, place: usize, manner: CutManner, until: Micros) {
+        self.worker_cuts.push(WorkerCut {
+            place,
+            manner,
+            until,
+        });
     }
 
-    fn is_cut_worker(&self, now: Micros, peer: CallPeer) -> bool {
-        let CallPeer::Worker(place) = peer else {
-            return false;
-        };
+    fn is_worker_cut(&self, now: Micros, place: usize, manner: CutManner) -> bool {
         let mut cuts = self.worker_cuts.iter().filter(|cut| now < cut.until);
-        cuts.any(|cut| cut.place == place)
+        cuts.any(|cut| cut.place == place && cut.manner == manner)
+    }
+
+    /// Whether a cut refuses connections to the worker at a place.
+    pub(super) fn refuses_worker(&self, now: Micros, place: usize) -> bool {
+        self.is_worker_cut(now, place, CutManner::Refusing)
+    }
+
+    fn is_cut_worker(&self, now: Micros, peer: CallPeer) -> bool {
+        match peer {
+            CallPeer::Worker(place) => self.is_worker_cut(now, place, CutManner::Silent),
+            CallPeer::Store => false,
+        }
     }
 
     fn passes(&self, now: Micros, from: Option<usize>, to: Option<usize>) -> bool {
--- a/crates/emulator/src/world/day_events.rs
+++ b/crates/emulator/src/world/day_events.rs
@@ -5,6 +5,7 @@
 use sandshelf_model::Millis;
 
 use super::callers::TrafficBurst;
+use super::cuts::CutManner;
 use super::{EmulatedWorld, WorldEvent};
 use crate::day::{CutDirection, DayEvent, HallChoice, HostChoice};
 use crate::deployment::STRONG_HOST;
@@ -106,13 +107,13 @@
                 }
             }
             DayEvent::WorkersCut(percent, for_ms) => {
-                let until = until(for_ms);
-                self.monitor.disturb_workers(until);
-                for place in self.draw_workers(self.fleet.count() * percent / 100) {
-                    self.halls.cut_worker(place, until);
-                    self.hang_worker(place, for_ms);
-                }
+                self.cut_workers(percent, CutManner::Silent, for_ms);
+            }
+            DayEvent::WorkersRefuse(percent, for_ms) => {
+                self.cut_workers(percent, CutManner::Refusing, for_ms);
             }
+            DayEvent::CutAfterTakeover(percent, for_ms) => self.arm_cuts(percent, for_ms),
+            DayEvent::EntriesLapse(percent, for_ms) => self.lapse_entries(percent, for_ms),
         }
     }
 
@@ -242,7 +243,7 @@
         }
     }
 
-    fn draw_workers(&mut self, count: usize) -> Vec<usize> {
+    pub(super) fn draw_workers(&mut self, count: usize) -> Vec<usize> {
         let mut places: Vec<usize> = (0..self.fleet.count()).collect();
         places.shuffle(&mut self.random);
         places.truncate(count);
--- a/crates/emulator/src/world/fleet.rs
+++ b/crates/emulator/src/world/fleet.rs
@@ -1,6 +1,7 @@
 //! The workers of the platform: which worker is at which place, the store's list of them, and waiting lease renewals.
 
 use std::collections::{HashMap, HashSet};
+use std::ops::Range;
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -18,7 +19,7 @@
 use crate::worker::{address_of, EmulatedWorker, IncarnationClock, RunProgress, WorkerContext};
 
 /// How long a worker that is gone stays listed: three report intervals.
-const GONE_LISTED_US: Micros = 3_300 * MS;
+pub(super) const GONE_LISTED_US: Micros = 3_300 * MS;
 /// How long a worker keeps running tasks after the start of its draining, before it leaves.
 const DRAIN_MS: std::ops::Range<Millis> = 3_500..9_000;
 
@@ -51,6 +52,8 @@
     /// The worker's entry in the store's list, and until when it stays listed once the worker is gone.
     entry: WorkerListing,
     listed_until: Micros,
+    /// When the entry of a worker that is up is missing from the list; a past span where it is not missing.
+    lapsed: Range<Micros>,
     /// Whether connections are refused while there is no worker; otherwise calls get no answer.
     refuses: bool,
     renewals: Vec<WaitingRenewal>,
@@ -88,6 +91,7 @@
                 worker: Some(worker),
                 entry,
                 listed_until: Micros::MAX,
+                lapsed: 0..0,
                 refuses: true,
                 renewals: Vec::new(),
                 due: Micros::MAX,
@@ -151,7 +155,9 @@
 
     /// The workers listed in the store.
     pub(super) fn listed(&self, now: Micros) -> Vec<WorkerListing> {
-        let listed = self.places.iter().filter(|place| now < place.listed_until);
+        let is_listed =
+            |place: &&WorkerPlace| now < place.listed_until && !place.lapsed.contains(&now);
+        let listed = self.places.iter().filter(is_listed);
         listed.map(|place| place.entry.clone()).collect()
     }
 
@@ -199,6 +205,20 @@
         }
     }
 
+    /// Removes the entry at a place from the list for a span of time.
+    pub(super) fn lapse_entry(&mut self, place: usize, lapsed: Range<Micros>) {
+        self.places[place].lapsed = lapsed;
+    }
+
+    /// Removes the waiting renewals of a worker whose connections are closed; returns their senders and call numbers.
+    pub(super) fn take_renewals(&mut self, place: usize) -> Vec<(HostIncarnation, u64)> {
+        let renewals = std::mem::take(&mut self.places[place].renewals);
+        let calls = renewals
+            .into_iter()
+            .map(|renewal| (renewal.from, renewal.call));
+        calls.collect()
+    }
+
     pub(super) fn count(&self) -> usize {
         self.places.len()
     }
@@ -237,6 +257,7 @@
             interference: &self.interference,
             oracle: &mut self.oracle,
         };
+        let newer_owner = worker.would_fence(order.epoch);
         let event = worker.handle_order(order.epoch, &order.call, &mut scene);
         let hangs = worker.hangs;
         let wait_us = match (&order.call, &event) {
@@ -251,6 +272,9 @@
             slot.renewals.push(WaitingRenewal { from, call, until });
         } else if answers && !hangs {
             self.answer_order(from, call, event);
+            if newer_owner {
+                self.plan_armed_cut(place);
+            }
         }
         self.schedule_worker(place);
     }
@@ -318,7 +342,10 @@
         slot.renewals.clear();
         slot.due = Micros::MAX;
         slot.refuses = refuses;
-        slot.listed_until = self.now + GONE_LISTED_US;
+        slot.listed_until = match slot.lapsed.contains(&self.now) {
+            true => self.now,
+            false => self.now + GONE_LISTED_US,
+        };
     }
 
     /// Starts a new worker, under a new name, at a place.
@@ -329,6 +356,7 @@
         slot.worker = Some(worker);
         slot.entry = entry;
         slot.listed_until = Micros::MAX;
+        slot.lapsed = 0..0;
     }
 
     /// Restarts the worker at a place under its name. It has lost all state, and its clock restarts at a random reading.
@@ -349,6 +377,7 @@
         slot.entry.incarnation = Some(birth.incarnation);
         slot.entry.draining = false;
         slot.listed_until = Micros::MAX;
+        slot.lapsed = 0..0;
     }
 
     /// Starts the draining of a worker, and schedules its departure after a random time.
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -6,7 +6,11 @@
 mod fleet;
 mod monitor;
 mod outcomes;
+mod queries;
 mod transport;
+mod worker_cuts;
+
+use std::collections::BTreeMap;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,7 +26,7 @@
 use crate::store::{EmulatedStore, StoreCall};
 use crate::worker::RunProgress;
 use callers::{CallerState, TrafficBurst};
-use cuts::HallMap;
+use cuts::{CutManner, HallMap};
 use fleet::{PlaceIncarnation, WorkerFleet};
 use monitor::SimulationMonitor;
 use transport::{LinkTransfer, OrderDelivery};
@@ -70,6 +74,8 @@
     WorkerLeaves(PlaceIncarnation),
     /// A worker that hung answers again.
     WorkerRecovers(PlaceIncarnation),
+    /// The worker at a place is cut off for this time.
+    WorkerCut(usize, Millis),
     /// The runs on a worker progress differently from now on.
     RunsProgress(PlaceIncarnation, RunProgress),
     /// A host's process starts.
@@ -116,6 +122,8 @@
     bursts: Vec<TrafficBurst>,
     /// The workers on which runs are hindered; empty before the first such event.
     hindered: Vec<usize>,
+    /// The places whose workers are cut off once they have answered the next owner, each with the cut's duration.
+    armed_cuts: BTreeMap<usize, Millis>,
     /// Checks what workers and callers observe.
     pub oracle: PlatformOracle,
     /// Checks what operators and callers observe of hosts.
@@ -160,6 +168,7 @@
             late_orders: (0, 0),
             bursts: Vec::new(),
             hindered: Vec::new(),
+            armed_cuts: BTreeMap::new(),
             oracle: PlatformOracle::with_bounds(deployment.bounds),
             host_oracle: HostOracle::new(deployment.bounds),
             random,
@@ -236,6 +245,9 @@
             WorldEvent::WorkerRestarts(place) => self.restart_worker(place),
             WorldEvent::WorkerLeaves(incarnation) => self.worker_leaves(incarnation),
             WorldEvent::WorkerRecovers(incarnation) => self.fleet.set_hangs(incarnation, false),
+            WorldEvent::WorkerCut(place, for_ms) => {
+                self.cut_worker(place, CutManner::Silent, for_ms)
+            }
             WorldEvent::RunsProgress(incarnation, progress) => {
                 self.set_run_progress(incarnation, progress)
             }
@@ -308,6 +320,7 @@
             HostAction::Tell(notice) => {
                 self.tell_hosts(incarnation, || WorkItem::Notice(notice.clone()))
             }
+            HostAction::QueryHosts(asked) => self.query_hosts(incarnation, asked),
             HostAction::Respond(request, answer) => self.handle_response(request, answer),
             HostAction::Owned(epoch, took_ms) => {
                 self.monitor
--- a/crates/emulator/src/world/transport.rs
+++ b/crates/emulator/src/world/transport.rs
@@ -237,7 +237,9 @@
         if delayed_by.is_some_and(|incarnation| incarnation != self.fleet.incarnation_at(place)) {
             return;
         }
+        let refused = delayed_by.is_none() && self.halls.refuses_worker(self.now, place);
         let event = match self.fleet.id_at(place) {
+            _ if refused => answer_event(&order, OrderAnswer::Unreachable),
             Some(id) if *id == order.worker => {
                 self.carry_out(from, call, place, &order, answers);
                 return;
--- a/crates/emulator/tests/copies.rs
+++ b/crates/emulator/tests/copies.rs
@@ -8,8 +8,8 @@
 use sandshelf_emulator::queue::MS;
 use sandshelf_emulator::worker::{EmulatedWorker, IncarnationClock, RunTiming, WorkerContext};
 use sandshelf_jobs::{
-    JobEvent, JobNumber, JobSpec, JobStage, OrderAnswer, QueueRules, RunKey, RunOutcome, StartCall,
-    StepSpec, TaskKey, WorkerCall, WorkerIncarnation,
+    JobEvent, JobNumber, JobSpec, JobStage, OrderAnswer, QueueRules, RenewalCall, RunKey,
+    RunOutcome, StartCall, StepSpec, TaskKey, WorkerCall, WorkerIncarnation,
 };
 use sandshelf_model::{ResourceSize, WorkerId};
 
@@ -75,6 +75,19 @@
         self
     }
 
+    /// A run ends, which is not acknowledged yet.
+    fn end_unacknowledged(mut self, at: u64, worker: &str, number: u64) -> Self {
+        self.0.set_time(at);
+        let worker = WorkerId::from(worker);
+        self.0.ended(&worker, run(number), Some(RunOutcome::Done));
+        self
+    }
+
+    fn acknowledge(mut self, at: u64, number: u64) -> Self {
+        self.0.acknowledged_at(at, run(number), RunOutcome::Done);
+        self
+    }
+
     fn complete(mut self, at: u64) -> Self {
         self.0.shown(at, JOB, JobStage::Completed);
         self
@@ -106,6 +119,26 @@
     events.start(at, "b", 2, in_touch)
 }
 
+/// The first run ends at 1 s, a second one starts at 1.5 s and fails, and the first end is acknowledged at 2 s if `acknowledged`.
+fn start_before_acknowledgement(copies_allowed: bool, acknowledged: bool) -> TaskEvents {
+    let events = TaskEvents::of(copies_allowed).start(0, "a", 1, true);
+    let events = events.end_unacknowledged(1_000, "a", 1);
+    let events = events.start(1_500, "b", 2, true);
+    let events = events.end(1_800, "b", 2, RunOutcome::Failed);
+    match acknowledged {
+        true => events.acknowledge(2_000, 1),
+        false => events,
+    }
+}
+
+/// The first run ends at 1 s, which is acknowledged at 2 s and again at 4 s; a second one starts at 3 s.
+fn start_between_acknowledgements() -> TaskEvents {
+    let events = TaskEvents::of(false).start(0, "a", 1, true);
+    let events = events.end_unacknowledged(1_000, "a", 1);
+    let events = events.acknowledge(2_000, 1).start(3_000, "b", 2, true);
+    events.acknowledge(4_000, 1)
+}
+
 /// Both attempts fail, the last one at 2 s, and a third run starts at `at` milliseconds.
 fn start_after_attempts(copies_allowed: bool, at: u64, in_touch: bool) -> TaskEvents {
     let events = TaskEvents::of(copies_allowed).start(0, "a", 1, true);
@@ -141,6 +174,25 @@
     EmulatedWorker::new(WorkerId::from(name), clock, capacity)
 }
 
+/// A catalog with the job, which the oracle is told of.
+fn catalog_of(
+    oracle: &mut PlatformOracle,
+    copies_allowed: bool,
+    stragglers: StragglerRule,
+) -> JobCatalog {
+    let spec = job(copies_allowed);
+    oracle.accepted(JOB, &spec);
+    let mut catalog = JobCatalog::new(1);
+    let emulated = EmulatedJob {
+        spec: spec.into(),
+        work_ms: WORK_MS,
+        failing: 0,
+        stragglers,
+    };
+    catalog.add(JOB, emulated);
+    catalog
+}
+
 fn start_order(number: u64) -> WorkerCall {
     WorkerCall::Start(StartCall {
         key: run(number),
@@ -150,19 +202,49 @@
     })
 }
 
+/// A renewal that acknowledges the ends up to a number, and does not extend the lease.
+fn renewal(last_seen: u64) -> WorkerCall {
+    WorkerCall::Renew(RenewalCall {
+        deadline: None,
+        last_seen,
+        wait_ms: 0,
+    })
+}
+
+/// The run of a worker ends, another worker starts a second one, and the owner acknowledges the end `acknowledged_ms` after the
+/// first start; the worker's lease ends after 10 s.
+fn acknowledged_after(acknowledged_ms: u64) -> Vec<BrokenRule> {
+    let mut oracle = PlatformOracle::with_bounds(RuleBounds::LARGE);
+    let catalog = catalog_of(&mut oracle, false, NO_STRAGGLERS);
+    let interference = InterferenceModel::draw(1, 1, 1, 14_000);
+    let mut workers = [worker("a"), worker("b")];
+    let orders = [
+        (0, 0, start_order(1)),
+        (0, 2 * WORK_MS, renewal(0)),
+        (1, 3 * WORK_MS, start_order(2)),
+        (0, acknowledged_ms, renewal(1)),
+    ];
+    for (index, at, call) in orders {
+        let mut context = WorkerContext {
+            now: at * MS,
+            max_lease_ms: 10_000,
+            run_timing: RunTiming::default(),
+            drain_ms: 3_000,
+            in_touch: true,
+            catalog: &catalog,
+            interference: &interference,
+            oracle: &mut oracle,
+        };
+        context.oracle.set_time(at);
+        workers[index].handle_order(1, &call, &mut context);
+    }
+    oracle.broken.iter().map(|(_, rule, _)| *rule).collect()
+}
+
 /// Starts a run of the task on each of two workers, and lets both end; returns the rules that are broken.
 fn both_workers_run(copies_allowed: bool, stragglers: StragglerRule) -> (Vec<BrokenRule>, usize) {
     let mut oracle = PlatformOracle::with_bounds(RuleBounds::LARGE);
-    let spec = job(copies_allowed);
-    oracle.accepted(JOB, &spec);
-    let mut catalog = JobCatalog::new(1);
-    let emulated = EmulatedJob {
-        spec: spec.into(),
-        work_ms: WORK_MS,
-        failing: 0,
-        stragglers,
-    };
-    catalog.add(JOB, emulated);
+    let catalog = catalog_of(&mut oracle, copies_allowed, stragglers);
     let interference = InterferenceModel::draw(1, 1, 1, 14_000);
     let mut workers = [worker("a"), worker("b")];
     for (number, worker) in (1..).zip(&mut workers) {
@@ -209,6 +291,18 @@
     a_second_end_with_copies => assert_eq!(both_done(true).broken(), []);
     a_start_after_the_end_without_copies => assert_eq!(
         start_after_done(false, 1_001, false).broken(), [BrokenRule::Twice]);
+    a_start_before_the_end_is_acknowledged => assert_eq!(
+        start_before_acknowledgement(false, true).broken(), [BrokenRule::Twice]);
+    a_start_after_an_end_that_is_never_acknowledged => assert_eq!(
+        start_before_acknowledgement(false, false).broken(), []);
+    a_copy_before_the_end_is_acknowledged => assert_eq!(
+        start_before_acknowledgement(true, true).broken(), []);
+    a_start_between_two_acknowledgements_is_reported_once => assert_eq!(
+        start_between_acknowledgements().broken(), [BrokenRule::Twice]);
+    an_end_acknowledged_within_the_lease_counts => assert_eq!(
+        acknowledged_after(9_000), [BrokenRule::Twice]);
+    an_end_acknowledged_after_a_lapse_does_not_count => assert_eq!(
+        acknowledged_after(11_000), []);
     a_copy_soon_after_the_end => assert_eq!(start_after_done(true, 2_000, true).broken(), []);
     a_copy_long_after_the_end => assert_eq!(
         start_after_done(true, 2_001, true).broken(), [BrokenRule::Twice]);
--- a/crates/emulator/tests/daemon.rs
+++ b/crates/emulator/tests/daemon.rs
@@ -11,11 +11,12 @@
     include_str!("../../sandshelfd/src/jobs/intake.rs"),
     include_str!("../../sandshelfd/src/jobs/calls.rs"),
 ];
-const EMULATOR: [&str; 6] = [
+const EMULATOR: [&str; 7] = [
     include_str!("../src/host/control.rs"),
     include_str!("../src/host/model.rs"),
     include_str!("../src/host/notices.rs"),
     include_str!("../src/host/takeover.rs"),
+    include_str!("../src/host/tenure.rs"),
     include_str!("../src/host/follow.rs"),
     include_str!("../src/host/calls.rs"),
 ];
@@ -42,6 +43,9 @@
     stagger => check_equal("CLAIM_STAGGER_MS");
     notice_interval => check_equal("NOTICE_INTERVAL_MS");
     overdue_after => check_equal("OVERDUE_AFTER_MS");
+    query_after => check_equal("QUERY_AFTER_MS");
+    query_interval => check_equal("QUERY_INTERVAL_MS");
+    slow_read => check_equal("SLOW_READ_MS");
     first_claim => check_equal("FIRST_CLAIM_RANK_FACTOR");
     strong_processor => check_equal("STRONG_PROCESSOR_MILLICORES");
     weak_processor => check_equal("WEAK_PROCESSOR_MILLICORES");
--- a/crates/emulator/tests/grown.rs
+++ b/crates/emulator/tests/grown.rs
@@ -64,6 +64,9 @@
     workers_restart_under_their_names => check_short_day("restarts", Deployment::auction(), 1);
     the_owners_hall_is_cut_off => check_short_day("cuts", Deployment::auction(), 1);
     owners_turned_away_before_workers_are_cut_off => check_day("turned-away", Deployment::auction(), 1);
+    owners_killed_in_outages_before_workers_are_cut_off => check_day("outages", Deployment::auction(), 1);
+    owners_killed_in_outages_of_a_small_site => check_day("outages", Deployment::small(), 1);
+    draining_workers_refuse_connections => check_day("drains", Deployment::auction(), 1);
     a_quarter_of_the_workers_is_lost => check_short_day("quarter-lost", Deployment::camp(), 1);
     twice_the_filling_jobs => check_short_day("overload", Deployment::camp(), 1);
     an_owner_is_killed_in_double_traffic => check_short_day("double", Deployment::match_site(), 1);
