Conclude nothing from what a full list of ends leaves out

Callers saw tasks run again while a worker had more ends to list than a list holds: in an outage of the store nothing can be acknowledged, and a run whose end was not among the first 500 was taken for one that the worker doesn't have. At a takeover such a list also counted as the worker's whole answer, so that tasks whose ends it left out were started at once. A report with 500 ends now neither gives up runs nor ends the wait for the worker.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -65,6 +65,9 @@
 /// Ends are acknowledged only to a worker that answered at most this long ago, so that the acknowledgement still reaches the same
 /// incarnation. In 153 recorded restarts a worker was down for at least 0.51 s.
 pub const MAX_HEARD_AGE_FOR_ACK_MS: Millis = 100;
+/// The most ends in one report of a worker. One with as many may leave out others, so it doesn't show that a run is neither running nor
+/// over.
+pub const MAX_LISTED_ENDS: usize = 500;
 /// How long an acknowledgement waits for the answer to a start order. A healthy worker answers a start within some 5 ms.
 pub const ACK_START_WAIT_MS: Millis = 100;
 /// The greatest assumed age of an order whose send time is not known any more, when an answer to it arrives. An order may wait
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -12,8 +12,8 @@
 use crate::incarnation::ClockSample;
 use crate::job::TaskStage;
 use crate::limits::{
-    CLEARED_AFTER_MS, IDLE_RENEWAL_WAIT_MS, RENEWAL_RETRY_PAUSE_MS, RENEWAL_WAIT_MS,
-    SILENCE_RECORD_RENEWAL_PAUSE_MS, TICK_MS, UNACKNOWLEDGED_RENEWAL_PAUSE_MS,
+    CLEARED_AFTER_MS, IDLE_RENEWAL_WAIT_MS, MAX_LISTED_ENDS, RENEWAL_RETRY_PAUSE_MS,
+    RENEWAL_WAIT_MS, SILENCE_RECORD_RENEWAL_PAUSE_MS, TICK_MS, UNACKNOWLEDGED_RENEWAL_PAUSE_MS,
     UNREACHABLE_PAUSE_MS,
 };
 use crate::note::{JobNote, LossCause, StopCause};
@@ -174,11 +174,10 @@
             });
             self.log_unexpected_runs(worker, &report);
         }
-        let mut ended = BTreeSet::new();
+        let lists_all_ends = report.ended.len() < MAX_LISTED_ENDS;
         let mut newest = noted;
         let mut held_back = false;
         for end in report.ended {
-            ended.insert(end.key);
             if end.number <= newest {
                 self.log_passed_over_end(worker, &end, newest);
                 continue;
@@ -212,9 +211,11 @@
             clock: report.clock,
             sent_at,
         };
-        self.drop_unlisted(now, worker, sample, &listed);
-        if first {
+        if lists_all_ends {
+            self.drop_unlisted(now, worker, sample, &listed);
             self.note_answered(worker);
+        }
+        if first {
             self.check_recovery(now);
             self.room_changed = true;
         }
--- a/crates/jobs/tests/full_end_lists.rs
+++ b/crates/jobs/tests/full_end_lists.rs
@@ -10,7 +10,7 @@
 
 use sandshelf_jobs::{EndReport, RunKey, RunOutcome, StepSpec, TaskKey};
 use sandshelf_model::ResourceSize;
-use support::{end_report, job, run_report, step, SchedulerRig};
+use support::{end_report, job, run_report, second_owner, step, task, SchedulerRig};
 
 /// The most ends in one list of a worker.
 const MAX_LISTED_ENDS: usize = 500;
@@ -66,7 +66,34 @@
     assert_eq!(stage, Some(sandshelf_jobs::JobStage::Completed));
 }
 
+/// A new owner starts no task whose end is beyond the first full list of its worker.
+fn tasks_with_unlisted_ends_run_once_after_a_takeover() {
+    let count = MAX_LISTED_ENDS + 100;
+    let mut rig = SchedulerRig::new(second_owner(&[WORKER]));
+    let spec = StepSpec {
+        size: ResourceSize::new(10, 10, 0),
+        ..step(count as u32)
+    };
+    rig.hand_in(7, 50, job(vec![spec]));
+    rig.list(&[WORKER]);
+    let tasks = (0..count).map(|index| task(7, 0, index as u32));
+    let ends = tasks.zip(1..).map(|(task, number)| {
+        let key = RunKey { task, run: 11 };
+        end_report(number, key, RunOutcome::Done)
+    });
+    let ends: Vec<EndReport> = ends.collect();
+    rig.report(WORKER, vec![], ends[..MAX_LISTED_ENDS].to_vec());
+    let mut batches = rig.commit_all();
+    rig.report(WORKER, vec![], ends[MAX_LISTED_ENDS..].to_vec());
+    batches.extend(rig.commit_all());
+    assert_eq!(rig.peek_starts().len(), 0, "tasks that run again");
+    let rows = batches.into_iter().flat_map(|batch| batch.progress);
+    let stage = rows.last().map(|(_, row)| row.stage);
+    assert_eq!(stage, Some(sandshelf_jobs::JobStage::Completed));
+}
+
 sandshelf_cases::cases! {
+    ends_beyond_a_full_list_at_a_takeover => tasks_with_unlisted_ends_run_once_after_a_takeover();
     ends_that_fill_a_list => tasks_with_unlisted_ends_run_once(MAX_LISTED_ENDS - 1);
     ends_beyond_a_full_list => tasks_with_unlisted_ends_run_once(MAX_LISTED_ENDS + 100);
 }
