--- a/crates/jobs/tests/full_end_lists.rs
+++ b/crates/jobs/tests/full_end_lists.rs
@@ -92,7 +92,35 @@
     assert_eq!(stage, Some(sandshelf_jobs::JobStage::Completed));
 }
 
+/// Guards against a takeover that ends while a full list hides ends: the store is out again right after the claim, so that nothing can be
+/// acknowledged and the rest of the list is not read.
+fn tasks_with_unlisted_ends_run_once_after_the_takeover_wait() {
+    let count = MAX_LISTED_ENDS + 100;
+    let mut rig = SchedulerRig::new(second_owner(&[WORKER]));
+    let spec = StepSpec {
+        size: ResourceSize::new(10, 10, 0),
+        ..step(count as u32)
+    };
+    rig.hand_in(7, 50, job(vec![spec]));
+    rig.list(&[WORKER]);
+    let tasks = (0..count).map(|index| task(7, 0, index as u32));
+    let ends = tasks.zip(1..).map(|(task, number)| {
+        let key = RunKey { task, run: 11 };
+        end_report(number, key, RunOutcome::Done)
+    });
+    let ends: Vec<EndReport> = ends.collect();
+    let claimed_at = rig.now;
+    while rig.now < claimed_at + 10_000 {
+        rig.report(WORKER, vec![], ends[..MAX_LISTED_ENDS].to_vec());
+        rig.advance(100);
+        let starts = rig.peek_starts().len();
+        let waited_ms = rig.now - claimed_at;
+        assert_eq!(starts, 0, "tasks that run again {waited_ms} ms after the claim");
+    }
+}
+
 sandshelf_cases::cases! {
+    ends_beyond_a_full_list_after_the_takeover_wait => tasks_with_unlisted_ends_run_once_after_the_takeover_wait();
     ends_beyond_a_full_list_at_a_takeover => tasks_with_unlisted_ends_run_once_after_a_takeover();
     ends_that_fill_a_list => tasks_with_unlisted_ends_run_once(MAX_LISTED_ENDS - 1);
     ends_beyond_a_full_list => tasks_with_unlisted_ends_run_once(MAX_LISTED_ENDS + 100);
