--- a/crates/jobs/tests/full_end_lists.rs
+++ b/crates/jobs/tests/full_end_lists.rs
@@ -115,7 +115,10 @@
         rig.advance(100);
         let starts = rig.peek_starts().len();
         let waited_ms = rig.now - claimed_at;
-        assert_eq!(starts, 0, "tasks that run again {waited_ms} ms after the claim");
+        assert_eq!(
+            starts, 0,
+            "tasks that run again {waited_ms} ms after the claim"
+        );
     }
 }
 
--- a/crates/jobs/tests/late_rows.rs
+++ b/crates/jobs/tests/late_rows.rs
@@ -43,7 +43,10 @@
         rig.advance(100);
     }
     let starts = rig.peek_starts();
-    assert!(starts.is_empty(), "done on w-1 and started again: {starts:?}");
+    assert!(
+        starts.is_empty(),
+        "done on w-1 and started again: {starts:?}"
+    );
 }
 
 fn incarnation_report(number: u64, clock: u64, running: Vec<RunReport>) -> RenewalReport {
--- a/crates/jobs/tests/published_workers.rs
+++ b/crates/jobs/tests/published_workers.rs
@@ -78,7 +78,11 @@
     rig.handle(JobEvent::Committed(removal.id));
     rig.report("w-1", vec![], vec![]);
     rig.advance(100);
-    assert_eq!(rig.peek_starts().len(), 0, "before the worker is named again");
+    assert_eq!(
+        rig.peek_starts().len(),
+        0,
+        "before the worker is named again"
+    );
     let second = take_commits(&mut rig).pop().expect("a commit");
     assert_eq!(names(&second), ["w-1"]);
     rig.handle(JobEvent::Committed(second.id));
--- a/crates/jobs/tests/roster_pages.rs
+++ b/crates/jobs/tests/roster_pages.rs
@@ -47,7 +47,9 @@
                 JobAction::Commit(batch) => {
                     commits += 1;
                     let pages = batch.roster.pages.values();
-                    named.extend(pages.flat_map(|page| page.workers.iter().map(|(id, _)| id.clone())));
+                    named.extend(
+                        pages.flat_map(|page| page.workers.iter().map(|(id, _)| id.clone())),
+                    );
                     due.push((rig.now + WRITE_MS, JobEvent::Committed(batch.id)));
                 }
                 JobAction::Call {
