--- a/crates/jobs/tests/full_end_lists.rs
+++ b/crates/jobs/tests/full_end_lists.rs
@@ -16,14 +16,18 @@
 const MAX_LISTED_ENDS: usize = 500;
 const WORKER: &str = "w-1";
 
+/// A step of this number of tasks, all of which one worker has room for.
+fn short_tasks(count: usize) -> StepSpec {
+    StepSpec {
+        size: ResourceSize::new(10, 10, 0),
+        ..step(count as u32)
+    }
+}
+
 /// An owner whose only worker runs this number of short tasks.
 fn owner_of_tasks(count: usize) -> (SchedulerRig, Vec<RunKey>) {
     let mut rig = SchedulerRig::with_workers(&[WORKER]);
-    let spec = StepSpec {
-        size: ResourceSize::new(10, 10, 0),
-        ..step(count as u32)
-    };
-    rig.hand_in(7, 0, job(vec![spec]));
+    rig.hand_in(7, 0, job(vec![short_tasks(count)]));
     let mut running = Vec::new();
     while running.len() < count {
         let starts = rig.take_starts();
@@ -66,22 +70,22 @@
     assert_eq!(stage, Some(sandshelf_jobs::JobStage::Completed));
 }
 
-/// A new owner starts no task whose end is beyond the first full list of its worker.
-fn tasks_with_unlisted_ends_run_once_after_a_takeover() {
-    let count = MAX_LISTED_ENDS + 100;
+/// A new owner of `count` short tasks, all of which have ended on its only worker, and the ends that the worker has to list.
+fn successor_of_ended_tasks(count: usize) -> (SchedulerRig, Vec<EndReport>) {
     let mut rig = SchedulerRig::new(second_owner(&[WORKER]));
-    let spec = StepSpec {
-        size: ResourceSize::new(10, 10, 0),
-        ..step(count as u32)
-    };
-    rig.hand_in(7, 50, job(vec![spec]));
+    rig.hand_in(7, 50, job(vec![short_tasks(count)]));
     rig.list(&[WORKER]);
     let tasks = (0..count).map(|index| task(7, 0, index as u32));
     let ends = tasks.zip(1..).map(|(task, number)| {
         let key = RunKey { task, run: 11 };
         end_report(number, key, RunOutcome::Done)
     });
-    let ends: Vec<EndReport> = ends.collect();
+    (rig, ends.collect())
+}
+
+/// A new owner starts no task whose end is beyond the first full list of its worker.
+fn tasks_with_unlisted_ends_run_once_after_a_takeover() {
+    let (mut rig, ends) = successor_of_ended_tasks(MAX_LISTED_ENDS + 100);
     rig.report(WORKER, vec![], ends[..MAX_LISTED_ENDS].to_vec());
     let mut batches = rig.commit_all();
     rig.report(WORKER, vec![], ends[MAX_LISTED_ENDS..].to_vec());
@@ -95,20 +99,7 @@
 /// Guards against a takeover that ends while a full list hides ends: the store is out again right after the claim, so that nothing can be
 /// acknowledged and the rest of the list is not read.
 fn tasks_with_unlisted_ends_run_once_after_the_takeover_wait() {
-    let count = MAX_LISTED_ENDS + 100;
-    let mut rig = SchedulerRig::new(second_owner(&[WORKER]));
-    let spec = StepSpec {
-        size: ResourceSize::new(10, 10, 0),
-        ..step(count as u32)
-    };
-    rig.hand_in(7, 50, job(vec![spec]));
-    rig.list(&[WORKER]);
-    let tasks = (0..count).map(|index| task(7, 0, index as u32));
-    let ends = tasks.zip(1..).map(|(task, number)| {
-        let key = RunKey { task, run: 11 };
-        end_report(number, key, RunOutcome::Done)
-    });
-    let ends: Vec<EndReport> = ends.collect();
+    let (mut rig, ends) = successor_of_ended_tasks(MAX_LISTED_ENDS + 100);
     let claimed_at = rig.now;
     while rig.now < claimed_at + 10_000 {
         rig.report(WORKER, vec![], ends[..MAX_LISTED_ENDS].to_vec());
--- a/crates/jobs/tests/incarnations.rs
+++ b/crates/jobs/tests/incarnations.rs
@@ -12,31 +12,15 @@
 mod support;
 
 use sandshelf_jobs::{
-    EndReport, JobAction, JobEvent, JobNumber, JobStage, OrderAnswer, RenewalAnswer, RenewalReport,
-    RunKey, RunOutcome, RunReport, StepSpec, TakeoverInfo, WorkerCall, WorkerIncarnation,
-    WorkerListing,
+    JobAction, JobEvent, JobNumber, JobStage, OrderAnswer, RenewalAnswer, RunKey, RunOutcome,
+    StepSpec, TakeoverInfo, WorkerCall, WorkerIncarnation, WorkerListing,
 };
 use sandshelf_model::{ResourceSize, WorkerId};
-use support::{end_report, job, listing, run_report, step, task, SchedulerRig};
+use support::{end_report, job, listing, renewal_report, run_report, step, task, SchedulerRig};
 
 /// What the clock of a worker's first incarnation shows when the rig's shows 0.
 const FIRST_CLOCK_MS: u64 = 4_000_000;
 
-fn renewal_report(
-    incarnation: u64,
-    clock: u64,
-    running: Vec<RunReport>,
-    ended: Vec<EndReport>,
-) -> RenewalReport {
-    RenewalReport {
-        incarnation: Some(WorkerIncarnation(incarnation)),
-        carrier_late_ms: 0,
-        clock,
-        running,
-        ended,
-    }
-}
-
 /// An owner whose worker has ended three tasks in its first incarnation, all of them acknowledged.
 fn after_three_ends() -> SchedulerRig {
     let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
--- a/crates/jobs/tests/late_rows.rs
+++ b/crates/jobs/tests/late_rows.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
-use sandshelf_jobs::{JobEvent, RenewalReport, RunKey, RunOutcome, RunReport, WorkerIncarnation};
+use sandshelf_jobs::{JobEvent, RunKey, RunOutcome};
 use sandshelf_model::Millis;
-use support::{end_report, job, run_report, second_owner, step, task, SchedulerRig};
+use support::{
+    end_report, job, renewal_report, run_report, second_owner, step, task, SchedulerRig,
+};
 
 /// How long runs of unknown jobs are remembered after a takeover.
 const FOREIGN_RETENTION_MS: Millis = 15_000;
@@ -49,41 +51,37 @@
     );
 }
 
-fn incarnation_report(number: u64, clock: u64, running: Vec<RunReport>) -> RenewalReport {
-    RenewalReport {
-        incarnation: Some(WorkerIncarnation(number)),
-        carrier_late_ms: 0,
-        clock,
-        running,
-        ended: vec![],
-    }
-}
-
 /// Guards against a lease that ends too early where a worker restarts twice while a renewal without answer may be carried out.
 fn a_late_renewal_after_two_restarts_is_waited_out() {
     const LATER_CLOCK: u64 = 2_000_000;
     let mut rig = SchedulerRig::new(sandshelf_jobs::TakeoverInfo::first(1, 1_000));
     rig.list(&["w-1"]);
-    rig.answer_renewal("w-1", incarnation_report(1, 4_000_000, vec![]));
+    rig.answer_renewal("w-1", renewal_report(1, 4_000_000, vec![], vec![]));
     rig.commit_all();
     rig.actions.clear();
     let clock = 4_000_000 + rig.now;
-    rig.answer_renewal("w-1", incarnation_report(1, clock, vec![]));
+    rig.answer_renewal("w-1", renewal_report(1, clock, vec![], vec![]));
     rig.advance(25);
     assert!(!rig.deadlines_of("w-1").is_empty());
     rig.fail_renewal("w-1");
     rig.advance(500);
-    rig.answer_renewal("w-1", incarnation_report(2, 100, vec![]));
+    rig.answer_renewal("w-1", renewal_report(2, 100, vec![], vec![]));
     rig.advance(25);
     rig.advance(500);
-    rig.answer_renewal("w-1", incarnation_report(3, LATER_CLOCK + rig.now, vec![]));
+    rig.answer_renewal(
+        "w-1",
+        renewal_report(3, LATER_CLOCK + rig.now, vec![], vec![]),
+    );
     rig.hand_in(7, 0, job(vec![step(1)]));
     rig.advance(25);
     let (_, start) = rig.take_starts().pop().expect("a start");
     // The renewal that got no answer reaches the worker now, 1.1 s after it was given up.
     let leased_until = rig.now + 6_000;
     let running = vec![run_report(start.key)];
-    rig.answer_renewal("w-1", incarnation_report(3, LATER_CLOCK + rig.now, running));
+    rig.answer_renewal(
+        "w-1",
+        renewal_report(3, LATER_CLOCK + rig.now, running, vec![]),
+    );
     rig.list(&["w-1", "w-2"]);
     rig.commit_all();
     rig.actions.clear();
--- a/crates/jobs/tests/lease_places.rs
+++ b/crates/jobs/tests/lease_places.rs
@@ -2,12 +2,9 @@
 
 mod support;
 
-use sandshelf_jobs::{
-    JobEvent, OrderAnswer, RenewalReport, RunKey, RunReport, TakeoverInfo, WorkerIncarnation,
-    WorkerListing, WorkerRoster,
-};
+use sandshelf_jobs::{JobEvent, OrderAnswer, RunKey, TakeoverInfo, WorkerListing, WorkerRoster};
 use sandshelf_model::Millis;
-use support::{job, listing, run_report, second_owner, step, task, SchedulerRig};
+use support::{job, listing, renewal_report, run_report, second_owner, step, task, SchedulerRig};
 
 /// The longest lease that a worker grants.
 const MAX_LEASE_MS: Millis = 6_000;
@@ -67,39 +64,29 @@
     assert!(is_published(&mut rig, &mut roster));
 }
 
-fn incarnation_report(number: u64, clock: u64, running: Vec<RunReport>) -> RenewalReport {
-    RenewalReport {
-        incarnation: Some(WorkerIncarnation(number)),
-        carrier_late_ms: 0,
-        clock,
-        running,
-        ended: vec![],
-    }
-}
-
 /// A renewal that got no answer is carried out by the next incarnation of its worker. Its deadline is on another clock, so that only the
 /// worker's own limit binds the lease.
 fn a_late_renewal_in_a_new_incarnation_is_waited_out() {
     let mut rig = SchedulerRig::new(TakeoverInfo::first(1, 1_000));
     rig.list(&["w-1"]);
-    let report = incarnation_report(1, 4_000_000, vec![]);
+    let report = renewal_report(1, 4_000_000, vec![], vec![]);
     rig.answer_renewal("w-1", report);
     rig.commit_all();
     rig.actions.clear();
-    let report = incarnation_report(1, 4_000_000 + rig.now, vec![]);
+    let report = renewal_report(1, 4_000_000 + rig.now, vec![], vec![]);
     rig.answer_renewal("w-1", report);
     rig.advance(25);
     assert!(!rig.deadlines_of("w-1").is_empty());
     rig.fail_renewal("w-1");
     rig.advance(500);
-    let report = incarnation_report(2, rig.now, vec![]);
+    let report = renewal_report(2, rig.now, vec![], vec![]);
     rig.answer_renewal("w-1", report);
     rig.hand_in(7, 0, job(vec![step(1)]));
     rig.advance(25);
     let (_, start) = rig.take_starts().pop().expect("a start");
     // The renewal that got no answer reaches the worker now.
     let leased_until = rig.now + MAX_LEASE_MS;
-    let report = incarnation_report(2, rig.now, vec![run_report(start.key)]);
+    let report = renewal_report(2, rig.now, vec![run_report(start.key)], vec![]);
     rig.answer_renewal("w-1", report);
     rig.list(&["w-1", "w-2"]);
     rig.commit_all();
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -22,7 +22,8 @@
 use sandshelf_jobs::{
     CommitBatch, EndReport, JobAction, JobEvent, JobNumber, JobScheduler, JobSpec, OrderAnswer,
     QueueRules, RenewalAnswer, RenewalReport, RunKey, RunOutcome, RunReport, SchedulerLimits,
-    StartCall, StepSpec, TakeoverInfo, TaskKey, WorkerCall, WorkerListing, WorkerRoster,
+    StartCall, StepSpec, TakeoverInfo, TaskKey, WorkerCall, WorkerIncarnation, WorkerListing,
+    WorkerRoster,
 };
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
@@ -289,6 +290,22 @@
     }
 }
 
+/// A worker's answer to a renewal that names the incarnation.
+pub fn renewal_report(
+    incarnation: u64,
+    clock: u64,
+    running: Vec<RunReport>,
+    ended: Vec<EndReport>,
+) -> RenewalReport {
+    RenewalReport {
+        incarnation: Some(WorkerIncarnation(incarnation)),
+        carrier_late_ms: 0,
+        clock,
+        running,
+        ended,
+    }
+}
+
 fn deadlines_in<'a>(actions: impl Iterator<Item = &'a JobAction>) -> Vec<Millis> {
     let deadlines = actions.filter_map(|action| match action {
         JobAction::Call {
