Logs: which incarnation answers first, is taken to be up, and how long late orders may lease it

A successor that concluded the end of a lease too early could not be told from a first owner that did: worker_fenced now says whether the inherited roster names the incarnation, worker_restarted for how long orders that were meant for an earlier incarnation may be carried out and may keep the new one leased, lease_expired which incarnation is taken to be up. No decision changes.

--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -96,6 +96,8 @@
         worker: WorkerId,
         /// The incarnation that answered, if the worker reports it.
         incarnation: Option<WorkerIncarnation>,
+        /// Whether the roster that this owner inherited names that incarnation.
+        named: bool,
         /// The worker's clock in the answer, in milliseconds.
         clock: WorkerClock,
         /// How much longer a lease of an earlier owner may last there, in milliseconds.
@@ -111,6 +113,8 @@
         deadline: WorkerClock,
         /// How long ago the worker answered last, in milliseconds.
         unheard_ms: Millis,
+        /// The incarnation that is taken to be up, if the worker reports it.
+        incarnation: Option<WorkerIncarnation>,
     },
     /// A worker has restarted under the same id: the runs of its previous incarnation are lost.
     WorkerRestarted {
@@ -128,6 +132,10 @@
         noted: u64,
         /// The number of the newest end that the new incarnation lists; 0 if it lists none.
         listed: u64,
+        /// How much longer an order that was meant for an earlier incarnation may be carried out, in milliseconds.
+        late_orders_ms: Millis,
+        /// How much longer such an order may keep the new incarnation leased, in milliseconds.
+        lease_left_ms: Millis,
     },
     /// A worker listed an end under a number that was recorded before, although the run has no recorded end. The end is ignored.
     EndPassedOver {
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -219,6 +219,7 @@
             clock: state.incarnation.lowest_clock(now).unwrap_or(0),
             deadline: state.incarnation.lease_deadline,
             unheard_ms: now.saturating_sub(state.last_answer),
+            incarnation: state.incarnation.id,
         };
         self.note(note);
     }
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -169,6 +169,7 @@
             self.note(JobNote::Fenced {
                 worker: worker.clone(),
                 incarnation: report.incarnation,
+                named: known,
                 clock: report.clock,
                 lease_left_ms: inherited_until.saturating_sub(now),
             });
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -12,7 +12,6 @@
 use crate::copies::ProgressTrack;
 use crate::ids::RunKey;
 use crate::incarnation::IncarnationState;
-use crate::limits::MAX_ORDER_AGE_MS;
 use crate::note::{JobNote, LossCause, StopCause};
 use crate::reports::RenewalReport;
 use crate::run::{RunPhase, RunRecord};
@@ -60,6 +59,21 @@
         let Some(state) = self.workers.get(worker) else {
             return;
         };
+        let listed_keys = listed_runs(report);
+        let late_orders_until = state.late_orders_until(sent_at, &listed_keys);
+        let late_orders_ms = late_orders_until.saturating_sub(now);
+        let may_be_leased = late_orders_ms > 0
+            || state.renewal_extends_lease
+            || state.strays.extend_lease()
+            || state.has_unconfirmed_runs(sent_at, &listed_keys);
+        // The deadline in an order that was meant for the previous incarnation is on the clock of
+        // that incarnation. The worker limits the lease to its own maximum, from the time at which
+        // it carries the order out.
+        let longest = report.clock + late_orders_ms + self.limits.max_lease_ms;
+        let lease_deadline = match may_be_leased {
+            true => longest.min(state.incarnation.lease_deadline),
+            false => 0,
+        };
         self.note(JobNote::WorkerRestarted {
             worker: worker.clone(),
             before: state.incarnation.id,
@@ -68,9 +82,10 @@
             clock: report.clock,
             noted: state.incarnation.noted,
             listed: report.ended.last().map_or(0, |end| end.number),
+            late_orders_ms,
+            lease_left_ms: lease_deadline.saturating_sub(report.clock),
         });
-        let listed = listed_runs(report);
-        let listed = self.remove_runs_where(worker, |key, _| listed.contains(key));
+        let listed = self.remove_runs_where(worker, |key, _| listed_keys.contains(key));
         self.note_worker_loss(now, worker, LossCause::Restarted);
         let unsettled =
             self.remove_runs_where(worker, |_, record| !record.would_be_listed(sent_at));
@@ -82,24 +97,10 @@
             recovery.worker_lost |= recovery.unanswered.contains_key(worker);
         }
         if let Some(state) = self.workers.get_mut(worker) {
-            let orders = unsettled.iter();
-            let orders_until = orders.map(|(_, record)| record.ordered_at + MAX_ORDER_AGE_MS);
             let late_renewals_until = state.incarnation.late_renewals_until;
-            let carried_out_until = orders_until.fold(late_renewals_until, Millis::max);
-            let late_ms = carried_out_until.saturating_sub(now);
-            let may_be_leased = late_ms > 0
-                || state.renewal_extends_lease
-                || state.strays.extend_lease()
-                || !listed.is_empty()
-                || !unsettled.is_empty();
-            // The deadline in an order that was meant for the previous incarnation is on the clock
-            // of that incarnation. The worker limits the lease to its own maximum, from the time at
-            // which it carries the order out.
-            let longest = report.clock + late_ms + self.limits.max_lease_ms;
-            let lease_deadline = longest.min(state.incarnation.lease_deadline);
             state.incarnation = IncarnationState::new(report.incarnation);
             state.incarnation.late_renewals_until = late_renewals_until;
-            state.incarnation.lease_deadline = if may_be_leased { lease_deadline } else { 0 };
+            state.incarnation.lease_deadline = lease_deadline;
             state.paused_until = now;
         }
         for (key, record) in listed {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,7 +1,7 @@
 //! The state of one worker: its clock, its lease, and the runs that may be running there.
 
 use std::cell::OnceCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sandshelf_model::{Millis, ResourceSize};
 
@@ -12,7 +12,7 @@
 use crate::incarnation::{ClockSample, IncarnationState};
 use crate::interference::{InterferenceEstimate, InterferenceLoads};
 use crate::limits::{
-    ACK_START_WAIT_MS, FIRST_ANSWER_TIMEOUT_MS, MAX_HEARD_AGE_FOR_ACK_MS,
+    ACK_START_WAIT_MS, FIRST_ANSWER_TIMEOUT_MS, MAX_HEARD_AGE_FOR_ACK_MS, MAX_ORDER_AGE_MS,
     SUSPECT_AFTER_FAILED_RENEWALS, WORKER_SILENCE_TIMEOUT_MS,
 };
 use crate::load_forecast::LoadHistory;
@@ -207,6 +207,25 @@
         })
     }
 
+    /// Until when an order that was meant for the current incarnation may be carried out by the next
+    /// one: a start that the current incarnation has not confirmed to a renewal sent at `sent_at` and
+    /// that the next one doesn't list, or a renewal without an answer.
+    pub(crate) fn late_orders_until(&self, sent_at: Millis, listed: &BTreeSet<RunKey>) -> Millis {
+        let unsettled = self
+            .runs
+            .iter()
+            .filter(|(key, record)| !listed.contains(key) && !record.would_be_listed(sent_at));
+        let until = unsettled.map(|(_, record)| record.ordered_at + MAX_ORDER_AGE_MS);
+        until.fold(self.incarnation.late_renewals_until, Millis::max)
+    }
+
+    /// Whether the next incarnation lists a run that was ordered here, or may have taken the order of
+    /// one that it doesn't list: an order that is refused prolongs the lease as well.
+    pub(crate) fn has_unconfirmed_runs(&self, sent_at: Millis, listed: &BTreeSet<RunKey>) -> bool {
+        let mut runs = self.runs.iter();
+        runs.any(|(key, record)| listed.contains(key) || !record.would_be_listed(sent_at))
+    }
+
     /// Whether its lease may be extended.
     pub(crate) fn may_extend_lease(&self) -> bool {
         self.silence_record == SilenceRecord::None && self.unsure_since.is_none()
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -132,6 +132,7 @@
         JobNote::Fenced {
             worker,
             incarnation,
+            named,
             clock,
             lease_left_ms,
         } => event(
@@ -139,6 +140,7 @@
             &[
                 ("worker", worker),
                 ("life", &or_none(incarnation.as_ref())),
+                ("named", named),
                 ("clock", clock),
                 ("lease_left_ms", lease_left_ms),
             ],
@@ -148,10 +150,12 @@
             clock,
             deadline,
             unheard_ms,
+            incarnation,
         } => event(
             "lease_expired",
             &[
                 ("worker", worker),
+                ("life", &or_none(incarnation.as_ref())),
                 ("clock", clock),
                 ("deadline", deadline),
                 ("unheard_ms", unheard_ms),
@@ -165,6 +169,8 @@
             clock,
             noted,
             listed,
+            late_orders_ms,
+            lease_left_ms,
         } => event(
             "worker_restarted",
             &[
@@ -175,6 +181,8 @@
                 ("clock", clock),
                 ("noted", noted),
                 ("listed", listed),
+                ("late_orders_ms", late_orders_ms),
+                ("lease_left_ms", lease_left_ms),
             ],
         ),
         JobNote::EndAfterLoss {
