--- a/crates/jobs/tests/support/emulator/injection.rs
+++ b/crates/jobs/tests/support/emulator/injection.rs
@@ -1,6 +1,7 @@
 //! Injects the faults of a plan, once a second.
 
 use rand::RngExt;
+use sandshelf_model::Millis;
 
 use super::{PlatformEmulator, CLAIM_AFTER_MS, RELEASE_TO_CLAIM_MS, STALE_ENTRY_MS};
 
@@ -13,6 +14,9 @@
         if self.plan.outage_series > 0 && self.chance(self.plan.outage_series) {
             self.plan_outage_series();
         }
+        if self.plan.restart_series > 0 && self.chance(self.plan.restart_series) {
+            self.plan_restart_series();
+        }
         if self.plan.hall_cuts > 0 && self.chance(self.plan.hall_cuts) {
             self.cut_off_hall();
         }
@@ -26,18 +30,14 @@
             self.owners.pop();
         }
         if self.chance(self.plan.freezes) {
-            let until = self.now + self.random.random_range(1_000..5_000);
-            if let Some(owner) = self.owners.last_mut() {
-                owner.frozen_until = until;
-            }
+            let lasts = self.random.random_range(1_000..5_000);
+            self.freeze_owner(lasts);
         }
         if self.plan.turn_aways > 0 && self.chance(self.plan.turn_aways) {
             self.turn_owner_away();
         }
         if self.plan.hand_overs > 0 && self.chance(self.plan.hand_overs) {
-            self.owners.pop();
-            self.released = true;
-            self.owner_alive_at = (self.now + RELEASE_TO_CLAIM_MS).saturating_sub(CLAIM_AFTER_MS);
+            self.release_shard();
         }
         for index in 0..self.workers.len() {
             self.inject_permanent_loss(index);
@@ -66,6 +66,20 @@
         }
     }
 
+    /// The owner freezes, and resumes some time later.
+    pub(super) fn freeze_owner(&mut self, millis: Millis) {
+        if let Some(owner) = self.owners.last_mut() {
+            owner.frozen_until = self.now + millis;
+        }
+    }
+
+    /// The owner releases the shard as planned.
+    pub(super) fn release_shard(&mut self) {
+        self.owners.pop();
+        self.released = true;
+        self.owner_alive_at = (self.now + RELEASE_TO_CLAIM_MS).saturating_sub(CLAIM_AFTER_MS);
+    }
+
     fn inject_permanent_loss(&mut self, index: usize) {
         if self.workers[index].leaves_at.is_some() {
             return;
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -6,6 +6,7 @@
 mod orders;
 mod outages;
 mod owners;
+mod restarts;
 mod second_runs;
 pub mod traffic;
 mod workers;
@@ -82,6 +83,8 @@
     /// The incarnation that received the call and carries it out late; if that incarnation ends
     /// first, the call is lost.
     carried_out_by: Option<WorkerIncarnation>,
+    /// Whether it was carried out late already, or kept for the next incarnation.
+    delayed: bool,
     /// For a lease renewal with a wait: which half this is. The arrival and the later answer are
     /// two calls to one incarnation.
     parked: Option<ParkedRenewal>,
@@ -148,6 +151,8 @@
     reclaims_from: Option<Millis>,
     /// A worker that has joined; the store goes out once the owner has read it in a list.
     joined: Option<WorkerId>,
+    /// Before this time no further series of restarts begins.
+    next_restart_series: Millis,
     second_runs: SecondRuns,
     /// Whether new faults are injected at present.
     injects: bool,
@@ -190,6 +195,7 @@
             released: false,
             reclaims_from: None,
             joined: None,
+            next_restart_series: 0,
             second_runs: SecondRuns::default(),
             injects: false,
             jobs: Vec::new(),
@@ -207,6 +213,7 @@
             let worker = emulator.new_worker(place);
             emulator.workers.push(worker);
         }
+        emulator.draw_first_clocks();
         emulator
     }
 
@@ -321,7 +328,13 @@
         }
         let (from, to) = (self.owner_hall(epoch), self.worker_hall(&worker));
         let blocked = self.blocked_until(from, to);
-        let late = order && self.chance(self.plan.late_orders);
+        let delayable = order || self.plan.outliving_calls > 0;
+        let late = delayable && self.chance(self.plan.late_orders);
+        let outlives = late && self.draw_outliving_call();
+        let call = match outlives {
+            true => self.outliving_call(&call),
+            false => call,
+        };
         let lost = cut || self.chance(self.plan.lost_calls);
         let answer_blocked = self.blocked_until(to, from).is_some();
         let unanswered = self.chance(self.plan.lost_answers) || answer_blocked || blocked.is_some();
@@ -333,6 +346,7 @@
         let at = match blocked {
             // A message in flight on an open connection arrives once the cut has healed.
             Some(until) => until + self.random.random_range(1..400),
+            None if outlives => self.now + self.draw_outliving_delay(),
             None if late => self.now + self.random.random_range(2_000..6_000),
             None => arrives,
         };
@@ -340,7 +354,8 @@
             let sent = SentCall {
                 epoch,
                 worker,
-                carried_out_by: received_by.filter(|_| late),
+                carried_out_by: received_by.filter(|_| late && !outlives),
+                delayed: late,
                 parked: None,
                 answers: !late && !unanswered,
                 call,
--- a/crates/jobs/tests/support/emulator/outages.rs
+++ b/crates/jobs/tests/support/emulator/outages.rs
@@ -20,6 +20,8 @@
     Join,
     /// The store goes out for all hosts.
     Outage,
+    /// A worker restarts under its name after this long.
+    Restart(WorkerId, Millis),
     /// A worker is cut off for this long.
     Cut(WorkerId, Millis),
     /// The owner dies; another host claims the shard later.
@@ -28,6 +30,10 @@
     OwnerReclaims,
     /// The store turns the owner's host away.
     OwnerTurnedAway,
+    /// The owner freezes for this long.
+    OwnerFreezes(Millis),
+    /// The owner releases the shard as planned.
+    OwnerReleases,
 }
 
 impl PlatformEmulator {
@@ -54,6 +60,7 @@
         match fault {
             PlannedFault::Join => self.join_worker(),
             PlannedFault::Outage => self.begin_outage(),
+            PlannedFault::Restart(worker, down) => self.restart_named(&worker, down),
             PlannedFault::Cut(worker, millis) => self.cut_worker(&worker, millis),
             PlannedFault::OwnerDies => {
                 self.owners.pop();
@@ -63,6 +70,8 @@
                 self.reclaims_from = Some(self.now + self.random.random_range(50..RESTART_MS));
             }
             PlannedFault::OwnerTurnedAway => self.turn_owner_away(),
+            PlannedFault::OwnerFreezes(millis) => self.freeze_owner(millis),
+            PlannedFault::OwnerReleases => self.release_shard(),
         }
     }
 
--- a/crates/jobs/tests/support/emulator/workers.rs
+++ b/crates/jobs/tests/support/emulator/workers.rs
@@ -100,6 +100,15 @@
         }
     }
 
+    /// A worker restarts under its name after `down` milliseconds, unless it is down already.
+    pub(super) fn restart_named(&mut self, id: &WorkerId, down: Millis) {
+        let mut workers = self.workers.iter();
+        let index = workers.position(|worker| worker.id == *id && self.now >= worker.down_until);
+        if let Some(index) = index {
+            self.restart_worker(index, Some(down));
+        }
+    }
+
     /// How long a worker is down before it restarts, in milliseconds.
     fn draw_downtime(&mut self) -> Millis {
         match self.random.random_range(0..3) {
@@ -276,6 +285,7 @@
             epoch,
             worker: id,
             carried_out_by,
+            delayed,
             parked,
             call,
             answers,
@@ -299,6 +309,10 @@
                 true => (OrderAnswer::Unreachable, 1),
                 false => (OrderAnswer::Unknown, CALL_TIMEOUT_MS),
             };
+            let may_outlive = now >= self.workers[index].cut_until && !refused && !delayed;
+            if may_outlive {
+                self.keep_outliving_call(epoch, &id, parked, &call);
+            }
             if answers {
                 let event = answer_event(&id, &call, answer);
                 self.send(now + after, Message::Answered(epoch, event));
--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -2,6 +2,24 @@
 
 use sandshelf_model::LoadPolicies;
 
+/// How the owner of the shard changes in a series of restarts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OwnerChange {
+    /// Any of the others, as drawn for each series.
+    #[default]
+    Drawn,
+    /// The owner dies; another host claims the shard later.
+    Dies,
+    /// The owner freezes for some seconds; another host claims the shard meanwhile.
+    Freezes,
+    /// The owner releases the shard as planned.
+    Releases,
+    /// The owner dies, and its host claims the shard again as soon as it can.
+    Reclaims,
+    /// The owner stays.
+    Stays,
+}
+
 /// Which faults are injected; the `u32` fields are probabilities in thousandths.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FaultPlan {
@@ -86,6 +104,22 @@
     pub reclaims: u32,
     /// Of a thousand claims, after how many the store goes out again right away.
     pub outages_after_claims: u32,
+    /// Each second: workers restart under their names while calls to them are under way, the owner changes, and restarted workers are cut
+    /// off for up to 13 s, in a series whose parts overlap.
+    pub restart_series: u32,
+    /// How the owner changes in such a series.
+    pub owner_change: OwnerChange,
+    /// Of a thousand workers, for each such series: it restarts under its name.
+    pub restarted_in_series: u32,
+    /// Of a thousand restarts of a series, after how many the worker restarts again up to 2.5 s after it is back.
+    pub second_restarts: u32,
+    /// Of a thousand restarted workers of a series, how many are cut off around the change of owner, and keep running.
+    pub cut_restarted: u32,
+    /// Of a thousand calls that reach a worker while it is down, and of as many late orders, how many are carried out by whichever
+    /// incarnation is up within three seconds. Renewals are late as often as orders are in plans that use this.
+    pub outliving_calls: u32,
+    /// Whether renewals that outlive an incarnation acknowledge ends of the next one.
+    pub outliving_acknowledgements: bool,
     /// Upper bound of the time that a new owner takes to read the progress of the jobs, in milliseconds; 0 if it is known at the claim.
     pub state_read_ms: u64,
     /// Whether workers reject runs that exceed their capacity.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod outage_plans;
 pub mod plans;
 pub mod relaying;
+pub mod restart_plans;
 pub mod restarting;
 pub mod slow_fleet;
 pub mod standing_fleet;
