--- a/crates/jobs/tests/support/faults.rs
+++ b/crates/jobs/tests/support/faults.rs
@@ -109,6 +109,8 @@
     pub restart_series: u32,
     /// How the owner changes in such a series.
     pub owner_change: OwnerChange,
+    /// Of a thousand such series, after how many the owner changes again some seconds later.
+    pub second_owner_changes: u32,
     /// Of a thousand workers, for each such series: it restarts under its name.
     pub restarted_in_series: u32,
     /// Of a thousand restarts of a series, after how many the worker restarts again up to 2.5 s after it is back.
--- a/crates/jobs/tests/support/restart_plans.rs
+++ b/crates/jobs/tests/support/restart_plans.rs
@@ -36,6 +36,14 @@
     }
 }
 
+/// Restarts in series with two changes of owner each.
+pub fn restarts_before_two_changes(max_lease_ms: Millis) -> FaultPlan {
+    FaultPlan {
+        second_owner_changes: 1_000,
+        ..restarts_in_series(max_lease_ms)
+    }
+}
+
 /// Restarts in series while many orders and renewals of any owner are carried out late.
 pub fn restarts_amid_late_orders(max_lease_ms: Millis) -> FaultPlan {
     FaultPlan {
