--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -87,6 +87,11 @@
     RacksCrash(usize, Millis),
     /// This percentage of the workers goes down; they restart under their names within this time.
     WorkersRestart(usize, Millis),
+    /// The workers of a hall go down; they restart under their names within this time.
+    HallWorkersRestart(usize, Millis),
+    /// For this time, this number of a thousand calls that reach a worker while it is down are carried out by its next incarnation, within
+    /// three seconds.
+    OutlivingCalls(u32, Millis),
     /// This number of workers drain: they announce that they leave, keep running tasks for a while, and are gone.
     ScaleIn(usize),
     /// This percentage of the workers is lost permanently.
@@ -102,6 +107,8 @@
     WorkersHang(usize, Millis),
     /// This percentage of the workers is cut off from all hosts for this time, and keeps running tasks.
     WorkersCut(usize, Millis),
+    /// The workers of a hall are cut off from all hosts for this time, and keep running tasks.
+    HallWorkersCut(usize, Millis),
     /// Like `WorkersCut`, but connections to these workers are closed and refused instead of getting no answer, and their entries lapse
     /// if this time is long enough.
     WorkersRefuse(usize, Millis),
--- a/crates/emulator/src/days.rs
+++ b/crates/emulator/src/days.rs
@@ -21,7 +21,7 @@
 const STANDING_CLASS: usize = 2;
 
 /// The names of the days, each with a description.
-pub const DAYS: [(&str, &str); 26] = [
+pub const DAYS: [(&str, &str); 27] = [
     ("calm", "nothing goes wrong"),
     ("burst", "a burst of filling jobs with a strong owner; many orders are late"),
     ("long-burst", "2.6 times the usual rate of filling jobs for 12 s"),
@@ -52,6 +52,10 @@
         "restarts",
         "a third of the workers restart under their names several times, also while the owner is killed",
     ),
+    (
+        "recut",
+        "the workers of one hall restart under their names, the owner is killed 2 s later, and these workers are cut off for 9 s, three times",
+    ),
     (
         "cuts",
         "the owner's hall is cut off outward, inward and outward again, and hall 1 in both directions",
@@ -168,6 +172,7 @@
             .with(14_300, DayEvent::Kill(HostChoice::Owner, 3_000))
             .with(20_000, DayEvent::Kill(HostChoice::Owner, 500))
             .with(20_100, DayEvent::WorkersRestart(35, 1_000)),
+        "recut" => recut(calm),
         "cuts" => burst_day(calm, 13_000)
             .with(
                 6_000,
@@ -195,6 +200,19 @@
     })
 }
 
+/// Restarts of one hall's workers while calls to them are under way, each with a change of owner and a cut soon after. An earlier restart
+/// makes their clocks differ, so that deadlines of an earlier incarnation lie far ahead for most of them.
+fn recut(calm: DayPlan) -> DayPlan {
+    const HALL: usize = 1;
+    let calm = calm.with(1_500, DayEvent::HallWorkersRestart(HALL, 600));
+    [5_000, 17_000, 29_000].into_iter().fold(calm, |day, at| {
+        day.with(at, DayEvent::OutlivingCalls(700, 3_000))
+            .with(at, DayEvent::HallWorkersRestart(HALL, 900))
+            .with(at + 2_000, DayEvent::Kill(HostChoice::Owner, 3_000))
+            .with(at + 2_600, DayEvent::HallWorkersCut(HALL, 9_000))
+    })
+}
+
 /// Outages of the store in which entries lapse and the owner is killed early or late, with cuts from the next owner's first answers on
 /// that end before and after the leases of the killed owner.
 fn outages(calm: DayPlan) -> DayPlan {
--- a/crates/emulator/src/world/cuts.rs
+++ b/crates/emulator/src/world/cuts.rs
@@ -58,6 +58,13 @@
         host % HALLS
     }
 
+    /// The places of the workers of a hall.
+    pub(super) fn workers_of(&self, hall: usize) -> Vec<usize> {
+        let places = 0..self.workers;
+        let within = |place: &usize| self.hall_of_peer(CallPeer::Worker(*place)) == Some(hall);
+        places.filter(within).collect()
+    }
+
     /// The hall of a peer; `None` for the store.
     fn hall_of_peer(&self, peer: CallPeer) -> Option<usize> {
         match peer {
--- a/crates/emulator/src/world/day_events.rs
+++ b/crates/emulator/src/world/day_events.rs
@@ -74,6 +74,15 @@
             }
             DayEvent::RacksCrash(racks, down_ms) => self.kill_racks(racks, down_ms),
             DayEvent::WorkersRestart(percent, down_ms) => self.restart_workers(percent, down_ms),
+            DayEvent::HallWorkersRestart(hall, down_ms) => {
+                for place in self.halls.workers_of(hall) {
+                    self.take_worker_down(place, down_ms);
+                }
+                self.monitor.disturb_workers(self.now);
+            }
+            DayEvent::OutlivingCalls(of_thousand, for_ms) => {
+                self.outliving_calls = (until(for_ms), of_thousand);
+            }
             DayEvent::ScaleIn(count) => {
                 for place in self.draw_workers(count) {
                     self.drain_worker(place);
@@ -109,6 +118,11 @@
             DayEvent::WorkersCut(percent, for_ms) => {
                 self.cut_workers(percent, CutManner::Silent, for_ms);
             }
+            DayEvent::HallWorkersCut(hall, for_ms) => {
+                for place in self.halls.workers_of(hall) {
+                    self.cut_worker(place, CutManner::Silent, for_ms);
+                }
+            }
             DayEvent::WorkersRefuse(percent, for_ms) => {
                 self.cut_workers(percent, CutManner::Refusing, for_ms);
             }
@@ -225,14 +239,18 @@
     fn restart_workers(&mut self, percent: usize, down_ms: Millis) {
         let count = self.fleet.count() * percent / 100;
         for place in self.draw_workers(count) {
-            self.lose_worker(place, place % 2 == 0);
-            let down = self.random.random_range(down_ms / 2..=down_ms);
-            let at = self.now + down * MS;
-            self.queue.push(at, WorldEvent::WorkerRestarts(place));
+            self.take_worker_down(place, down_ms);
         }
         self.monitor.disturb_workers(self.now);
     }
 
+    fn take_worker_down(&mut self, place: usize, down_ms: Millis) {
+        self.lose_worker(place, place % 2 == 0);
+        let down = self.random.random_range(down_ms / 2..=down_ms);
+        let at = self.now + down * MS;
+        self.queue.push(at, WorldEvent::WorkerRestarts(place));
+    }
+
     /// Changes the progress of runs on a share of the workers, which is chosen at random the first time.
     fn hinder_runs(&mut self, of_thousand: usize, progress: RunProgress, for_ms: Millis) {
         if self.hindered.is_empty() {
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -118,6 +118,8 @@
     halls: HallMap,
     /// Until when orders may be delayed, and how many of a thousand are.
     late_orders: (Micros, u32),
+    /// Until when, and how many of a thousand, calls to a worker that is down are carried out by its next incarnation.
+    outliving_calls: (Micros, u32),
     /// The bursts of traffic so far.
     bursts: Vec<TrafficBurst>,
     /// The workers on which runs are hindered; empty before the first such event.
@@ -166,6 +168,7 @@
             monitor: SimulationMonitor::new(&deployment),
             halls: HallMap::new(deployment.workers),
             late_orders: (0, 0),
+            outliving_calls: (0, 0),
             bursts: Vec::new(),
             hindered: Vec::new(),
             armed_cuts: BTreeMap::new(),
--- a/crates/emulator/src/world/transport.rs
+++ b/crates/emulator/src/world/transport.rs
@@ -41,6 +41,9 @@
     Request(WorkItem),
 }
 
+/// How long after it has reached a worker that is down a call is carried out by the next incarnation, in milliseconds.
+const OUTLIVING_DELAY_MS: std::ops::Range<Millis> = 100..2_500;
+
 /// An order that is being delivered to a worker.
 #[derive(Debug)]
 pub(super) struct OrderDelivery {
@@ -52,6 +55,8 @@
     pub(super) answers: bool,
     /// For a late order, the worker's incarnation that received it and carries it out after the delay.
     pub(super) delayed_by: Option<PlaceIncarnation>,
+    /// Whether it was kept for the next incarnation already.
+    pub(super) kept: bool,
 }
 
 impl EmulatedWorld {
@@ -78,6 +83,7 @@
                     order,
                     answers: !late,
                     delayed_by: late.then(|| self.fleet.incarnation_at(place)),
+                    kept: false,
                 };
                 let arrives = WorldEvent::WorkerReceives(Box::new(delivery));
                 if late {
@@ -226,6 +232,9 @@
 
     /// Delivers an order to the worker at a place.
     pub(super) fn deliver_order(&mut self, delivery: OrderDelivery) {
+        if self.is_kept(&delivery) {
+            return self.keep_for_next(delivery);
+        }
         let OrderDelivery {
             from,
             call,
@@ -233,6 +242,7 @@
             order,
             answers,
             delayed_by,
+            kept: _,
         } = delivery;
         if delayed_by.is_some_and(|incarnation| incarnation != self.fleet.incarnation_at(place)) {
             return;
@@ -253,6 +263,32 @@
         }
     }
 
+    /// Draws whether a call that has reached a place without a worker is kept for the worker's next incarnation.
+    fn is_kept(&mut self, delivery: &OrderDelivery) -> bool {
+        let (until, of_thousand) = self.outliving_calls;
+        let place = delivery.place;
+        let unheard = self.fleet.id_at(place).is_none() && !self.fleet.refuses(place);
+        let keeps = unheard && !delivery.kept && self.now < until;
+        keeps && self.random.random_range(0..1_000) < of_thousand
+    }
+
+    /// Has a call carried out later, by whichever incarnation is up then and without an answer.
+    fn keep_for_next(&mut self, delivery: OrderDelivery) {
+        let mut order = delivery.order;
+        if let WorkerCall::Renew(renewal) = &mut order.call {
+            renewal.wait_ms = 0;
+        }
+        let kept = OrderDelivery {
+            order,
+            answers: false,
+            kept: true,
+            ..delivery
+        };
+        let at = self.now + self.random.random_range(OUTLIVING_DELAY_MS) * MS;
+        self.queue
+            .push(at, WorldEvent::WorkerReceives(Box::new(kept)));
+    }
+
     /// Delivers a call to the store, which does not answer while it is silent; a feed call waits for a change.
     pub(super) fn deliver_to_store(
         &mut self,
--- a/crates/emulator/tests/grown.rs
+++ b/crates/emulator/tests/grown.rs
@@ -62,6 +62,8 @@
     large_configurations_in_quick_succession => check_short_day("storm", Deployment::code_search(), 1);
     connections_stop_delivering => check_short_day("silent", Deployment::auction(), 1);
     workers_restart_under_their_names => check_short_day("restarts", Deployment::auction(), 1);
+    restarted_workers_are_cut_off_after_the_owner_is_killed => check_day("recut", Deployment::auction(), 1);
+    restarted_workers_with_longer_leases_are_cut_off_after_the_owner_is_killed => check_day("recut", Deployment::code_search(), 1);
     the_owners_hall_is_cut_off => check_short_day("cuts", Deployment::auction(), 1);
     owners_turned_away_before_workers_are_cut_off => check_day("turned-away", Deployment::auction(), 1);
     owners_killed_in_outages_before_workers_are_cut_off => check_day("outages", Deployment::auction(), 1);
