--- a/crates/jobs/tests/restart_series.rs
+++ b/crates/jobs/tests/restart_series.rs
@@ -7,6 +7,7 @@
 use support::emulator::traffic::run_seed;
 use support::faults::{FaultPlan, OwnerChange};
 use support::oracle::BrokenRule;
+use support::plans::with_policies;
 use support::restart_plans::{
     repeated_restarts, restarts_amid_late_acknowledgements, restarts_amid_late_orders,
     restarts_before, restarts_before_two_changes, restarts_in_series,
@@ -75,6 +76,8 @@
     workers_restart_twice_with_longer_leases => keeps_safety_rules(1..101, repeated_restarts(10_000));
     orders_outlive_restarts => keeps_safety_rules(1..101, restarts_amid_late_orders(6_000));
     orders_outlive_restarts_with_longer_leases => keeps_safety_rules(1..101, restarts_amid_late_orders(10_000));
+    calls_are_repeated_after_restarts => keeps_safety_rules(1..101, with_policies(restarts_in_series(6_000)));
+    calls_are_repeated_after_restarts_with_longer_leases => keeps_safety_rules(1..101, with_policies(restarts_in_series(10_000)));
     acknowledgements_outlive_restarts => keeps_safety_rules(1..101, restarts_amid_late_acknowledgements(6_000));
     restart_series_by_hand => long_run();
 }
--- a/crates/jobs/tests/support/restart_plans.rs
+++ b/crates/jobs/tests/support/restart_plans.rs
@@ -59,6 +59,6 @@
 pub fn restarts_amid_late_acknowledgements(max_lease_ms: Millis) -> FaultPlan {
     FaultPlan {
         outliving_acknowledgements: true,
-        ..restarts_in_series(max_lease_ms)
+        ..restarts_amid_late_orders(max_lease_ms)
     }
 }
