--- a/crates/emulator/src/world/day_events.rs
+++ b/crates/emulator/src/world/day_events.rs
@@ -245,7 +245,7 @@
     }
 
     fn take_worker_down(&mut self, place: usize, down_ms: Millis) {
-        self.lose_worker(place, place % 2 == 0);
+        self.lose_worker(place, place.is_multiple_of(2));
         let down = self.random.random_range(down_ms / 2..=down_ms);
         let at = self.now + down * MS;
         self.queue.push(at, WorldEvent::WorkerRestarts(place));
