Lease bound: an incarnation is named together with the end of all leases on it

Cause: an order that was meant for an earlier incarnation is carried out by the next one. Its deadline is on another clock, so that only the worker's own limit of 6 or 10 s bounds the lease. The owner that heard the restart knew; the roster carried the name only, and whoever found the name counted ordinary leases. Elsewhere the same bound was missing for a restart that only the worker list shows, for a silence record written before it, for an unnamed incarnation that answers late, and after two restarts in a row.

Change: each incarnation has one value, until when leases may last there that no deadline of this owner on its clock bounds. The roster names an incarnation only with that value. A sign of a restart raises it, in the roster, in the silence record and for the takeover's wait. Names of rosters in the former form are not trusted.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -122,7 +122,7 @@
             change.head = Some(head);
         }
         for page in self.roster.changed_pages() {
-            let content = self.roster.content(page, &self.workers);
+            let content = self.roster.content(page, &self.workers, &self.store_clock);
             if !budget.take(&content) {
                 break;
             }
--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -55,8 +55,17 @@
     reading: Option<ClockReading>,
     /// The latest lease deadline that this owner sent to it, on its clock.
     pub(crate) lease_deadline: WorkerClock,
-    /// Until when a lease of an earlier owner may last there, on the scheduler's clock; 0 if none is left.
+    /// Until when a lease may last there that no deadline of this owner on its clock bounds: one that
+    /// an earlier owner granted, or one by an order that was meant for an earlier incarnation. On the
+    /// scheduler's clock; 0 if there is none.
     pub(crate) inherited_until: Millis,
+    /// Whether `inherited_until` covers all such leases. Only then the roster names the incarnation.
+    pub(crate) accounted: bool,
+    /// Until when an incarnation that may have followed this one unheard may be leased by orders that
+    /// were meant for this one, on the scheduler's clock; 0 without a sign of such an incarnation.
+    pub(crate) successor_until: Millis,
+    /// The latest deadline that this owner sent to earlier incarnations, on their clocks.
+    pub(crate) late_deadline: WorkerClock,
     /// Until when a renewal that extends the lease and got no answer may still be carried out, by this incarnation or a later one, on the
     /// scheduler's clock.
     pub(crate) late_renewals_until: Millis,
@@ -77,6 +86,18 @@
         }
     }
 
+    /// Until when a lease may last on this worker that no deadline of this owner on the clock of this
+    /// incarnation bounds, on the scheduler's clock; 0 if there is none.
+    pub(crate) fn other_leases_until(&self) -> Millis {
+        self.inherited_until.max(self.successor_until)
+    }
+
+    /// Whether this is the incarnation with this identifier, and all leases of earlier owners on it
+    /// are accounted for. Workers that don't report an incarnation never restart under their names.
+    pub(crate) fn is_named(&self, id: Option<WorkerIncarnation>) -> bool {
+        self.id == id && (self.accounted || id.is_none())
+    }
+
     /// Whether an incarnation with this identifier certainly differs from this one.
     pub(crate) fn is_other(&self, id: Option<WorkerIncarnation>) -> bool {
         certainly_differ(self.id, id)
@@ -111,6 +132,11 @@
         (least..=most).contains(&sample.clock)
     }
 
+    /// The time since which it has been heard: it was up when the newest answered call was sent.
+    pub(crate) fn last_heard(&self) -> Option<Millis> {
+        Some(self.reading?.sent_at)
+    }
+
     /// The newest reading of the worker's clock.
     pub(crate) fn newest_clock(&self) -> Option<WorkerClock> {
         Some(self.reading?.clock)
@@ -136,19 +162,19 @@
         let reading = self.reading?;
         let left = (self.lease_deadline + 1).saturating_sub(reading.clock);
         let own = reading.at + longest_wait(left);
-        Some(own.max(self.inherited_until))
+        Some(own.max(self.other_leases_until()))
     }
 
     /// Whether every lease granted to this incarnation, by this owner or an earlier one, has
     /// certainly expired.
     pub(crate) fn lease_has_expired(&self, now: Millis) -> bool {
         let own_has_expired = |clock| clock > self.lease_deadline;
-        now >= self.inherited_until && self.lowest_clock(now).is_some_and(own_has_expired)
+        now >= self.other_leases_until() && self.lowest_clock(now).is_some_and(own_has_expired)
     }
 
     /// Whether it certainly holds no lease: none was granted, or all have expired.
     pub(crate) fn is_unleased(&self, now: Millis) -> bool {
-        let ungranted = self.lease_deadline == 0 && now >= self.inherited_until;
+        let ungranted = self.lease_deadline == 0 && now >= self.other_leases_until();
         ungranted || self.lease_has_expired(now)
     }
 
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -6,7 +6,7 @@
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
 use crate::foreign::ForeignReport;
-use crate::ids::{JobNumber, WorkerIncarnation};
+use crate::ids::JobNumber;
 use crate::incarnation::IncarnationState;
 use crate::job::{objective_ms, JobState};
 use crate::note::{JobNote, StopCause};
@@ -171,7 +171,7 @@
         now: Millis,
         worker: WorkerId,
         address: SocketAddr,
-        incarnation: Option<WorkerIncarnation>,
+        named: Option<IncarnationState>,
     ) {
         let entry = WorkerListing {
             worker: worker.clone(),
@@ -188,14 +188,16 @@
         let mut state = WorkerState::new(entry, now, silence_record);
         state.expected = true;
         state.published = true;
-        state.incarnation = IncarnationState::new(incarnation);
+        state.incarnation = named.unwrap_or_default();
+        let other_until = state.incarnation.other_leases_until();
         self.workers.insert(worker.clone(), state);
         self.worker_order = None;
         self.schedule_renewal(&worker, now);
         self.roster.restore(&worker);
         self.unlisted.insert(worker.clone());
         if let Some(recovery) = &mut self.recovery {
-            recovery.unanswered.insert(worker, recovery.until);
+            let over_at = recovery.until.max(other_until);
+            recovery.unanswered.insert(worker, over_at);
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -95,7 +95,7 @@
     EndReport, OrderAnswer, RefusalReason, RenewalAnswer, RenewalReport, RunOutcome, RunReport,
     WorkerClock, WorkerListing,
 };
-pub use roster::{RosterChange, RosterHead, RosterPage, WorkerRoster};
+pub use roster::{NamedIncarnation, RosterChange, RosterHead, RosterPage, WorkerRoster};
 pub use scheduler::JobScheduler;
 pub use silent::{SilenceChange, SilentWorkers};
 pub use spec::{JobSpec, QueueRules, RepeatRule, SpecFault, StepSpec, MAX_PAYLOAD_BYTES};
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -21,8 +21,8 @@
             return;
         }
         let settled = |over_at: &Millis| now >= *over_at;
-        let over =
-            now >= recovery.until || recovery.listed && recovery.unanswered.values().all(settled);
+        let listed = recovery.listed || now >= recovery.until;
+        let over = listed && recovery.unanswered.values().all(settled);
         if !over && now < recovery.new_jobs_wait_until {
             return;
         }
@@ -85,24 +85,32 @@
     }
 
     /// Until when a lease of an earlier owner may last on a worker whose first answer arrives now.
-    /// `known` says whether the earlier owner knew the incarnation that answers.
+    /// `named` says whether the roster names the incarnation that answers.
     ///
     /// An owner that can't renew its ownership grants longer leases than it has published, so the
     /// published length from the answer on is not enough. All of them end by `inherited_until`,
     /// whenever the worker answers. A silence record may end them earlier; the published length is
-    /// waited for in any case. An order that was meant for another incarnation bears a deadline on
-    /// another clock, so that only the worker's own limit binds it.
+    /// waited for in any case.
+    ///
+    /// An order that was meant for another incarnation bears a deadline on another clock, so that only
+    /// the worker's own limit binds it, from the time at which it is carried out. The roster names an
+    /// incarnation with the end of such leases. `heard_before` is when an earlier incarnation was last
+    /// heard by this owner; 0 if it never was.
     pub(crate) fn inherited_lease_end(
         &self,
         now: Millis,
         worker: &WorkerId,
-        known: bool,
+        named: bool,
+        heard_before: Millis,
     ) -> Millis {
-        if self.epoch == FIRST_EPOCH || now >= self.inherited_until {
+        if self.epoch == FIRST_EPOCH {
             return 0;
         }
-        if !known {
-            return now + longest_wait(self.limits.max_lease_ms);
+        if !named {
+            return self.unnamed_lease_end(now, heard_before);
+        }
+        if now >= self.inherited_until {
+            return 0;
         }
         let recovery = self.recovery.as_ref();
         let recorded = recovery.map_or(self.inherited_until, |recovery| recovery.over_at(worker));
@@ -110,6 +118,17 @@
         self.inherited_until.min(recorded.max(published))
     }
 
+    /// Until when an incarnation that the roster doesn't name may be leased by orders of earlier owners.
+    /// Its first answer shows that it refuses them from now on. It began after an earlier incarnation
+    /// was last heard, and has carried out none if that was after the last of these orders.
+    fn unnamed_lease_end(&self, now: Millis, heard_before: Millis) -> Millis {
+        if heard_before >= self.earlier_orders_until {
+            return 0;
+        }
+        let carried_out_by = self.earlier_orders_until.min(now);
+        carried_out_by + longest_wait(self.limits.max_lease_ms)
+    }
+
     /// Handles that renewals of the ownership are overdue, or not any more.
     pub(crate) fn set_ownership_overdue(&mut self, now: Millis, overdue: bool) {
         if self.ownership_overdue == overdue {
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -50,6 +50,7 @@
             worker.renewal_extends_lease = call.deadline.is_some();
             if let Some(deadline) = call.deadline {
                 worker.incarnation.lease_deadline = worker.incarnation.lease_deadline.max(deadline);
+                worker.lease_ordered_at = now;
             }
             self.call(&id, WorkerCall::Renew(call));
         }
@@ -143,9 +144,11 @@
         report: RenewalReport,
     ) {
         let known = self.workers.get(worker);
-        let known = known.is_some_and(|state| state.incarnation.id == report.incarnation);
+        let named = known.is_some_and(|state| state.incarnation.is_named(report.incarnation));
+        let heard_before = known.and_then(|state| state.incarnation.last_heard());
         self.update_incarnation(now, worker, sent_at, &report);
-        let inherited_until = self.inherited_lease_end(now, worker, known);
+        let inherited_until =
+            self.inherited_lease_end(now, worker, named, heard_before.unwrap_or(0));
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -160,8 +163,16 @@
         state.suspects.clear();
         let first = !state.incarnation.fenced;
         state.incarnation.fenced = true;
+        if std::mem::take(&mut state.incarnation.successor_until) > 0 {
+            self.roster.note_changed(worker);
+        }
         if first {
+            let inherited_until = inherited_until.max(state.incarnation.inherited_until);
             state.incarnation.inherited_until = inherited_until;
+            state.incarnation.accounted = true;
+            if !named {
+                self.roster.note_changed(worker);
+            }
         }
         let noted = state.incarnation.noted;
         self.withdraw_crash(now, worker, report.incarnation);
@@ -169,7 +180,7 @@
             self.note(JobNote::Fenced {
                 worker: worker.clone(),
                 incarnation: report.incarnation,
-                named: known,
+                named,
                 clock: report.clock,
                 lease_left_ms: inherited_until.saturating_sub(now),
             });
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -11,7 +11,8 @@
 
 use crate::copies::ProgressTrack;
 use crate::ids::RunKey;
-use crate::incarnation::IncarnationState;
+use crate::incarnation::{longest_wait, IncarnationState};
+use crate::limits::MAX_ORDER_AGE_MS;
 use crate::note::{JobNote, LossCause, StopCause};
 use crate::reports::RenewalReport;
 use crate::run::{RunPhase, RunRecord};
@@ -66,14 +67,17 @@
             || state.renewal_extends_lease
             || state.strays.extend_lease()
             || state.has_unconfirmed_runs(sent_at, &listed_keys);
-        // The deadline in an order that was meant for the previous incarnation is on the clock of
-        // that incarnation. The worker limits the lease to its own maximum, from the time at which
-        // it carries the order out.
+        // The deadline in an order that was meant for an earlier incarnation is on the clock of that
+        // incarnation. The worker limits the lease to its own maximum, from the time at which it
+        // carries the order out.
+        let incarnation = &state.incarnation;
+        let late_deadline = incarnation.late_deadline.max(incarnation.lease_deadline);
         let longest = report.clock + late_orders_ms + self.limits.max_lease_ms;
-        let lease_deadline = match may_be_leased {
-            true => longest.min(state.incarnation.lease_deadline),
+        let lease_ms = match may_be_leased {
+            true => (longest.min(late_deadline) + 1).saturating_sub(report.clock),
             false => 0,
         };
+        let lease_left_ms = longest_wait(lease_ms);
         self.note(JobNote::WorkerRestarted {
             worker: worker.clone(),
             before: state.incarnation.id,
@@ -83,7 +87,7 @@
             noted: state.incarnation.noted,
             listed: report.ended.last().map_or(0, |end| end.number),
             late_orders_ms,
-            lease_left_ms: lease_deadline.saturating_sub(report.clock),
+            lease_left_ms,
         });
         let listed = self.remove_runs_where(worker, |key, _| listed_keys.contains(key));
         self.note_worker_loss(now, worker, LossCause::Restarted);
@@ -100,7 +104,8 @@
             let late_renewals_until = state.incarnation.late_renewals_until;
             state.incarnation = IncarnationState::new(report.incarnation);
             state.incarnation.late_renewals_until = late_renewals_until;
-            state.incarnation.lease_deadline = lease_deadline;
+            state.incarnation.late_deadline = late_deadline;
+            state.incarnation.inherited_until = now + lease_left_ms;
             state.paused_until = now;
         }
         for (key, record) in listed {
@@ -120,6 +125,33 @@
         self.room_changed = true;
     }
 
+    /// Handles a sign that a worker has restarted before any report of its next incarnation: that
+    /// incarnation may be leased by orders that were meant for the current one.
+    pub(crate) fn note_unheard_restart(&mut self, worker: &WorkerId) {
+        let earlier_orders_until = self.earlier_orders_until;
+        let max_lease_ms = self.limits.max_lease_ms;
+        let Some(state) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let own_orders_until = match state.lease_ordered_at {
+            0 => 0,
+            ordered_at => ordered_at + MAX_ORDER_AGE_MS,
+        };
+        let orders_until = earlier_orders_until.max(own_orders_until);
+        let until = orders_until + longest_wait(max_lease_ms);
+        if orders_until == 0 || until <= state.incarnation.successor_until {
+            return;
+        }
+        state.incarnation.successor_until = until;
+        self.roster.note_changed(worker);
+        if let Some(recovery) = &mut self.recovery {
+            recovery.raise(worker, until);
+        }
+        if let Some(until) = self.store_clock.at_most(until) {
+            self.silence_records.raise(worker, until);
+        }
+    }
+
     /// Removes and returns the runs of a worker for which a condition holds.
     fn remove_runs_where(
         &mut self,
--- a/crates/jobs/src/roster.rs
+++ b/crates/jobs/src/roster.rs
@@ -9,9 +9,50 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::WorkerIncarnation;
+use crate::incarnation::IncarnationState;
+use crate::store_clock::ClockBound;
 use crate::worker::WorkerState;
 use crate::worker_page::WorkerPage;
 
+/// An incarnation of a worker that an owner has heard from, as its roster names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedIncarnation {
+    /// The incarnation's identifier.
+    pub id: WorkerIncarnation,
+    /// Until when it may be leased beyond the length of leases in the head of the roster, in
+    /// milliseconds on the store's clock; 0 if it may not.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub leased_until: u64,
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+impl NamedIncarnation {
+    /// The name of an incarnation; none while it is not known until when it may be leased.
+    fn of(incarnation: &IncarnationState, store_clock: &ClockBound) -> Option<Self> {
+        let id = incarnation.id.filter(|_| incarnation.accounted)?;
+        let leased_until = match incarnation.other_leases_until() {
+            0 => 0,
+            until => store_clock.at_most(until)?,
+        };
+        Some(Self { id, leased_until })
+    }
+
+    /// The state of the incarnation for an owner that claimed the shard at `claimed_at`, when the
+    /// store's clock showed `store_ms` at least.
+    pub(crate) fn restore(self, claimed_at: Millis, store_ms: u64) -> IncarnationState {
+        let left_ms = self.leased_until.saturating_sub(store_ms);
+        let mut incarnation = IncarnationState::new(Some(self.id));
+        incarnation.accounted = true;
+        if left_ms > 0 {
+            incarnation.inherited_until = claimed_at + left_ms;
+        }
+        incarnation
+    }
+}
+
 /// The workers that may hold tasks, and the longest lease that they hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct WorkerRoster {
@@ -21,9 +62,9 @@
     /// The name and address of each worker.
     #[serde(default)]
     pub workers: Vec<(WorkerId, SocketAddr)>,
-    /// The incarnation of each worker that the owner has heard from, in the order of `workers`.
+    /// The incarnation of each worker whose leases the owner can tell, in the order of `workers`.
     #[serde(default)]
-    pub lives: Vec<Option<WorkerIncarnation>>,
+    pub incarnations: Vec<Option<NamedIncarnation>>,
     /// The longest lease in milliseconds; `None` means the longest that the platform allows.
     #[serde(default)]
     pub lease_ms: Option<Millis>,
@@ -43,9 +84,9 @@
 pub struct RosterPage {
     /// The name and address of each worker.
     pub workers: Vec<(WorkerId, SocketAddr)>,
-    /// The incarnation of each worker that the owner has heard from, in the order of `workers`.
+    /// The incarnation of each worker whose leases the owner can tell, in the order of `workers`.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub lives: Vec<Option<WorkerIncarnation>>,
+    pub incarnations: Vec<Option<NamedIncarnation>>,
 }
 
 /// A change of the stored roster.
@@ -80,19 +121,20 @@
     /// Adds the workers of a page.
     pub fn add_page(&mut self, page: RosterPage) {
         // Without any known incarnation the list of incarnations is empty.
-        self.lives.resize(self.workers.len(), None);
+        self.incarnations.resize(self.workers.len(), None);
         let workers = page.workers.len();
         self.workers.extend(page.workers);
-        let lives = page.lives.into_iter().chain(std::iter::repeat(None));
-        self.lives.extend(lives.take(workers));
+        let named = page.incarnations.into_iter();
+        let named = named.chain(std::iter::repeat(None));
+        self.incarnations.extend(named.take(workers));
     }
 
     fn remove_pages(&mut self, pages: &BTreeMap<WorkerPage, RosterPage>) {
-        let lives = std::mem::take(&mut self.lives).into_iter();
-        let lives = lives.chain(std::iter::repeat(None));
-        let entries = std::mem::take(&mut self.workers).into_iter().zip(lives);
+        let named = std::mem::take(&mut self.incarnations).into_iter();
+        let named = named.chain(std::iter::repeat(None));
+        let entries = std::mem::take(&mut self.workers).into_iter().zip(named);
         let stay = entries.filter(|((worker, _), _)| !pages.contains_key(&WorkerPage::of(worker)));
-        (self.workers, self.lives) = stay.unzip();
+        (self.workers, self.incarnations) = stay.unzip();
     }
 }
 
@@ -170,6 +212,7 @@
         &self,
         page: WorkerPage,
         known: &BTreeMap<WorkerId, WorkerState>,
+        store_clock: &ClockBound,
     ) -> RosterPage {
         let members = self.pages.get(&page).into_iter().flatten();
         let named: Vec<(&WorkerId, &WorkerState)> = members
@@ -177,14 +220,14 @@
             .collect();
         let address =
             |(worker, state): &(&WorkerId, &WorkerState)| ((*worker).clone(), state.entry.address);
-        let lives: Vec<Option<WorkerIncarnation>> = named
-            .iter()
-            .map(|(_, state)| state.incarnation.id)
+        let states = named.iter().map(|(_, state)| &state.incarnation);
+        let incarnations: Vec<Option<NamedIncarnation>> = states
+            .map(|incarnation| NamedIncarnation::of(incarnation, store_clock))
             .collect();
-        let any_known = lives.iter().any(Option::is_some);
+        let any_named = incarnations.iter().any(Option::is_some);
         RosterPage {
             workers: named.iter().map(address).collect(),
-            lives: if any_known { lives } else { Vec::new() },
+            incarnations: if any_named { incarnations } else { Vec::new() },
         }
     }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -22,8 +22,9 @@
 use crate::interference::InterferenceEstimate;
 use crate::job::JobState;
 use crate::limits::{
-    SchedulerLimits, MAX_OWNER_PAUSE_MS, MAX_PASS_INTERVAL_MS, MIN_CLOCK_RATE_PERCENT,
-    NEW_JOB_TAKEOVER_WAIT_MS, QUARANTINE_RULE, TAKEOVER_MARGIN_MS, WORKER_CHECK_INTERVAL_MS,
+    SchedulerLimits, MAX_ORDER_AGE_MS, MAX_OWNER_PAUSE_MS, MAX_PASS_INTERVAL_MS,
+    MIN_CLOCK_RATE_PERCENT, NEW_JOB_TAKEOVER_WAIT_MS, QUARANTINE_RULE, TAKEOVER_MARGIN_MS,
+    WORKER_CHECK_INTERVAL_MS,
 };
 use crate::load_forecast::LoadHistory;
 use crate::note::JobNote;
@@ -123,6 +124,8 @@
     pub(crate) inherited_lease_ms: Millis,
     /// From this time on no lease of an earlier owner can be valid, however long it was.
     pub(crate) inherited_until: Millis,
+    /// Until when an order of an earlier owner may be carried out; 0 for the first owner.
+    pub(crate) earlier_orders_until: Millis,
     /// Whether the durable roster allows leases as long as this owner's. Until then this owner grants none longer than an earlier owner's.
     pub(crate) lease_published: bool,
     pub(crate) store_clock: ClockBound,
@@ -182,6 +185,10 @@
         let lease = inherited_lease_ms * 100 / MIN_CLOCK_RATE_PERCENT;
         let last_orders_at = info.claimed_at.max(info.earlier_orders_until);
         let inherited_until = last_orders_at + lease + TAKEOVER_MARGIN_MS;
+        let earlier_orders_until = match info.epoch {
+            FIRST_EPOCH => 0,
+            _ => last_orders_at + TAKEOVER_MARGIN_MS + MAX_ORDER_AGE_MS,
+        };
         let mut scheduler = Self {
             limits,
             epoch: info.epoch,
@@ -221,6 +228,7 @@
             roster_lease_ms: inherited_lease_ms.max(own_lease_ms),
             inherited_lease_ms,
             inherited_until,
+            earlier_orders_until,
             lease_published: info.epoch == FIRST_EPOCH || inherited_lease_ms >= own_lease_ms,
             store_clock: ClockBound::default(),
             silence_records: SilenceRecords::default(),
@@ -268,9 +276,11 @@
         scheduler
             .interference
             .restore(&mut scheduler.images, &info.interference);
-        let lives = info.roster.lives.into_iter().chain(std::iter::repeat(None));
-        for ((worker, address), incarnation) in info.roster.workers.into_iter().zip(lives) {
-            scheduler.expect_worker(info.claimed_at, worker, address, incarnation);
+        let incarnations = info.roster.incarnations.into_iter();
+        let incarnations = incarnations.chain(std::iter::repeat(None));
+        for ((worker, address), named) in info.roster.workers.into_iter().zip(incarnations) {
+            let named = named.map(|named| named.restore(info.claimed_at, info.store_ms));
+            scheduler.expect_worker(info.claimed_at, worker, address, named);
         }
         if info.rules_since > 0 && info.silent.epoch >= info.rules_since {
             scheduler.inherit_silence_records(info.claimed_at, info.store_ms, info.silent);
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -428,6 +428,7 @@
         };
         let known = state.record_order_clock(now, sample);
         if !known {
+            self.note_unheard_restart(worker);
             self.renew_soon(now, worker);
         }
         known
--- a/crates/jobs/src/silent.rs
+++ b/crates/jobs/src/silent.rs
@@ -167,6 +167,17 @@
         }
     }
 
+    /// Raises the end of the lease in the record of a worker, if there is one.
+    pub(crate) fn raise(&mut self, worker: &WorkerId, over_at: u64) {
+        let number = WorkerPage::of(worker);
+        let page = self.pages.get_mut(&number);
+        let known = page.and_then(|page| page.over_at.get_mut(worker));
+        if let Some(known) = known.filter(|known| **known < over_at) {
+            *known = over_at;
+            self.changed.insert(number);
+        }
+    }
+
     fn remove_record(&mut self, worker: &WorkerId) {
         let number = WorkerPage::of(worker);
         if let Some(page) = self.pages.get_mut(&number) {
@@ -313,16 +324,22 @@
         for (id, suspects) in &records.suspects {
             if let Some(state) = self.workers.get_mut(id) {
                 state.suspects.clone_from(suspects);
-                state.incarnation.id = records.lives.get(id).copied().or(state.incarnation.id);
+                let incarnation = records.lives.get(id).copied();
+                if state.incarnation.is_other(incarnation) {
+                    state.incarnation.accounted = false;
+                }
+                state.incarnation.id = incarnation.or(state.incarnation.id);
             }
         }
         self.silence_records.pages = records.into_pages();
         for (id, over_at) in workers {
             self.sync_silence_record(&id);
             let until = now + over_at.saturating_sub(store_ms);
+            let state = self.workers.get(&id);
+            let other_until = state.map_or(0, |state| state.incarnation.other_leases_until());
             let recovery = self.recovery.as_mut();
             if let Some(known) = recovery.and_then(|recovery| recovery.unanswered.get_mut(&id)) {
-                *known = until.min(*known);
+                *known = until.min(*known).max(other_until);
             }
         }
     }
--- a/crates/jobs/src/start.rs
+++ b/crates/jobs/src/start.rs
@@ -109,6 +109,7 @@
         let image = self.images.get(&step.image);
         let deadline = state.incarnation.clock(now).unwrap_or(0) + ttl_ms;
         state.incarnation.lease_deadline = state.incarnation.lease_deadline.max(deadline);
+        state.lease_ordered_at = now;
         let mut record = RunRecord::new(&step, image, RunPhase::Ordered, deadline);
         record.due = due;
         record.chain = chain;
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -95,4 +95,11 @@
     pub(crate) fn over_at(&self, worker: &WorkerId) -> Millis {
         self.unanswered.get(worker).copied().unwrap_or(self.until)
     }
+
+    /// Has a worker that has not answered waited for until `until` at least.
+    pub(crate) fn raise(&mut self, worker: &WorkerId, until: Millis) {
+        if let Some(known) = self.unanswered.get_mut(worker) {
+            *known = until.max(*known);
+        }
+    }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -57,6 +57,8 @@
     pub(crate) renewal_acknowledges: u64,
     /// Whether the renewal in flight extends the lease.
     pub(crate) renewal_extends_lease: bool,
+    /// When this owner last sent an order that extends the lease; 0 if it never did.
+    pub(crate) lease_ordered_at: Millis,
     pub(crate) renewal_due_at: Millis,
     /// Earlier renewals whose answers may still arrive.
     pub(crate) strays: StrayRenewals,
@@ -111,6 +113,7 @@
             renewal_wait_ms: 0,
             renewal_acknowledges: 0,
             renewal_extends_lease: false,
+            lease_ordered_at: 0,
             renewal_due_at: now,
             strays: StrayRenewals::default(),
             renewal_gap_ms: 0,
--- a/crates/jobs/src/worker_list.rs
+++ b/crates/jobs/src/worker_list.rs
@@ -159,14 +159,18 @@
         state.evacuated = self.evacuated.contains(&entry.hall);
         let leaves_now = draining && !state.entry.draining;
         state.entry = entry;
-        if state.entry_incarnation_differs() && state.entry.incarnation > state.incarnation.id {
-            // The worker has restarted, and no lease renewal has shown that yet.
+        // The worker has restarted, and no lease renewal has shown that yet.
+        let restarted =
+            state.entry_incarnation_differs() && state.entry.incarnation > state.incarnation.id;
+        if restarted {
             state.note_doubt(now);
+            self.note_unheard_restart(&id);
         }
         if !known {
             return self.add_listed_worker(now, &id);
         }
         if leaves_now {
+            let state = &self.workers[&id];
             let standing = state.runs.values().filter(|record| record.standing);
             let standing = standing.count();
             self.note(JobNote::WorkerDraining {
--- a/crates/jobs/tests/inherited_leases.rs
+++ b/crates/jobs/tests/inherited_leases.rs
@@ -10,8 +10,8 @@
 mod support;
 
 use sandshelf_jobs::{
-    JobEvent, RenewalReport, RunKey, SchedulerLimits, SilentWorkers, StartCall, StepSpec,
-    TakeoverInfo, WorkerIncarnation, WorkerRoster,
+    JobEvent, NamedIncarnation, RenewalReport, RunKey, SchedulerLimits, SilentWorkers, StartCall,
+    StepSpec, TakeoverInfo, WorkerIncarnation, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 use support::{job, listing, run_report, step, SchedulerRig};
@@ -332,7 +332,10 @@
         },
     );
     let mut info = takeover(2, TURNED_AWAY.claimed_at, false);
-    info.roster.lives = vec![Some(WorkerIncarnation(1))];
+    info.roster.incarnations = vec![Some(NamedIncarnation {
+        id: WorkerIncarnation(1),
+        leased_until: 0,
+    })];
     let mut rig = successor(info, MAX_LEASE_MS);
     rig.advance(100);
     let lease_until = rig.now + MAX_LEASE_MS;
