Lease bound: an incarnation keeps its name in the roster where its bound is not known

A successor detects a restart by the name that the roster had. Left out where the end of leases was not known yet, it hid the crashes of a task that brings down restarting workers from owner to owner (crashes, three cases). The name stays and its bound is marked as not known, which a successor treats like a name that is not there.

--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -59,7 +59,7 @@
     /// an earlier owner granted, or one by an order that was meant for an earlier incarnation. On the
     /// scheduler's clock; 0 if there is none.
     pub(crate) inherited_until: Millis,
-    /// Whether `inherited_until` covers all such leases. Only then the roster names the incarnation.
+    /// Whether `inherited_until` covers all such leases.
     pub(crate) accounted: bool,
     /// Until when an incarnation that may have followed this one unheard may be leased by orders that
     /// were meant for this one, on the scheduler's clock; 0 without a sign of such an incarnation.
--- a/crates/jobs/src/roster.rs
+++ b/crates/jobs/src/roster.rs
@@ -20,32 +20,41 @@
     /// The incarnation's identifier.
     pub id: WorkerIncarnation,
     /// Until when it may be leased beyond the length of leases in the head of the roster, in
-    /// milliseconds on the store's clock; 0 if it may not.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    pub leased_until: u64,
+    /// milliseconds on the store's clock; 0 if it may not. `None` if that is not known: only the
+    /// worker's own limit bounds it.
+    #[serde(default = "ordinary_leases", skip_serializing_if = "are_ordinary")]
+    pub leased_until: Option<u64>,
 }
 
-fn is_zero(value: &u64) -> bool {
-    *value == 0
+fn ordinary_leases() -> Option<u64> {
+    Some(0)
+}
+
+fn are_ordinary(leased_until: &Option<u64>) -> bool {
+    *leased_until == ordinary_leases()
 }
 
 impl NamedIncarnation {
-    /// The name of an incarnation; none while it is not known until when it may be leased.
+    /// The name of an incarnation with the end of its leases; none before it is known.
     fn of(incarnation: &IncarnationState, store_clock: &ClockBound) -> Option<Self> {
-        let id = incarnation.id.filter(|_| incarnation.accounted)?;
         let leased_until = match incarnation.other_leases_until() {
-            0 => 0,
-            until => store_clock.at_most(until)?,
+            _ if !incarnation.accounted => None,
+            0 => Some(0),
+            until => store_clock.at_most(until),
         };
-        Some(Self { id, leased_until })
+        Some(Self {
+            id: incarnation.id?,
+            leased_until,
+        })
     }
 
     /// The state of the incarnation for an owner that claimed the shard at `claimed_at`, when the
     /// store's clock showed `store_ms` at least.
     pub(crate) fn restore(self, claimed_at: Millis, store_ms: u64) -> IncarnationState {
-        let left_ms = self.leased_until.saturating_sub(store_ms);
+        let leased_until = self.leased_until.unwrap_or(0);
+        let left_ms = leased_until.saturating_sub(store_ms);
         let mut incarnation = IncarnationState::new(Some(self.id));
-        incarnation.accounted = true;
+        incarnation.accounted = self.leased_until.is_some();
         if left_ms > 0 {
             incarnation.inherited_until = claimed_at + left_ms;
         }
--- a/crates/jobs/tests/inherited_leases.rs
+++ b/crates/jobs/tests/inherited_leases.rs
@@ -334,7 +334,7 @@
     let mut info = takeover(2, TURNED_AWAY.claimed_at, false);
     info.roster.incarnations = vec![Some(NamedIncarnation {
         id: WorkerIncarnation(1),
-        leased_until: 0,
+        leased_until: Some(0),
     })];
     let mut rig = successor(info, MAX_LEASE_MS);
     rig.advance(100);
