Bound what clients can make a host hold: jobs mode on hyper

Cause: Rocket 0.5 has no time limit for heads and no limit of connections, and each body was held on its own account. A crowd of clients could make the process hold as much as they liked: 1,500 heads of 360 KB that stop short took 544 MB and stayed, 3,000 bodies of 60 KB took 465 MB.

Change: the new crate sandshelf-http serves HTTP/1 on hyper. Connections, heads, bodies and answers have limits that derive from two new settings, memory_mb and max_descriptors. At its limit of connections a port closes the one that has been without a complete request for longest; bodies that are arriving give way, oldest first, with 503 and Retry-After. Ports for callers, readiness and metrics have separate shares.

--- a/crates/config/src/job_settings.rs
+++ b/crates/config/src/job_settings.rs
@@ -55,6 +55,10 @@
     pub processor_millicores: u64,
     /// The capacity of the host's link, in thousandths of a megabit per second (kbit/s).
     pub link_kbit_per_s: u64,
+    /// The memory that the process may use, in MiB.
+    pub memory_mib: u64,
+    /// The number of descriptors that the process may open.
+    pub max_descriptors: u64,
     /// How orders are sent to workers.
     pub worker_orders: OrderWay,
     /// The longest lease that a worker grants, in milliseconds.
@@ -116,6 +120,7 @@
     let store_address = reader.address("store_address");
     let processor_millicores = reader.thousandths_or("processor_share", DEFAULT_PROCESSOR_MILLIS);
     let link_kbit_per_s = reader.thousandths_or("link_mbit_per_s", DEFAULT_LINK_KBIT_PER_S);
+    let process_limits = reader.process_limits();
     let worker_orders = reader.text_or("worker_orders", "call");
     let max_lease_ms = reader.number_or("max_lease_ms", 500, 600_000, 6_000);
     let grace_s = reader.number_or("grace_s", 1, 3_600, 6);
@@ -127,6 +132,7 @@
     let load_policies = read_policies(reader);
     let advice_address = reader.address_or_none("advice_address");
     let machine_api = read_machine_api(reader);
+    let (memory_mib, max_descriptors) = process_limits?;
     Some(JobSettings {
         host: host?,
         hall: HallId::from(hall?),
@@ -137,6 +143,8 @@
         store_address: store_address?,
         processor_millicores: processor_millicores?,
         link_kbit_per_s: link_kbit_per_s?,
+        memory_mib,
+        max_descriptors,
         worker_orders: match worker_orders? {
             way if way == "call" => OrderWay::Call,
             way => OrderWay::Other(way),
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -10,6 +10,10 @@
 
 /// The maximum length of a name, in characters.
 const MAX_NAME_CHARS: usize = 120;
+/// The default memory of the process, in MiB: what the users' current hosts have.
+const DEFAULT_MEMORY_MIB: u64 = 256;
+/// The default number of descriptors of the process: what the users' current hosts have.
+const DEFAULT_MAX_DESCRIPTORS: u64 = 4_096;
 
 /// The name and text of a file.
 #[derive(Clone, Debug)]
@@ -200,6 +204,14 @@
         in_range.map(|number| (number * 1_000.0).round() as u64)
     }
 
+    /// Reads the optional limits of the process: its memory in MiB and its open descriptors.
+    pub(crate) fn process_limits(&mut self) -> Option<(u64, u64)> {
+        let memory_mib = self.number_or("memory_mb", 16, 1 << 20, DEFAULT_MEMORY_MIB);
+        let max_descriptors =
+            self.number_or("max_descriptors", 256, 1 << 20, DEFAULT_MAX_DESCRIPTORS);
+        memory_mib.zip(max_descriptors)
+    }
+
     /// Reads an optional Boolean.
     pub(crate) fn flag_or(&mut self, field: &'static str, default: bool) -> Option<bool> {
         let Some(value) = self.find(field) else {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -47,6 +47,10 @@
     pub max_body_bytes: u64,
     /// The maximum number of requests that wait for a slot of a backend server.
     pub queue_limit: usize,
+    /// The memory that the process may use, in MiB.
+    pub memory_mib: u64,
+    /// The number of descriptors that the process may open.
+    pub max_descriptors: u64,
     /// The number of threads that handle callers' requests.
     pub traffic_threads: usize,
     /// Leases, intervals and timeouts.
@@ -71,7 +75,9 @@
     let max_body_bytes = reader.number_or("max_body_bytes", 1, 1 << 30, 8 << 20);
     let queue_limit = reader.number_or("queue_limit", 1, 100_000, 512);
     let traffic_threads = reader.number_or("traffic_threads", 1, 64, 2);
+    let process_limits = reader.process_limits();
     let limits = read_limits(reader);
+    let (memory_mib, max_descriptors) = process_limits?;
     Some(DaemonSettings {
         host: HostId::from(host?),
         hall: HallId::from(hall?),
@@ -81,6 +87,8 @@
         platform_address: platform_address?,
         max_body_bytes: max_body_bytes?,
         queue_limit: queue_limit? as usize,
+        memory_mib,
+        max_descriptors,
         traffic_threads: traffic_threads? as usize,
         limits: limits?,
     })
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,19 @@
+//! An HTTP/1 server that bounds what its clients can make the process hold: connections, heads, bodies and answers.
+//!
+//! All bounds derive from the memory and the descriptors of the process, see [`ProcessLimits`]. Within them, whoever waits longest makes
+//! room: a new connection replaces the one that has been without a complete request for longest, and a new body replaces the one that has
+//! been arriving for longest. So a crowd of clients that stall can't shut out others.
+
+mod body;
+mod budget;
+mod connections;
+mod limits;
+mod server;
+mod stream;
+
+pub use body::{BodyFault, BodyLimit, ReadBody, RequestBody};
+pub use budget::BodyBudget;
+pub use limits::{LimitHit, LimitReport, PortLimits, PortShare, ProcessLimits};
+pub use server::{
+    plain_answer, text_answer, HttpAnswer, HttpPort, HttpRequest, HttpServer, ServerStop,
+};
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rocket::http::Status;
+use http::StatusCode;
 use sandshelf_adapter::{
     decode_submission, join_value, pending_body, stage_body, value_range, CallTimeout, RowCheck,
     RowKey, RowWrite, StoreClient, StoreFault, StoredValue, WriteOutcome,
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug)]
 pub struct JobAnswer {
     /// The HTTP status.
-    pub status: Status,
+    pub status: StatusCode,
     /// The body: JSON if the call succeeded, otherwise the reason in plain text.
     pub body: String,
     /// After how many milliseconds the caller should retry; none if the answer doesn't ask for that.
@@ -52,7 +52,7 @@
 
 impl JobAnswer {
     /// Creates an answer that doesn't ask for a retry.
-    pub fn plain(status: Status, body: impl Into<String>) -> Self {
+    pub fn plain(status: StatusCode, body: impl Into<String>) -> Self {
         Self {
             status,
             body: body.into(),
@@ -63,7 +63,7 @@
     /// Creates the answer to a request that has certainly not taken effect; the caller should retry later.
     pub fn not_run(reason: &str) -> Self {
         Self {
-            status: Status::ServiceUnavailable,
+            status: StatusCode::SERVICE_UNAVAILABLE,
             body: reason.to_owned(),
             retry_after_ms: Some(RETRY_AFTER_MS),
         }
@@ -80,7 +80,7 @@
     /// Creates the answer to a request that may have taken effect; the caller should retry later.
     pub fn unknown(reason: &str) -> Self {
         Self {
-            status: Status::GatewayTimeout,
+            status: StatusCode::GATEWAY_TIMEOUT,
             body: reason.to_owned(),
             retry_after_ms: Some(RETRY_AFTER_MS),
         }
@@ -118,13 +118,13 @@
     pub async fn submit(&self, queue: &QueueEntry, number: JobNumber, body: &[u8]) -> JobAnswer {
         let mut spec = match decode_submission(queue, body) {
             Ok(spec) => spec,
-            Err(fault) => return self.refuse(number, Status::BadRequest, &fault.to_string()),
+            Err(fault) => return self.refuse(number, StatusCode::BAD_REQUEST, &fault.to_string()),
         };
         spec.handed_in_ms = clock::wall_ms();
         let value = encode(&spec);
         if value.len() > MAX_JOB_BYTES {
             let reason = format!("a job of {} bytes; {MAX_JOB_BYTES} at most", value.len());
-            return self.refuse(number, Status::PayloadTooLarge, &reason);
+            return self.refuse(number, StatusCode::PAYLOAD_TOO_LARGE, &reason);
         }
         if let Some(answer) = self.refuse_without_store().await {
             event("job_refused", &[("job", &number), ("cause", &"store_out")]);
@@ -143,11 +143,11 @@
                         ("version", &version),
                     ],
                 );
-                JobAnswer::plain(Status::Ok, "{}")
+                JobAnswer::plain(StatusCode::OK, "{}")
             }
             Ok(WriteOutcome::Conflict(_)) => {
                 event("job_known", &[("job", &number), ("queue", &queue.name)]);
-                JobAnswer::plain(Status::Ok, "{}")
+                JobAnswer::plain(StatusCode::OK, "{}")
             }
             Err(fault) => {
                 event(
@@ -183,13 +183,13 @@
         self.health.observe(StoreCall::WriteJob, written).await
     }
 
-    fn refuse(&self, number: JobNumber, status: Status, reason: &str) -> JobAnswer {
+    fn refuse(&self, number: JobNumber, status: StatusCode, reason: &str) -> JobAnswer {
         event(
             "job_refused",
             &[
                 ("job", &number),
                 ("cause", &reason),
-                ("status", &status.code),
+                ("status", &status.as_u16()),
             ],
         );
         JobAnswer::plain(status, reason)
@@ -247,8 +247,8 @@
             return answer;
         }
         match self.read_stage(queue, number).await {
-            Ok(Some(stage)) => JobAnswer::plain(Status::Ok, stage_body(stage)),
-            Ok(None) => JobAnswer::plain(Status::Gone, "no such job"),
+            Ok(Some(stage)) => JobAnswer::plain(StatusCode::OK, stage_body(stage)),
+            Ok(None) => JobAnswer::plain(StatusCode::GONE, "no such job"),
             Err(fault) => {
                 event("show_failed", &[("job", &number), ("fault", &fault)]);
                 self.store_out()
@@ -303,10 +303,10 @@
         };
         let job = rows.iter().find(|row| !row.key.ends_with(CANCEL_SUFFIX));
         let Some(job) = job else {
-            return JobAnswer::plain(Status::Gone, "no such job");
+            return JobAnswer::plain(StatusCode::GONE, "no such job");
         };
         if rows.len() > 1 {
-            return JobAnswer::plain(Status::Ok, "{}");
+            return JobAnswer::plain(StatusCode::OK, "{}");
         }
         let cancellation = b"{}".to_vec();
         match self
@@ -318,9 +318,9 @@
                     "job_cancel_taken",
                     &[("job", &number), ("version", &version)],
                 );
-                JobAnswer::plain(Status::Ok, "{}")
+                JobAnswer::plain(StatusCode::OK, "{}")
             }
-            Ok(WriteOutcome::Conflict(_)) => JobAnswer::plain(Status::Gone, "no such job"),
+            Ok(WriteOutcome::Conflict(_)) => JobAnswer::plain(StatusCode::GONE, "no such job"),
             Err(fault) => {
                 event("job_cancel_failed", &[("job", &number), ("fault", &fault)]);
                 self.answer_fault(fault)
@@ -331,7 +331,7 @@
     /// Answers with the number of waiting jobs of a queue.
     pub async fn pending(&self, queue: &QueueEntry) -> JobAnswer {
         if let Some(count) = self.news.pending(clock::now(), &queue.name) {
-            return JobAnswer::plain(Status::Ok, pending_body(count));
+            return JobAnswer::plain(StatusCode::OK, pending_body(count));
         }
         if let Some(answer) = self.refuse_while_out() {
             return answer;
@@ -342,7 +342,7 @@
                 let counts = join_value(&rows, &row.key);
                 let counts = counts.as_ref().and_then(decode_pending).unwrap_or_default();
                 let count = counts.counts.get(&queue.name).copied().unwrap_or(0);
-                JobAnswer::plain(Status::Ok, pending_body(count))
+                JobAnswer::plain(StatusCode::OK, pending_body(count))
             }
             Err(_) => self.store_out(),
         }
--- a/crates/sandshelfd/src/jobs/admission.rs
+++ b/crates/sandshelfd/src/jobs/admission.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
 use sandshelf_adapter::{join_value, value_range, CallTimeout};
 use sandshelf_jobs::admission::{
     retry_in_outage, AdmissionDecision, AdmissionGate, HeardView, LoadView, OutageView, QueueLoad,
@@ -83,7 +84,7 @@
         };
         if rows.iter().any(|row| !row.key.ends_with(CANCEL_SUFFIX)) {
             event("job_known", &[("job", &number), ("queue", &spec.queue)]);
-            return Some(JobAnswer::plain(rocket::http::Status::Ok, "{}"));
+            return Some(JobAnswer::plain(StatusCode::OK, "{}"));
         }
         self.log_refusal(&submission, &refusal);
         meters::record_refused_job(&spec.queue, refusal.cause);
--- a/crates/sandshelfd/src/jobs/endpoints.rs
+++ b/crates/sandshelfd/src/jobs/endpoints.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::header::{HeaderValue, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::{HeaderMap, Method, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
-use rocket::data::{Data, ToByteUnit};
-use rocket::http::{ContentType, Header, Method, Status};
-use rocket::response::Response;
-use rocket::route::{Handler, Outcome, Route};
-use rocket::{Request, State};
 use sandshelf_adapter::{StoreClient, DEADLINE_HEADER, READY_PATH};
+use sandshelf_http::{
+    plain_answer, text_answer, BodyFault, BodyLimit, HttpAnswer, HttpRequest, LimitHit, RequestBody,
+};
 use sandshelf_jobs::{JobNumber, QueueEntry};
 use sandshelf_model::Millis;
 use tokio::sync::watch;
@@ -22,7 +22,12 @@
 use crate::jobs::meters;
 use crate::jobs::news::OwnerNews;
 use crate::jobs::queues::QueueView;
+use crate::logging::event;
 
+/// The path under which metrics are served.
+const METRICS_PATH: &str = "/metrics";
+/// The type of the body of an answer to a call that succeeded.
+const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
 /// The timeout for reading the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -60,59 +65,77 @@
     }
 }
 
-#[derive(Clone)]
-struct JobHandler(Arc<JobShared>);
-
-/// The routes of the endpoint for callers.
-pub fn job_routes(shared: &Arc<JobShared>) -> Vec<Route> {
-    let methods = [
-        Method::Get,
-        Method::Post,
-        Method::Delete,
-        Method::Put,
-        Method::Patch,
-    ];
-    let handler = JobHandler(shared.clone());
-    let route = |method| Route::new(method, "/<path..>", handler.clone());
-    methods.into_iter().map(route).collect()
+/// Answers a request of a caller.
+pub async fn answer_job_request(shared: Arc<JobShared>, request: HttpRequest) -> HttpAnswer {
+    let _open = OpenRequest::new(&shared.open_requests);
+    let started_at = SteadyInstant::now();
+    let (head, body) = request.into_parts();
+    let method = match head.method {
+        Method::HEAD => Method::GET,
+        method => method,
+    };
+    match method {
+        Method::GET | Method::POST | Method::DELETE | Method::PUT | Method::PATCH => {}
+        Method::OPTIONS | Method::TRACE | Method::CONNECT => {
+            return text_answer(StatusCode::NOT_FOUND, "no such call\n");
+        }
+        _ => return text_answer(StatusCode::BAD_REQUEST, "no such method\n"),
+    }
+    let call = JobCall {
+        method: &method,
+        headers: &head.headers,
+        path: head.uri.path(),
+    };
+    let answer = answer_call(&shared, &call, body).await;
+    meters::record_answer(&method, answer.status, started_at.elapsed());
+    to_http(answer, shared.stopping.load(Ordering::Relaxed))
 }
 
-#[rocket::async_trait]
-impl Handler for JobHandler {
-    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
-        let shared = &self.0;
-        let _open = OpenRequest::new(&shared.open_requests);
-        let started_at = SteadyInstant::now();
-        let answer = answer_call(shared, request, data).await;
-        meters::record_answer(request.method(), answer.status, started_at.elapsed());
-        let mut response = Response::new();
-        response.set_status(answer.status);
-        if answer.status == Status::Ok {
-            response.set_header(ContentType::JSON);
-        }
-        if let Some(retry_after_ms) = answer.retry_after_ms {
-            let seconds = retry_after_ms.div_ceil(1_000);
-            response.set_header(Header::new("retry-after", seconds.to_string()));
-        }
-        if shared.stopping.load(Ordering::Relaxed) {
-            response.set_header(Header::new("connection", "close"));
-        }
-        response.set_sized_body(answer.body.len(), std::io::Cursor::new(answer.body));
-        Outcome::Success(response)
+fn to_http(answer: JobAnswer, is_stopping: bool) -> HttpAnswer {
+    let mut response = plain_answer(answer.status, answer.body);
+    let headers = response.headers_mut();
+    if answer.status == StatusCode::OK {
+        headers.insert(CONTENT_TYPE, JSON_TYPE);
     }
+    if let Some(retry_after_ms) = answer.retry_after_ms {
+        let seconds = retry_after_ms.div_ceil(1_000);
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    if is_stopping {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// The head of a call of a caller.
+struct JobCall<'a> {
+    method: &'a Method,
+    headers: &'a HeaderMap,
+    path: &'a str,
 }
 
-async fn answer_call(shared: &JobShared, request: &Request<'_>, data: Data<'_>) -> JobAnswer {
+impl JobCall<'_> {
+    /// A header's text; none if it is missing or not text.
+    fn header(&self, name: impl http::header::AsHeaderName) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// How long the caller waits for the answer; none if its header is missing or not a whole number of milliseconds.
+    fn deadline_ms(&self) -> Option<Millis> {
+        self.header(DEADLINE_HEADER)?.parse().ok()
+    }
+}
+
+async fn answer_call(shared: &JobShared, call: &JobCall<'_>, body: RequestBody) -> JobAnswer {
     let Some(table) = shared.queues.get() else {
         return JobAnswer::not_run("no configuration is known here yet");
     };
-    let hostname = request.headers().get_one("host").unwrap_or_default();
+    let hostname = call.header(HOST).unwrap_or_default();
     let hostname = hostname.split(':').next().unwrap_or_default();
-    let path = request.uri().path().as_str();
-    let Some((queue, rest)) = table.find(hostname, path) else {
-        return JobAnswer::plain(Status::NotFound, "no such queue");
+    let Some((queue, rest)) = table.find(hostname, call.path) else {
+        return JobAnswer::plain(StatusCode::NOT_FOUND, "no such queue");
     };
-    let left_ms = deadline_ms(request);
+    let left_ms = call.deadline_ms();
     let service = JobService {
         store: &shared.store,
         health: &shared.health,
@@ -122,32 +145,33 @@
         timeout: store_timeout(left_ms),
     };
     if rest.is_empty() {
-        return match request.method() {
-            Method::Get => service.pending(queue).await,
-            _ => JobAnswer::plain(Status::MethodNotAllowed, "a queue can be asked with GET"),
+        return match *call.method {
+            Method::GET => service.pending(queue).await,
+            _ => JobAnswer::plain(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "a queue can be asked with GET",
+            ),
         };
     }
     let Ok(number) = rest.parse::<JobNumber>() else {
-        return bad_number(request.method());
+        return bad_number(call.method);
     };
-    match request.method() {
-        Method::Post => submit(&service, queue, number, data, table.max_body_bytes).await,
-        Method::Get => service.show(queue, number).await,
-        Method::Delete => service.cancel(number).await,
-        _ => JobAnswer::plain(Status::MethodNotAllowed, "a job takes POST, GET and DELETE"),
+    match *call.method {
+        Method::POST => submit(&service, queue, number, body, table.max_body_bytes).await,
+        Method::GET => service.show(queue, number).await,
+        Method::DELETE => service.cancel(number).await,
+        _ => JobAnswer::plain(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "a job takes POST, GET and DELETE",
+        ),
     }
 }
 
-/// How long the caller waits for the answer; none if its header is missing or not a whole number of milliseconds.
-fn deadline_ms(request: &Request<'_>) -> Option<Millis> {
-    request.headers().get_one(DEADLINE_HEADER)?.parse().ok()
-}
-
-fn bad_number(method: Method) -> JobAnswer {
-    match method {
-        Method::Get | Method::Delete => JobAnswer::plain(Status::Gone, "no such job"),
+fn bad_number(method: &Method) -> JobAnswer {
+    match *method {
+        Method::GET | Method::DELETE => JobAnswer::plain(StatusCode::GONE, "no such job"),
         _ => JobAnswer::plain(
-            Status::BadRequest,
+            StatusCode::BAD_REQUEST,
             "a job's number has 16 hexadecimal digits",
         ),
     }
@@ -157,53 +181,59 @@
     service: &JobService<'_>,
     queue: &QueueEntry,
     number: JobNumber,
-    data: Data<'_>,
-    limit: u64,
+    body: RequestBody,
+    max_bytes: u64,
 ) -> JobAnswer {
-    let read = tokio::time::timeout(BODY_TIMEOUT, data.open(limit.bytes()).into_bytes()).await;
-    match read {
-        Ok(Ok(body)) if body.is_complete() => service.submit(queue, number, &body).await,
-        Ok(Ok(_)) => JobAnswer::plain(Status::PayloadTooLarge, "the body is too large"),
-        Ok(Err(_)) => JobAnswer::plain(Status::BadRequest, "the body did not come whole"),
-        Err(_) => JobAnswer::plain(Status::RequestTimeout, "the body did not come in time"),
+    let limit = BodyLimit {
+        max_bytes,
+        time: BODY_TIMEOUT,
+    };
+    match body.read(limit).await {
+        Ok(body) => service.submit(queue, number, &body).await,
+        Err(fault) => refuse_body(fault),
     }
 }
 
-/// Serves the metrics of this process as text.
-#[rocket::get("/metrics")]
-fn metrics_text(handle: &State<PrometheusHandle>) -> String {
-    handle.render()
+/// The answer to a request whose body could not be read.
+fn refuse_body(fault: BodyFault) -> JobAnswer {
+    let status = match fault {
+        BodyFault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyFault::Broken => StatusCode::BAD_REQUEST,
+        BodyFault::Late => StatusCode::REQUEST_TIMEOUT,
+        BodyFault::NoMemory => {
+            return JobAnswer::not_run("too many bodies are arriving; the request has not run");
+        }
+    };
+    JobAnswer::plain(status, fault.to_string())
 }
 
-/// The routes of the metrics endpoint.
-pub fn metrics_routes() -> Vec<Route> {
-    rocket::routes![metrics_text]
+/// Answers with the metrics of this process as text.
+pub async fn answer_metrics_request(handle: PrometheusHandle, request: HttpRequest) -> HttpAnswer {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET | &Method::HEAD, METRICS_PATH) => {
+            text_answer(StatusCode::OK, handle.render())
+        }
+        _ => text_answer(StatusCode::NOT_FOUND, "no such page\n"),
+    }
 }
 
-#[derive(Clone)]
-struct ReadyHandler(Arc<JobShared>);
-
-/// The routes of the readiness endpoint, which the load balancer polls.
-pub fn ready_routes(shared: &Arc<JobShared>) -> Vec<Route> {
-    vec![Route::new(
-        Method::Get,
-        READY_PATH,
-        ReadyHandler(shared.clone()),
-    )]
+/// Answers the load balancer, which asks whether this host takes requests.
+pub async fn answer_ready_request(shared: Arc<JobShared>, request: HttpRequest) -> HttpAnswer {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET | &Method::HEAD, READY_PATH) => {}
+        _ => return text_answer(StatusCode::NOT_FOUND, "no such page\n"),
+    }
+    let ready = shared.queues.get().is_some()
+        && !shared.stopping.load(Ordering::Relaxed)
+        && !shared.health.is_long_out();
+    match ready {
+        true => plain_answer(StatusCode::OK, ""),
+        false => plain_answer(StatusCode::SERVICE_UNAVAILABLE, ""),
+    }
 }
 
-#[rocket::async_trait]
-impl Handler for ReadyHandler {
-    async fn handle<'r>(&self, _request: &'r Request<'_>, _data: Data<'r>) -> Outcome<'r> {
-        let shared = &self.0;
-        let ready = shared.queues.get().is_some()
-            && !shared.stopping.load(Ordering::Relaxed)
-            && !shared.health.is_long_out();
-        let mut response = Response::new();
-        response.set_status(match ready {
-            true => Status::Ok,
-            false => Status::ServiceUnavailable,
-        });
-        Outcome::Success(response)
-    }
+/// Logs and counts a limit of the server that took effect on a port.
+pub fn report_limit(port: &'static str, hit: LimitHit) {
+    meters::record_limit(port, hit);
+    event("limit_hit", &[("port", &port), ("limit", &hit.name())]);
 }
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use http::{Method, StatusCode};
 use metrics::{counter, gauge, histogram};
-use rocket::http::{Method, Status};
 use sandshelf_adapter::StoreFault;
+use sandshelf_http::LimitHit;
 use sandshelf_jobs::admission::{LoadView, RefusalCause, FULL_SHARE_PERMILLE};
 use sandshelf_jobs::relay::{DispatcherStats, RelayFault};
 use sandshelf_jobs::{
@@ -15,6 +16,8 @@
 
 use crate::jobs::labels::label;
 
+/// The connections that were closed and the requests that were refused by a limit of the server, by port and limit.
+const LIMITS: &str = "sandshelf_limits_hit_total";
 /// The answers to callers, by HTTP method and status.
 const ANSWERS: &str = "sandshelf_job_answers_total";
 /// The seconds from a caller's request to its answer, by HTTP method.
@@ -133,12 +136,17 @@
 }
 
 /// Records an answer to a caller.
-pub fn record_answer(method: Method, status: Status, took: Duration) {
-    let call = method.as_str();
-    counter!(ANSWERS, "call" => call, "status" => status.code.to_string()).increment(1);
+pub fn record_answer(method: &Method, status: StatusCode, took: Duration) {
+    let call = method.as_str().to_owned();
+    counter!(ANSWERS, "call" => call.clone(), "status" => status.as_u16().to_string()).increment(1);
     histogram!(ANSWER_SECONDS, "call" => call).record(took.as_secs_f64());
 }
 
+/// Counts a limit of the server that took effect on a port.
+pub fn record_limit(port: &'static str, hit: LimitHit) {
+    counter!(LIMITS, "port" => port, "limit" => hit.name()).increment(1);
+}
+
 /// Records a call to a worker by its answer; other events are ignored.
 pub fn record_order(event: &JobEvent, took: Duration) {
     let (kind, outcome) = match event {
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -35,14 +35,17 @@
 use rand::RngExt;
 use sandshelf_adapter::StoreClient;
 use sandshelf_config::{parse_job_settings, JobSettings, OrderWay, SourceFile};
+use sandshelf_http::{BodyBudget, HttpPort, HttpServer, PortShare, ProcessLimits};
 use sandshelf_model::HostId;
 use tokio::runtime;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
-use crate::daemon::{launch, quiet_rocket, wait_for_signal, DaemonFailure};
+use crate::daemon::{wait_for_signal, DaemonFailure};
 use crate::jobs::admission::AdmissionControl;
-use crate::jobs::endpoints::{job_routes, metrics_routes, ready_routes, JobShared};
+use crate::jobs::endpoints::{
+    answer_job_request, answer_metrics_request, answer_ready_request, report_limit, JobShared,
+};
 use crate::jobs::halls::HallView;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::news::OwnerNews;
@@ -108,11 +111,17 @@
         stopping: AtomicBool::new(false),
         open_requests: Default::default(),
     });
-    let caller_server = quiet_rocket(settings.caller_address).mount("/", job_routes(&shared));
-    let (caller_at, caller_stop) = launch(caller_server).await?;
-    let ready = quiet_rocket(settings.ready_address).mount("/", ready_routes(&shared));
-    let (ready_at, _) = launch(ready).await?;
-    let metrics_at = open_metrics(settings.metrics_address).await;
+    let ports = JobPorts::new(&settings);
+    let callers = ports.open("caller", settings.caller_address, PortShare::Callers)?;
+    let caller_at = callers.address();
+    let caller_shared = shared.clone();
+    let caller_stop =
+        callers.serve(move |request| answer_job_request(caller_shared.clone(), request));
+    let ready = ports.open("ready", settings.ready_address, PortShare::Support)?;
+    let ready_at = ready.address();
+    let ready_shared = shared.clone();
+    ready.serve(move |request| answer_ready_request(ready_shared.clone(), request));
+    let metrics_at = open_metrics(&ports, settings.metrics_address);
     let metrics_at = metrics_at.map_or("none".to_owned(), |address| address.to_string());
     let relays = settings.relay_address.map(RelayListener::open);
     let relays_at = relays.as_ref().map(RelayListener::address);
@@ -169,7 +178,7 @@
         .grace_ms
         .saturating_sub(UNREADY_SERVING_MS + CLOSE_BEFORE_END_MS);
     let deadline = clock::now() + remaining_ms;
-    caller_stop.notify();
+    caller_stop.begin();
     while shared.open_requests.load(Ordering::Relaxed) > 0 && clock::now() < deadline {
         sleep(STOP_POLL_INTERVAL).await;
     }
@@ -179,10 +188,45 @@
     Ok(())
 }
 
+/// What the ports of the HTTP endpoints have in common.
+struct JobPorts {
+    limits: ProcessLimits,
+    bodies: BodyBudget,
+}
+
+impl JobPorts {
+    fn new(settings: &JobSettings) -> Self {
+        let limits = ProcessLimits {
+            memory_bytes: settings.memory_mib << 20,
+            max_descriptors: settings.max_descriptors,
+        };
+        Self {
+            bodies: BodyBudget::new(limits.body_bytes()),
+            limits,
+        }
+    }
+
+    fn open(
+        &self,
+        name: &'static str,
+        address: SocketAddr,
+        share: PortShare,
+    ) -> Result<HttpServer, Report<DaemonFailure>> {
+        let port = HttpPort {
+            name,
+            address,
+            limits: self.limits.port(share),
+            bodies: self.bodies.clone(),
+            report: report_limit,
+        };
+        HttpServer::bind(port).change_context(DaemonFailure::Listen)
+    }
+}
+
 /// Installs the metrics recorder, and serves the metrics if the settings name an address; returns the bound address.
 ///
 /// A failure is only logged: jobs are served also without metrics.
-async fn open_metrics(address: Option<SocketAddr>) -> Option<SocketAddr> {
+fn open_metrics(ports: &JobPorts, address: Option<SocketAddr>) -> Option<SocketAddr> {
     let Some(handle) = process_meters::install() else {
         event(
             "metrics_failed",
@@ -197,10 +241,12 @@
             upkeep.run_upkeep();
         }
     });
-    let address = address?;
-    let metrics_server = quiet_rocket(address).mount("/", metrics_routes());
-    match launch(metrics_server.manage(handle)).await {
-        Ok((bound, _)) => Some(bound),
+    match ports.open("metrics", address?, PortShare::Support) {
+        Ok(server) => {
+            let bound = server.address();
+            server.serve(move |request| answer_metrics_request(handle.clone(), request));
+            Some(bound)
+        }
         Err(_) => {
             event("metrics_failed", &[("cause", &"the address can't be had")]);
             None
