--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -8,7 +8,7 @@
 use std::future::Future;
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -42,6 +42,30 @@
     path
 }
 
+/// Writes a daemon's settings file with the optional fields `limits`, and without them if the daemon knows no such fields. `option` is
+/// the option that takes the file, and `settings` writes the text around the fields.
+///
+/// # Panics
+/// The file can't be written or the daemon can't be started.
+pub fn write_limited_settings(
+    path: &Path,
+    option: &str,
+    limits: &str,
+    settings: impl Fn(&str) -> String,
+) {
+    let write = |fields: &str| fs::write(path, settings(fields)).expect("settings can be written");
+    write(&format!(", {limits}"));
+    let check = Command::new(program("sandshelfd"))
+        .arg(option)
+        .arg(path)
+        .arg("--check")
+        .output()
+        .expect("a built program starts");
+    if String::from_utf8_lossy(&check.stderr).contains("unknown field") {
+        write("");
+    }
+}
+
 /// The lines that a process has printed to stdout and stderr.
 #[derive(Default)]
 struct LineLog {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! For development only; not part of a release.
 
 pub mod backend;
+pub mod crowd;
 pub mod harness;
 pub mod platform;
 pub mod serve;
