--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,10 +1,10 @@
 //! Reads the body of a request within a limit of size, of time and of the memory for all bodies.
 
 use std::fmt;
-use std::ops::Deref;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::sync::OwnedSemaphorePermit;
@@ -56,22 +56,20 @@
 
 impl std::error::Error for BodyFault {}
 
-/// A body that was read whole; its memory is given back when it is dropped.
+/// The bytes of a body and the memory that they take up, which is given back with the last reference to them.
 #[derive(Debug, Default)]
-pub struct ReadBody {
+pub(crate) struct HeldBytes {
     bytes: Vec<u8>,
     permit: Option<OwnedSemaphorePermit>,
 }
 
-impl Deref for ReadBody {
-    type Target = [u8];
-
-    fn deref(&self) -> &[u8] {
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
 }
 
-impl ReadBody {
+impl HeldBytes {
     /// Appends a piece; the memory grows geometrically, so its cost doesn't depend on the size of the pieces.
     async fn append(
         &mut self,
@@ -99,6 +97,43 @@
     }
 }
 
+/// A body that another server sends for a client and that is held until the client has taken it. It takes part in the memory of bodies.
+#[derive(Debug)]
+pub struct RelayedBody {
+    held: HeldBytes,
+    reader: BodyReader,
+    max_bytes: usize,
+}
+
+impl RelayedBody {
+    /// Creates an empty body of at most so many bytes.
+    pub fn new(budget: &BodyBudget, max_bytes: u64) -> Self {
+        Self {
+            held: HeldBytes::default(),
+            reader: budget.enter_lasting(),
+            max_bytes: usize::try_from(max_bytes).unwrap_or(usize::MAX),
+        }
+    }
+
+    /// Appends a piece.
+    ///
+    /// # Errors
+    /// The body is larger than its limit, or bodies hold as much memory as they may.
+    pub async fn append(&mut self, piece: &[u8]) -> Result<(), BodyFault> {
+        let Self {
+            held,
+            reader,
+            max_bytes,
+        } = self;
+        held.append(piece, *max_bytes, reader).await
+    }
+
+    /// The whole body; its memory is given back with the last reference to it.
+    pub fn into_bytes(self) -> Bytes {
+        Bytes::from_owner(self.held)
+    }
+}
+
 impl From<OutOfMemory> for BodyFault {
     fn from(_: OutOfMemory) -> Self {
         BodyFault::NoMemory
@@ -129,11 +164,11 @@
         }
     }
 
-    /// Reads the whole body.
+    /// Reads the whole body. Its memory is given back with the last reference to it.
     ///
     /// # Errors
     /// The body exceeds one of its limits, or the client does not send it whole.
-    pub async fn read(mut self, limit: BodyLimit) -> Result<ReadBody, BodyFault> {
+    pub async fn read(mut self, limit: BodyLimit) -> Result<Bytes, BodyFault> {
         let max_bytes = usize::try_from(limit.max_bytes).unwrap_or(usize::MAX);
         if self.incoming.size_hint().lower() > limit.max_bytes {
             return Err(BodyFault::TooLarge);
@@ -148,7 +183,7 @@
                 self.connection.report(LimitHit::BodyMemory);
                 Err(BodyFault::NoMemory)
             }
-            read => read,
+            read => read.map(Bytes::from_owner),
         }
     }
 
@@ -156,8 +191,8 @@
         &mut self,
         max_bytes: usize,
         reader: &BodyReader,
-    ) -> Result<ReadBody, BodyFault> {
-        let mut body = ReadBody::default();
+    ) -> Result<HeldBytes, BodyFault> {
+        let mut body = HeldBytes::default();
         let mut tiny_pieces = 0;
         loop {
             let frame = tokio::select! {
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -43,7 +43,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct OutOfMemory;
 
-/// A body that is arriving; it is removed from the queue when dropped.
+/// A body that is arriving; it leaves the queue when dropped.
 #[derive(Debug)]
 pub(crate) struct BodyReader {
     budget: BodyBudget,
@@ -72,17 +72,23 @@
         readers.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Registers a body that begins to arrive.
+    /// Registers a body that begins to arrive and gives way to newer ones.
     pub(crate) fn enter(&self) -> BodyReader {
-        let state = Arc::new(ReaderState::default());
+        let reader = self.enter_lasting();
+        let state = reader.state.clone();
+        self.queue().readers.insert(reader.number, state);
+        reader
+    }
+
+    /// Creates the reader of a body that does not give way.
+    pub(crate) fn enter_lasting(&self) -> BodyReader {
         let mut queue = self.queue();
         let number = queue.next;
         queue.next += 1;
-        queue.readers.insert(number, state.clone());
         BodyReader {
             budget: self.clone(),
             number,
-            state,
+            state: Arc::new(ReaderState::default()),
         }
     }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,13 +7,15 @@
 mod body;
 mod budget;
 mod connections;
+mod gate;
 mod limits;
 mod server;
 mod stream;
 
-pub use body::{BodyFault, BodyLimit, ReadBody, RequestBody};
+pub use body::{BodyFault, BodyLimit, RelayedBody, RequestBody};
 pub use budget::BodyBudget;
-pub use limits::{LimitHit, LimitReport, PortLimits, PortShare, ProcessLimits};
+pub use gate::{AdmittedHost, HostGate};
+pub use limits::{BodyUse, LimitHit, LimitReport, PortLimits, PortShare, ProcessLimits};
 pub use server::{
-    plain_answer, text_answer, HttpAnswer, HttpPort, HttpRequest, HttpServer, ServerStop,
+    listen, plain_answer, text_answer, HttpAnswer, HttpPort, HttpRequest, HttpServer, ServerStop,
 };
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -25,10 +25,7 @@
 use crate::body::RequestBody;
 use crate::budget::BodyBudget;
 use crate::connections::{ConnectionState, ConnectionTable};
-use crate::limits::{
-    LimitHit, LimitReport, PortLimits, ACCEPT_RETRY_PAUSE, MAX_HEAD_BYTES, RECEIVE_BUFFER_BYTES,
-    SEND_BUFFER_BYTES,
-};
+use crate::limits::{LimitHit, LimitReport, PortLimits, ACCEPT_RETRY_PAUSE, MAX_HEAD_BYTES};
 use crate::stream::WatchedStream;
 
 /// The name of the server in its answers.
@@ -55,6 +52,23 @@
     answer
 }
 
+/// Listens with bounded buffers. It has to be called within a runtime.
+///
+/// # Errors
+/// The address can't be bound.
+pub fn listen(address: SocketAddr, limits: &PortLimits) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Connections inherit the sizes of the buffers. A system that refuses them keeps its own.
+    let _ = socket.set_recv_buffer_size(limits.buffer_bytes);
+    let _ = socket.set_send_buffer_size(limits.buffer_bytes);
+    socket.bind(address)?;
+    socket.listen(limits.backlog)
+}
+
 /// A port to be served.
 #[derive(Clone, Debug)]
 pub struct HttpPort {
@@ -103,16 +117,7 @@
     /// # Errors
     /// The address can't be bound.
     pub fn bind(port: HttpPort) -> io::Result<Self> {
-        let socket = match port.address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.set_reuseaddr(true)?;
-        // Connections inherit the sizes of the buffers. A system that refuses them keeps its own.
-        let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
-        let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
-        socket.bind(port.address)?;
-        let listener = socket.listen(port.limits.backlog)?;
+        let listener = listen(port.address, &port.limits)?;
         Ok(Self {
             address: listener.local_addr()?,
             listener,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -20,4 +20,4 @@
 
 pub use client::{PeerClient, PeerFault};
 pub use news::HostNews;
-pub use server::{serve_peers, PeerHandler};
+pub use server::{serve_peers, PeerHandler, PeerPort};
--- a/crates/peer/tests/slow_links.rs
+++ b/crates/peer/tests/slow_links.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use sandshelf_cases::cases;
-use sandshelf_peer::{serve_peers, HostNews, PeerClient, PeerFault, PeerHandler};
+use sandshelf_http::{HostGate, PortShare, ProcessLimits};
+use sandshelf_peer::{serve_peers, HostNews, PeerClient, PeerFault, PeerHandler, PeerPort};
 use tokio::io::{copy, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, LocalSet};
@@ -51,7 +52,15 @@
 async fn start_host() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    spawn_local(serve_peers(listener, Rc::new(ConfiguredHost)));
+    let limits = ProcessLimits {
+        memory_bytes: 256 << 20,
+        max_descriptors: 4_096,
+    };
+    let gate = HostGate::new("peer", &limits.port(PortShare::Hosts), |_, _| {});
+    spawn_local(serve_peers(
+        PeerPort { listener, gate },
+        Rc::new(ConfiguredHost),
+    ));
     address
 }
 
--- a/crates/sandshelfd/src/backend.rs
+++ b/crates/sandshelfd/src/backend.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use reqwest::redirect::Policy;
 use reqwest::{Client, Method, StatusCode};
+use sandshelf_http::RelayedBody;
 use sandshelf_model::Millis;
 use sandshelf_route::AttemptEnd;
 
@@ -28,18 +30,18 @@
     /// The headers, without the hop-by-hop headers and without `host`.
     pub headers: HeaderMap,
     /// The whole body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 /// A backend server's whole answer.
 #[derive(Clone, Debug)]
 pub struct BackendAnswer {
     /// The HTTP status code.
-    pub status: u16,
+    pub status: StatusCode,
     /// The headers, without the hop-by-hop headers.
-    pub headers: Vec<(String, String)>,
+    pub headers: HeaderMap,
     /// The whole body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 /// The outcome of an attempt: the whole answer, or how the attempt ended without one.
@@ -76,14 +78,13 @@
 
 /// Sends `request` to `server` once; returns the outcome and the time that it took.
 ///
-/// An answer that is incomplete after `timeout`, cut off, or larger than `max_body` bytes counts as no answer: the request
-/// may have run.
+/// An answer that is incomplete after `timeout`, cut off, or too large for `body` counts as no answer: the request may have run.
 pub async fn attempt(
     client: &Client,
     server: SocketAddr,
     request: &CallerRequest,
     timeout: Duration,
-    max_body: u64,
+    body: RelayedBody,
 ) -> (AttemptResult, Millis) {
     let began = SteadyInstant::now();
     let url = format!("http://{server}{}", request.target);
@@ -95,7 +96,7 @@
         .send()
         .await;
     let result = match sent {
-        Ok(response) => read_answer(response, max_body).await,
+        Ok(response) => read_answer(response, body).await,
         Err(error) if error.is_connect() => Err(AttemptEnd::NotRun),
         Err(error) if error.is_builder() => Err(AttemptEnd::NotRun),
         Err(_) => Err(AttemptEnd::MayHaveRun),
@@ -103,27 +104,26 @@
     (result, began.elapsed().as_millis() as Millis)
 }
 
-async fn read_answer(mut response: reqwest::Response, max_body: u64) -> AttemptResult {
+async fn read_answer(mut response: reqwest::Response, mut body: RelayedBody) -> AttemptResult {
     if let Some(end) = refusal_of(response.status(), response.headers()) {
         return Err(end);
     }
-    let status = response.status().as_u16();
+    let status = response.status();
     let headers = end_to_end_headers(response.headers());
-    let mut body = Vec::new();
     loop {
-        match response.chunk().await {
-            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+        let chunk = match response.chunk().await {
+            Ok(Some(chunk)) => chunk,
             Ok(None) => break,
             Err(_) => return Err(AttemptEnd::MayHaveRun),
-        }
-        if body.len() as u64 > max_body {
+        };
+        if body.append(&chunk).await.is_err() {
             return Err(AttemptEnd::MayHaveRun);
         }
     }
     Ok(BackendAnswer {
         status,
         headers,
-        body,
+        body: body.into_bytes(),
     })
 }
 
@@ -139,21 +139,20 @@
     }
 }
 
-fn end_to_end_headers(headers: &HeaderMap) -> Vec<(String, String)> {
-    headers
+fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
+    let forwarded = headers
         .iter()
-        .filter(|(name, _)| is_end_to_end(name.as_str()))
-        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
-        .collect()
+        .filter(|(name, value)| is_end_to_end(name.as_str()) && value.to_str().is_ok());
+    let mut copied = HeaderMap::new();
+    for (name, value) in forwarded {
+        copied.append(name, value.clone());
+    }
+    copied
 }
 
-/// Adds a caller's header to the forwarded ones, unless it is hop-by-hop, `host`, or not valid.
-pub fn add_header(headers: &mut HeaderMap, name: &str, value: &str) {
-    let name = HeaderName::from_bytes(name.as_bytes());
-    let value = HeaderValue::from_str(value);
-    if let (Ok(name), Ok(value)) = (name, value) {
-        if is_end_to_end(name.as_str()) && name != reqwest::header::HOST {
-            headers.append(name, value);
-        }
+/// Adds a caller's header to the forwarded ones, unless it is hop-by-hop, `host`, or not text.
+pub fn add_header(headers: &mut HeaderMap, name: &HeaderName, value: &HeaderValue) {
+    if is_end_to_end(name.as_str()) && name != reqwest::header::HOST && value.to_str().is_ok() {
+        headers.append(name, value.clone());
     }
 }
--- a/crates/sandshelfd/src/control.rs
+++ b/crates/sandshelfd/src/control.rs
@@ -25,11 +25,10 @@
     ConfigView, HeadRow, MemberTable, ShardEvent, ShardOwner, ShardRoom, SliceTracker,
 };
 use sandshelf_model::{HostId, Millis, ServiceId, ShardId, WorkerId};
-use sandshelf_peer::{serve_peers, HostNews, PeerHandler};
+use sandshelf_peer::{serve_peers, HostNews, PeerHandler, PeerPort};
 use sandshelf_place::{LatencyWindow, SlowdownMeter};
 use sandshelf_platform::{EntryRow, HostList, PlatformClient, ShardMap};
 use sandshelf_route::{MembershipView, RouteEvent};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::task::{spawn_local, LocalSet};
@@ -72,8 +71,8 @@
     pub traffic: Arc<TrafficShared>,
     /// The state shared with the operator endpoint.
     pub operator: Arc<OperatorShared>,
-    /// The listener to which the other entry hosts connect.
-    pub peers: TcpListener,
+    /// The port to which the other entry hosts connect.
+    pub peers: PeerPort,
     /// Latency samples from the traffic threads.
     pub latencies: mpsc::Receiver<LatencySample>,
     /// Explain requests from the operator endpoint.
--- a/crates/sandshelfd/src/daemon.rs
+++ b/crates/sandshelfd/src/daemon.rs
@@ -1,8 +1,7 @@
 //! Starts the daemon's threads and endpoints, and shuts them down gracefully.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, RwLock};
 use std::thread;
@@ -10,25 +9,25 @@
 
 use error_stack::{Report, ResultExt};
 use rand::RngExt;
-use rocket::config::{Config, Ident, LogLevel, Shutdown as ShutdownConfig};
-use rocket::fairing::AdHoc;
-use rocket::shield::Shield;
-use rocket::{Build, Rocket, Shutdown};
 use sandshelf_config::DaemonSettings;
+use sandshelf_http::{
+    listen, BodyBudget, BodyUse, HostGate, HttpPort, HttpServer, LimitHit, PortShare,
+    ProcessLimits, ServerStop,
+};
 use sandshelf_model::HostId;
+use sandshelf_peer::PeerPort;
 use sandshelf_platform::{EntryRow, PlatformClient};
 use sandshelf_route::{RouteCore, RouteLimits};
-use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
 use crate::control::{run_control, ControlParts};
 use crate::logging::event;
-use crate::operator::{operator_routes, OperatorShared};
+use crate::operator::{answer_operator, OperatorShared};
 use crate::router::HostRouter;
 use crate::status::HostStatus;
-use crate::traffic::{CallerEndpoint, LatencySample, TrafficShared, TrafficView};
+use crate::traffic::{answer_caller, LatencySample, TrafficShared, TrafficView};
 use crate::{backend, clock, logging, meters};
 
 /// The timeout of a call to the platform.
@@ -39,9 +38,6 @@
 const QUESTION_CHANNEL_CAPACITY: usize = 64;
 /// The interval at which a graceful shutdown checks whether requests are still in flight.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// The maximum time for which connections may stay open after the last answer, in seconds; used for both of Rocket's
-/// shutdown phases.
-const CLOSE_GRACE_S: u32 = 5;
 
 /// The reason why the daemon can't start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,6 +144,7 @@
         platform: platform.clone(),
         latencies,
         max_body_bytes: settings.max_body_bytes,
+        bodies: BodyBudget::new(process_limits(settings).body_bytes(BodyUse::Traffic)),
         body_timeout_ms: settings.limits.body_timeout_ms,
         host: host.clone(),
         closing: AtomicBool::new(false),
@@ -157,8 +154,8 @@
 /// The endpoints that are listening.
 struct OpenEndpoints {
     entry: EntryRow,
-    peers: TcpListener,
-    caller_stop: Shutdown,
+    peers: PeerPort,
+    caller_stop: ServerStop,
 }
 
 /// Opens the caller, operator and peer endpoints and logs the address of each.
@@ -168,24 +165,38 @@
     traffic: &Arc<TrafficShared>,
     operator: &Arc<OperatorShared>,
 ) -> Result<OpenEndpoints, Report<DaemonFailure>> {
-    let caller_endpoint =
-        quiet_rocket(settings.caller_address).mount("/", CallerEndpoint::routes(traffic.clone()));
-    let (caller, caller_stop) = launch(caller_endpoint).await?;
-    let operator_endpoint = quiet_rocket(settings.operator_address)
-        .manage(operator.clone())
-        .mount("/", operator_routes());
-    let (operator, _) = launch(operator_endpoint).await?;
-    let peers = TcpListener::bind(settings.peer_address)
-        .await
+    let limits = process_limits(settings);
+    let open = |name, address, share| {
+        HttpServer::bind(HttpPort {
+            name,
+            address,
+            limits: limits.port(share),
+            bodies: traffic.bodies.clone(),
+            report: report_limit,
+        })
+        .change_context(DaemonFailure::Listen)
+    };
+    let callers = open("caller", settings.caller_address, PortShare::Callers)?;
+    let caller = callers.address();
+    let traffic = traffic.clone();
+    let caller_stop = callers.serve(move |request| answer_caller(traffic.clone(), request));
+    let operators = open("operator", settings.operator_address, PortShare::Support)?;
+    let operator_at = operators.address();
+    let shared = operator.clone();
+    operators.serve(move |request| answer_operator(shared.clone(), request));
+    let peer_limits = limits.port(PortShare::Hosts);
+    let listener =
+        listen(settings.peer_address, &peer_limits).change_context(DaemonFailure::Listen)?;
+    let peer = listener
+        .local_addr()
         .change_context(DaemonFailure::Listen)?;
-    let peer = peers.local_addr().change_context(DaemonFailure::Listen)?;
     event(
         "started",
         &[
             ("host", host),
             ("hall", &settings.hall),
             ("caller", &caller),
-            ("operator", &operator),
+            ("operator", &operator_at),
             ("peer", &peer),
         ],
     );
@@ -194,12 +205,15 @@
         name: settings.host.to_string(),
         hall: settings.hall.clone(),
         caller,
-        operator,
+        operator: operator_at,
         peer,
     };
     Ok(OpenEndpoints {
         entry,
-        peers,
+        peers: PeerPort {
+            listener,
+            gate: HostGate::new("peer", &peer_limits, report_limit),
+        },
         caller_stop,
     })
 }
@@ -213,52 +227,17 @@
     RouteCore::new(host.clone(), settings.hall.clone(), limits, seed)
 }
 
-pub(crate) fn quiet_rocket(address: SocketAddr) -> Rocket<Build> {
-    rocket::custom(Config {
-        address: address.ip(),
-        port: address.port(),
-        log_level: LogLevel::Off,
-        cli_colors: false,
-        ident: Ident::try_new("sandshelf").unwrap_or_default(),
-        shutdown: ShutdownConfig {
-            ctrlc: false,
-            signals: HashSet::new(),
-            grace: CLOSE_GRACE_S,
-            mercy: CLOSE_GRACE_S,
-            ..ShutdownConfig::default()
-        },
-        ..Config::default()
-    })
-    // Rocket's default shield would add headers to backend servers' answers.
-    .attach(Shield::new())
+fn process_limits(settings: &DaemonSettings) -> ProcessLimits {
+    ProcessLimits {
+        memory_bytes: settings.memory_mib << 20,
+        max_descriptors: settings.max_descriptors,
+    }
 }
 
-/// Launches an HTTP endpoint; returns the address on which it listens and its shutdown handle.
-pub(crate) async fn launch(
-    rocket: Rocket<Build>,
-) -> Result<(SocketAddr, Shutdown), Report<DaemonFailure>> {
-    let (sender, receiver) = oneshot::channel();
-    let sender = std::sync::Mutex::new(Some(sender));
-    let rocket = rocket.attach(AdHoc::on_liftoff("address", move |rocket| {
-        let config = rocket.config();
-        let address = SocketAddr::new(config.address, config.port);
-        if let Some(sender) = sender.lock().ok().and_then(|mut sender| sender.take()) {
-            let _ = sender.send((address, rocket.shutdown()));
-        }
-        Box::pin(async {})
-    }));
-    let server = tokio::spawn(async move {
-        if let Err(error) = rocket.launch().await {
-            event("face_failed", &[("error", &error)]);
-        }
-    });
-    match receiver.await {
-        Ok(launched) => Ok(launched),
-        Err(_) => {
-            let _ = server.await;
-            Err(Report::new(DaemonFailure::Listen))
-        }
-    }
+/// Logs and counts a limit of the server that took effect on a port.
+fn report_limit(port: &'static str, hit: LimitHit) {
+    meters::note_limit(port, hit);
+    event("limit_hit", &[("port", &port), ("limit", &hit.name())]);
 }
 
 /// Starts the control thread, which owns all control state.
@@ -280,7 +259,7 @@
     stop: mpsc::Sender<()>,
     control_stopping: mpsc::Receiver<()>,
     control_stopped: oneshot::Receiver<()>,
-    caller_stop: Shutdown,
+    caller_stop: ServerStop,
     drain: Duration,
 }
 
@@ -303,7 +282,7 @@
 }
 
 async fn finish_traffic(handles: &StopHandles) {
-    handles.caller_stop.clone().notify();
+    handles.caller_stop.begin();
     while handles.traffic.router.open_requests() > 0 {
         sleep(STOP_CHECK_INTERVAL).await;
     }
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -35,7 +35,7 @@
 use rand::RngExt;
 use sandshelf_adapter::StoreClient;
 use sandshelf_config::{parse_job_settings, JobSettings, OrderWay, SourceFile};
-use sandshelf_http::{BodyBudget, HttpPort, HttpServer, PortShare, ProcessLimits};
+use sandshelf_http::{BodyBudget, BodyUse, HttpPort, HttpServer, PortShare, ProcessLimits};
 use sandshelf_model::HostId;
 use tokio::runtime;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -123,7 +123,9 @@
     ready.serve(move |request| answer_ready_request(ready_shared.clone(), request));
     let metrics_at = open_metrics(&ports, settings.metrics_address);
     let metrics_at = metrics_at.map_or("none".to_owned(), |address| address.to_string());
-    let relays = settings.relay_address.map(RelayListener::open);
+    let relay_limits = ports.limits.port(PortShare::Hosts);
+    let relays = settings.relay_address;
+    let relays = relays.map(|address| RelayListener::open(address, relay_limits));
     let relays_at = relays.as_ref().map(RelayListener::address);
     let relays_text = relays_at.map_or("none".to_owned(), |address| address.to_string());
     event(
@@ -201,7 +203,7 @@
             max_descriptors: settings.max_descriptors,
         };
         Self {
-            bodies: BodyBudget::new(limits.body_bytes()),
+            bodies: BodyBudget::new(limits.body_bytes(BodyUse::Submissions)),
             limits,
         }
     }
--- a/crates/sandshelfd/src/jobs/relays.rs
+++ b/crates/sandshelfd/src/jobs/relays.rs
@@ -1,27 +1,42 @@
 //! The owner's connections to the hosts that relay its orders.
 
 use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
+use futures::SinkExt;
+use sandshelf_http::{listen, AdmittedHost, HostGate, LimitHit, PortLimits};
 use sandshelf_jobs::relay::{
     decode_handshake, decode_message, encode_message, RelayFault, RelayHandshake, RelayMessage,
     RelayNumber, LARGEST_MESSAGE_BYTES,
 };
 use sandshelf_model::HostId;
+use tokio::io::{AsyncReadExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
 
+use crate::jobs::endpoints::report_limit;
 use crate::logging::event;
 
 /// The timeout for the handshake of a connected host.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The largest handshake, in bytes.
+const MAX_HANDSHAKE_BYTES: usize = 1_024;
+/// The largest message that is read without a turn for large ones, in bytes.
+const USUAL_MESSAGE_BYTES: usize = 64 * 1_024;
+/// The timeout for a message that has begun: the largest takes 13 s over 10 Mbit/s.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long a host may take for the messages that are written to it at once.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// The pause after a connection could not be accepted or the address could not be bound.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -57,25 +72,24 @@
     address: SocketAddr,
     /// None while the address could not be bound.
     listener: Option<StdListener>,
+    limits: PortLimits,
 }
 
 impl RelayListener {
-    /// Binds an address. If that fails, it is tried again once connections are accepted.
-    pub fn open(address: SocketAddr) -> Self {
-        let bound = StdListener::bind(address).and_then(|listener| {
-            listener.set_nonblocking(true)?;
-            Ok((listener.local_addr()?, listener))
-        });
-        match bound {
+    /// Binds an address. If that fails, it is tried again once connections are accepted. It has to be called within a runtime.
+    pub fn open(address: SocketAddr, limits: PortLimits) -> Self {
+        match bind(address, &limits) {
             Ok((address, listener)) => Self {
                 address,
                 listener: Some(listener),
+                limits,
             },
             Err(error) => {
                 event("relays_failed", &[("address", &address), ("error", &error)]);
                 Self {
                     address,
                     listener: None,
+                    limits,
                 }
             }
         }
@@ -91,7 +105,7 @@
         loop {
             let listener = match self.listener.take() {
                 Some(listener) => TcpListener::from_std(listener),
-                None => TcpListener::bind(self.address).await,
+                None => listen(self.address, &self.limits),
             };
             match listener {
                 Ok(listener) => return listener,
@@ -105,16 +119,28 @@
     }
 }
 
+/// Binds an address for a runtime that is not the current one.
+fn bind(address: SocketAddr, limits: &PortLimits) -> io::Result<(SocketAddr, StdListener)> {
+    let listener = listen(address, limits)?.into_std()?;
+    Ok((listener.local_addr()?, listener))
+}
+
 /// Accepts connections as long as the process runs, and forwards their events. It has to run within a `LocalSet`.
 pub async fn serve_relays(relay_listener: RelayListener, events: UnboundedSender<RelayEvent>) {
     let address = relay_listener.address();
+    let gate = HostGate::new("relays", &relay_listener.limits, report_limit);
+    let large_turn = Rc::new(Semaphore::new(1));
     let listener = relay_listener.listen().await;
     let mut link = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let Some(admitted) = gate.admit().await else {
+                    continue;
+                };
                 link += 1;
-                spawn_local(serve_link(link, stream, events.clone()));
+                let turn = large_turn.clone();
+                spawn_local(serve_link(link, stream, admitted, turn, events.clone()));
             }
             Err(error) => {
                 event("relays_failed", &[("address", &address), ("error", &error)]);
@@ -124,13 +150,61 @@
     }
 }
 
-async fn serve_link(link: LinkNumber, stream: TcpStream, events: UnboundedSender<RelayEvent>) {
+/// The messages that a host sends.
+struct RelayFrames {
+    read: BufReader<OwnedReadHalf>,
+    /// Held while one message of more than [`USUAL_MESSAGE_BYTES`] arrives.
+    large_turn: Rc<Semaphore>,
+}
+
+impl RelayFrames {
+    /// Reads a whole message; none if the connection ends or the message is larger than allowed.
+    async fn next(&mut self, max_bytes: usize) -> Option<Vec<u8>> {
+        let length = self.read.read_u32().await.ok()?;
+        let length = usize::try_from(length).ok()?;
+        if length > max_bytes {
+            return None;
+        }
+        match timeout(MESSAGE_TIMEOUT, self.read_content(length)).await {
+            Ok(content) => content,
+            Err(_) => {
+                report_limit("relays", LimitHit::HeadTime);
+                None
+            }
+        }
+    }
+
+    async fn read_content(&mut self, length: usize) -> Option<Vec<u8>> {
+        let _turn = match length > USUAL_MESSAGE_BYTES {
+            true => self.large_turn.acquire().await.ok(),
+            false => None,
+        };
+        let mut content = vec![0; length];
+        self.read.read_exact(&mut content).await.ok()?;
+        Some(content)
+    }
+}
+
+/// Serves a connection until it ends or has to make room before its handshake has come.
+async fn serve_link(
+    link: LinkNumber,
+    stream: TcpStream,
+    admitted: AdmittedHost,
+    large_turn: Rc<Semaphore>,
+    events: UnboundedSender<RelayEvent>,
+) {
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
-    let mut frames = FramedRead::new(read, framing());
-    let handshake = match timeout(HANDSHAKE_TIMEOUT, frames.next()).await {
-        Ok(Some(Ok(frame))) => decode_handshake(&frame),
-        _ => Err(RelayFault::Unreadable),
+    let mut frames = RelayFrames {
+        read: BufReader::new(read),
+        large_turn,
+    };
+    let handshake = tokio::select! {
+        frame = timeout(HANDSHAKE_TIMEOUT, frames.next(MAX_HANDSHAKE_BYTES)) => match frame {
+            Ok(Some(frame)) if admitted.keep() => decode_handshake(&frame),
+            _ => Err(RelayFault::Unreadable),
+        },
+        () = admitted.replaced() => return,
     };
     let handshake = match handshake {
         Ok(handshake) => handshake,
@@ -156,10 +230,10 @@
 /// Forwards messages until the connection ends or a message can't be decoded.
 async fn read_messages(
     link: LinkNumber,
-    frames: &mut FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    frames: &mut RelayFrames,
     events: &UnboundedSender<RelayEvent>,
 ) {
-    while let Some(Ok(frame)) = frames.next().await {
+    while let Some(frame) = frames.next(LARGEST_MESSAGE_BYTES).await {
         match decode_message(&frame) {
             Ok(message) => {
                 let _ = events.send(RelayEvent::MessageReceived(link, message));
@@ -178,17 +252,22 @@
     while let Some(frame) = queued.recv().await {
         let mut next = Some(frame);
         while let Some(frame) = next {
-            if frames.feed(frame).await.is_err() {
+            if !is_taken(frames.feed(frame)).await {
                 return;
             }
             next = queued.try_recv().ok();
         }
-        if SinkExt::<Bytes>::flush(&mut frames).await.is_err() {
+        if !is_taken(SinkExt::<Bytes>::flush(&mut frames)).await {
             return;
         }
     }
 }
 
+/// Whether a write succeeds in time.
+async fn is_taken(write: impl Future<Output = io::Result<()>>) -> bool {
+    matches!(timeout(WRITE_TIMEOUT, write).await, Ok(Ok(())))
+}
+
 /// One relay's connection.
 #[derive(Debug)]
 struct RelayLink {
--- a/crates/sandshelfd/src/logging.rs
+++ b/crates/sandshelfd/src/logging.rs
@@ -33,7 +33,7 @@
 
 /// Starts logging to standard output, at the level in `RUST_LOG` or at info without it.
 pub fn start() -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
-    Logger::try_with_env_or_str("info, rocket=off, hyper=off, reqwest=off")?
+    Logger::try_with_env_or_str("info, hyper=off, reqwest=off")?
         .log_to_stdout()
         .format(write_line)
         .start()
--- a/crates/sandshelfd/src/meters.rs
+++ b/crates/sandshelfd/src/meters.rs
@@ -2,6 +2,7 @@
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use sandshelf_http::LimitHit;
 use sandshelf_model::{RunVerdict, ServiceId, TeamId};
 
 /// Counts finished requests, by class and verdict.
@@ -12,6 +13,8 @@
 const START_DELAY_SECONDS: &str = "sandshelf_start_delay_seconds";
 /// Counts calls to the platform, by kind and outcome.
 const PLATFORM_CALLS: &str = "sandshelf_platform_calls_total";
+/// Counts connections that were closed and requests that were refused by a limit of the server, by port and limit.
+const LIMITS: &str = "sandshelf_limits_hit_total";
 /// The upper bounds of the histogram buckets, in seconds.
 const HISTOGRAM_BUCKETS_S: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0,
@@ -46,6 +49,11 @@
     counter!(PLATFORM_CALLS, "kind" => kind, "outcome" => outcome).increment(1);
 }
 
+/// Counts a limit of the server that took effect on a port.
+pub fn note_limit(port: &'static str, hit: LimitHit) {
+    counter!(LIMITS, "port" => port, "limit" => hit.name()).increment(1);
+}
+
 /// Sets the gauges of the shards that this host owns and of the tasks that wait and are placed in them.
 pub fn show_shards(held: usize, waiting: usize, placed: usize) {
     gauge!("sandshelf_shards_held").set(held as f64);
--- a/crates/sandshelfd/src/operator.rs
+++ b/crates/sandshelfd/src/operator.rs
@@ -2,14 +2,18 @@
 
 use std::sync::{Arc, RwLock};
 
+use http::header::{HeaderValue, CONTENT_TYPE};
+use http::{Method, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
-use rocket::http::Status;
-use rocket::serde::json::Json;
-use rocket::{get, routes, Route, State};
+use sandshelf_http::{plain_answer, text_answer, HttpAnswer, HttpRequest};
+use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::status::{ExplainAnswer, HostStatus};
 
+/// The type of the body of an answer with JSON.
+const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
+
 /// An operator's explain request, answered by the control thread.
 pub struct ExplainQuestion {
     /// The task (`JOB/INDEX`), job or class of requests to explain.
@@ -46,49 +50,60 @@
     }
 }
 
-/// The routes of the operator endpoint.
-pub fn operator_routes() -> Vec<Route> {
-    routes![health, ready, metrics, status, explain]
-}
-
-/// Liveness check: answers 200 while the process runs.
-#[get("/health")]
-fn health() -> &'static str {
-    "alive\n"
-}
-
-/// Readiness check: answers 200 while callers may be routed to this host, else 503.
-#[get("/ready")]
-fn ready(shared: &State<Arc<OperatorShared>>) -> (Status, &'static str) {
-    if shared.status().ready {
-        (Status::Ok, "ready\n")
-    } else {
-        (Status::ServiceUnavailable, "not ready\n")
+/// Answers a request of an operator or of the load balancer.
+pub async fn answer_operator(shared: Arc<OperatorShared>, request: HttpRequest) -> HttpAnswer {
+    if !matches!(*request.method(), Method::GET | Method::HEAD) {
+        return no_such_page();
+    }
+    match request.uri().path() {
+        "/health" => text_answer(StatusCode::OK, "alive\n"),
+        "/ready" => match shared.status().ready {
+            true => text_answer(StatusCode::OK, "ready\n"),
+            false => text_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        },
+        "/metrics" => match &shared.metrics {
+            Some(metrics) => text_answer(StatusCode::OK, metrics.render()),
+            None => no_such_page(),
+        },
+        "/status" => json_answer(&*shared.status()),
+        "/explain" => explain(&shared, request.uri().query().unwrap_or_default()).await,
+        _ => no_such_page(),
     }
 }
 
-#[get("/metrics")]
-fn metrics(shared: &State<Arc<OperatorShared>>) -> Option<String> {
-    shared.metrics.as_ref().map(PrometheusHandle::render)
+fn no_such_page() -> HttpAnswer {
+    text_answer(StatusCode::NOT_FOUND, "no such page\n")
 }
 
-#[get("/status")]
-fn status(shared: &State<Arc<OperatorShared>>) -> Json<HostStatus> {
-    Json((*shared.status()).clone())
+fn json_answer(value: &impl Serialize) -> HttpAnswer {
+    let Ok(text) = serde_json::to_vec(value) else {
+        return text_answer(StatusCode::INTERNAL_SERVER_ERROR, "can't be shown\n");
+    };
+    let mut answer = plain_answer(StatusCode::OK, text);
+    answer.headers_mut().insert(CONTENT_TYPE, JSON_TYPE);
+    answer
 }
 
-#[get("/explain?<subject>")]
-async fn explain(
-    shared: &State<Arc<OperatorShared>>,
-    subject: &str,
-) -> Result<Json<ExplainAnswer>, Status> {
+/// Has the control thread explain the subject named in a query.
+async fn explain(shared: &OperatorShared, query: &str) -> HttpAnswer {
+    let mut pairs = form_urlencoded::parse(query.as_bytes());
+    let Some((_, subject)) = pairs.find(|(name, _)| name == "subject") else {
+        return text_answer(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the query names no subject\n",
+        );
+    };
     let (reply, answer) = oneshot::channel();
     let question = ExplainQuestion {
-        subject: subject.to_owned(),
+        subject: subject.into_owned(),
         reply,
     };
-    let sent = shared.questions.send(question).await;
-    sent.map_err(|_| Status::ServiceUnavailable)?;
-    let answer = answer.await.map_err(|_| Status::ServiceUnavailable)?;
-    Ok(Json(answer))
+    let unavailable = || text_answer(StatusCode::SERVICE_UNAVAILABLE, "no answer\n");
+    if shared.questions.send(question).await.is_err() {
+        return unavailable();
+    }
+    match answer.await {
+        Ok(answer) => json_answer(&answer),
+        Err(_) => unavailable(),
+    }
 }
--- a/crates/sandshelfd/src/traffic.rs
+++ b/crates/sandshelfd/src/traffic.rs
@@ -6,13 +6,14 @@
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
-use reqwest::header::HeaderMap;
-use rocket::data::{Data, ToByteUnit};
-use rocket::http::{Header, Method, Status};
-use rocket::response::Response;
-use rocket::route::{Handler, Outcome, Route};
-use rocket::Request;
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, RETRY_AFTER};
+use http::{Method, StatusCode};
 use sandshelf_config::{ConfigSet, ServiceSpec};
+use sandshelf_http::{
+    plain_answer, text_answer, BodyBudget, BodyFault, BodyLimit, HttpAnswer, HttpRequest,
+    RelayedBody, RequestBody,
+};
 use sandshelf_model::{Millis, RunVerdict, ServerId, WorkerId};
 use sandshelf_platform::PlatformClient;
 use sandshelf_route::{AttemptEnd, RequestInfo, RouteAction, RouteEvent};
@@ -25,9 +26,9 @@
 use crate::router::HostRouter;
 
 /// The response header that says whether the request ran; set on every answer.
-const VERDICT_HEADER: &str = "sandshelf-verdict";
+const VERDICT_HEADER: HeaderName = HeaderName::from_static("sandshelf-verdict");
 /// The response header with the time until a retry in milliseconds; Retry-After, also set, has only whole seconds.
-const RETRY_HEADER: &str = "sandshelf-retry-after-ms";
+const RETRY_HEADER: HeaderName = HeaderName::from_static("sandshelf-retry-after-ms");
 /// The request header with the caller's own time limit in milliseconds.
 const DEADLINE_HEADER: &str = "sandshelf-deadline-ms";
 /// The request header with the caller's key for a request that must not be repeated.
@@ -74,6 +75,8 @@
     pub latencies: Sender<LatencySample>,
     /// The maximum size of a request's or an answer's body, in bytes.
     pub max_body_bytes: u64,
+    /// The memory for the bodies of requests and answers.
+    pub bodies: BodyBudget,
     /// How long a caller may take to send a request's body.
     pub body_timeout_ms: Millis,
     /// The name of this incarnation of the daemon.
@@ -103,7 +106,7 @@
 enum FinalAnswer {
     Ran(BackendAnswer),
     GivenUp {
-        status: Status,
+        status: StatusCode,
         verdict: RunVerdict,
         retry_after: Option<Millis>,
         reason: &'static str,
@@ -111,7 +114,7 @@
 }
 
 impl FinalAnswer {
-    fn not_run(status: Status, retry_after: Millis, reason: &'static str) -> Self {
+    fn not_run(status: StatusCode, retry_after: Millis, reason: &'static str) -> Self {
         FinalAnswer::GivenUp {
             status,
             verdict: RunVerdict::NotRun,
@@ -128,70 +131,57 @@
     }
 }
 
-/// The handler of callers' requests, of any method and path.
-#[derive(Clone)]
-pub struct CallerEndpoint {
-    shared: Arc<TrafficShared>,
-}
-
-impl CallerEndpoint {
-    /// Builds the routes of the caller endpoint.
-    pub fn routes(shared: Arc<TrafficShared>) -> Vec<Route> {
-        let endpoint = CallerEndpoint { shared };
-        let methods = [
-            Method::Get,
-            Method::Head,
-            Method::Post,
-            Method::Put,
-            Method::Delete,
-            Method::Patch,
-            Method::Options,
-        ];
-        methods
-            .into_iter()
-            .map(|method| Route::new(method, "/<path..>", endpoint.clone()))
-            .collect()
-    }
-}
-
-#[rocket::async_trait]
-impl Handler for CallerEndpoint {
-    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
-        let answer = handle_request(&self.shared, request, data).await;
-        let closing = self.shared.closing.load(Ordering::Relaxed);
-        Outcome::Success(to_response(answer, closing))
+/// Answers a request of a caller, of any usual method and path.
+pub async fn answer_caller(shared: Arc<TrafficShared>, request: HttpRequest) -> HttpAnswer {
+    match *request.method() {
+        Method::GET
+        | Method::HEAD
+        | Method::POST
+        | Method::PUT
+        | Method::DELETE
+        | Method::PATCH
+        | Method::OPTIONS => {}
+        Method::TRACE | Method::CONNECT => {
+            return text_answer(StatusCode::NOT_FOUND, "no such call\n");
+        }
+        _ => return text_answer(StatusCode::BAD_REQUEST, "no such method\n"),
     }
+    let answer = handle_request(&shared, request).await;
+    to_response(answer, shared.closing.load(Ordering::Relaxed))
 }
 
 /// Validates a request, reads its body and serves it.
-async fn handle_request(
-    shared: &Arc<TrafficShared>,
-    request: &Request<'_>,
-    data: Data<'_>,
-) -> FinalAnswer {
+async fn handle_request(shared: &Arc<TrafficShared>, request: HttpRequest) -> FinalAnswer {
+    let (head, body) = request.into_parts();
     let view = shared.view();
     let Some(set) = &view.set else {
         let reason = "no configuration is in force here yet";
-        return FinalAnswer::not_run(Status::ServiceUnavailable, RETRY_SOON_MS, reason);
+        return FinalAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_SOON_MS, reason);
     };
-    let name = request.routed_segments(0..).next().unwrap_or_default();
+    let mut segments = head.uri.path().split('/');
+    let name = segments.find(|segment| !segment.is_empty());
+    let name = name.unwrap_or_default();
     let Some(service) = set.service(name).cloned() else {
         let reason = "no service of that name is declared";
-        return FinalAnswer::not_run(Status::NotFound, RETRY_LATER_MS, reason);
+        return FinalAnswer::not_run(StatusCode::NOT_FOUND, RETRY_LATER_MS, reason);
     };
-    let body = match read_body(shared, data).await {
+    let body = match read_body(shared, body).await {
         Ok(body) => body,
         Err(answer) => return answer,
     };
-    let (deadline, key) = match read_request_options(request, &service) {
+    let (deadline, key) = match read_request_options(&head.headers, &service) {
         Ok(options) => options,
-        Err(reason) => return FinalAnswer::not_run(Status::BadRequest, RETRY_LATER_MS, reason),
+        Err(reason) => {
+            return FinalAnswer::not_run(StatusCode::BAD_REQUEST, RETRY_LATER_MS, reason)
+        }
     };
     let caller_request = CallerRequest {
-        method: reqwest::Method::from_bytes(request.method().as_str().as_bytes())
-            .unwrap_or(reqwest::Method::GET),
-        target: request.uri().to_string(),
-        headers: caller_headers(request),
+        method: head.method,
+        target: head
+            .uri
+            .path_and_query()
+            .map_or_else(|| "/".to_owned(), ToString::to_string),
+        headers: caller_headers(&head.headers),
         body,
     };
     // The request is served in a task of its own, so that it keeps its slot to the end even if the caller disconnects.
@@ -200,7 +190,7 @@
     match served.await {
         Ok(answer) => answer,
         Err(_) => FinalAnswer::GivenUp {
-            status: Status::InternalServerError,
+            status: StatusCode::INTERNAL_SERVER_ERROR,
             verdict: RunVerdict::MayHaveRun,
             retry_after: None,
             reason: "the daemon failed",
@@ -208,44 +198,50 @@
     }
 }
 
-async fn read_body(shared: &TrafficShared, data: Data<'_>) -> Result<Vec<u8>, FinalAnswer> {
-    let timeout = Duration::from_millis(shared.body_timeout_ms);
-    let limit = shared.max_body_bytes.bytes();
-    let read = tokio::time::timeout(timeout, data.open(limit).into_bytes()).await;
-    match read {
-        Ok(Ok(body)) if body.is_complete() => Ok(body.into_inner()),
-        Ok(Ok(_)) => Err(FinalAnswer::not_run(
-            Status::PayloadTooLarge,
+async fn read_body(shared: &TrafficShared, body: RequestBody) -> Result<Bytes, FinalAnswer> {
+    let limit = BodyLimit {
+        max_bytes: shared.max_body_bytes,
+        time: Duration::from_millis(shared.body_timeout_ms),
+    };
+    let read = body.read(limit).await;
+    read.map_err(|fault| match fault {
+        BodyFault::TooLarge => FinalAnswer::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
             RETRY_LATER_MS,
             "the body is larger than max_body_bytes",
-        )),
-        Ok(Err(_)) => Err(FinalAnswer::not_run(
-            Status::BadRequest,
+        ),
+        BodyFault::Broken => FinalAnswer::not_run(
+            StatusCode::BAD_REQUEST,
             RETRY_SOON_MS,
             "the body did not come whole",
-        )),
-        Err(_) => Err(FinalAnswer::not_run(
-            Status::RequestTimeout,
+        ),
+        BodyFault::Late => FinalAnswer::not_run(
+            StatusCode::REQUEST_TIMEOUT,
             RETRY_SOON_MS,
             "the body did not come in time",
-        )),
-    }
+        ),
+        BodyFault::NoMemory => FinalAnswer::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            RETRY_SOON_MS,
+            "too many bodies are arriving; the request was not run",
+        ),
+    })
 }
 
 /// Reads the request's deadline, as a time of [`clock::now`], and its key.
 ///
 /// The caller may shorten the service's time limit, not extend it.
 fn read_request_options(
-    request: &Request<'_>,
+    headers: &HeaderMap,
     service: &ServiceSpec,
 ) -> Result<(Millis, Option<String>), &'static str> {
-    let requested_ms = match request.headers().get_one(DEADLINE_HEADER) {
+    let requested_ms = match header_text(headers, DEADLINE_HEADER) {
         Some(text) => text
             .parse::<Millis>()
             .map_err(|_| "sandshelf-deadline-ms is not a whole number")?,
         None => service.deadline_ms,
     };
-    let key = request.headers().get_one(KEY_HEADER).map(str::to_owned);
+    let key = header_text(headers, KEY_HEADER).map(str::to_owned);
     let is_valid = |key: &String| {
         !key.is_empty()
             && key.len() <= MAX_KEY_BYTES
@@ -259,12 +255,18 @@
     Ok((clock::now() + requested_ms.min(service.deadline_ms), key))
 }
 
-fn caller_headers(request: &Request<'_>) -> HeaderMap {
-    let mut headers = HeaderMap::new();
-    for header in request.headers().iter() {
-        backend::add_header(&mut headers, header.name().as_str(), header.value());
+/// A header's text; none if it is missing or not text.
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let value = headers.get(name)?;
+    std::str::from_utf8(value.as_bytes()).ok()
+}
+
+fn caller_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = HeaderMap::new();
+    for (name, value) in headers {
+        backend::add_header(&mut forwarded, name, value);
     }
-    headers
+    forwarded
 }
 
 /// Serves a request until its final answer; a key claimed for it is released where the request certainly did not run.
@@ -313,13 +315,13 @@
     match claim_key(&shared.platform, &service.name, &key, token, deadline).await {
         ClaimOutcome::Claimed(claim) => Ok(Some(claim)),
         ClaimOutcome::Taken => Err(FinalAnswer::GivenUp {
-            status: Status::Conflict,
+            status: StatusCode::CONFLICT,
             verdict: RunVerdict::MayHaveRun,
             retry_after: None,
             reason: "a request with this key was taken in before; it may have run",
         }),
         ClaimOutcome::StoreUnavailable => Err(FinalAnswer::not_run(
-            Status::ServiceUnavailable,
+            StatusCode::SERVICE_UNAVAILABLE,
             RETRY_SOON_MS,
             "the key can't be recorded while the platform's store does not answer",
         )),
@@ -365,11 +367,11 @@
 fn given_up(verdict: RunVerdict, retry_after: Option<Millis>) -> FinalAnswer {
     let (status, reason) = match verdict {
         RunVerdict::NotRun => (
-            Status::ServiceUnavailable,
+            StatusCode::SERVICE_UNAVAILABLE,
             "no backend server had a slot in time; the request was not run",
         ),
         RunVerdict::Ran | RunVerdict::MayHaveRun => (
-            Status::GatewayTimeout,
+            StatusCode::GATEWAY_TIMEOUT,
             "no whole answer came; the request may have run",
         ),
     };
@@ -393,8 +395,8 @@
         return (None, AttemptEnd::NotRun);
     };
     let timeout = clock::until(deadline);
-    let max_body = shared.max_body_bytes;
-    let attempt = backend::attempt(&shared.client, *address, request, timeout, max_body);
+    let body = RelayedBody::new(&shared.bodies, shared.max_body_bytes);
+    let attempt = backend::attempt(&shared.client, *address, request, timeout, body);
     let (result, latency_ms) = attempt.await;
     match result {
         Ok(answer) => {
@@ -409,16 +411,13 @@
     }
 }
 
-fn to_response<'r>(answer: FinalAnswer, closing: bool) -> Response<'r> {
-    let mut response = Response::new();
+fn to_response(answer: FinalAnswer, closing: bool) -> HttpAnswer {
     let verdict = answer.verdict();
-    match answer {
+    let mut response = match answer {
         FinalAnswer::Ran(answer) => {
-            response.set_status(Status::new(answer.status));
-            for (name, value) in answer.headers {
-                response.adjoin_header(Header::new(name, value));
-            }
-            response.set_sized_body(answer.body.len(), std::io::Cursor::new(answer.body));
+            let mut response = plain_answer(answer.status, answer.body);
+            *response.headers_mut() = answer.headers;
+            response
         }
         FinalAnswer::GivenUp {
             status,
@@ -426,19 +425,20 @@
             reason,
             ..
         } => {
-            response.set_status(status);
+            let mut response = plain_answer(status, format!("{reason}\n"));
             if let Some(wait) = retry_after {
                 let seconds = wait.div_ceil(1_000).max(1);
-                response.set_header(Header::new("retry-after", seconds.to_string()));
-                response.set_header(Header::new(RETRY_HEADER, wait.to_string()));
+                let headers = response.headers_mut();
+                headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+                headers.insert(RETRY_HEADER, HeaderValue::from(wait));
             }
-            let text = format!("{reason}\n");
-            response.set_sized_body(text.len(), std::io::Cursor::new(text));
+            response
         }
-    }
-    response.set_header(Header::new(VERDICT_HEADER, verdict.label()));
+    };
+    let headers = response.headers_mut();
+    headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict.label()));
     if closing {
-        response.set_header(Header::new("connection", "close"));
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
