--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -16,6 +16,8 @@
 
 use serde_json::Value;
 
+use crate::crowd::ProcessBounds;
+
 /// The longest wait for a condition before the test fails; far above what any condition takes.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
 /// The most log lines of a process, the last ones, that are printed when a test fails.
@@ -334,13 +336,40 @@
     pub fn add_host(&mut self, name: &str, hall: &str, limits: &str) {
         let path = self.directory.join(format!("{name}.jsonc"));
         let comma = if limits.is_empty() { "" } else { "," };
-        let settings = format!(
+        let settings = self.host_settings(name, hall, &format!("{comma}\n  {limits}\n"));
+        fs::write(&path, settings).expect("settings can be written");
+        self.start_host(name, &path);
+    }
+
+    /// Starts a daemon like [`LocalSystem::add_host`], on a machine with these bounds.
+    ///
+    /// # Panics
+    /// The daemon does not start.
+    pub fn add_bounded_host(
+        &mut self,
+        name: &str,
+        hall: &str,
+        limits: &str,
+        bounds: ProcessBounds,
+    ) {
+        let path = self.directory.join(format!("{name}.jsonc"));
+        write_limited_settings(&path, "--settings", &bounds.fields(), |fields| {
+            self.host_settings(name, hall, &format!(",\n  {limits}{fields}\n"))
+        });
+        self.start_host(name, &path);
+    }
+
+    /// The settings of an entry host; `further` follows the last field.
+    fn host_settings(&self, name: &str, hall: &str, further: &str) -> String {
+        format!(
             "{{ // written by the harness\n  \"host\": \"{name}\", \"hall\": \"{hall}\",\n  \
              \"caller_address\": \"127.0.0.1:0\", \"operator_address\": \"127.0.0.1:0\",\n  \
-             \"peer_address\": \"127.0.0.1:0\", \"platform_address\": \"{}\"{comma}\n  {limits}\n}}\n",
+             \"peer_address\": \"127.0.0.1:0\", \"platform_address\": \"{}\"{further}}}\n",
             self.platform_address
-        );
-        fs::write(&path, settings).expect("settings can be written");
+        )
+    }
+
+    fn start_host(&mut self, name: &str, path: &Path) {
         let path = path.display().to_string();
         let process = LocalProcess::start("sandshelfd", &["--settings", &path]);
         let line = process.wait_for("event=started");
