Jobs with sizes and times out of range are rejected

A job or a queue with an estimate, a target or a size near 2^64 was accepted. The owner's sums over steps and its due times then overflowed: a debug build panicked when the job was listed (job.rs, due.rs), and a release build computes with wrapped times. The job stays in the table, so each next owner would read it as well.

Cause: JobSpec::check looked at counts and at the order of steps only.

JobSpec::check now also bounds sizes, estimates, targets and repetitions: the caller gets an answer that the job can't be taken.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -98,7 +98,10 @@
 pub use roster::{RosterChange, RosterHead, RosterPage, WorkerRoster};
 pub use scheduler::JobScheduler;
 pub use silent::{SilenceChange, SilentWorkers};
-pub use spec::{JobSpec, QueueRules, RepeatRule, SpecFault, StepSpec, MAX_PAYLOAD_BYTES};
+pub use spec::{
+    JobSpec, QueueRules, RepeatRule, SpecFault, StepSpec, MAX_DURATION_MS, MAX_PAYLOAD_BYTES,
+    MAX_STRETCH,
+};
 pub use stage::JobStage;
 pub use store_clock::ClockBound;
 pub use summary::JobSummaries;
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -13,6 +13,15 @@
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 /// The maximum number of repetitions of a job.
 pub const MAX_REPETITIONS: u32 = 100_000;
+/// The largest size of a task, far beyond the largest machines. With the limits on counts, sums over all tasks stay far below 2^64.
+const MAX_TASK_SIZE: ResourceSize = ResourceSize::new(1 << 30, 1 << 30, 1 << 30);
+/// The longest estimate, target or interval of a job, in milliseconds: a year.
+pub const MAX_DURATION_MS: Millis = 365 * 24 * 3_600 * 1_000;
+/// The latest time at which the first repetition of a job may be due, in milliseconds since 1970: the largest integer that every writer
+/// of JSON represents exactly.
+const MAX_FIRST_DUE_MS: u64 = (1 << 53) - 1;
+/// The largest multiple of its estimated time that a job may take.
+pub const MAX_STRETCH: f64 = 1_000.0;
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
@@ -159,6 +168,20 @@
     PayloadSize(usize),
     /// There are too many repetitions.
     Repetitions(u32),
+    /// The repetitions are too far in the future or too far apart.
+    RepeatTimes,
+    /// The tasks of a step are too large.
+    TaskSize {
+        /// The index of the step.
+        step: usize,
+    },
+    /// The estimated time or the latency target of a step is too long.
+    StepTimes {
+        /// The index of the step.
+        step: usize,
+    },
+    /// The times in the rules of the queue are out of range.
+    QueueTimes,
 }
 
 impl fmt::Display for SpecFault {
@@ -188,6 +211,17 @@
             SpecFault::Repetitions(count) => {
                 write!(formatter, "{count} repetitions; {MAX_REPETITIONS} at most")
             }
+            SpecFault::RepeatTimes => {
+                formatter.write_str("repetitions too far in the future or too far apart")
+            }
+            SpecFault::TaskSize { step } => {
+                write!(formatter, "the tasks of step {step} are too large")
+            }
+            SpecFault::StepTimes { step } => write!(
+                formatter,
+                "step {step} has an estimate or a target of more than {MAX_DURATION_MS} ms"
+            ),
+            SpecFault::QueueTimes => formatter.write_str("the queue's times are out of range"),
         }
     }
 }
@@ -195,7 +229,7 @@
 impl std::error::Error for SpecFault {}
 
 impl JobSpec {
-    /// Checks the sizes and the order of the steps.
+    /// Checks the order of the steps, and that all numbers are in ranges whose sums the scheduler can hold.
     ///
     /// # Errors
     /// Returns the first fault found.
@@ -207,20 +241,51 @@
             return Err(SpecFault::PayloadSize(self.payload.len()));
         }
         if let Some(repeat) = &self.repeat {
-            if repeat.count > MAX_REPETITIONS {
-                return Err(SpecFault::Repetitions(repeat.count));
-            }
+            repeat.check()?;
         }
-        for (step, spec) in self.steps.iter().enumerate() {
-            if spec.count == 0 || spec.count > MAX_TASKS {
-                let count = spec.count;
-                return Err(SpecFault::TaskCount { step, count });
-            }
-            if let Some(after) = spec.after.iter().find(|after| **after >= step) {
-                let after = *after;
-                return Err(SpecFault::StepOrder { step, after });
-            }
+        if !self.rules.are_in_range() {
+            return Err(SpecFault::QueueTimes);
+        }
+        let mut steps = self.steps.iter().enumerate();
+        steps.try_for_each(|(step, spec)| spec.check(step))
+    }
+}
+
+impl RepeatRule {
+    fn check(&self) -> Result<(), SpecFault> {
+        if self.count > MAX_REPETITIONS {
+            return Err(SpecFault::Repetitions(self.count));
+        }
+        match self.first_due_ms <= MAX_FIRST_DUE_MS && self.interval_ms <= MAX_DURATION_MS {
+            true => Ok(()),
+            false => Err(SpecFault::RepeatTimes),
+        }
+    }
+}
+
+impl QueueRules {
+    fn are_in_range(&self) -> bool {
+        (0.0..=MAX_STRETCH).contains(&self.stretch) && self.target_latency_ms <= MAX_DURATION_MS
+    }
+}
+
+impl StepSpec {
+    /// Checks the step with this index.
+    fn check(&self, step: usize) -> Result<(), SpecFault> {
+        let count = self.count;
+        if count == 0 || count > MAX_TASKS {
+            return Err(SpecFault::TaskCount { step, count });
+        }
+        if let Some(after) = self.after.iter().find(|after| **after >= step) {
+            let after = *after;
+            return Err(SpecFault::StepOrder { step, after });
+        }
+        if !self.size.fits_in(&MAX_TASK_SIZE) {
+            return Err(SpecFault::TaskSize { step });
+        }
+        match self.estimate_ms.max(self.target_ms) <= MAX_DURATION_MS {
+            true => Ok(()),
+            false => Err(SpecFault::StepTimes { step }),
         }
-        Ok(())
     }
 }
