Jobs of other writers are checked when they are read

A row in the table of jobs whose step waits for a step that isn't there ended the control thread of the host that read it: "index out of bounds" in job.rs, in release builds as well. The row stays in the table, so that each next owner reads it at its takeover. A row with 2^32 - 1 tasks takes all memory.

Cause: only the host that accepts a job checked it; the owner took each row that decodes.

The owner now runs JobSpec::check on each row and passes over those that fail, as over rows that don't decode.

--- a/crates/sandshelfd/src/jobs/takeover.rs
+++ b/crates/sandshelfd/src/jobs/takeover.rs
@@ -209,6 +209,14 @@
         return Some(JobEvent::CancelAsked(number));
     }
     let spec = decode_row::<JobSpec>(row, "job")?;
+    // Hosts check jobs before they write them; another writer may not.
+    if let Err(fault) = spec.check() {
+        event(
+            "row_unreadable",
+            &[("kind", &"job"), ("key", &row.key), ("error", &fault)],
+        );
+        return None;
+    }
     Some(JobEvent::JobListed {
         number,
         version: row.version,
