Progress of the last possible repetition doesn't overflow

A stored progress that names repetition 2^32 - 1 made a new owner panic in a debug build ("attempt to add with overflow" in job.rs); in a release build the next repetition became 0.

Cause: the number of the next repetition was computed without regard to the end of its type.

The test progress_of_last_possible_repetition failed before. The sum now saturates; no job has that many repetitions, so that nothing is opened after it.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -173,7 +173,7 @@
         for task in &row.tasks {
             let fresh = || RepetitionState::new(&self.spec);
             let time = self.repetitions.entry(task.time).or_insert_with(fresh);
-            self.next_repetition = self.next_repetition.max(task.time + 1);
+            self.next_repetition = self.next_repetition.max(task.time.saturating_add(1));
             let step = time.steps.get_mut(task.step as usize);
             let Some(step) = step else { continue };
             let Some(state) = step.tasks.get_mut(task.index as usize) else {
