Ignore a listed entry that moves a live incarnation to another address

An incarnation keeps address and service: an entry that contradicts them is not applied, and the worker gets no new tasks until its own entry is back.

--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -286,6 +286,15 @@
         self.failed_renewals >= SUSPECT_AFTER_FAILED_RENEWALS || !self.incarnation.fenced && late
     }
 
+    /// Whether an entry gives the incarnation that has answered another service or address than the
+    /// one by which it was reached. An incarnation keeps both.
+    pub(crate) fn contradicts(&self, entry: &WorkerListing) -> bool {
+        let named = self.entry.incarnation;
+        let same = named.is_some() && named == self.incarnation.id && named == entry.incarnation;
+        let moved = entry.address != self.entry.address || entry.service != self.entry.service;
+        same && moved
+    }
+
     /// Whether its list entry is of another incarnation than the current one. That incarnation may
     /// have another kind or capacity, or may be about to leave.
     pub(crate) fn entry_incarnation_differs(&self) -> bool {
--- a/crates/jobs/src/worker_list.rs
+++ b/crates/jobs/src/worker_list.rs
@@ -155,6 +155,11 @@
             .entry(id.clone())
             .or_insert_with(|| WorkerState::new(entry.clone(), now, silence_record));
         state.listed = true;
+        if known && state.contradicts(&entry) {
+            // Another program wrote the entry. The worker gets no new tasks until its own entry is back.
+            state.missing = true;
+            return;
+        }
         state.missing = false;
         state.evacuated = self.evacuated.contains(&entry.hall);
         let leaves_now = draining && !state.entry.draining;
