--- a/crates/jobs/tests/support/restart_plans.rs
+++ b/crates/jobs/tests/support/restart_plans.rs
@@ -8,6 +8,7 @@
 pub fn restarts_in_series(max_lease_ms: Millis) -> FaultPlan {
     FaultPlan {
         workers: 10,
+        same_name: 1_000,
         restart_series: 400,
         restarted_in_series: 600,
         cut_restarted: 700,
