--- a/crates/sandshelfd/src/cli.rs
+++ b/crates/sandshelfd/src/cli.rs
@@ -54,7 +54,7 @@
     Help,
     Version,
     Check(String),
-    Run(DaemonSettings),
+    Run(Box<DaemonSettings>),
     RunJobs(PathBuf, Box<JobSettings>),
 }
 
@@ -64,7 +64,7 @@
         CliOptions::Help => println!("{HELP}"),
         CliOptions::Version => println!("sandshelfd {}", env!("CARGO_PKG_VERSION")),
         CliOptions::Check(host) => println!("settings of {host} are sound"),
-        CliOptions::Run(settings) => daemon::run(settings).map_err(failed)?,
+        CliOptions::Run(settings) => daemon::run(*settings).map_err(failed)?,
         CliOptions::RunJobs(path, settings) => jobs::run(path, *settings).map_err(failed)?,
     }
     Ok(())
@@ -109,7 +109,7 @@
             let settings = read_settings(&path)?;
             match check {
                 true => CliOptions::Check(settings.host.to_string()),
-                false => CliOptions::Run(settings),
+                false => CliOptions::Run(Box::new(settings)),
             }
         }
         SettingsPath::Jobs(path) => {
--- a/crates/sandshelfd/tests/settings.rs
+++ b/crates/sandshelfd/tests/settings.rs
@@ -43,4 +43,7 @@
     tick_too_long_for_the_lease_is_reported => check(
         "tick", &format!("{{ \"host\": \"e\", \"hall\": \"h\", {ADDRESSES}, \"shard_lease_ms\": 600, \"tick_ms\": 400 }}"),
         2, &["tick_ms 400", "raise shard_lease_ms"]);
+    limits_of_the_process_out_of_range_are_reported => check(
+        "limits", &format!("{{ \"host\": \"e\", \"hall\": \"h\", {ADDRESSES}, \"memory_mb\": 8, \"max_descriptors\": 64 }}"),
+        2, &["8 does not fit 'memory_mb'", "64 does not fit 'max_descriptors'"]);
 }
