Lease bound: a start that a stop has settled may lease the worker's next incarnation

A start without an answer that was stopped and is not listed is over for the incarnation that answered, and was forgotten. A later incarnation doesn't know of the stop and may carry the order out up to 3 s after it was sent, which leases it up to its own limit. Such starts now count among the orders that may be carried out late. Found by review; shown by reading, no run fails for it: restarted_leases settled_start passes before as well.

--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -135,6 +135,10 @@
         if let Some(record) = self.record_mut(worker, &key) {
             if record.phase == RunPhase::Ordered {
                 record.phase = RunPhase::Unsettled;
+                let until = record.ordered_at + MAX_ORDER_AGE_MS;
+                if let Some(state) = self.workers.get_mut(worker) {
+                    state.note_unanswered_until(until);
+                }
                 self.stop_run(now, worker, key, cause);
             }
         }
--- a/crates/jobs/src/hedge.rs
+++ b/crates/jobs/src/hedge.rs
@@ -160,7 +160,13 @@
 
     /// Records that a renewal that extends the lease has got no answer.
     pub(crate) fn note_late_renewal(&mut self, now: Millis) {
-        self.incarnation.late_renewals_until = now + MAX_ORDER_AGE_MS;
+        self.note_unanswered_until(now + MAX_ORDER_AGE_MS);
+    }
+
+    /// Records until when an order that extends the lease and got no answer may still be carried out.
+    pub(crate) fn note_unanswered_until(&mut self, until: Millis) {
+        let known = self.incarnation.unanswered_until;
+        self.incarnation.unanswered_until = known.max(until);
     }
 
     /// Whether the renewal in flight is overdue and a short task may have ended meanwhile.
--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -66,9 +66,9 @@
     pub(crate) successor_until: Millis,
     /// The latest deadline that this owner sent to earlier incarnations, on their clocks.
     pub(crate) late_deadline: WorkerClock,
-    /// Until when a renewal that extends the lease and got no answer may still be carried out, by this incarnation or a later one, on the
-    /// scheduler's clock.
-    pub(crate) late_renewals_until: Millis,
+    /// Until when an order that extends the lease and got no answer may still be carried out, by this incarnation or a later one, on the
+    /// scheduler's clock. A start counts even if a stop has settled it: a later incarnation doesn't know of the stop.
+    pub(crate) unanswered_until: Millis,
     /// The number of the newest end that was processed; end numbers increase.
     pub(crate) noted: u64,
     /// Ends up to this number are durable and may be acknowledged.
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -101,9 +101,9 @@
             recovery.worker_lost |= recovery.unanswered.contains_key(worker);
         }
         if let Some(state) = self.workers.get_mut(worker) {
-            let late_renewals_until = state.incarnation.late_renewals_until;
+            let unanswered_until = state.incarnation.unanswered_until;
             state.incarnation = IncarnationState::new(report.incarnation);
-            state.incarnation.late_renewals_until = late_renewals_until;
+            state.incarnation.unanswered_until = unanswered_until;
             state.incarnation.late_deadline = late_deadline;
             state.incarnation.inherited_until = now + lease_left_ms;
             state.paused_until = now;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -219,7 +219,7 @@
             .iter()
             .filter(|(key, record)| !listed.contains(key) && !record.would_be_listed(sent_at));
         let until = unsettled.map(|(_, record)| record.ordered_at + MAX_ORDER_AGE_MS);
-        until.fold(self.incarnation.late_renewals_until, Millis::max)
+        until.fold(self.incarnation.unanswered_until, Millis::max)
     }
 
     /// Whether the next incarnation lists a run that was ordered here, or may have taken the order of
