Lease bound: a report sent before the sign of a restart doesn't rule the restart out

Answers on different connections pass each other. A report of the earlier incarnation that arrived after the worker list had shown the restart cleared the sign, and the lease counted on the clock of before (restarted_leases report_from_before_a_listed_restart failed).

--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -64,6 +64,8 @@
     /// Until when an incarnation that may have followed this one unheard may be leased by orders that
     /// were meant for this one, on the scheduler's clock; 0 without a sign of such an incarnation.
     pub(crate) successor_until: Millis,
+    /// When the newest sign of such an incarnation was seen.
+    pub(crate) successor_seen_at: Millis,
     /// The latest deadline that this owner sent to earlier incarnations, on their clocks.
     pub(crate) late_deadline: WorkerClock,
     /// Until when an order that extends the lease and got no answer may still be carried out, by this incarnation or a later one, on the
@@ -92,6 +94,25 @@
         self.inherited_until.max(self.successor_until)
     }
 
+    /// Records a sign of a later incarnation that may be leased until `until`. Returns whether that
+    /// is later than what was known.
+    pub(crate) fn note_successor(&mut self, now: Millis, until: Millis) -> bool {
+        self.successor_seen_at = now;
+        let raised = until > self.successor_until;
+        self.successor_until = until.max(self.successor_until);
+        raised
+    }
+
+    /// Handles a report of this incarnation to a renewal sent at `sent_at`, which rules out an earlier
+    /// sign of a later incarnation. Returns whether there was one.
+    pub(crate) fn rule_out_successor(&mut self, sent_at: Millis) -> bool {
+        let ruled_out = self.successor_until > 0 && sent_at >= self.successor_seen_at;
+        if ruled_out {
+            self.successor_until = 0;
+        }
+        ruled_out
+    }
+
     /// Whether this is the incarnation with this identifier, and all leases of earlier owners on it
     /// are accounted for. Workers that don't report an incarnation never restart under their names.
     pub(crate) fn is_named(&self, id: Option<WorkerIncarnation>) -> bool {
--- a/crates/jobs/src/renewals.rs
+++ b/crates/jobs/src/renewals.rs
@@ -163,11 +163,11 @@
         state.suspects.clear();
         let first = !state.incarnation.fenced;
         state.incarnation.fenced = true;
-        if std::mem::take(&mut state.incarnation.successor_until) > 0 {
+        if state.incarnation.rule_out_successor(sent_at) {
             self.roster.note_changed(worker);
         }
+        let inherited_until = inherited_until.max(state.incarnation.inherited_until);
         if first {
-            let inherited_until = inherited_until.max(state.incarnation.inherited_until);
             state.incarnation.inherited_until = inherited_until;
             state.incarnation.accounted = true;
             if !named {
--- a/crates/jobs/src/restart.rs
+++ b/crates/jobs/src/restart.rs
@@ -127,7 +127,7 @@
 
     /// Handles a sign that a worker has restarted before any report of its next incarnation: that
     /// incarnation may be leased by orders that were meant for the current one.
-    pub(crate) fn note_unheard_restart(&mut self, worker: &WorkerId) {
+    pub(crate) fn note_unheard_restart(&mut self, now: Millis, worker: &WorkerId) {
         let earlier_orders_until = self.earlier_orders_until;
         let max_lease_ms = self.limits.max_lease_ms;
         let Some(state) = self.workers.get_mut(worker) else {
@@ -139,10 +139,9 @@
         };
         let orders_until = earlier_orders_until.max(own_orders_until);
         let until = orders_until + longest_wait(max_lease_ms);
-        if orders_until == 0 || until <= state.incarnation.successor_until {
+        if orders_until == 0 || !state.incarnation.note_successor(now, until) {
             return;
         }
-        state.incarnation.successor_until = until;
         self.roster.note_changed(worker);
         if let Some(recovery) = &mut self.recovery {
             recovery.raise(worker, until);
--- a/crates/jobs/src/roster.rs
+++ b/crates/jobs/src/roster.rs
@@ -35,10 +35,10 @@
 }
 
 impl NamedIncarnation {
-    /// The name of an incarnation with the end of its leases; none before it is known.
+    /// The name of an incarnation with the end of its leases; none before it is heard or read.
     fn of(incarnation: &IncarnationState, store_clock: &ClockBound) -> Option<Self> {
         let leased_until = match incarnation.other_leases_until() {
-            _ if !incarnation.accounted => None,
+            _ if !incarnation.accounted && incarnation.successor_until == 0 => None,
             0 => Some(0),
             until => store_clock.at_most(until),
         };
@@ -71,7 +71,7 @@
     /// The name and address of each worker.
     #[serde(default)]
     pub workers: Vec<(WorkerId, SocketAddr)>,
-    /// The incarnation of each worker whose leases the owner can tell, in the order of `workers`.
+    /// The incarnation of each worker that the owner has heard from or read of, in the order of `workers`.
     #[serde(default)]
     pub incarnations: Vec<Option<NamedIncarnation>>,
     /// The longest lease in milliseconds; `None` means the longest that the platform allows.
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -428,7 +428,7 @@
         };
         let known = state.record_order_clock(now, sample);
         if !known {
-            self.note_unheard_restart(worker);
+            self.note_unheard_restart(now, worker);
             self.renew_soon(now, worker);
         }
         known
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -212,7 +212,7 @@
 
     /// Until when an order that was meant for the current incarnation may be carried out by the next
     /// one: a start that the current incarnation has not confirmed to a renewal sent at `sent_at` and
-    /// that the next one doesn't list, or a renewal without an answer.
+    /// that the next one doesn't list, or an order without an answer.
     pub(crate) fn late_orders_until(&self, sent_at: Millis, listed: &BTreeSet<RunKey>) -> Millis {
         let unsettled = self
             .runs
@@ -231,7 +231,8 @@
 
     /// Whether its lease may be extended.
     pub(crate) fn may_extend_lease(&self) -> bool {
-        self.silence_record == SilenceRecord::None && self.unsure_since.is_none()
+        let sure = self.unsure_since.is_none() && self.incarnation.successor_until == 0;
+        self.silence_record == SilenceRecord::None && sure
     }
 
     /// Whether ends may be acknowledged: the incarnation that receives the acknowledgement must be
--- a/crates/jobs/src/worker_list.rs
+++ b/crates/jobs/src/worker_list.rs
@@ -169,7 +169,7 @@
             state.entry_incarnation_differs() && state.entry.incarnation > state.incarnation.id;
         if restarted {
             state.note_doubt(now);
-            self.note_unheard_restart(&id);
+            self.note_unheard_restart(now, &id);
         }
         if !known {
             return self.add_listed_worker(now, &id);
--- a/crates/jobs/tests/restarted_leases.rs
+++ b/crates/jobs/tests/restarted_leases.rs
@@ -10,7 +10,7 @@
     JobAction, JobEvent, OrderAnswer, RunKey, SchedulerLimits, SilentWorkers, TakeoverInfo,
     WorkerCall, WorkerIncarnation, WorkerListing, WorkerRoster,
 };
-use sandshelf_model::Millis;
+use sandshelf_model::{Millis, WorkerId};
 use support::{job, listing, renewal_report, run_report, step, SchedulerRig};
 
 /// By how much the clock of the first incarnation is ahead of the rig's; the clocks of later ones show the rig's time, so that
@@ -279,6 +279,40 @@
     next.assert_waits_until(leased_until);
 }
 
+/// Guards against a start that counts as over for the next incarnation because a stop of the earlier one has settled it.
+fn a_settled_start_is_waited_out(max_lease_ms: Millis) {
+    let mut owner = OwnerPlay::first(max_lease_ms);
+    let settled = owner.order_without_answer();
+    let worker = WorkerId::from("w-1");
+    let stopped = OrderAnswer::Done(FIRST_CLOCK_LEAD_MS + owner.rig.now);
+    owner
+        .rig
+        .handle(JobEvent::StopAnswered(worker, settled, stopped));
+    owner.rig.advance(50);
+    owner.answer_first(vec![]);
+    owner.rig.advance(300);
+    owner.answer_as(2, vec![]);
+    owner.rig.advance(50);
+    let leased_until = owner.carry_out_late(1_200);
+    let starts = owner.rig.peek_starts();
+    let (_, start) = starts.last().expect("a start").clone();
+    owner.commit();
+    let mut next = owner.next(both());
+    next.rig.advance(50);
+    next.answer_as(2, vec![start.key]);
+    next.assert_waits_until(leased_until);
+}
+
+/// Guards against a report of the earlier incarnation, sent before the list showed the restart, that hides the restart.
+fn a_report_from_before_the_restart_does_not_hide_it(max_lease_ms: Millis) {
+    let mut owner = OwnerPlay::first(max_lease_ms);
+    owner.order_without_answer();
+    owner.rig.list_entries(both());
+    owner.answer_first(vec![]);
+    let leased_until = owner.carry_out_late(600);
+    owner.assert_waits_until(leased_until);
+}
+
 /// A worker that did not restart is waited for no longer than its ordinary lease.
 fn a_worker_that_did_not_restart_is_not_waited_for_longer(max_lease_ms: Millis) {
     let mut owner = OwnerPlay::first(max_lease_ms);
@@ -308,6 +342,8 @@
     listed_restart_in_a_takeover => a_successor_waits_for_a_restart_that_only_the_list_shows(10_000);
     silence_record_before_a_listed_restart => a_silence_record_is_raised_by_a_restart(10_000);
     late_orders_of_the_earlier_owner => late_orders_of_the_earlier_owner_are_waited_out(10_000);
+    settled_start => a_settled_start_is_waited_out(10_000);
+    report_from_before_a_listed_restart => a_report_from_before_the_restart_does_not_hide_it(10_000);
     no_restart_6_s => a_worker_that_did_not_restart_is_not_waited_for_longer(6_000);
     no_restart_10_s => a_worker_that_did_not_restart_is_not_waited_for_longer(10_000);
 }
