--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -11,9 +11,9 @@
 mod large;
 mod reborn;
 mod record;
-mod renamed;
 mod store;
 mod system;
+mod timed;
 mod worker;
 
 use std::path::Path;
@@ -42,11 +42,11 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     note(format!("case {case}, disruption: {trouble}"));
     let played = match case.as_str() {
+        "timed" => timed::play(trouble),
         "reborn" => reborn::play(trouble),
         "crashes" => crashes::play(trouble),
         "large" => large::play(trouble),
         "cancelled" => cancelled::play(trouble),
-        "renamed" => renamed::play(trouble),
         _ => Err("no such case".to_owned()),
     };
     match played {
--- a/review/rig-2/src/worker.rs
+++ b/review/rig-2/src/worker.rs
@@ -1,6 +1,7 @@
 //! A sound executor: it runs tasks under a lease, keeps to its room and to the fence, and lists ends until they are taken note of.
 //!
-//! The text of a job's tasks says how they run: `work=MS cpu=N mem=N end=done|failed`, or `work=lasting` for tasks that last.
+//! The text of a job's tasks says how they run: `work=MS cpu=N mem=N end=done|failed`, or `work=lasting` for tasks that last. With
+//! `long_time=K long_work=MS`, the tasks of time K take so much longer than the others.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -421,7 +422,12 @@
         if used_cpu + cpu > CPU || used_mem + mem > MEM_MB {
             return self.refuse("room");
         }
-        let work = field("work").and_then(|work| work.parse::<u64>().ok());
+        let time = task.split('.').nth(1).unwrap_or_default();
+        let work = match field("long_time").is_some_and(|long| long == time) {
+            true => field("long_work"),
+            false => field("work"),
+        };
+        let work = work.and_then(|work| work.parse::<u64>().ok());
         let how = match field("end").as_deref() {
             Some("failed") => "failed",
             _ => "done",
