--- a/review/rig-2/src/daemon.rs
+++ b/review/rig-2/src/daemon.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -34,8 +33,6 @@
 pub struct Daemon {
     pub name: String,
     child: Arc<Mutex<Child>>,
-    /// Whether its log says that it owns the shard.
-    owner: Arc<AtomicBool>,
     pub callers: SocketAddr,
     ready: SocketAddr,
 }
@@ -79,17 +76,9 @@
         let log = File::create(folder.join(format!("{name}.log")));
         let mut log = log.map_err(|error| error.to_string())?;
         let (found, started) = mpsc::channel();
-        let owner = Arc::new(AtomicBool::new(false));
-        let owns = owner.clone();
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 let _ = writeln!(log, "{line}");
-                if line.contains("event=shard_owned") {
-                    owns.store(true, Ordering::SeqCst);
-                }
-                if line.contains("event=shard_lost") || line.contains("event=shard_released") {
-                    owns.store(false, Ordering::SeqCst);
-                }
                 if line.contains("event=started") {
                     let _ = found.send(line);
                 }
@@ -112,24 +101,11 @@
         Ok(Daemon {
             name: name.to_owned(),
             child,
-            owner,
             callers,
             ready,
         })
     }
 
-    /// Whether it owns the shard, and so gives the orders.
-    pub fn is_owner(&self) -> bool {
-        self.owner.load(Ordering::SeqCst)
-    }
-
-    /// Kills the process.
-    pub fn kill(&self) {
-        let mut child = self.child.lock().unwrap();
-        let _ = child.kill();
-        let _ = child.wait();
-    }
-
     /// Waits until the daemon calls itself ready.
     pub fn wait_ready(&self) -> Result<(), String> {
         let until = Instant::now() + Duration::from_secs(10);
@@ -153,6 +129,8 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        self.kill();
+        let mut child = self.child.lock().unwrap();
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -3,17 +3,17 @@
 //! Exits with 0 if the rule held, with 1 if it was broken and with 2 if the case could not run. With `TROUBLE=0` in the environment the
 //! disruption is left out.
 
+mod acknowledged;
 mod cancelled;
-mod crashes;
 mod daemon;
 mod http;
 mod json;
 mod large;
 mod reborn;
 mod record;
+mod renamed;
 mod store;
 mod system;
-mod timed;
 mod worker;
 
 use std::path::Path;
@@ -42,9 +42,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     note(format!("case {case}, disruption: {trouble}"));
     let played = match case.as_str() {
-        "timed" => timed::play(trouble),
+        "acknowledged" => acknowledged::play(trouble),
         "reborn" => reborn::play(trouble),
-        "crashes" => crashes::play(trouble),
+        "renamed" => renamed::play(trouble),
         "large" => large::play(trouble),
         "cancelled" => cancelled::play(trouble),
         _ => Err("no such case".to_owned()),
--- a/review/rig-2/src/system.rs
+++ b/review/rig-2/src/system.rs
@@ -1,7 +1,6 @@
 //! A small deployment: the store, executors, daemons, and the calls of clients and the operator.
 
 use std::fs;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
@@ -62,7 +61,6 @@
     pub store: Arc<Store>,
     pub fleet: Arc<Fleet>,
     pub daemons: Vec<Daemon>,
-    address: SocketAddr,
     folder: PathBuf,
 }
 
@@ -98,26 +96,10 @@
             store,
             fleet,
             daemons: started,
-            address,
             folder,
         })
     }
 
-    /// Kills the process of the daemon that gives the orders. The platform starts it again after this time.
-    pub fn kill_owner(&mut self, down: Duration) -> Result<(), String> {
-        let owner = self.daemons.iter().position(Daemon::is_owner);
-        let owner = owner.ok_or("no daemon owns the shard")?;
-        let name = self.daemons[owner].name.clone();
-        note(format!(
-            "the process of {name}, which gives the orders, is killed"
-        ));
-        self.daemons[owner].kill();
-        thread::sleep(down);
-        self.daemons[owner] = Daemon::start(&self.folder, &name, self.address)?;
-        note(format!("{name} is started again"));
-        Ok(())
-    }
-
     /// Hands a job in at a daemon; returns the status, or none without an answer.
     pub fn submit(&self, at: usize, queue: Queue, job: &str, body: &str) -> Option<u16> {
         self.ask(at, "POST", &format!("{}{job}", queue.prefix), body)
--- a/review/rig-2/src/worker.rs
+++ b/review/rig-2/src/worker.rs
@@ -1,7 +1,6 @@
 //! A sound executor: it runs tasks under a lease, keeps to its room and to the fence, and lists ends until they are taken note of.
 //!
-//! The text of a job's tasks says how they run: `work=MS cpu=N mem=N end=done|failed`, or `work=lasting` for tasks that last. With
-//! `long_time=K long_work=MS`, the tasks of time K take so much longer than the others.
+//! The text of a job's tasks says how they run: `work=MS cpu=N mem=N end=done|failed`, or `work=lasting` for tasks that last.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -42,6 +41,10 @@
     pub began_ms: u64,
     /// When it ended, and how; none while it runs.
     pub over: Option<(u64, &'static str)>,
+    /// When its end was taken note of: when a `last_seen` reached it.
+    pub noted: Option<u64>,
+    /// Whether the executor's lease lapsed between the end and that.
+    pub lapsed: bool,
 }
 
 struct Active {
@@ -53,6 +56,15 @@
     place: usize,
 }
 
+/// An end that is listed until it is taken note of.
+struct End {
+    number: i64,
+    task: String,
+    run: i64,
+    how: &'static str,
+    place: usize,
+}
+
 #[derive(Default)]
 struct State {
     fence: i64,
@@ -60,7 +72,7 @@
     active: BTreeMap<String, Active>,
     /// The newest run of each task that was stopped or ended here.
     past: HashMap<String, i64>,
-    ended: Vec<(i64, String, i64, &'static str)>,
+    ended: Vec<End>,
     last_end: i64,
     down: bool,
 }
@@ -73,8 +85,8 @@
     /// When it started, in milliseconds since 1970; said only where executors start again under their former ids.
     born: Option<u64>,
     first_clock: u64,
-    /// Whether the next start gets no answer and is carried out late.
-    late_start: Mutex<Option<LateStart>>,
+    /// The next call to leave unanswered, if any.
+    late_call: Mutex<Option<LateCall>>,
     server: Mutex<Option<Arc<Server>>>,
     booted: Instant,
     state: Mutex<State>,
@@ -82,8 +94,13 @@
     runs: Arc<Mutex<Vec<Run>>>,
 }
 
-/// A start to leave unanswered: it is handed to the sender in place of being carried out.
-type LateStart = Sender<Request>;
+/// A call to leave unanswered: the next one to this path that acknowledges at least so many ends is handed to the sender in place of being
+/// carried out.
+struct LateCall {
+    path: &'static str,
+    last_seen: i64,
+    caught: Sender<Request>,
+}
 
 /// How executors come back after a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -152,7 +169,7 @@
             place,
             born,
             first_clock,
-            late_start: Mutex::default(),
+            late_call: Mutex::default(),
             server: Mutex::new(Some(server)),
             booted: Instant::now(),
             state: Mutex::default(),
@@ -218,11 +235,15 @@
         let workers = self.workers.lock().unwrap().clone();
         let (caught, starts) = channel();
         for worker in &workers {
-            *worker.late_start.lock().unwrap() = Some(caught.clone());
+            *worker.late_call.lock().unwrap() = Some(LateCall {
+                path: "/run-start",
+                last_seen: 0,
+                caught: caught.clone(),
+            });
         }
         let request: Request = starts.recv().expect("a start comes");
         for worker in &workers {
-            *worker.late_start.lock().unwrap() = None;
+            *worker.late_call.lock().unwrap() = None;
         }
         let expected = request
             .headers
@@ -236,6 +257,15 @@
         )
     }
 
+    /// The present life of an executor.
+    pub fn present(&self, id: &str) -> Option<Arc<Worker>> {
+        let workers = self.workers.lock().unwrap();
+        let found = workers
+            .iter()
+            .find(|worker| worker.id == id && !worker.is_down());
+        found.cloned()
+    }
+
     /// Has the present life of an executor carry out an order that came late; its answer is lost. Returns whether there is such a life.
     pub fn carry_out_late(&self, id: &str, request: &Request) -> bool {
         let workers = self.workers.lock().unwrap().clone();
@@ -252,13 +282,6 @@
         })
     }
 
-    /// The executors that are up.
-    pub fn up(&self) -> Vec<Arc<Worker>> {
-        let workers = self.workers.lock().unwrap();
-        let up = workers.iter().filter(|worker| !worker.is_down());
-        up.cloned().collect()
-    }
-
     /// All runs of a job's tasks.
     pub fn runs_of(&self, job: &str) -> Vec<Run> {
         let runs = self.runs.lock().unwrap();
@@ -313,6 +336,9 @@
             let clock = self.clock();
             let mut state = self.state.lock().unwrap();
             let lapsed = clock >= state.lease_until;
+            for end in state.ended.iter().filter(|_| lapsed) {
+                self.runs.lock().unwrap()[end.place].lapsed = true;
+            }
             let over = state.active.iter();
             let over =
                 over.filter(|(_, run)| lapsed || run.until.is_some_and(|until| clock >= until));
@@ -333,7 +359,13 @@
         };
         let how = how.unwrap_or(active.how);
         state.last_end += 1;
-        let end = (state.last_end, task.to_owned(), active.run, how);
+        let end = End {
+            number: state.last_end,
+            task: task.to_owned(),
+            run: active.run,
+            how,
+            place: active.place,
+        };
         state.ended.push(end);
         state.past.insert(task.to_owned(), active.run);
         self.close(active.place, how);
@@ -350,16 +382,8 @@
         let Some(body) = parse(&request.body) else {
             return self.answer(400, Vec::new());
         };
-        if request.path == "/run-start" {
-            if let Some(caught) = self.late_start.lock().unwrap().take() {
-                if caught.send(request.clone()).is_ok() {
-                    note(format!(
-                        "executor {} leaves a start unanswered: {body}",
-                        self.id
-                    ));
-                    return Reply::Silence;
-                }
-            }
+        if self.leaves_unanswered(request, &body) {
+            return Reply::Silence;
         }
         let mut state = self.state.lock().unwrap();
         let fence = body.get("fencing_token").int().unwrap_or(0);
@@ -384,6 +408,37 @@
         }
     }
 
+    fn leaves_unanswered(&self, request: &Request, body: &Json) -> bool {
+        let last_seen = body.get("last_seen").int().unwrap_or(0);
+        let mut late = self.late_call.lock().unwrap();
+        let call = late.take_if(|call| request.path == call.path && last_seen >= call.last_seen);
+        let caught = call.is_some_and(|call| call.caught.send(request.clone()).is_ok());
+        if caught {
+            note(format!(
+                "executor {} leaves {} unanswered: {body}",
+                self.id, request.path
+            ));
+        }
+        caught
+    }
+
+    /// Leaves the next call to this path that acknowledges at least so many ends unanswered, and returns it.
+    pub fn catch_next(&self, path: &'static str, last_seen: i64) -> Request {
+        let (caught, calls) = channel();
+        let call = LateCall {
+            path,
+            last_seen,
+            caught,
+        };
+        *self.late_call.lock().unwrap() = Some(call);
+        calls.recv().expect("a call comes")
+    }
+
+    /// How many ends it has listed in this life.
+    pub fn ends(&self) -> i64 {
+        self.state.lock().unwrap().last_end
+    }
+
     fn start(&self, state: &mut State, body: &Json, clock: u64) -> Reply {
         let task = body.get("task").text().to_owned();
         let run = body.get("run").int().unwrap_or(0);
@@ -422,12 +477,7 @@
         if used_cpu + cpu > CPU || used_mem + mem > MEM_MB {
             return self.refuse("room");
         }
-        let time = task.split('.').nth(1).unwrap_or_default();
-        let work = match field("long_time").is_some_and(|long| long == time) {
-            true => field("long_work"),
-            false => field("work"),
-        };
-        let work = work.and_then(|work| work.parse::<u64>().ok());
+        let work = field("work").and_then(|work| work.parse::<u64>().ok());
         let how = match field("end").as_deref() {
             Some("failed") => "failed",
             _ => "done",
@@ -440,6 +490,8 @@
             run,
             began_ms: now_ms(),
             over: None,
+            noted: None,
+            lapsed: false,
         });
         drop(runs);
         note_run(format!("run begins: {task} run {run} on {}", self.id));
@@ -480,7 +532,10 @@
         let until = Instant::now() + Duration::from_millis(wait);
         let last_seen = body.get("last_seen").int().unwrap_or(0);
         let mut state = self.state.lock().unwrap();
-        state.ended.retain(|(number, ..)| *number > last_seen);
+        for end in state.ended.iter().filter(|end| end.number <= last_seen) {
+            self.runs.lock().unwrap()[end.place].noted = Some(now_ms());
+        }
+        state.ended.retain(|end| end.number > last_seen);
         while state.ended.is_empty() && !state.down {
             let now = Instant::now();
             if now >= until {
@@ -494,19 +549,15 @@
         let running = state.active.iter().map(|(task, active)| {
             Json::List(vec![text(task), int(active.run), text(""), int(100)])
         });
-        let ended = state
-            .ended
-            .iter()
-            .take(MAX_ENDS)
-            .map(|(number, task, run, how)| {
-                Json::List(vec![
-                    int(*number),
-                    text(task),
-                    int(*run),
-                    text(*how),
-                    text(""),
-                ])
-            });
+        let ended = state.ended.iter().take(MAX_ENDS).map(|end| {
+            Json::List(vec![
+                int(end.number),
+                text(&end.task),
+                int(end.run),
+                text(end.how),
+                text(""),
+            ])
+        });
         let lists = vec![
             ("running", Json::List(running.collect())),
             ("ended", Json::List(ended.collect())),
