--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 rig=target/review-2/release/review-rig-2
 [ -x "$rig" ] && [ -x target/release/sandshelfd ] || exit 2
-exec "$rig" cancelled review/8/record.txt
+exec "$rig" large review/6/record.txt
