Owner's load: whose progress has waited longest to be written, and how many ends are unacknowledged

The line and two gauges now name the job at the head of the queue of unwritten progress, how long it has waited, and how many ends wait for it.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -10,7 +10,7 @@
 
 use crate::admission::LoadView;
 use crate::commit_budget::CommitBudget;
-use crate::dirty::UnwrittenEnds;
+use crate::dirty::{UnwrittenEnds, WaitingChange};
 use crate::events::{CommitBatch, JobAction};
 use crate::ids::JobNumber;
 use crate::interference::InterferenceRow;
@@ -97,7 +97,7 @@
     /// The progress of the jobs that changed first, as much as fits.
     fn changed_progress(&mut self, budget: &mut CommitBudget) -> Vec<(JobNumber, ProgressRow)> {
         let mut progress = Vec::new();
-        while let Some(number) = self.dirty.first() {
+        while let Some(WaitingChange { job: number, .. }) = self.dirty.first() {
             if let Some(row) = self.progress_of(number) {
                 if !budget.take(&row) {
                     break;
--- a/crates/jobs/src/dirty.rs
+++ b/crates/jobs/src/dirty.rs
@@ -2,13 +2,23 @@
 
 use std::collections::{HashSet, VecDeque};
 
+use sandshelf_model::Millis;
+
 use crate::ids::JobNumber;
 use crate::scheduler::NotedEnds;
 
+/// A job whose changed progress waits to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct WaitingChange {
+    pub(crate) job: JobNumber,
+    /// When the oldest change of it that is not written was made.
+    pub(crate) since: Millis,
+}
+
 /// Jobs in the order in which they changed. A job that changes again before it is written keeps its place.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DirtyJobs {
-    queue: VecDeque<JobNumber>,
+    queue: VecDeque<WaitingChange>,
     contained: HashSet<JobNumber>,
     /// How many jobs were ever added, and how many of these were removed.
     added: u64,
@@ -16,20 +26,20 @@
 }
 
 impl DirtyJobs {
-    pub(crate) fn add(&mut self, number: JobNumber) {
-        if self.contained.insert(number) {
-            self.queue.push_back(number);
+    pub(crate) fn add(&mut self, now: Millis, job: JobNumber) {
+        if self.contained.insert(job) {
+            self.queue.push_back(WaitingChange { job, since: now });
             self.added += 1;
         }
     }
 
-    pub(crate) fn first(&self) -> Option<JobNumber> {
+    pub(crate) fn first(&self) -> Option<WaitingChange> {
         self.queue.front().copied()
     }
 
     pub(crate) fn remove_first(&mut self) {
-        if let Some(number) = self.queue.pop_front() {
-            self.contained.remove(&number);
+        if let Some(change) = self.queue.pop_front() {
+            self.contained.remove(&change.job);
             self.removed += 1;
         }
     }
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -4,6 +4,7 @@
 
 use sandshelf_model::Millis;
 
+use crate::ids::JobNumber;
 use crate::over_target::OverTargetStretch;
 use crate::run::RunRecord;
 use crate::scheduler::JobScheduler;
@@ -23,6 +24,12 @@
     pub workers: usize,
     /// Jobs whose progress is not durable yet.
     pub dirty: usize,
+    /// The job whose progress has waited longest to be written; none if all is durable.
+    pub oldest_unwritten: Option<JobNumber>,
+    /// How long that progress has waited, in milliseconds.
+    pub oldest_unwritten_ms: Millis,
+    /// Ends that workers list and that are not acknowledged, since progress that they changed is not durable yet.
+    pub unacknowledged_ends: u64,
     /// The factor by which the owner stretches deferrable work, in percent; 100 if it keeps up.
     pub stretch: u64,
     /// Running serving tasks.
@@ -78,6 +85,9 @@
         let open = self.workers.values().filter(|worker| worker.is_open(now));
         let evacuated = self.workers.values().filter(|worker| worker.evacuated);
         let (holds, held_cpu) = self.held_capacity();
+        let oldest = self.dirty.first();
+        let unacknowledged = self.workers.values();
+        let unacknowledged = unacknowledged.map(|worker| worker.incarnation.unwritten_ends());
         let mut counts = SchedulerCounts {
             holds,
             held_cpu,
@@ -87,6 +97,9 @@
             open_workers: open.count(),
             workers: self.workers.len(),
             dirty: self.dirty.len(),
+            oldest_unwritten: oldest.map(|change| change.job),
+            oldest_unwritten_ms: oldest.map_or(0, |change| now.saturating_sub(change.since)),
+            unacknowledged_ends: unacknowledged.sum(),
             stretch: self.backlog.stretch(),
             reserved_workers: self.reservations.len(),
             filling_held: self.filling_limits.held_jobs(),
--- a/crates/jobs/src/incarnation.rs
+++ b/crates/jobs/src/incarnation.rs
@@ -201,6 +201,11 @@
 
     /// Whether ends were processed that are not durable yet.
     pub(crate) fn has_unwritten(&self) -> bool {
-        self.noted > self.durable
+        self.unwritten_ends() > 0
+    }
+
+    /// How many ends were processed that are not durable yet.
+    pub(crate) fn unwritten_ends(&self) -> u64 {
+        self.noted.saturating_sub(self.durable)
     }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -437,6 +437,6 @@
 
     /// Marks a job's progress as changed, to be written with a later commit.
     pub(crate) fn mark_dirty(&mut self, number: JobNumber) {
-        self.dirty.add(number);
+        self.dirty.add(self.last_tick, number);
     }
 }
--- a/crates/sandshelfd/src/jobs/load_notes.rs
+++ b/crates/sandshelfd/src/jobs/load_notes.rs
@@ -5,6 +5,7 @@
 use sandshelf_jobs::SchedulerCounts;
 use sandshelf_model::Epoch;
 
+use crate::jobs::notes::or_none;
 use crate::logging::event;
 
 /// Logs an owner's load: its jobs, tasks, workers and relays.
@@ -19,6 +20,9 @@
             ("open_workers", &counts.open_workers),
             ("workers", &counts.workers),
             ("unwritten", &counts.dirty),
+            ("unwritten_ms", &counts.oldest_unwritten_ms),
+            ("unwritten_job", &or_none(counts.oldest_unwritten.as_ref())),
+            ("unacknowledged", &counts.unacknowledged_ends),
             ("stretch", &counts.stretch),
             ("serving", &counts.serving),
             ("over_target", &counts.over_target),
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -293,6 +293,9 @@
     gauge!("sandshelf_evacuated_halls").set(counts.evacuated_halls as f64);
     gauge!("sandshelf_evacuated_tasks_running").set(counts.evacuated_runs as f64);
     gauge!("sandshelf_jobs_unwritten").set(counts.dirty as f64);
+    let oldest_unwritten = Duration::from_millis(counts.oldest_unwritten_ms);
+    gauge!("sandshelf_oldest_unwritten_seconds").set(oldest_unwritten.as_secs_f64());
+    gauge!("sandshelf_ends_unacknowledged").set(counts.unacknowledged_ends as f64);
     gauge!("sandshelf_owner_stretch_percent").set(counts.stretch as f64);
     gauge!("sandshelf_serving_tasks").set(counts.serving as f64);
     gauge!("sandshelf_serving_tasks_over_target").set(counts.over_target as f64);
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -21,7 +21,7 @@
 }
 
 /// The text of an optional value; `none` if it is missing.
-fn or_none<T: Display>(value: Option<&T>) -> String {
+pub(super) fn or_none<T: Display>(value: Option<&T>) -> String {
     value.map_or_else(|| "none".to_owned(), T::to_string)
 }
 
