--- a/crates/emulator/src/host/takeover.rs
+++ b/crates/emulator/src/host/takeover.rs
@@ -1,8 +1,8 @@
 //! Reads the stored state of the shard, page by page, when a host becomes its owner.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
-use sandshelf_jobs::{JobEvent, JobNumber, ProgressRow, TakeoverInfo};
+use sandshelf_jobs::{JobEvent, StoredProgress, TakeoverInfo};
 use sandshelf_lease::LeaseStage;
 use sandshelf_model::Millis;
 
@@ -21,7 +21,7 @@
 /// The state read so far.
 #[derive(Debug, Default)]
 pub(super) struct TakeoverReading {
-    progress: BTreeMap<JobNumber, ProgressRow>,
+    progress: StoredProgress,
     /// Parts not yet asked for.
     parts_left: VecDeque<u32>,
     /// Parts asked for but not yet received.
@@ -72,9 +72,10 @@
             return;
         };
         match reply {
-            Some(StoreReply::Progress(rows, more)) => {
+            Some(StoreReply::Progress(read, more)) => {
                 if fault != HostFault::BlindTakeover {
-                    reading.progress.extend(rows);
+                    reading.progress.rows.extend(read.rows);
+                    reading.progress.pages.extend(read.pages);
                 }
                 if let Some(last) = more {
                     self.call_store(at, StoreCall::ReadProgress(Some(last)), PAGE_TIMEOUT_MS);
--- a/crates/emulator/src/sizes.rs
+++ b/crates/emulator/src/sizes.rs
@@ -1,8 +1,9 @@
 //! Estimates the encoded sizes of messages and rows, in bytes.
 
 use sandshelf_jobs::{
-    CommitBatch, EndReport, InterferenceRow, JobEvent, JobSpec, OrderAnswer, ProgressRow,
-    RenewalAnswer, RenewalReport, RosterPage, RunReport, SilentWorkers, TaskKey, WorkerCall,
+    CommitBatch, EndReport, InterferenceRow, JobEvent, JobSpec, OrderAnswer, ProgressPage,
+    ProgressRow, RenewalAnswer, RenewalReport, RosterPage, RunReport, SilentWorkers, TaskKey,
+    WorkerCall,
 };
 use serde_json::to_vec;
 
@@ -112,6 +113,11 @@
     row(JOB_DIGITS, encoded(progress))
 }
 
+/// Size of a page of the progress of a large job.
+pub fn progress_page(page: &ProgressPage) -> u64 {
+    row(JOB_DIGITS + 6, encoded(page))
+}
+
 /// Size of a job as its caller sends it: about that of its row.
 pub fn submission(spec: &JobSpec) -> u64 {
     CALL_HEAD_BYTES + encoded(spec)
@@ -125,7 +131,9 @@
         .pending
         .as_ref()
         .map_or(0, |counts| row(7, encoded(counts)));
-    OWNER_WRITE_BYTES + progress + published + shard_rows(batch)
+    let pages = batch.pages.iter();
+    let pages = pages.map(|(_, page)| progress_page(page)).sum::<u64>();
+    OWNER_WRITE_BYTES + progress + pages + published + shard_rows(batch)
 }
 
 /// Size of the roster, silence and interference rows in a batch, which the next owner reads.
--- a/crates/emulator/src/store/calls.rs
+++ b/crates/emulator/src/store/calls.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use sandshelf_jobs::{CommitBatch, JobNumber, JobSpec, ProgressRow, WorkerChanges, WorkerListing};
+use sandshelf_jobs::{
+    CommitBatch, JobNumber, JobSpec, StoredProgress, WorkerChanges, WorkerListing,
+};
 use sandshelf_lease::{RowVersion, ShardRow, StoredRow};
 use sandshelf_model::{Millis, WorkerId};
 
@@ -105,7 +107,7 @@
     /// A write had no effect, because the owner's row had another version; this is the current row.
     Conflict(StoredRow),
     /// A page of progress rows, and the job after which the next page begins; `None` for the last page.
-    Progress(Vec<(JobNumber, ProgressRow)>, Option<JobNumber>),
+    Progress(StoredProgress, Option<JobNumber>),
     /// The state that the owner publishes, and the store's clock in milliseconds.
     Shard(Box<ShardState>, Millis),
     /// Rows of jobs with their versions, and the store version at which they were read.
--- a/crates/emulator/src/store/mod.rs
+++ b/crates/emulator/src/store/mod.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use sandshelf_jobs::{
-    CommitBatch, InterferenceRow, JobNumber, JobSpec, ProgressRow, SilentWorkers, WorkerChanges,
-    WorkerListing, WorkerPage, WorkerRoster,
+    CommitBatch, InterferenceRow, JobNumber, JobSpec, PageKey, ProgressPage, ProgressRow,
+    SilentWorkers, StoredProgress, WorkerChanges, WorkerListing, WorkerPage, WorkerRoster,
 };
 use sandshelf_lease::{RowVersion, ShardRow, StoredRow};
 use sandshelf_model::{Millis, WorkerId};
@@ -94,6 +94,8 @@
     numbers: BTreeMap<JobNumber, bool>,
     /// Progress rows with their sizes in bytes.
     pub progress: BTreeMap<JobNumber, (ProgressRow, u64)>,
+    /// Pages of the progress of large jobs, with their sizes in bytes.
+    progress_pages: BTreeMap<PageKey, (ProgressPage, u64)>,
     shard: ShardState,
     config: (RowVersion, ConfigRow),
     /// The time at which each part is free for the next write.
@@ -117,6 +119,7 @@
             jobs: Vec::new(),
             numbers: BTreeMap::new(),
             progress: BTreeMap::new(),
+            progress_pages: BTreeMap::new(),
             shard: ShardState::default(),
             config: (0, ConfigRow::default()),
             parts_free: vec![0; OWNER_PART + 1],
@@ -304,10 +307,17 @@
             version: self.version,
             row: write.row.clone(),
         };
+        for key in &write.batch.obsolete_pages {
+            self.progress_pages.remove(key);
+        }
         for (number, row) in &write.batch.progress {
             let bytes = sizes::progress_row(row);
             self.progress.insert(*number, (row.clone(), bytes));
         }
+        for (key, page) in &write.batch.pages {
+            let bytes = sizes::progress_page(page);
+            self.progress_pages.insert(*key, (page.clone(), bytes));
+        }
         self.shard.apply(&write.batch);
         StoreReply::Written(self.version)
     }
@@ -315,16 +325,37 @@
     fn progress_page(&self, behind: Option<JobNumber>) -> (StoreReply, u64) {
         use std::ops::Bound::{Excluded, Unbounded};
         let from = behind.map_or(Unbounded, Excluded);
-        let page = self.progress.range((from, Unbounded)).take(PAGE_ROWS);
         let mut bytes = sizes::plain_answer();
-        let mut rows = Vec::new();
-        for (number, (row, size)) in page {
+        let mut read = StoredProgress::default();
+        let mut more = None;
+        for (number, (row, size)) in self.progress.range((from, Unbounded)) {
             bytes += size;
-            rows.push((*number, row.clone()));
+            read.rows.insert(*number, row.clone());
+            for (key, (page, size)) in self.pages_of(*number) {
+                bytes += size;
+                read.pages.insert(*key, page.clone());
+            }
+            if read.rows.len() + read.pages.len() >= PAGE_ROWS {
+                more = Some(*number);
+                break;
+            }
         }
-        let more = rows.last().map(|(number, _)| *number);
-        let more = more.filter(|_| rows.len() == PAGE_ROWS);
-        (StoreReply::Progress(rows, more), bytes)
+        (StoreReply::Progress(read, more), bytes)
+    }
+
+    /// The pages of a job's progress with their sizes in bytes.
+    fn pages_of(
+        &self,
+        job: JobNumber,
+    ) -> impl Iterator<Item = (&PageKey, &(ProgressPage, u64))> + '_ {
+        let first = PageKey {
+            job,
+            time: 0,
+            step: 0,
+            page: 0,
+        };
+        let pages = self.progress_pages.range(first..);
+        pages.take_while(move |(key, _)| key.job == job)
     }
 
     fn job_rows(&self, wanted: impl Fn(&(RowVersion, JobRow, u64)) -> bool) -> (StoreReply, u64) {
--- a/crates/jobs/src/answers.rs
+++ b/crates/jobs/src/answers.rs
@@ -119,7 +119,7 @@
         };
         if job.stage == JobStage::Queued {
             job.stage = JobStage::Running;
-            self.mark_dirty(key.job);
+            self.mark_row_dirty(key.job);
             self.count_begun_job(self.last_tick, key.job);
         }
     }
--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -4,21 +4,20 @@
 //! A commit is filled up to a budget of rows and bytes. What doesn't fit stays marked as changed and
 //! follows with the next one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use sandshelf_model::Millis;
 
 use crate::admission::LoadView;
 use crate::commit_budget::CommitBudget;
-use crate::dirty::{UnwrittenEnds, WaitingChange};
+use crate::dirty::{ProgressPart, UnwrittenEnds};
 use crate::events::{CommitBatch, JobAction};
-use crate::ids::JobNumber;
+use crate::ids::TaskKey;
 use crate::interference::InterferenceRow;
 use crate::limits::{
-    INTERFERENCE_WRITE_INTERVAL_MS, MAX_FORGOTTEN_JOBS_PER_COMMIT, MAX_PAGE_ROWS_PER_COMMIT,
+    INTERFERENCE_WRITE_INTERVAL_MS, MAX_PAGE_BYTES_PER_COMMIT, MAX_PAGE_ROWS_PER_COMMIT,
     MIN_COMMIT_INTERVAL_MS, PENDING_PUBLISH_INTERVAL_MS,
 };
-use crate::progress::ProgressRow;
 use crate::roster::{RosterChange, RosterHead};
 use crate::scheduler::{JobScheduler, NotedEnds, PendingCommit};
 use crate::stage::JobStage;
@@ -40,48 +39,52 @@
         // Everything that is taken from here on must be written: it can't be put back.
         let id = self.commit_count + 1;
         let mut budget = CommitBudget::new();
-        let forget = self.outdated_jobs(now, &mut budget);
-        let mut page_budget = budget.with_rows(MAX_PAGE_ROWS_PER_COMMIT);
+        let mut batch = CommitBatch {
+            id,
+            forget: self.outdated_jobs(now, &mut budget),
+            obsolete_pages: self.pages_to_remove(&mut budget),
+            ..CommitBatch::default()
+        };
+        let mut page_budget = budget.with_most(MAX_PAGE_ROWS_PER_COMMIT, MAX_PAGE_BYTES_PER_COMMIT);
         let whole = page_budget;
-        let roster = self.changed_roster(&mut page_budget);
-        let silent = self.changed_silence_records(id, &mut page_budget);
+        batch.roster = self.changed_roster(&mut page_budget);
+        batch.silent = self.changed_silence_records(id, &mut page_budget);
         budget.take_used(whole, page_budget);
         let load = self.load_to_write(now);
-        let pending = self.changed_pending(now, load.as_ref(), &mut budget);
-        let progress = self.changed_progress(&mut budget);
-        let wanted = !progress.is_empty()
-            || !forget.is_empty()
-            || pending.is_some()
-            || !roster.is_empty()
-            || !silent.is_empty();
-        if !wanted {
+        batch.pending = self.changed_pending(now, load.as_ref(), &mut budget);
+        batch.load = load.filter(|_| batch.pending.is_some());
+        self.add_changed_progress(&mut batch, &mut budget);
+        if batch.is_empty() {
             return;
         }
         let noted = self.take_written_ends();
         self.commit_count = id;
         self.urgent = self.urgent && !self.dirty.is_empty();
         self.last_commit = now;
-        let numbers: Vec<JobNumber> = progress.iter().map(|(number, _)| *number).collect();
         self.commit = Some(PendingCommit {
             id,
-            roster_head: roster.head.is_some(),
+            roster_head: batch.roster.head.is_some(),
             noted,
-            crashed: self.crashes.take_unwritten(&numbers),
+            crashed: self.take_written_crashes(&batch),
         });
-        let interference = self.due_interference(now, &mut budget);
-        self.actions.push(JobAction::Commit(CommitBatch {
-            id,
-            progress,
-            load: load.filter(|_| pending.is_some()),
-            pending,
-            interference,
-            forget,
-            roster,
-            silent,
-        }));
+        batch.interference = self.due_interference(now, &mut budget);
+        self.actions.push(JobAction::Commit(batch));
     }
 
-    /// The ends that are durable with the commit that is being built, if it writes the last of the jobs that they wait for.
+    /// The tasks whose crash notes are in the commit that is being built.
+    fn take_written_crashes(&mut self, batch: &CommitBatch) -> Vec<TaskKey> {
+        let rows = batch.progress.iter();
+        let rows = rows.map(|(number, _)| ProgressPart::Row(*number));
+        let pages = batch.pages.iter().map(|(key, _)| ProgressPart::Page(*key));
+        let written: HashSet<ProgressPart> = rows.chain(pages).collect();
+        let jobs = &self.jobs;
+        self.crashes.take_unwritten(|task| {
+            let job = jobs.get(&task.job);
+            job.is_some_and(|job| written.contains(&job.part_of(task)))
+        })
+    }
+
+    /// The ends that are durable with the commit that is being built, if it writes the last of the progress that they wait for.
     fn take_written_ends(&mut self) -> Vec<NotedEnds> {
         let ends = self.unwritten_ends.take();
         let ends = ends.unwrap_or_else(|| UnwrittenEnds::new(self.noted_ends(), &self.dirty));
@@ -94,22 +97,6 @@
         }
     }
 
-    /// The progress of the jobs that changed first, as much as fits.
-    fn changed_progress(&mut self, budget: &mut CommitBudget) -> Vec<(JobNumber, ProgressRow)> {
-        let mut progress = Vec::new();
-        while let Some(WaitingChange { job: number, .. }) = self.dirty.first() {
-            if let Some(row) = self.progress_of(number) {
-                if !budget.take(&row) {
-                    break;
-                }
-                progress.push((number, row));
-            }
-            self.final_rows.remove(&number);
-            self.dirty.remove_first();
-        }
-        progress
-    }
-
     /// The head of the roster if it changed, and the changed pages, as many as fit.
     fn changed_roster(&mut self, budget: &mut CommitBudget) -> RosterChange {
         let mut change = RosterChange::default();
@@ -150,26 +137,6 @@
         Some(learnt).filter(|learnt| !learnt.pairs.is_empty())
     }
 
-    /// A limited number of jobs that ended long ago. They stay known here until the write is
-    /// requested.
-    fn outdated_jobs(&mut self, now: Millis, budget: &mut CommitBudget) -> Vec<JobNumber> {
-        let old = |at: Millis| now > at + self.limits.keep_finished_ms;
-        let count = self.finished_at.iter().take(MAX_FORGOTTEN_JOBS_PER_COMMIT);
-        let count = count.take_while(|(at, _)| old(*at) && budget.take_removal());
-        let count = count.count();
-        self.finished_at
-            .drain(..count)
-            .map(|(_, number)| number)
-            .collect()
-    }
-
-    fn progress_of(&self, number: JobNumber) -> Option<ProgressRow> {
-        match self.jobs.get(&number) {
-            Some(job) => Some(job.progress()),
-            None => self.final_rows.get(&number).cloned(),
-        }
-    }
-
     fn noted_ends(&self) -> Vec<NotedEnds> {
         let unwritten = self.workers.iter();
         let unwritten = unwritten.filter(|(_, worker)| worker.incarnation.has_unwritten());
--- a/crates/jobs/src/commit_budget.rs
+++ b/crates/jobs/src/commit_budget.rs
@@ -8,14 +8,14 @@
 
 /// How much room a value takes in a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct StoredSize {
-    rows: usize,
-    bytes: usize,
+pub(crate) struct StoredSize {
+    pub(crate) rows: usize,
+    pub(crate) bytes: usize,
 }
 
 impl StoredSize {
     /// The size of a value that is stored as JSON: in base64, and in several rows if it is longer than one.
-    fn of(value: &impl Serialize) -> Self {
+    pub(crate) fn of(value: &impl Serialize) -> Self {
         let mut counter = ByteCounter::default();
         serde_json::to_writer(&mut counter, value).expect("plain structures always encode");
         let pieces = counter.bytes.div_ceil(MAX_ROW_VALUE_BYTES);
@@ -61,11 +61,11 @@
         }
     }
 
-    /// The same room with no more than this many rows.
-    pub(crate) fn with_rows(self, rows: usize) -> Self {
+    /// The same room with no more than this many rows and bytes.
+    pub(crate) fn with_most(self, rows: usize, bytes: usize) -> Self {
         Self {
             rows: self.rows.min(rows),
-            ..self
+            bytes: self.bytes.min(bytes),
         }
     }
 
@@ -88,7 +88,8 @@
         self.bytes -= before.bytes - after.bytes;
     }
 
-    fn take_size(&mut self, size: StoredSize) -> bool {
+    /// Takes room of this size; returns false, and takes nothing, if there is too little.
+    pub(crate) fn take_size(&mut self, size: StoredSize) -> bool {
         let fits = size.rows <= self.rows && size.bytes <= self.bytes;
         if fits {
             self.rows -= size.rows;
--- a/crates/jobs/src/crash/caution.rs
+++ b/crates/jobs/src/crash/caution.rs
@@ -103,7 +103,7 @@
         }
         self.crashes.forget_task(&run.task);
         self.hold_back(now, &run.task, now);
-        self.mark_dirty(run.task.job);
+        self.mark_task_dirty(&run.task);
     }
 
     /// Records where a task with crash notes is started. This is written at once, so that a
@@ -122,7 +122,7 @@
         let job = self.jobs.get_mut(&key.task.job);
         if let Some(task) = job.and_then(|job| job.task_mut(&key.task)) {
             task.crashes.note_start(place, key.run);
-            self.mark_dirty(key.task.job);
+            self.mark_task_dirty(&key.task);
             self.urgent = true;
         }
     }
--- a/crates/jobs/src/crash/losses.rs
+++ b/crates/jobs/src/crash/losses.rs
@@ -111,7 +111,7 @@
             self.urgent = true;
         }
         self.crashes.noted.insert(key);
-        self.mark_dirty(key.job);
+        self.mark_task_dirty(&key);
         self.note(JobNote::CrashNoted {
             key: RunKey {
                 task: key,
@@ -184,7 +184,7 @@
         if task.crashes.is_empty() {
             self.crashes.forget_task(&key.task);
         }
-        self.mark_dirty(key.task.job);
+        self.mark_task_dirty(&key.task);
         self.hold_back(now, &key.task, not_before);
         self.note(JobNote::CrashWithdrawn { key: *key, crashes });
     }
@@ -196,7 +196,7 @@
         let job = self.jobs.get_mut(&key.task.job);
         let task = job.and_then(|job| job.task_mut(&key.task));
         if task.is_some_and(|task| task.crashes.forget_start(key.run)) {
-            self.mark_dirty(key.task.job);
+            self.mark_task_dirty(&key.task);
         }
     }
 
@@ -233,7 +233,7 @@
                 None if few && state.crashes.is_empty() => {
                     state.crashes.watch();
                     self.crashes.noted.insert(*task);
-                    self.mark_dirty(task.job);
+                    self.mark_task_dirty(task);
                 }
                 None => {}
             }
--- a/crates/jobs/src/crash/mass_failure.rs
+++ b/crates/jobs/src/crash/mass_failure.rs
@@ -95,7 +95,7 @@
             let job = self.jobs.get_mut(&run.task.job);
             let task = job.and_then(|job| job.task_mut(&run.task));
             if task.is_some_and(|task| task.crashes.make_uncertain(run.run)) {
-                self.mark_dirty(run.task.job);
+                self.mark_task_dirty(&run.task);
             }
         }
     }
--- a/crates/jobs/src/crash/tracker.rs
+++ b/crates/jobs/src/crash/tracker.rs
@@ -164,14 +164,9 @@
         due.map(|(task, _)| task).collect()
     }
 
-    /// Removes and returns the tasks of these jobs whose crash notes are about to be written.
-    pub(crate) fn take_unwritten(&mut self, jobs: &[JobNumber]) -> Vec<TaskKey> {
-        if self.unwritten.is_empty() {
-            return Vec::new();
-        }
-        let written = self
-            .unwritten
-            .extract_if(.., |task| jobs.contains(&task.job));
+    /// Removes and returns the tasks whose crash notes are about to be written.
+    pub(crate) fn take_unwritten(&mut self, is_written: impl Fn(&TaskKey) -> bool) -> Vec<TaskKey> {
+        let written = self.unwritten.extract_if(.., |task| is_written(task));
         written.collect()
     }
 }
--- a/crates/jobs/src/dirty.rs
+++ b/crates/jobs/src/dirty.rs
@@ -1,34 +1,53 @@
-//! The jobs whose changed progress has not been written yet.
+//! The parts of jobs' progress that have changed and have not been written yet.
 
 use std::collections::{HashSet, VecDeque};
 
 use sandshelf_model::Millis;
 
 use crate::ids::JobNumber;
+use crate::progress_page::PageKey;
 use crate::scheduler::NotedEnds;
 
-/// A job whose changed progress waits to be written.
+/// A part of a job's progress that is written as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum ProgressPart {
+    /// The job's row, with the tasks of a small job.
+    Row(JobNumber),
+    /// Some tasks of a large job.
+    Page(PageKey),
+}
+
+impl ProgressPart {
+    pub(crate) fn job(&self) -> JobNumber {
+        match self {
+            ProgressPart::Row(job) => *job,
+            ProgressPart::Page(page) => page.job,
+        }
+    }
+}
+
+/// A changed part that waits to be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct WaitingChange {
-    pub(crate) job: JobNumber,
+    pub(crate) part: ProgressPart,
     /// When the oldest change of it that is not written was made.
     pub(crate) since: Millis,
 }
 
-/// Jobs in the order in which they changed. A job that changes again before it is written keeps its place.
+/// Changed parts in the order in which they changed. A part that changes again before it is written keeps its place.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct DirtyJobs {
+pub(crate) struct DirtyParts {
     queue: VecDeque<WaitingChange>,
-    contained: HashSet<JobNumber>,
-    /// How many jobs were ever added, and how many of these were removed.
+    contained: HashSet<ProgressPart>,
+    /// How many parts were ever added, and how many of these were removed.
     added: u64,
     removed: u64,
 }
 
-impl DirtyJobs {
-    pub(crate) fn add(&mut self, now: Millis, job: JobNumber) {
-        if self.contained.insert(job) {
-            self.queue.push_back(WaitingChange { job, since: now });
+impl DirtyParts {
+    pub(crate) fn add(&mut self, now: Millis, part: ProgressPart) {
+        if self.contained.insert(part) {
+            self.queue.push_back(WaitingChange { part, since: now });
             self.added += 1;
         }
     }
@@ -39,7 +58,7 @@
 
     pub(crate) fn remove_first(&mut self) {
         if let Some(change) = self.queue.pop_front() {
-            self.contained.remove(&change.job);
+            self.contained.remove(&change.part);
             self.removed += 1;
         }
     }
@@ -53,27 +72,27 @@
     }
 }
 
-/// Ends of runs that become durable with the jobs that had changed when they were noted.
+/// Ends of runs that become durable with the parts of progress that had changed when they were noted.
 ///
-/// Commits are limited in size, and where much changes there are always some jobs that are not written yet. So the ends don't
-/// wait until no job is left, but for those that they may have changed: all that were in the queue at that moment.
+/// Commits are limited in size, and where much changes there are always some parts that are not written yet. So the ends don't
+/// wait until no part is left, but for those that they may have changed: all that were in the queue at that moment.
 #[derive(Clone, Debug)]
 pub(crate) struct UnwrittenEnds {
     ends: Vec<NotedEnds>,
-    /// How many jobs had been added by then.
+    /// How many parts had been added by then.
     added: u64,
 }
 
 impl UnwrittenEnds {
-    pub(crate) fn new(ends: Vec<NotedEnds>, dirty: &DirtyJobs) -> Self {
+    pub(crate) fn new(ends: Vec<NotedEnds>, dirty: &DirtyParts) -> Self {
         Self {
             ends,
             added: dirty.added,
         }
     }
 
-    /// The ends, once all jobs that they wait for have left the queue.
-    pub(crate) fn into_written(self, dirty: &DirtyJobs) -> Result<Vec<NotedEnds>, Self> {
+    /// The ends, once all parts that they wait for have left the queue.
+    pub(crate) fn into_written(self, dirty: &DirtyParts) -> Result<Vec<NotedEnds>, Self> {
         match dirty.removed >= self.added {
             true => Ok(self.ends),
             false => Err(self),
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -11,6 +11,7 @@
 use crate::interference::InterferenceRow;
 use crate::note::JobNote;
 use crate::progress::ProgressRow;
+use crate::progress_page::{PageKey, ProgressPage, StoredProgress};
 use crate::reports::{OrderAnswer, RenewalAnswer, WorkerClock, WorkerListing};
 use crate::roster::RosterChange;
 use crate::silent::SilenceChange;
@@ -30,8 +31,8 @@
     },
     /// A new owner has read the durable progress of all jobs; the job rows follow as [`JobEvent::JobListed`].
     StateRead {
-        /// The progress of each job.
-        progress: BTreeMap<JobNumber, ProgressRow>,
+        /// The progress of the jobs.
+        progress: StoredProgress,
         /// The table version at which the jobs were read. An earlier owner may know jobs up to this version.
         claim_version: u64,
     },
@@ -131,6 +132,10 @@
     pub id: u64,
     /// The progress of changed jobs.
     pub progress: Vec<(JobNumber, ProgressRow)>,
+    /// The changed pages of the progress of large jobs.
+    pub pages: Vec<(PageKey, ProgressPage)>,
+    /// Pages of progress that count no more and are to be removed.
+    pub obsolete_pages: Vec<PageKey>,
     /// The number of waiting jobs by queue; none if unchanged.
     pub pending: Option<BTreeMap<String, u64>>,
     /// The load of the queues, written with the number of waiting jobs; none while no job is refused.
@@ -145,6 +150,16 @@
     pub silent: SilenceChange,
 }
 
+impl CommitBatch {
+    /// Whether there is nothing to write. What was learnt about images alone is no reason for a write.
+    pub(crate) fn is_empty(&self) -> bool {
+        let progress = self.progress.is_empty() && self.pages.is_empty();
+        let removals = self.forget.is_empty() && self.obsolete_pages.is_empty();
+        let workers = self.roster.is_empty() && self.silent.is_empty();
+        progress && removals && workers && self.pending.is_none()
+    }
+}
+
 /// An action that a scheduler requests.
 #[derive(Clone, Debug, PartialEq)]
 pub enum JobAction {
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -22,7 +22,7 @@
     pub open_workers: usize,
     /// All known workers.
     pub workers: usize,
-    /// Jobs whose progress is not durable yet.
+    /// Rows and pages of jobs' progress that are not durable yet.
     pub dirty: usize,
     /// The job whose progress has waited longest to be written; none if all is durable.
     pub oldest_unwritten: Option<JobNumber>,
@@ -97,7 +97,7 @@
             open_workers: open.count(),
             workers: self.workers.len(),
             dirty: self.dirty.len(),
-            oldest_unwritten: oldest.map(|change| change.job),
+            oldest_unwritten: oldest.map(|change| change.part.job()),
             oldest_unwritten_ms: oldest.map_or(0, |change| now.saturating_sub(change.since)),
             unacknowledged_ends: unacknowledged.sum(),
             stretch: self.backlog.stretch(),
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -1,6 +1,5 @@
 //! Handles new jobs and cancellations, and the workers of an earlier owner.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
@@ -10,7 +9,7 @@
 use crate::incarnation::IncarnationState;
 use crate::job::{objective_ms, JobState};
 use crate::note::{JobNote, StopCause};
-use crate::progress::ProgressRow;
+use crate::progress_page::StoredProgress;
 use crate::reports::WorkerListing;
 use crate::scheduler::JobScheduler;
 use crate::spec::JobSpec;
@@ -22,12 +21,8 @@
 
 impl JobScheduler {
     /// Applies the progress of jobs that a new owner has read; the job rows follow.
-    pub(crate) fn apply_recovered_state(
-        &mut self,
-        progress: BTreeMap<JobNumber, ProgressRow>,
-        claim_version: u64,
-    ) {
-        self.inherited_progress = progress;
+    pub(crate) fn apply_recovered_state(&mut self, progress: StoredProgress, claim_version: u64) {
+        self.inherit_progress(progress);
         self.claim_version = claim_version;
         self.state_pending = false;
     }
@@ -49,17 +44,13 @@
         let inherited = version <= self.claim_version;
         let age = if inherited { self.job_age_ms(&spec) } else { 0 };
         let mut job = JobState::new(number, spec, now, age, inherited);
-        if let Some(row) = self.inherited_progress.remove(&number) {
+        if let Some(row) = self.inherited_progress.rows.remove(&number) {
             if row.stage.is_final() {
                 self.keep_ended_sizes(now, number, &job.spec);
-                self.finished.insert(number);
-                self.finished_at.push_back((now, number));
+                self.inherit_finished(now, number);
                 return;
             }
-            job.restore(&row);
-            for task in job.crashed_tasks() {
-                self.crashes.note_restored(task);
-            }
+            self.restore_job(&mut job, &row);
         }
         if job.spec.repeat.is_none() || self.wall_ms > 0 {
             job.add_due_repetitions(self.wall_ms);
@@ -114,7 +105,14 @@
         }
         let unfound = unsettled && (job.inherited || fresh);
         let opened = job.open_steps(now, unfound);
-        if job.drop_done_repetitions() {
+        let repetitions_before = job.repetitions_done;
+        let is_done = job.drop_done_repetitions();
+        if job.is_paged() && job.repetitions_done > repetitions_before {
+            let finished = job.take_finished_pages();
+            self.obsolete_pages.add_unwritten(number, finished);
+            self.mark_row_dirty(number);
+        }
+        if is_done {
             self.finish_job(now, number, JobStage::Completed);
             return;
         }
@@ -141,7 +139,7 @@
         self.keep_ended_sizes(now, number, &job.spec);
         self.finished.insert(number);
         self.finished_at.push_back((now, number));
-        self.final_rows.insert(number, job.progress());
+        self.final_rows.insert(number, job.progress_row());
         if job.has_waiting_task() {
             self.remove_waiting(|wait| wait.task.job == number);
             self.delayed.retain(|(_, key)| key.job != number);
@@ -149,7 +147,9 @@
         for (worker, run) in job.live_runs() {
             self.stop_run(now, &worker, run, StopCause::JobOver);
         }
-        self.mark_dirty(number);
+        self.obsolete_pages
+            .add_unwritten(number, job.take_stored_pages());
+        self.mark_row_dirty(number);
         self.urgent = true;
         let objective_ms = objective_ms(&job.spec);
         let took_ms = (now + objective_ms).saturating_sub(job.due.objective_at);
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,6 @@
 //! The state of one job: its repetitions, steps and tasks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sandshelf_model::{Millis, WorkerId};
 
@@ -8,8 +8,8 @@
 use crate::crash::CrashRecord;
 use crate::due::{DueTimes, TaskChain};
 use crate::ids::{JobNumber, TaskKey};
-use crate::progress::{ProgressRow, TaskProgress};
-use crate::spec::{JobSpec, QueueRules, StepSpec};
+use crate::progress_page::PageKey;
+use crate::spec::{JobSpec, QueueRules, StepSpec, MAX_JOB_TASKS};
 use crate::stage::JobStage;
 
 /// The stage of a task.
@@ -75,7 +75,7 @@
         }
     }
 
-    fn is_new(&self) -> bool {
+    pub(crate) fn is_new(&self) -> bool {
         let unfailed = self.failed_runs.is_empty() && self.crashes.is_empty();
         self.stage != TaskStage::Done && unfailed && self.checkpoint.is_none()
     }
@@ -107,7 +107,7 @@
 }
 
 impl RepetitionState {
-    fn new(spec: &JobSpec) -> Self {
+    pub(crate) fn new(spec: &JobSpec) -> Self {
         let steps = spec.steps.iter().map(|step| StepState {
             tasks: vec![TaskState::new(); step.count as usize],
             done: 0,
@@ -142,6 +142,10 @@
     pub(crate) next_repetition: u32,
     /// Whether an earlier owner may have started tasks of it.
     pub(crate) inherited: bool,
+    /// Whether its row is stored, or waits to be written.
+    pub(crate) recorded: bool,
+    /// The pages of its progress that are stored, or are being written.
+    pub(crate) stored_pages: BTreeSet<PageKey>,
 }
 
 impl JobState {
@@ -162,30 +166,8 @@
             repetitions_done: 0,
             next_repetition: 0,
             inherited,
-        }
-    }
-
-    /// Restores the progress that an earlier owner stored.
-    pub(crate) fn restore(&mut self, row: &ProgressRow) {
-        self.stage = row.stage;
-        self.repetitions_done = row.times_done;
-        self.next_repetition = row.times_done;
-        for task in &row.tasks {
-            let fresh = || RepetitionState::new(&self.spec);
-            let time = self.repetitions.entry(task.time).or_insert_with(fresh);
-            self.next_repetition = self.next_repetition.max(task.time.saturating_add(1));
-            let step = time.steps.get_mut(task.step as usize);
-            let Some(step) = step else { continue };
-            let Some(state) = step.tasks.get_mut(task.index as usize) else {
-                continue;
-            };
-            state.failed_runs = task.failed_runs.clone();
-            state.checkpoint = task.checkpoint.clone();
-            state.crashes = task.crashes.clone();
-            if task.done {
-                state.stage = TaskStage::Done;
-                step.done += 1;
-            }
+            recorded: false,
+            stored_pages: BTreeSet::new(),
         }
     }
 
@@ -196,7 +178,7 @@
 
     /// Adds the repetitions that are due by `wall_ms`, in milliseconds since 1970.
     pub(crate) fn add_due_repetitions(&mut self, wall_ms: u64) {
-        while self.next_repetition < self.repetition_count() {
+        while self.next_repetition < self.repetition_count() && self.has_room_for_repetition() {
             let due = self
                 .spec
                 .repeat
@@ -212,6 +194,12 @@
         }
     }
 
+    /// Whether another repetition may be opened. However many are due at once, their tasks have to fit into the owner's memory.
+    fn has_room_for_repetition(&self) -> bool {
+        let open = self.repetitions.len() as u64;
+        open == 0 || (open + 1) * self.spec.task_count() <= MAX_JOB_TASKS
+    }
+
     /// Opens the steps whose predecessors are done. Returns their tasks that are not done; these become `Unfound` if `unfound` is set,
     /// else `Waiting`.
     pub(crate) fn open_steps(&mut self, now: Millis, unfound: bool) -> Vec<TaskKey> {
@@ -300,37 +288,6 @@
         let members = members.filter(|(index, _)| gang || *index == key.index as usize);
         members.map(|(_, task)| task.not_before).max().unwrap_or(0)
     }
-
-    /// The progress of the job, as stored.
-    pub(crate) fn progress(&self) -> ProgressRow {
-        let mut tasks = Vec::new();
-        for (time, state) in &self.repetitions {
-            for (step, tasks_of) in state.steps.iter().enumerate() {
-                let kept = tasks_of.tasks.iter().enumerate();
-                let kept = kept.filter(|(_, task)| !self.stage.is_final() && !task.is_new());
-                tasks.extend(kept.map(|(index, task)| {
-                    TaskProgress {
-                        time: *time,
-                        step: step as u32,
-                        index: index as u32,
-                        done: task.stage == TaskStage::Done,
-                        failed_runs: task.failed_runs.clone(),
-                        checkpoint: task
-                            .checkpoint
-                            .clone()
-                            .filter(|_| task.stage != TaskStage::Done),
-                        crashes: task.crashes.clone(),
-                    }
-                }));
-            }
-        }
-        ProgressRow {
-            stage: self.stage,
-            queue: self.spec.queue.clone(),
-            times_done: self.repetitions_done,
-            tasks,
-        }
-    }
 }
 
 /// How long a job may take by its queue's rules: a multiple of its longest chain of estimated task times, plus a latency.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -40,15 +40,19 @@
 mod intake;
 mod interference;
 mod job;
+mod job_progress;
 mod limits;
 mod load_forecast;
 mod note;
 mod note_reports;
+mod obsolete_pages;
 mod over_target;
 mod pacing;
 mod place;
 mod preemption;
 mod progress;
+mod progress_page;
+mod progress_writes;
 mod queues;
 mod rank;
 mod readings;
@@ -90,6 +94,7 @@
     FillState, HoldOutcome, JobNote, LossCause, OverTargetReport, PreemptionReport, StopCause,
 };
 pub use progress::{ProgressRow, TaskProgress};
+pub use progress_page::{PageKey, ProgressPage, StoredProgress, TaskRange};
 pub use queues::{QueueEntry, QueueTable};
 pub use reports::{
     EndReport, OrderAnswer, RefusalReason, RenewalAnswer, RenewalReport, RunOutcome, RunReport,
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -181,6 +181,18 @@
 pub const MAX_COMMIT_BYTES: usize = 900_000;
 /// The most rows of a commit that are pages of workers. The rest is left to jobs, so that neither holds up the other.
 pub const MAX_PAGE_ROWS_PER_COMMIT: usize = 48;
+/// The most bytes of a commit that are pages of workers, in the form in which the store counts them. The largest part of a job's
+/// progress fits beside them.
+pub const MAX_PAGE_BYTES_PER_COMMIT: usize = 350_000;
+/// The most bytes of a part of a job's progress, in the form in which the store counts them. A part that is larger is written without
+/// its long checkpoints.
+pub const MAX_PROGRESS_PART_BYTES: usize = 500_000;
+/// The longest checkpoint in a part of a job's progress that is too large with longer ones, in bytes.
+pub const MAX_CHECKPOINT_BYTES_IN_FULL_PART: usize = 256;
+/// The most failed runs of a task that are stored with their numbers. Only those whose ends may be reported again are needed.
+pub const MAX_LISTED_FAILURES: usize = 64;
+/// The most pages of ended jobs that one commit removes. The rest of its rows is left to jobs that have not ended.
+pub const MAX_OBSOLETE_PAGES_PER_COMMIT: usize = 16;
 /// The most bytes of a value in one row, before base64. Longer values are stored in several rows. The store accepts 65,536.
 pub const MAX_ROW_VALUE_BYTES: usize = 60_000;
 /// The bytes of a row in a write besides its value, with the names of the fields.
--- a/crates/jobs/src/note.rs
+++ b/crates/jobs/src/note.rs
@@ -66,6 +66,15 @@
         /// The result of the order.
         answer: OrderAnswer,
     },
+    /// A part of a job's progress was too large for a write, so that long checkpoints were left out. Only a successor misses them.
+    CheckpointsLeftOut {
+        /// The job.
+        job: JobNumber,
+        /// The number of the checkpoints.
+        checkpoints: usize,
+        /// The size of the part with them, in bytes as the store counts them.
+        bytes: usize,
+    },
     /// A job ended.
     JobFinished {
         /// The job.
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -145,13 +145,12 @@
     /// Schedules the removal of progress rows without a job. An earlier owner may have ended after
     /// it removed a job and before it removed the job's progress.
     fn forget_orphaned_progress(&mut self, now: Millis) {
-        let inherited = self.inherited_progress.iter();
+        let inherited = self.inherited_progress.rows.iter();
         let final_rows = inherited.filter(|(_, row)| row.stage.is_final());
         let final_rows: Vec<JobNumber> = final_rows.map(|(number, _)| *number).collect();
         for number in final_rows {
-            self.inherited_progress.remove(&number);
-            self.finished.insert(number);
-            self.finished_at.push_back((now, number));
+            self.inherited_progress.rows.remove(&number);
+            self.inherit_finished(now, number);
         }
     }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -12,7 +12,7 @@
 use crate::capacity::EndedJobSizes;
 use crate::copies::SlowRunWatch;
 use crate::crash::CrashTracker;
-use crate::dirty::{DirtyJobs, UnwrittenEnds};
+use crate::dirty::{DirtyParts, UnwrittenEnds};
 use crate::events::{JobAction, JobEvent, WorkerCall};
 use crate::foreign::ForeignRuns;
 use crate::halls::EvacuatedHalls;
@@ -28,8 +28,10 @@
 };
 use crate::load_forecast::LoadHistory;
 use crate::note::JobNote;
+use crate::obsolete_pages::ObsoletePages;
 use crate::preemption::PreemptionState;
 use crate::progress::ProgressRow;
+use crate::progress_page::StoredProgress;
 use crate::rank::FailedPlacements;
 use crate::reservations::ReservationBook;
 use crate::roster::RosterMembers;
@@ -77,13 +79,14 @@
     pub(crate) wall_ms: u64,
     pub(crate) jobs: BTreeMap<JobNumber, JobState>,
     /// The progress of jobs whose rows have not been handled yet, as read at the takeover.
-    pub(crate) inherited_progress: BTreeMap<JobNumber, ProgressRow>,
+    pub(crate) inherited_progress: StoredProgress,
     /// The jobs that have ended; later rows of them are ignored.
     pub(crate) finished: HashSet<JobNumber>,
     /// When each job ended, oldest first, until the removal of its rows is requested.
     pub(crate) finished_at: VecDeque<(Millis, JobNumber)>,
     /// The final progress of ended jobs that has not been written yet.
     pub(crate) final_rows: BTreeMap<JobNumber, ProgressRow>,
+    pub(crate) obsolete_pages: ObsoletePages,
     pub(crate) workers: BTreeMap<WorkerId, WorkerState>,
     /// The known workers that the worker list doesn't contain.
     pub(crate) unlisted: BTreeSet<WorkerId>,
@@ -96,8 +99,8 @@
     pub(crate) delayed: BTreeSet<(Millis, TaskKey)>,
     pub(crate) queues: BTreeMap<String, QueueRules>,
     pub(crate) evacuated: EvacuatedHalls,
-    pub(crate) dirty: DirtyJobs,
-    /// Ends that wait until all jobs are written that had changed when they were noted.
+    pub(crate) dirty: DirtyParts,
+    /// Ends that wait until all progress is written that had changed when they were noted.
     pub(crate) unwritten_ends: Option<UnwrittenEnds>,
     /// Whether the next commit must not wait for the shortest interval between commits.
     pub(crate) urgent: bool,
@@ -196,10 +199,11 @@
             state_pending: info.state_pending,
             wall_ms: info.wall_ms,
             jobs: BTreeMap::new(),
-            inherited_progress: info.progress,
+            inherited_progress: StoredProgress::default(),
             finished: HashSet::new(),
             finished_at: VecDeque::new(),
             final_rows: BTreeMap::new(),
+            obsolete_pages: ObsoletePages::default(),
             workers: BTreeMap::new(),
             unlisted: BTreeSet::new(),
             last_list: 0,
@@ -208,7 +212,7 @@
             delayed: BTreeSet::new(),
             queues: BTreeMap::new(),
             evacuated: EvacuatedHalls::default(),
-            dirty: DirtyJobs::default(),
+            dirty: DirtyParts::default(),
             unwritten_ends: None,
             urgent: false,
             commit: None,
@@ -273,6 +277,7 @@
             deposed: false,
             actions: Vec::new(),
         };
+        scheduler.inherit_progress(info.progress);
         scheduler
             .interference
             .restore(&mut scheduler.images, &info.interference);
@@ -434,9 +439,4 @@
     pub(crate) fn note(&mut self, note: JobNote) {
         self.actions.push(JobAction::Note(note));
     }
-
-    /// Marks a job's progress as changed, to be written with a later commit.
-    pub(crate) fn mark_dirty(&mut self, number: JobNumber) {
-        self.dirty.add(self.last_tick, number);
-    }
 }
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -184,7 +184,7 @@
     /// Defers a task until all workers have answered, or can't hold anything of an earlier owner
     /// any more.
     fn defer_task(&mut self, key: &TaskKey) {
-        self.mark_dirty(key.job);
+        self.mark_task_dirty(key);
         let job = self.jobs.get_mut(&key.job);
         if let Some(task) = job.and_then(|job| job.task_mut(key)) {
             if task.stage != TaskStage::Blocked {
@@ -237,7 +237,10 @@
             self.remove_waiting(|wait| wait.task == key);
         }
         self.note_begun(&key);
-        self.mark_dirty(key.job);
+        match gang {
+            true => self.mark_step_dirty(&key),
+            false => self.mark_task_dirty(&key),
+        }
         self.open_job_steps(now, key.job);
     }
 
@@ -262,7 +265,7 @@
         task.failed_runs.push(run.run);
         let exhausted = task.failed_runs.len() >= most;
         self.note_begun(&key);
-        self.mark_dirty(key.job);
+        self.mark_task_dirty(&key);
         if exhausted {
             self.finish_job(now, key.job, JobStage::Failed);
         }
@@ -280,7 +283,7 @@
         let (gang, standing) = (step.gang, step.standing);
         let has_checkpoint = job.task(&key).is_some_and(|task| task.checkpoint.is_some());
         if !standing || has_checkpoint {
-            self.mark_dirty(key.job);
+            self.mark_task_dirty(&key);
         }
         // A worker may hold a later run of it, or its step may not be open yet: it is queued later.
         let stage = self.jobs.get(&key.job).and_then(|job| job.task(&key));
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -9,6 +9,8 @@
 pub const MAX_STEPS: usize = 256;
 /// The maximum number of tasks of a step.
 pub const MAX_TASKS: u32 = 10_000;
+/// The maximum number of tasks in the steps of a job. An owner keeps some 400 bytes of each, and it may be a host with 160 MB.
+pub const MAX_JOB_TASKS: u64 = 200_000;
 /// The maximum length of the payload that tasks receive, in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 /// The maximum number of repetitions of a job.
@@ -164,6 +166,8 @@
         /// The index of the step for which it waits.
         after: usize,
     },
+    /// The steps have too many tasks together.
+    JobTasks(u64),
     /// The payload is too long; its length in bytes.
     PayloadSize(usize),
     /// There are too many repetitions.
@@ -202,6 +206,12 @@
                     "step {step} waits for step {after}; name an earlier step"
                 )
             }
+            SpecFault::JobTasks(count) => {
+                write!(
+                    formatter,
+                    "{count} tasks in all steps; {MAX_JOB_TASKS} at most"
+                )
+            }
             SpecFault::PayloadSize(bytes) => {
                 write!(
                     formatter,
@@ -229,6 +239,17 @@
 impl std::error::Error for SpecFault {}
 
 impl JobSpec {
+    /// The number of tasks in one repetition of the steps.
+    pub(crate) fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
+    /// The number of tasks in all repetitions of the steps.
+    pub(crate) fn task_count_over_all_times(&self) -> u64 {
+        let times = self.repeat.map_or(1, |repeat| repeat.count.max(1));
+        self.task_count().saturating_mul(u64::from(times))
+    }
+
     /// Checks the order of the steps, and that all numbers are in ranges whose sums the scheduler can hold.
     ///
     /// # Errors
@@ -237,6 +258,9 @@
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(SpecFault::StepCount(self.steps.len()));
         }
+        if self.task_count() > MAX_JOB_TASKS {
+            return Err(SpecFault::JobTasks(self.task_count()));
+        }
         if self.payload.len() > MAX_PAYLOAD_BYTES {
             return Err(SpecFault::PayloadSize(self.payload.len()));
         }
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -4,10 +4,9 @@
 
 use sandshelf_model::{Epoch, Millis, WorkerId};
 
-use crate::ids::JobNumber;
 use crate::interference::InterferenceRow;
 use crate::limits::SchedulerLimits;
-use crate::progress::ProgressRow;
+use crate::progress_page::StoredProgress;
 use crate::roster::WorkerRoster;
 use crate::silent::SilentWorkers;
 
@@ -34,7 +33,7 @@
     /// started.
     pub state_pending: bool,
     /// The durable progress of the jobs.
-    pub progress: BTreeMap<JobNumber, ProgressRow>,
+    pub progress: StoredProgress,
     /// The epoch since which every owner keeps to the lease length that it publishes in the roster;
     /// 0 if the previous owner may not. Lease lengths published by earlier owners are not trusted:
     /// an owner of an older version may have granted longer leases since.
--- a/crates/jobs/tests/commit_limits.rs
+++ b/crates/jobs/tests/commit_limits.rs
@@ -8,61 +8,13 @@
 mod support;
 
 use sandshelf_jobs::{
-    CommitBatch, JobAction, JobEvent, OrderAnswer, RenewalAnswer, RenewalReport, RunOutcome,
-    SilentWorkers, TakeoverInfo, WorkerCall, WorkerListing, WorkerRoster,
+    JobAction, JobEvent, OrderAnswer, RenewalAnswer, RenewalReport, RunOutcome, SilentWorkers,
+    TakeoverInfo, WorkerCall, WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{ResourceSize, WorkerId};
-use serde::Serialize;
+use support::write_size::{WriteSize, ENTRY_BYTES, OWNER_BYTES};
 use support::{end_report, job, listing, run_report, step, SchedulerRig};
 
-/// The most entries of a write: checked, written and removed rows.
-const MAX_ENTRIES: usize = 100;
-/// The most bytes of a write.
-const MAX_BYTES: usize = 1_000_000;
-/// The most bytes of a row's value; longer values take several rows.
-const MAX_VALUE_BYTES: usize = 60_000;
-/// Bytes of an entry besides its value: table, part and key with their names.
-const ENTRY_BYTES: usize = 100;
-/// The owner row, which each write checks and writes.
-const OWNER_ENTRIES: usize = 2;
-const OWNER_BYTES: usize = 1_000;
-
-/// The size of a write in the form in which the store counts it.
-#[derive(Default)]
-struct WriteSize {
-    entries: usize,
-    bytes: usize,
-}
-
-impl WriteSize {
-    fn add(&mut self, value: &impl Serialize) {
-        let bytes = serde_json::to_vec(value).expect("plain structures").len();
-        let pieces = bytes.div_ceil(MAX_VALUE_BYTES);
-        let rows = if pieces > 1 { pieces + 1 } else { 1 };
-        self.entries += rows;
-        self.bytes += rows * ENTRY_BYTES + bytes.div_ceil(3) * 4;
-    }
-
-    fn of(batch: &CommitBatch) -> Self {
-        let mut size = WriteSize {
-            entries: OWNER_ENTRIES + batch.forget.len(),
-            bytes: OWNER_BYTES + batch.forget.len() * ENTRY_BYTES,
-        };
-        for (_, row) in &batch.progress {
-            size.add(row);
-        }
-        batch.pending.iter().for_each(|counts| size.add(counts));
-        batch
-            .interference
-            .iter()
-            .for_each(|learnt| size.add(learnt));
-        batch.roster.head.iter().for_each(|head| size.add(head));
-        batch.roster.pages.values().for_each(|page| size.add(page));
-        batch.silent.pages.values().for_each(|page| size.add(page));
-        size
-    }
-}
-
 /// The owner of a fleet whose workers have all answered, and what it has made durable about them.
 struct FleetOwner {
     rig: SchedulerRig,
@@ -179,13 +131,7 @@
         let mut writes = 0;
         self.rig.advance(100);
         while let Some(batch) = self.rig.take_commit() {
-            let size = WriteSize::of(&batch);
-            assert!(
-                size.entries <= MAX_ENTRIES && size.bytes <= MAX_BYTES,
-                "{} entries, {} bytes",
-                size.entries,
-                size.bytes
-            );
+            WriteSize::of(&batch).assert_taken();
             writes += 1;
             assert!(writes < 1_000, "the owner never ends to write");
             batch.roster.apply_to(&mut self.roster);
--- a/crates/jobs/tests/lease_bounds.rs
+++ b/crates/jobs/tests/lease_bounds.rs
@@ -11,9 +11,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
 use sandshelf_jobs::{
-    EndReport, JobAction, JobEvent, JobNumber, JobScheduler, OrderAnswer, ProgressRow,
-    RefusalReason, RenewalAnswer, RenewalCall, RenewalReport, RunKey, RunOutcome, SchedulerLimits,
-    SilentWorkers, StartCall, StepSpec, TakeoverInfo, TaskKey, WorkerCall, WorkerIncarnation,
+    EndReport, JobAction, JobEvent, JobNumber, JobScheduler, OrderAnswer, RefusalReason,
+    RenewalAnswer, RenewalCall, RenewalReport, RunKey, RunOutcome, SchedulerLimits, SilentWorkers,
+    StartCall, StepSpec, StoredProgress, TakeoverInfo, TaskKey, WorkerCall, WorkerIncarnation,
     WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{Epoch, Millis, WorkerId};
@@ -245,7 +245,7 @@
     jobs: Vec<u32>,
     roster: WorkerRoster,
     silent: SilentWorkers,
-    progress: BTreeMap<JobNumber, ProgressRow>,
+    progress: StoredProgress,
     /// What was started elsewhere under a lease of the worker.
     started_early: Option<String>,
 }
@@ -264,7 +264,7 @@
             jobs: vec![FIRST_TASKS],
             roster: WorkerRoster::default(),
             silent: SilentWorkers::default(),
-            progress: BTreeMap::new(),
+            progress: StoredProgress::default(),
             started_early: None,
         };
         model.claim(0);
@@ -352,7 +352,7 @@
                 JobAction::Commit(batch) => {
                     batch.roster.apply_to(&mut self.roster);
                     batch.silent.apply_to(&mut self.silent);
-                    self.progress.extend(batch.progress);
+                    self.progress.apply(&batch);
                     let written = Delivery::Answer(self.epoch, JobEvent::Committed(batch.id));
                     self.send(self.now + STEP_MS, written);
                 }
--- a/crates/jobs/tests/leases_in_outages.rs
+++ b/crates/jobs/tests/leases_in_outages.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use std::collections::BTreeMap;
 
 use sandshelf_jobs::{
-    JobEvent, JobSpec, OrderAnswer, RenewalAnswer, RunKey, StepSpec, TakeoverInfo, WorkerListing,
+    JobEvent, JobSpec, OrderAnswer, RenewalAnswer, RunKey, StepSpec, StoredProgress, TakeoverInfo,
+    WorkerListing,
 };
 use sandshelf_model::{Millis, ResourceSize, WorkerId};
 use support::{job, listing, run_report, second_owner, step, task, SchedulerRig};
@@ -105,7 +105,7 @@
         rig.report("w-2", vec![], vec![]);
     }
     rig.handle(JobEvent::StateRead {
-        progress: BTreeMap::new(),
+        progress: StoredProgress::default(),
         claim_version: 100,
     });
     rig.hand_in(7, 50, job(vec![step(1)]));
--- a/crates/jobs/tests/support/crashing/mod.rs
+++ b/crates/jobs/tests/support/crashing/mod.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sandshelf_jobs::{
-    EndReport, JobEvent, JobNumber, JobSpec, JobStage, OrderAnswer, ProgressRow, RenewalAnswer,
-    RenewalCall, RunKey, RunOutcome, SilentWorkers, TakeoverInfo, TaskKey, WorkerIncarnation,
+    EndReport, JobEvent, JobNumber, JobSpec, JobStage, OrderAnswer, RenewalAnswer, RenewalCall,
+    RunKey, RunOutcome, SilentWorkers, StoredProgress, TakeoverInfo, TaskKey, WorkerIncarnation,
     WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
@@ -72,7 +72,7 @@
     answers: Vec<(Millis, JobEvent)>,
     listed_at: Millis,
     jobs: Vec<(u64, JobSpec)>,
-    rows: BTreeMap<JobNumber, ProgressRow>,
+    rows: StoredProgress,
     roster: WorkerRoster,
     silent: SilentWorkers,
     /// Whether the store accepts writes.
@@ -128,7 +128,7 @@
             answers: Vec::new(),
             listed_at: 0,
             jobs: Vec::new(),
-            rows: BTreeMap::new(),
+            rows: StoredProgress::default(),
             roster: WorkerRoster::default(),
             silent: SilentWorkers::default(),
             store_up: true,
@@ -235,7 +235,7 @@
 
     /// The durable state of a job.
     pub fn stage(&self, number: u64) -> Option<JobStage> {
-        self.rows.get(&JobNumber(number)).map(|row| row.stage)
+        self.rows.rows.get(&JobNumber(number)).map(|row| row.stage)
     }
 
     /// How many times a task was started in total.
--- a/crates/jobs/tests/support/crashing/orders.rs
+++ b/crates/jobs/tests/support/crashing/orders.rs
@@ -62,7 +62,7 @@
         if !self.store_up {
             return;
         }
-        self.rows.extend(batch.progress);
+        self.rows.apply(&batch);
         batch.roster.apply_to(&mut self.roster);
         batch.silent.apply_to(&mut self.silent);
         self.answers
--- a/crates/jobs/tests/support/emulator/mod.rs
+++ b/crates/jobs/tests/support/emulator/mod.rs
@@ -16,9 +16,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
-    CommitBatch, JobEvent, JobNumber, JobScheduler, JobSpec, OrderAnswer, OwnerTenure, ProgressRow,
-    RenewalAnswer, RenewalCall, SilentWorkers, TaskKey, WorkerCall, WorkerIncarnation,
-    WorkerRoster,
+    CommitBatch, JobEvent, JobNumber, JobScheduler, JobSpec, OrderAnswer, OwnerTenure,
+    RenewalAnswer, RenewalCall, SilentWorkers, StoredProgress, TaskKey, WorkerCall,
+    WorkerIncarnation, WorkerRoster,
 };
 use sandshelf_model::{Millis, WorkerId};
 
@@ -157,7 +157,7 @@
     /// Whether new faults are injected at present.
     injects: bool,
     jobs: Vec<(JobNumber, Option<JobSpec>)>,
-    pub progress: BTreeMap<JobNumber, ProgressRow>,
+    pub progress: StoredProgress,
     roster: WorkerRoster,
     silent: SilentWorkers,
     store_out_until: Millis,
@@ -199,7 +199,7 @@
             second_runs: SecondRuns::default(),
             injects: false,
             jobs: Vec::new(),
-            progress: BTreeMap::new(),
+            progress: StoredProgress::default(),
             roster: WorkerRoster::default(),
             silent: SilentWorkers::default(),
             store_out_until: 0,
@@ -410,6 +410,7 @@
     /// How many of the jobs have ended.
     pub fn finished(&self) -> usize {
         self.progress
+            .rows
             .values()
             .filter(|row| row.stage.is_final())
             .count()
--- a/crates/jobs/tests/support/emulator/owners.rs
+++ b/crates/jobs/tests/support/emulator/owners.rs
@@ -1,12 +1,12 @@
 //! The emulated owners: which host owns the shard, and how its actions are carried out.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use rand::RngExt;
 use sandshelf_jobs::{
     CommitBatch, JobAction, JobEvent, JobNumber, JobScheduler, JobSpec, OwnerTenure,
-    SchedulerLimits, TakeoverInfo, WorkerListing,
+    SchedulerLimits, StoredProgress, TakeoverInfo, WorkerListing,
 };
 
 use sandshelf_model::{Millis, WorkerId};
@@ -80,7 +80,7 @@
             claim_version: self.jobs.len() as u64,
             state_pending,
             progress: match state_pending {
-                true => BTreeMap::new(),
+                true => StoredProgress::default(),
                 false => self.progress.clone(),
             },
             rules_since: 1,
@@ -336,10 +336,10 @@
             self.owners.retain(|owner| owner.epoch != epoch);
             return;
         }
-        for (number, row) in batch.progress {
-            self.oracle.shown(self.now, number, row.stage);
-            self.progress.insert(number, row);
+        for (number, row) in &batch.progress {
+            self.oracle.shown(self.now, *number, row.stage);
         }
+        self.progress.apply(&batch);
         batch.roster.apply_to(&mut self.roster);
         batch.silent.apply_to(&mut self.silent);
         self.deliver_event(epoch, JobEvent::Committed(batch.id));
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -17,6 +17,7 @@
 pub mod slow_fleet;
 pub mod standing_fleet;
 pub mod standing_jobs;
+pub mod write_size;
 
 pub use sandshelf_emulator::oracle;
 
--- a/crates/jobs/tests/support/slow_fleet.rs
+++ b/crates/jobs/tests/support/slow_fleet.rs
@@ -8,8 +8,9 @@
 use rand_chacha::ChaCha8Rng;
 use sandshelf_jobs::{
     EndReport, JobAction, JobEvent, JobNote, JobNumber, JobSpec, JobStage, OrderAnswer,
-    ProgressRow, RefusalReason, RenewalAnswer, RenewalCall, RenewalReport, RunKey, RunOutcome,
-    RunReport, SchedulerLimits, TakeoverInfo, TaskKey, WorkerCall, WorkerListing, WorkerRoster,
+    RefusalReason, RenewalAnswer, RenewalCall, RenewalReport, RunKey, RunOutcome, RunReport,
+    SchedulerLimits, StoredProgress, TakeoverInfo, TaskKey, WorkerCall, WorkerListing,
+    WorkerRoster,
 };
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
@@ -98,7 +99,7 @@
     /// The tasks of which an end `done` was acknowledged.
     acknowledged: BTreeSet<TaskKey>,
     /// The durable rows, and the specifications of jobs that were not completed.
-    progress: BTreeMap<JobNumber, ProgressRow>,
+    progress: StoredProgress,
     specs: BTreeMap<JobNumber, JobSpec>,
     limits: SchedulerLimits,
     epoch: u64,
@@ -132,7 +133,7 @@
             slow_tasks: BTreeMap::new(),
             completed: BTreeSet::new(),
             acknowledged: BTreeSet::new(),
-            progress: BTreeMap::new(),
+            progress: StoredProgress::default(),
             specs: BTreeMap::new(),
             limits,
             epoch: 1,
@@ -306,7 +307,7 @@
             match action {
                 JobAction::Call { worker, call, .. } => self.call(&worker, call),
                 JobAction::Commit(batch) => {
-                    self.progress.extend(batch.progress);
+                    self.progress.apply(&batch);
                     self.push(WRITE_MS, JobEvent::Committed(batch.id));
                 }
                 JobAction::Note(note) => self.count(&note),
--- a/crates/jobs/tests/task_fleet/mod.rs
+++ b/crates/jobs/tests/task_fleet/mod.rs
@@ -8,9 +8,9 @@
 use std::f64::consts::TAU;
 
 use sandshelf_jobs::{
-    EndReport, InterferencePair, InterferenceRow, JobAction, JobEvent, JobNote, JobNumber, JobSpec,
-    JobStage, OrderAnswer, ProgressRow, RunKey, RunOutcome, RunReport, SchedulerLimits, StartCall,
-    StepSpec, TakeoverInfo, WorkerCall, WorkerListing, WorkerRoster,
+    EndReport, InterferencePair, InterferenceRow, JobAction, JobEvent, JobNote, JobSpec, JobStage,
+    OrderAnswer, RunKey, RunOutcome, RunReport, SchedulerLimits, StartCall, StepSpec,
+    StoredProgress, TakeoverInfo, WorkerCall, WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{LoadPolicies, Millis, ResourceSize, WorkerId};
 
@@ -87,7 +87,7 @@
     pub notes: Vec<JobNote>,
     workers: Vec<FleetWorker>,
     limits: SchedulerLimits,
-    progress: BTreeMap<JobNumber, ProgressRow>,
+    progress: StoredProgress,
 }
 
 /// A number in 0..1 that depends on its arguments only (the finaliser of SplitMix64).
@@ -168,7 +168,7 @@
             notes: Vec::new(),
             workers,
             limits,
-            progress: BTreeMap::new(),
+            progress: StoredProgress::default(),
         };
         for worker in 0..count {
             fleet.report(worker);
@@ -348,7 +348,7 @@
                 match action {
                     JobAction::Call { worker, call, .. } => self.obey(&worker, call),
                     JobAction::Commit(batch) => {
-                        self.progress.extend(batch.progress);
+                        self.progress.apply(&batch);
                         self.rig.handle(JobEvent::Committed(batch.id));
                     }
                     JobAction::Note(note) => self.note(note),
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -50,6 +50,8 @@
 const CRASHES: &str = "sandshelf_task_crashes_noted_total";
 /// How long serving tasks were over their targets, by whether anything filled beside them at the end; only from 1.5 s on.
 const OVER_TARGET_SECONDS: &str = "sandshelf_over_target_seconds";
+/// The checkpoints that were not written since the progress of their job is too large with them.
+const CHECKPOINTS_LEFT_OUT: &str = "sandshelf_checkpoints_left_out_total";
 /// The tasks that were given up because they crash their workers.
 const GIVEN_UP: &str = "sandshelf_tasks_given_up_total";
 /// The speculative copies, by event: `started`, `won` if the copy ended first, `lost` if the slow run did.
@@ -247,6 +249,9 @@
         | JobNote::CrashWithdrawn { .. }
         | JobNote::OverTarget(_)
         | JobNote::Paced(..) => {}
+        JobNote::CheckpointsLeftOut { checkpoints, .. } => {
+            counter!(CHECKPOINTS_LEFT_OUT).increment(*checkpoints as u64);
+        }
         JobNote::WorkerReserved { .. } => counter!(RESERVATIONS).increment(1),
         JobNote::ReservationEnded { in_vain: true, .. } => {
             counter!(RESERVATIONS_IN_VAIN).increment(1);
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod health;
 mod intake;
 mod labels;
+mod leftovers;
 mod load_notes;
 mod meters;
 mod news;
--- a/crates/sandshelfd/src/jobs/notes.rs
+++ b/crates/sandshelfd/src/jobs/notes.rs
@@ -98,6 +98,14 @@
                 ("answer", &label(answer)),
             ],
         ),
+        JobNote::CheckpointsLeftOut {
+            job,
+            checkpoints,
+            bytes,
+        } => event(
+            "checkpoints_left_out",
+            &[("job", job), ("checkpoints", checkpoints), ("bytes", bytes)],
+        ),
         JobNote::JobFinished {
             job,
             state,
--- a/crates/sandshelfd/src/jobs/owner.rs
+++ b/crates/sandshelfd/src/jobs/owner.rs
@@ -29,6 +29,7 @@
 use crate::jobs::calls::WorkerCalls;
 use crate::jobs::halls::HallView;
 use crate::jobs::health::StoreHealth;
+use crate::jobs::leftovers::LeftoverRows;
 use crate::jobs::load_notes::{log_load, log_queue_loads};
 use crate::jobs::meters;
 use crate::jobs::news::OwnerNews;
@@ -142,6 +143,7 @@
     claims_paused_until: Millis,
     owned: Option<OwnedShard>,
     pending_batch: Option<CommitBatch>,
+    leftovers: LeftoverRows,
     write_in_flight: bool,
     watch: OwnerWatch,
     /// The time from which no earlier owner gives orders, if that is after this host's claim; otherwise 0.
@@ -219,6 +221,7 @@
         claims_paused_until: 0,
         owned: None,
         pending_batch: None,
+        leftovers: LeftoverRows::default(),
         write_in_flight: false,
         watch: OwnerWatch::default(),
         earlier_orders_until: 0,
--- a/crates/sandshelfd/src/jobs/owner/claim.rs
+++ b/crates/sandshelfd/src/jobs/owner/claim.rs
@@ -101,6 +101,7 @@
             version,
             row,
             batch: CommitBatch::default(),
+            leftovers: Vec::new(),
         });
     }
 
--- a/crates/sandshelfd/src/jobs/owner/recover.rs
+++ b/crates/sandshelfd/src/jobs/owner/recover.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::jobs::calls::WorkerCalls;
 use crate::jobs::intake::{follow_jobs, follow_workers};
+use crate::jobs::leftovers::LeftoverRows;
 use crate::jobs::owner::relaying::RelayPool;
 use crate::jobs::owner::tenure::ShardTenure;
 use crate::jobs::pages::PageReader;
@@ -178,7 +179,12 @@
         if owned.scheduler.epoch() != epoch {
             return;
         }
-        let RecordedState { progress, jobs } = recorded;
+        let RecordedState {
+            progress,
+            leftovers,
+            jobs,
+        } = recorded;
+        self.leftovers = LeftoverRows::new(leftovers);
         event(
             "shard_read",
             &[
--- a/crates/sandshelfd/src/jobs/owner/release.rs
+++ b/crates/sandshelfd/src/jobs/owner/release.rs
@@ -6,6 +6,7 @@
 use super::strength::HostStrength;
 use super::OwnerLoop;
 use crate::clock;
+use crate::jobs::leftovers::LeftoverRows;
 use crate::jobs::writer::OwnerWrite;
 use crate::logging::event;
 
@@ -21,6 +22,7 @@
         self.published = None;
         self.owned = None;
         self.pending_batch = None;
+        self.leftovers = LeftoverRows::default();
         self.rank = HostStrength::of(&self.settings).draw_rank();
         self.lease.return_to_watching();
         if self.stop_deadline.is_some() {
@@ -58,6 +60,7 @@
     /// Writes an owner row without an owner. The pending batch is discarded: its epoch ends here.
     pub(super) fn release(&mut self, cause: &str) {
         self.pending_batch = None;
+        self.leftovers = LeftoverRows::default();
         let (version, mut row) = self.lease.next_row(self.token());
         row.owner = None;
         event(
@@ -72,6 +75,7 @@
             version,
             row,
             batch: CommitBatch::default(),
+            leftovers: Vec::new(),
         });
     }
 }
--- a/crates/sandshelfd/src/jobs/owner/writes.rs
+++ b/crates/sandshelfd/src/jobs/owner/writes.rs
@@ -36,10 +36,12 @@
             None => return,
         };
         let (version, row) = self.lease.next_row(self.token());
+        let leftovers = self.leftovers.take_beside(&batch);
         self.write(OwnerWrite {
             version,
             row,
             batch,
+            leftovers,
         });
     }
 
--- a/crates/sandshelfd/src/jobs/records.rs
+++ b/crates/sandshelfd/src/jobs/records.rs
@@ -4,7 +4,7 @@
 
 use sandshelf_adapter::{RowKey, RowRange};
 use sandshelf_jobs::admission::LoadView;
-use sandshelf_jobs::{JobNumber, WorkerPage};
+use sandshelf_jobs::{JobNumber, PageKey, WorkerPage};
 use sandshelf_model::Millis;
 use serde::{Deserialize, Serialize};
 
@@ -105,6 +105,12 @@
     shard_row(PROGRESS_TABLE, &number.to_string())
 }
 
+/// The key of a page of the progress of a large job. It sorts after the row of that job and the pieces of its value, so that a read of the
+/// job's state doesn't include it.
+pub fn progress_page_row(page: &PageKey) -> RowKey {
+    shard_row(PROGRESS_TABLE, &page.to_string())
+}
+
 /// The range of a single row.
 pub fn row_range(row: &RowKey) -> RowRange {
     RowRange {
--- a/crates/sandshelfd/src/jobs/takeover.rs
+++ b/crates/sandshelfd/src/jobs/takeover.rs
@@ -5,10 +5,10 @@
 
 use futures::future::join;
 use futures::{stream, StreamExt};
-use sandshelf_adapter::{join_values, leftover_pieces, CallTimeout, RowWrite, StoredValue};
+use sandshelf_adapter::{join_values, leftover_pieces, CallTimeout, StoredValue};
 use sandshelf_jobs::{
-    InterferenceRow, JobEvent, JobNumber, JobSpec, ProgressRow, SilentWorkers, WorkerPage,
-    WorkerRoster,
+    InterferenceRow, JobEvent, JobNumber, JobSpec, PageKey, SilentWorkers, StoredProgress,
+    WorkerPage, WorkerRoster,
 };
 use sandshelf_model::Epoch;
 
@@ -17,16 +17,14 @@
 use crate::jobs::meters::StoreCall;
 use crate::jobs::pages::{PageReader, PartRows};
 use crate::jobs::records::{
-    job_ranges, roster_page_key, shard_range, shard_row, silence_page_key, CANCEL_SUFFIX,
-    INTERFERENCE_KEY, PROGRESS_TABLE, ROSTER_KEY, SHARDS_TABLE,
+    job_ranges, roster_page_key, shard_range, silence_page_key, CANCEL_SUFFIX, INTERFERENCE_KEY,
+    PROGRESS_TABLE, ROSTER_KEY, SHARDS_TABLE,
 };
 use crate::jobs::writer::OwnerStore;
 use crate::logging::event;
 
 /// The idle timeout of a page read: how long the store may send nothing.
 const PAGE_TIMEOUT: CallTimeout = CallTimeout::Idle(Duration::from_millis(1_500));
-/// How many leftover rows are removed in one write. The store accepts 100 entries.
-const LEFTOVERS_PER_WRITE: usize = 90;
 /// How many parts of the jobs table are read concurrently.
 const PARTS_AT_ONCE: usize = 8;
 
@@ -46,8 +44,10 @@
 /// The durable state of jobs.
 #[derive(Clone, Debug)]
 pub struct RecordedState {
-    /// The progress rows by job.
-    pub progress: BTreeMap<JobNumber, ProgressRow>,
+    /// The progress of the jobs.
+    pub progress: StoredProgress,
+    /// The keys of progress rows that are left over from longer values.
+    pub leftovers: Vec<String>,
     /// All jobs and cancellations.
     pub jobs: ListedJobs,
 }
@@ -97,38 +97,16 @@
         }
     }
 
-    /// Reads the durable state of jobs, and removes leftover pieces of rows that were longer before. Failed reads are retried until they
-    /// succeed.
+    /// Reads the durable state of jobs. Failed reads are retried until they succeed.
     pub async fn read_recorded(&self, reader: &PageReader) -> RecordedState {
         let progress = reader.read_part(self, &shard_range(PROGRESS_TABLE)).await;
-        self.remove_leftovers(&leftover_pieces(&progress.rows))
-            .await;
         RecordedState {
-            progress: decode_all(&join_values(&progress.rows)),
+            leftovers: leftover_pieces(&progress.rows),
+            progress: decode_progress(&join_values(&progress.rows)),
             jobs: self.read_jobs(reader).await,
         }
     }
 
-    /// Removes progress rows, some in each write. The claim keeps an earlier owner from writing them again, and this owner has not begun to
-    /// write. Rows whose removal fails are left to the next owner.
-    async fn remove_leftovers(&self, keys: &[String]) {
-        for some in keys.chunks(LEFTOVERS_PER_WRITE) {
-            let removes = some.iter().map(|key| shard_row(PROGRESS_TABLE, key));
-            let removal = RowWrite {
-                removes: removes.collect(),
-                ..RowWrite::default()
-            };
-            let write = self.client.write(&removal, PAGE_TIMEOUT);
-            if let Err(fault) = self.health.observe(StoreCall::TakeOver, write).await {
-                event(
-                    "leftovers_kept",
-                    &[("rows", &keys.len()), ("fault", &fault)],
-                );
-                return;
-            }
-        }
-    }
-
     /// Reads all jobs and cancellations, a few parts at a time. Failed reads are retried until they succeed.
     pub async fn read_jobs(&self, reader: &PageReader) -> ListedJobs {
         let parts = job_ranges().map(|range| async move { reader.read_part(self, &range).await });
@@ -179,12 +157,15 @@
     records
 }
 
-fn decode_all(rows: &[StoredValue]) -> BTreeMap<JobNumber, ProgressRow> {
-    let mut progress = BTreeMap::new();
+fn decode_progress(rows: &[StoredValue]) -> StoredProgress {
+    let mut progress = StoredProgress::default();
     for row in rows {
-        let number = row.key.parse::<JobNumber>();
-        if let (Ok(number), Some(decoded)) = (number, decode_row(row, "progress")) {
-            progress.insert(number, decoded);
+        if let Ok(number) = row.key.parse::<JobNumber>() {
+            let decoded = decode_row(row, "progress");
+            progress.rows.extend(decoded.map(|row| (number, row)));
+        } else if let Ok(key) = row.key.parse::<PageKey>() {
+            let decoded = decode_row(row, "progress_page");
+            progress.pages.extend(decoded.map(|page| (key, page)));
         }
     }
     progress
--- a/crates/sandshelfd/src/jobs/writer.rs
+++ b/crates/sandshelfd/src/jobs/writer.rs
@@ -19,9 +19,9 @@
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters::StoreCall;
 use crate::jobs::records::{
-    cancel_row, encode, job_row, progress_row, roster_page_key, row_range, shard_row,
-    silence_page_key, PendingRow, INTERFERENCE_KEY, OWNER_KEY, PENDING_KEY, ROSTER_KEY,
-    SHARDS_TABLE,
+    cancel_row, encode, job_row, progress_page_row, progress_row, roster_page_key, row_range,
+    shard_row, silence_page_key, PendingRow, INTERFERENCE_KEY, OWNER_KEY, PENDING_KEY,
+    PROGRESS_TABLE, ROSTER_KEY, SHARDS_TABLE,
 };
 use crate::jobs::store_clock::StoreClock;
 use crate::logging::event;
@@ -43,6 +43,8 @@
     pub row: ShardRow,
     /// The other changes, written in the same transaction.
     pub batch: CommitBatch,
+    /// The keys of progress rows to be removed in the same transaction, since they are left over from longer values.
+    pub leftovers: Vec<String>,
 }
 
 /// The result of a write.
@@ -193,6 +195,8 @@
     let owner = shard_row(SHARDS_TABLE, OWNER_KEY);
     let CommitBatch {
         progress,
+        pages,
+        obsolete_pages,
         pending,
         load,
         interference,
@@ -205,6 +209,9 @@
     for (number, progress) in progress {
         puts.extend(split_value(progress_row(*number), encode(progress)));
     }
+    for (key, page) in pages {
+        puts.extend(split_value(progress_page_row(key), encode(page)));
+    }
     if let Some(counts) = pending {
         let row = PendingRow {
             counts: counts.clone(),
@@ -228,12 +235,16 @@
     for (number, page) in &silent.pages {
         puts.extend(split_rows(&silence_page_key(*number), page));
     }
+    let removed_rows = forget.iter().copied().map(progress_row);
+    let leftovers = write.leftovers.iter();
+    let leftovers = leftovers.map(|key| shard_row(PROGRESS_TABLE, key));
+    let removed_pages = obsolete_pages.iter().map(progress_page_row);
     RowWrite {
         checks: vec![RowCheck {
             row: owner,
             version: write.version,
         }],
         puts,
-        removes: forget.iter().copied().map(progress_row).collect(),
+        removes: removed_rows.chain(removed_pages).chain(leftovers).collect(),
     }
 }
