--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -123,9 +123,14 @@
         }
     }
 
-    /// Cancels a job and stops its running tasks.
+    /// Cancels a job and stops its running tasks. The number of an unknown job counts as that of a finished one from now on, and its
+    /// cancellation is removed when the rows of a finished job would be.
     pub(crate) fn cancel_job(&mut self, now: Millis, number: JobNumber) {
-        self.finish_job(now, number, JobStage::Cancelled);
+        if self.jobs.contains_key(&number) {
+            self.finish_job(now, number, JobStage::Cancelled);
+        } else if self.finished.insert(number) {
+            self.finished_at.push_back((now, number));
+        }
     }
 
     /// Ends a job: its final state is written and its running tasks are stopped.
--- a/crates/jobs/tests/leases_in_outages.rs
+++ b/crates/jobs/tests/leases_in_outages.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-
 use sandshelf_jobs::{
     JobEvent, JobSpec, OrderAnswer, RenewalAnswer, RunKey, StepSpec, StoredProgress, TakeoverInfo,
     WorkerListing,
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -12,6 +12,7 @@
 
 use crate::clock;
 use crate::jobs::admission::AdmissionControl;
+use crate::jobs::cancel::MarkBudget;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters::StoreCall;
 use crate::jobs::news::OwnerNews;
@@ -97,6 +98,8 @@
     pub news: OwnerNews,
     /// The decisions whether to admit jobs.
     pub admission: &'a AdmissionControl,
+    /// How many cancellations of unknown jobs may be kept.
+    pub cancel_marks: &'a MarkBudget,
     /// The time that the caller has left, in milliseconds; none if unknown.
     pub left_ms: Option<Millis>,
     /// The timeout of each store call.
@@ -133,7 +136,9 @@
         if let Some(answer) = self.refuse_under_load(number, &spec).await {
             return answer;
         }
-        match self.put_if(number, 0, job_row(number), value).await {
+        // A job that was cancelled before its row was written must never run, however late the store carries out the write.
+        let checks = [job_row(number), cancel_row(number)].map(|row| RowCheck { row, version: 0 });
+        match self.put_if(checks.into(), job_row(number), value).await {
             Ok(WriteOutcome::Done(version)) => {
                 event(
                     "job_accepted",
@@ -145,6 +150,9 @@
                 );
                 JobAnswer::plain(StatusCode::OK, "{}")
             }
+            Ok(WriteOutcome::Conflict(rows)) if !has_job(&rows) => {
+                self.refuse(number, StatusCode::GONE, "the job was cancelled before")
+            }
             Ok(WriteOutcome::Conflict(_)) => {
                 event("job_known", &[("job", &number), ("queue", &queue.name)]);
                 JobAnswer::plain(StatusCode::OK, "{}")
@@ -163,19 +171,15 @@
         }
     }
 
-    /// Writes one row on condition that the job's row has this version; version 0 requires that the job doesn't exist.
-    async fn put_if(
+    /// Writes one row of a job on condition of these checks.
+    pub(super) async fn put_if(
         &self,
-        number: JobNumber,
-        version: u64,
+        checks: Vec<RowCheck>,
         row: RowKey,
         value: Vec<u8>,
     ) -> Result<WriteOutcome, StoreFault> {
         let write = RowWrite {
-            checks: vec![RowCheck {
-                row: job_row(number),
-                version,
-            }],
+            checks,
             puts: vec![(row, value)],
             removes: Vec::new(),
         };
@@ -196,7 +200,7 @@
     }
 
     /// The answer while the store is out, none otherwise. It is given without a call, so that callers needn't wait for a timeout.
-    fn refuse_while_out(&self) -> Option<JobAnswer> {
+    pub(super) fn refuse_while_out(&self) -> Option<JobAnswer> {
         let out = self.health.is_out();
         out.then(|| self.without_store())
     }
@@ -229,7 +233,7 @@
     }
 
     /// The answer to a request that a fault of the store ended.
-    fn answer_fault(&self, fault: StoreFault) -> JobAnswer {
+    pub(super) fn answer_fault(&self, fault: StoreFault) -> JobAnswer {
         match fault.may_have_run() {
             true => JobAnswer::unknown("the store did not answer"),
             false => self.store_out(),
@@ -237,7 +241,7 @@
     }
 
     /// The answer to a request that was not carried out since the store is out.
-    fn store_out(&self) -> JobAnswer {
+    pub(super) fn store_out(&self) -> JobAnswer {
         JobAnswer::not_run(STORE_OUT).with_retry(self.outage_retry_ms())
     }
 
@@ -248,7 +252,10 @@
         }
         match self.read_stage(queue, number).await {
             Ok(Some(stage)) => JobAnswer::plain(StatusCode::OK, stage_body(stage)),
-            Ok(None) => JobAnswer::plain(StatusCode::GONE, "no such job"),
+            Ok(None) => {
+                event("job_unknown", &[("job", &number), ("queue", &queue.name)]);
+                JobAnswer::plain(StatusCode::GONE, "no such job")
+            }
             Err(fault) => {
                 event("show_failed", &[("job", &number), ("fault", &fault)]);
                 self.store_out()
@@ -275,10 +282,10 @@
             }
         }
         let rows = self.read(&job_range(number)).await?;
-        if !rows.iter().any(|row| !row.key.ends_with(CANCEL_SUFFIX)) {
+        if !has_job(&rows) {
             return Ok(None);
         }
-        if rows.iter().any(|row| row.key.ends_with(CANCEL_SUFFIX)) {
+        if is_cancelled(&rows) {
             return Ok(Some(JobStage::Cancelled));
         }
         Ok(Some(progress.map_or(JobStage::Queued, |row| row.stage)))
@@ -292,42 +299,6 @@
         Ok(self.health.observe(StoreCall::ReadJob, read).await?.rows)
     }
 
-    /// Marks a job as cancelled; the owner of the shard then stops its running tasks.
-    pub async fn cancel(&self, number: JobNumber) -> JobAnswer {
-        if let Some(answer) = self.refuse_while_out() {
-            return answer;
-        }
-        let rows = match self.read(&job_range(number)).await {
-            Ok(rows) => rows,
-            Err(_) => return self.store_out(),
-        };
-        let job = rows.iter().find(|row| !row.key.ends_with(CANCEL_SUFFIX));
-        let Some(job) = job else {
-            return JobAnswer::plain(StatusCode::GONE, "no such job");
-        };
-        if rows.len() > 1 {
-            return JobAnswer::plain(StatusCode::OK, "{}");
-        }
-        let cancellation = b"{}".to_vec();
-        match self
-            .put_if(number, job.version, cancel_row(number), cancellation)
-            .await
-        {
-            Ok(WriteOutcome::Done(version)) => {
-                event(
-                    "job_cancel_taken",
-                    &[("job", &number), ("version", &version)],
-                );
-                JobAnswer::plain(StatusCode::OK, "{}")
-            }
-            Ok(WriteOutcome::Conflict(_)) => JobAnswer::plain(StatusCode::GONE, "no such job"),
-            Err(fault) => {
-                event("job_cancel_failed", &[("job", &number), ("fault", &fault)]);
-                self.answer_fault(fault)
-            }
-        }
-    }
-
     /// Answers with the number of waiting jobs of a queue.
     pub async fn pending(&self, queue: &QueueEntry) -> JobAnswer {
         if let Some(count) = self.news.pending(clock::now(), &queue.name) {
@@ -349,6 +320,18 @@
     }
 }
 
+/// Whether the rows of a job's number, as read or as they stand in a conflict, contain the job itself.
+pub(super) fn has_job(rows: &[StoredValue]) -> bool {
+    rows.iter()
+        .any(|row| row.value.is_some() && !row.key.ends_with(CANCEL_SUFFIX))
+}
+
+/// Whether the rows of a job's number contain a cancellation.
+pub(super) fn is_cancelled(rows: &[StoredValue]) -> bool {
+    rows.iter()
+        .any(|row| row.value.is_some() && row.key.ends_with(CANCEL_SUFFIX))
+}
+
 fn decode_pending(row: &StoredValue) -> Option<PendingRow> {
     decode_row(row, "pending")
 }
--- a/crates/sandshelfd/src/jobs/admission.rs
+++ b/crates/sandshelfd/src/jobs/admission.rs
@@ -16,12 +16,10 @@
 use tokio::sync::Mutex;
 
 use crate::clock;
-use crate::jobs::accept::{decode_row, JobAnswer, JobService, RETRY_AFTER_MS};
+use crate::jobs::accept::{decode_row, has_job, JobAnswer, JobService, RETRY_AFTER_MS};
 use crate::jobs::labels::label;
 use crate::jobs::meters::{self, StoreCall};
-use crate::jobs::records::{
-    job_range, shard_row, PendingRow, CANCEL_SUFFIX, PENDING_KEY, SHARDS_TABLE,
-};
+use crate::jobs::records::{job_range, shard_row, PendingRow, PENDING_KEY, SHARDS_TABLE};
 use crate::logging::event;
 
 /// The shortest time between two reads of the load from the store, in milliseconds: owners write it every 0.5 s.
@@ -82,7 +80,7 @@
                 return Some(JobAnswer::unknown("the store did not answer"));
             }
         };
-        if rows.iter().any(|row| !row.key.ends_with(CANCEL_SUFFIX)) {
+        if has_job(&rows) {
             event("job_known", &[("job", &number), ("queue", &spec.queue)]);
             return Some(JobAnswer::plain(StatusCode::OK, "{}"));
         }
--- a/crates/sandshelfd/src/jobs/endpoints.rs
+++ b/crates/sandshelfd/src/jobs/endpoints.rs
@@ -18,6 +18,7 @@
 use crate::clock::SteadyInstant;
 use crate::jobs::accept::{store_timeout, JobAnswer, JobService};
 use crate::jobs::admission::AdmissionControl;
+use crate::jobs::cancel::MarkBudget;
 use crate::jobs::health::StoreHealth;
 use crate::jobs::meters;
 use crate::jobs::news::OwnerNews;
@@ -43,6 +44,8 @@
     pub queues: QueueView,
     /// The decisions whether to admit jobs.
     pub admission: AdmissionControl,
+    /// How many cancellations of unknown jobs this host may keep.
+    pub cancel_marks: MarkBudget,
     /// Whether the daemon is stopping.
     pub stopping: AtomicBool,
     /// The number of open requests of callers.
@@ -141,6 +144,7 @@
         health: &shared.health,
         news: shared.news.borrow().clone(),
         admission: &shared.admission,
+        cancel_marks: &shared.cancel_marks,
         left_ms,
         timeout: store_timeout(left_ms),
     };
--- a/crates/sandshelfd/src/jobs/meters.rs
+++ b/crates/sandshelfd/src/jobs/meters.rs
@@ -50,6 +50,8 @@
 const CRASHES: &str = "sandshelf_task_crashes_noted_total";
 /// How long serving tasks were over their targets, by whether anything filled beside them at the end; only from 1.5 s on.
 const OVER_TARGET_SECONDS: &str = "sandshelf_over_target_seconds";
+/// The cancellations of unknown jobs that were refused, since too many came.
+const REFUSED_MARKS: &str = "sandshelf_cancellations_refused_total";
 /// The checkpoints that were not written since the progress of their job is too large with them.
 const CHECKPOINTS_LEFT_OUT: &str = "sandshelf_checkpoints_left_out_total";
 /// The tasks that were given up because they crash their workers.
@@ -315,6 +317,11 @@
     gauge!("sandshelf_held_cores").set(counts.held_cpu as f64 / 1_000.0);
 }
 
+/// Counts a cancellation of an unknown job that was not kept.
+pub fn record_refused_mark() {
+    counter!(REFUSED_MARKS).increment(1);
+}
+
 /// Counts a submission that was refused under load.
 pub fn record_refused_job(queue: &str, cause: RefusalCause) {
     counter!(REFUSED_JOBS, "queue" => queue.to_owned(), "cause" => label(&cause)).increment(1);
--- a/crates/sandshelfd/src/jobs/mod.rs
+++ b/crates/sandshelfd/src/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod agent;
 mod calls;
+mod cancel;
 mod endpoints;
 mod halls;
 mod health;
@@ -109,6 +110,7 @@
         news: news_changes.clone(),
         queues: queues.clone(),
         admission: AdmissionControl::new(settings.load_policies),
+        cancel_marks: cancel::MarkBudget::default(),
         stopping: AtomicBool::new(false),
         open_requests: Default::default(),
     });
