--- a/crates/emulator/src/deployment.rs
+++ b/crates/emulator/src/deployment.rs
@@ -96,6 +96,7 @@
     pub fn job(&self, steps: Vec<StepSpec>, handed_in_ms: Millis) -> JobSpec {
         JobSpec {
             queue: self.queue.to_owned(),
+            address: None,
             rules: self.rules.clone(),
             payload: "t".repeat(self.payload_bytes),
             steps,
--- a/crates/emulator/src/host/control.rs
+++ b/crates/emulator/src/host/control.rs
@@ -224,7 +224,7 @@
         };
         if owned.queues_version != version {
             owned.queues_version = version;
-            let queues = self.config.rules();
+            let queues = self.config.queues();
             self.handle_events(at, vec![JobEvent::QueuesChanged(queues)]);
         }
     }
--- a/crates/emulator/src/host/follow.rs
+++ b/crates/emulator/src/host/follow.rs
@@ -1,8 +1,6 @@
 //! Follows the configuration and, as the shard owner, new jobs and the list of workers; serves callers' requests.
 
-use std::collections::BTreeMap;
-
-use sandshelf_jobs::{JobEvent, QueueRules};
+use sandshelf_jobs::{JobEvent, QueueDirectory};
 use sandshelf_model::Millis;
 
 use super::admission::answer_to_check;
@@ -13,7 +11,7 @@
 };
 use crate::queue::{Micros, MS};
 use crate::store::{ConfigRow, StoreCall, StoreReply};
-use crate::traffic::queue_rules;
+use crate::traffic::queue_directory;
 
 // Same values as in the daemon: `jobs/queues.rs`, `jobs/intake.rs` and `jobs/accept.rs`.
 pub(super) const CONFIG_WAIT_MS: Millis = 900;
@@ -40,9 +38,9 @@
         self.current.as_ref()
     }
 
-    /// The rules of all queues in the configuration.
-    pub(super) fn rules(&self) -> BTreeMap<String, QueueRules> {
-        queue_rules(self.current.map_or(0, |config| config.routes))
+    /// All queues in the configuration.
+    pub(super) fn queues(&self) -> QueueDirectory {
+        queue_directory(self.current.map_or(0, |config| config.routes))
     }
 }
 
--- a/crates/emulator/src/traffic.rs
+++ b/crates/emulator/src/traffic.rs
@@ -1,10 +1,10 @@
 //! Draws the jobs that callers submit from a deployment's classes.
 
-use std::collections::BTreeMap;
-
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use sandshelf_jobs::{JobSpec, QueueRules, StepSpec};
+use sandshelf_jobs::{
+    JobSpec, QueueAddress, QueueDirectory, QueueEntry, QueueRules, QueueTable, StepSpec,
+};
 use sandshelf_model::Millis;
 
 use crate::catalog::EmulatedJob;
@@ -14,7 +14,7 @@
 const MAX_WIDTH_RATIO: f64 = 4.0;
 
 /// Rules for `routes` queues that get no jobs; each emulated job carries its own rules.
-pub fn queue_rules(routes: usize) -> BTreeMap<String, QueueRules> {
+pub fn queue_directory(routes: usize) -> QueueDirectory {
     let rules = QueueRules {
         service: "desk".to_owned(),
         priority: 1,
@@ -24,7 +24,12 @@
         guarded: true,
     };
     let names = (0..routes).map(|number| format!("r-{number:07}"));
-    names.map(|name| (name, rules.clone())).collect()
+    let queues = names.map(|name| QueueEntry {
+        address: QueueAddress::new("queues.example", &format!("/{name}/")),
+        name,
+        rules: rules.clone(),
+    });
+    QueueTable::new(0, 0, queues.collect()).directory()
 }
 
 /// Draws a number of tasks with a given mean, at least 1 and with the right-skewed distribution of real step widths.
--- a/crates/emulator/tests/copies.rs
+++ b/crates/emulator/tests/copies.rs
@@ -30,6 +30,7 @@
         ..StepSpec::default()
     };
     JobSpec {
+        address: None,
         queue: "pricing".to_owned(),
         rules,
         payload: String::new(),
--- a/crates/emulator/tests/missing.rs
+++ b/crates/emulator/tests/missing.rs
@@ -38,6 +38,7 @@
     };
     let spec = JobSpec {
         queue: "watch".to_owned(),
+        address: None,
         rules: QueueRules::default(),
         payload: String::new(),
         steps: vec![step],
--- a/crates/emulator/tests/outcomes.rs
+++ b/crates/emulator/tests/outcomes.rs
@@ -93,6 +93,7 @@
         ..QueueRules::default()
     };
     let spec = JobSpec {
+        address: None,
         queue: "pricing".to_owned(),
         rules,
         payload: String::new(),
--- a/crates/emulator/tests/sights.rs
+++ b/crates/emulator/tests/sights.rs
@@ -70,6 +70,7 @@
         ..StepSpec::default()
     };
     let spec = JobSpec {
+        address: None,
         queue: "lots".to_owned(),
         rules,
         payload: String::new(),
--- a/crates/emulator/tests/variation.rs
+++ b/crates/emulator/tests/variation.rs
@@ -121,6 +121,7 @@
     };
     let spec = JobSpec {
         queue: "pricing".to_owned(),
+        address: None,
         rules: camp_class("pricing").rules,
         payload: String::new(),
         steps: vec![step],
--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -18,6 +18,7 @@
     INTERFERENCE_WRITE_INTERVAL_MS, MAX_PAGE_BYTES_PER_COMMIT, MAX_PAGE_ROWS_PER_COMMIT,
     MIN_COMMIT_INTERVAL_MS, PENDING_PUBLISH_INTERVAL_MS,
 };
+use crate::queues::QueueAddress;
 use crate::roster::{RosterChange, RosterHead};
 use crate::scheduler::{JobScheduler, NotedEnds, PendingCommit};
 use crate::stage::JobStage;
@@ -182,21 +183,22 @@
         }
     }
 
-    /// The counts of waiting jobs by queue, if they or the load that is written with them changed and may be published again.
+    /// The counts of waiting jobs by the address of their queue, if they or the load that is written with them changed and may be published again.
     fn changed_pending(
         &mut self,
         now: Millis,
         load: Option<&LoadView>,
         budget: &mut CommitBudget,
-    ) -> Option<BTreeMap<String, u64>> {
+    ) -> Option<BTreeMap<QueueAddress, u64>> {
         if self.state_pending || now < self.pending_published_at + PENDING_PUBLISH_INTERVAL_MS {
             return None;
         }
-        let mut counts: BTreeMap<String, u64> = BTreeMap::new();
-        for job in self.jobs.values() {
-            if job.stage == JobStage::Queued && job.spec.repeat.is_none() {
-                *counts.entry(job.spec.queue.clone()).or_default() += 1;
-            }
+        let mut counts: BTreeMap<QueueAddress, u64> = BTreeMap::new();
+        let waiting = self.jobs.values();
+        let waiting =
+            waiting.filter(|job| job.stage == JobStage::Queued && job.spec.repeat.is_none());
+        for address in waiting.filter_map(|job| self.queues.address_of(&job.spec)) {
+            *counts.entry(address.clone()).or_default() += 1;
         }
         let published = self.pending_counts.get_or_insert_default();
         let unchanged = counts == *published && load.is_none();
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -12,10 +12,11 @@
 use crate::note::JobNote;
 use crate::progress::ProgressRow;
 use crate::progress_page::{PageKey, ProgressPage, StoredProgress};
+use crate::queues::{QueueAddress, QueueDirectory};
 use crate::reports::{OrderAnswer, RenewalAnswer, WorkerClock, WorkerListing};
 use crate::roster::RosterChange;
 use crate::silent::SilenceChange;
-use crate::spec::{JobSpec, QueueRules};
+use crate::spec::JobSpec;
 
 /// An event that a scheduler handles.
 #[derive(Clone, Debug, PartialEq)]
@@ -51,8 +52,8 @@
         /// The latest time that the store's clock can have shown then, in milliseconds.
         at_most_ms: u64,
     },
-    /// The queue configuration changed; contains the rules of all queues.
-    QueuesChanged(BTreeMap<String, QueueRules>),
+    /// The queue configuration changed; contains all queues.
+    QueuesChanged(QueueDirectory),
     /// The result of an order to start a run.
     StartAnswered(WorkerId, RunKey, OrderAnswer),
     /// The result of an order to stop a run.
@@ -137,7 +138,7 @@
     /// Pages of progress that count no more and are to be removed.
     pub obsolete_pages: Vec<PageKey>,
     /// The number of waiting jobs by queue; none if unchanged.
-    pub pending: Option<BTreeMap<String, u64>>,
+    pub pending: Option<BTreeMap<QueueAddress, u64>>,
     /// The load of the queues, written with the number of waiting jobs; none while no job is refused.
     pub load: Option<LoadView>,
     /// The learnt interference between images; none unless its periodic write is due.
--- a/crates/jobs/src/gauges.rs
+++ b/crates/jobs/src/gauges.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::JobNumber;
 use crate::over_target::OverTargetStretch;
+use crate::queues::QueueAddress;
 use crate::run::RunRecord;
 use crate::scheduler::JobScheduler;
 
@@ -71,7 +72,7 @@
     }
 
     /// The published number of waiting jobs by queue; none before this owner has counted them.
-    pub fn pending_counts(&self) -> Option<&BTreeMap<String, u64>> {
+    pub fn pending_counts(&self) -> Option<&BTreeMap<QueueAddress, u64>> {
         self.pending_counts.as_ref()
     }
 
--- a/crates/jobs/src/intake.rs
+++ b/crates/jobs/src/intake.rs
@@ -10,6 +10,7 @@
 use crate::job::{objective_ms, JobState};
 use crate::note::{JobNote, StopCause};
 use crate::progress_page::StoredProgress;
+use crate::queues::QueueDirectory;
 use crate::reports::WorkerListing;
 use crate::scheduler::JobScheduler;
 use crate::spec::JobSpec;
@@ -33,7 +34,7 @@
         now: Millis,
         number: JobNumber,
         version: u64,
-        spec: JobSpec,
+        mut spec: JobSpec,
     ) {
         if self.jobs.contains_key(&number) || self.finished.contains(&number) {
             return;
@@ -41,6 +42,9 @@
         for step in &spec.steps {
             self.images.intern(&step.image);
         }
+        if let Some(name) = self.queues.name_of(&spec) {
+            spec.queue = name.to_owned();
+        }
         let inherited = version <= self.claim_version;
         let age = if inherited { self.job_age_ms(&spec) } else { 0 };
         let mut job = JobState::new(number, spec, now, age, inherited);
@@ -77,6 +81,16 @@
         }
     }
 
+    /// Handles a changed configuration: jobs follow their queues to their new names.
+    pub(crate) fn change_queues(&mut self, queues: QueueDirectory) {
+        for job in self.jobs.values_mut() {
+            if let Some(name) = queues.name_of(&job.spec) {
+                job.spec.queue = name.to_owned();
+            }
+        }
+        self.queues = queues;
+    }
+
     /// Opens the repetitions of jobs that are due.
     pub(crate) fn open_due_repetitions(&mut self, now: Millis) {
         let timed = |job: &&JobState| job.next_repetition < job.repetition_count();
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -95,7 +95,7 @@
 };
 pub use progress::{ProgressRow, TaskProgress};
 pub use progress_page::{PageKey, ProgressPage, StoredProgress, TaskRange};
-pub use queues::{QueueEntry, QueueTable};
+pub use queues::{QueueAddress, QueueDirectory, QueueEntry, QueueTable};
 pub use reports::{
     EndReport, OrderAnswer, RefusalReason, RenewalAnswer, RenewalReport, RunOutcome, RunReport,
     WorkerClock, WorkerListing,
--- a/crates/jobs/src/preemption/demands.rs
+++ b/crates/jobs/src/preemption/demands.rs
@@ -81,7 +81,7 @@
 
     /// The lowest priority of any queue; of any job if the queues are not known yet.
     fn lowest_priority(&self) -> u32 {
-        let queues = self.queues.values().map(|rules| rules.priority).max();
+        let queues = self.queues.all_rules().map(|rules| rules.priority).max();
         let jobs = || self.jobs.values().map(|job| job.spec.rules.priority).max();
         queues.or_else(jobs).unwrap_or(0)
     }
--- a/crates/jobs/src/relay/messages.rs
+++ b/crates/jobs/src/relay/messages.rs
@@ -12,6 +12,7 @@
 
 use crate::admission::LoadView;
 use crate::events::{JobEvent, WorkerCall};
+use crate::queues::QueueAddress;
 use crate::reports::{OrderAnswer, RenewalAnswer};
 
 /// The version of these messages. It must be raised with each change of a type in them.
@@ -128,7 +129,7 @@
     pub store_took_ms: Millis,
     /// The number of waiting jobs of each queue that has any; none if the owner doesn't know them yet, or there are more than
     /// [`MAX_NOTICE_QUEUES`] such queues.
-    pub pending: Option<Vec<(String, u64)>>,
+    pub pending: Option<Vec<(QueueAddress, u64)>>,
     /// The load of the queues with jobs that end; none if the owner publishes none, or there are more than [`MAX_NOTICE_QUEUES`] such
     /// queues.
     pub load: Option<LoadView>,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -32,6 +32,7 @@
 use crate::preemption::PreemptionState;
 use crate::progress::ProgressRow;
 use crate::progress_page::StoredProgress;
+use crate::queues::{QueueAddress, QueueDirectory};
 use crate::rank::FailedPlacements;
 use crate::reservations::ReservationBook;
 use crate::roster::RosterMembers;
@@ -97,7 +98,7 @@
     pub(crate) waiting: BTreeSet<WaitKey>,
     /// Waiting tasks that must not start before a time.
     pub(crate) delayed: BTreeSet<(Millis, TaskKey)>,
-    pub(crate) queues: BTreeMap<String, QueueRules>,
+    pub(crate) queues: QueueDirectory,
     pub(crate) evacuated: EvacuatedHalls,
     pub(crate) dirty: DirtyParts,
     /// Ends that wait until all progress is written that had changed when they were noted.
@@ -108,7 +109,7 @@
     pub(crate) commit_count: u64,
     pub(crate) last_commit: Millis,
     /// The published number of waiting jobs by queue; none before this owner has counted them.
-    pub(crate) pending_counts: Option<BTreeMap<String, u64>>,
+    pub(crate) pending_counts: Option<BTreeMap<QueueAddress, u64>>,
     pub(crate) pending_published_at: Millis,
     pub(crate) roster: RosterMembers,
     pub(crate) roster_checked_at: Millis,
@@ -210,7 +211,7 @@
             lists_since: info.claimed_at,
             waiting: BTreeSet::new(),
             delayed: BTreeSet::new(),
-            queues: BTreeMap::new(),
+            queues: QueueDirectory::default(),
             evacuated: EvacuatedHalls::default(),
             dirty: DirtyParts::default(),
             unwritten_ends: None,
@@ -357,7 +358,7 @@
             JobEvent::WorkersListed(list) => self.handle_worker_list(now, list),
             JobEvent::WorkersChanged(changes) => self.handle_worker_changes(now, changes),
             JobEvent::StoreClock { at, at_most_ms } => self.store_clock.note(at, at_most_ms),
-            JobEvent::QueuesChanged(queues) => self.queues = queues,
+            JobEvent::QueuesChanged(queues) => self.change_queues(queues),
             JobEvent::HallsEvacuated(halls) => self.apply_evacuated_halls(now, halls),
             JobEvent::StartAnswered(worker, key, answer) => {
                 self.unanswered_starts = self.unanswered_starts.saturating_sub(1);
@@ -417,7 +418,7 @@
 
     /// The rules of a job's queue: those in the current configuration, otherwise those with which the job was accepted.
     pub(crate) fn rules<'a>(&'a self, spec: &'a JobSpec) -> &'a QueueRules {
-        self.queues.get(&spec.queue).unwrap_or(&spec.rules)
+        self.queues.rules_of(spec).unwrap_or(&spec.rules)
     }
 
     /// The number of a task's next run.
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -5,6 +5,8 @@
 use sandshelf_model::{Millis, ResourceSize};
 use serde::{Deserialize, Serialize};
 
+use crate::queues::QueueAddress;
+
 /// The maximum number of steps of a job.
 pub const MAX_STEPS: usize = 256;
 /// The maximum number of tasks of a step.
@@ -32,8 +34,11 @@
 /// A submitted job, with the rules of its queue at that time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
-    /// The queue to which the job was submitted.
+    /// The name of the queue to which the job was submitted. An owner replaces it by the queue's current name.
     pub queue: String,
+    /// The address of that queue; none for a job that a host of an earlier version accepted.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub address: Option<QueueAddress>,
     /// The queue's rules when the job was accepted; rules of a later configuration take precedence.
     pub rules: QueueRules,
     /// A text that is passed to each task.
--- a/crates/jobs/src/worker_list.rs
+++ b/crates/jobs/src/worker_list.rs
@@ -102,7 +102,7 @@
         if self.queues.is_empty() {
             return BTreeSet::new();
         }
-        let configured = self.queues.values().map(|rules| &rules.service);
+        let configured = self.queues.all_rules().map(|rules| &rules.service);
         let accepted = self.jobs.values().map(|job| &self.rules(&job.spec).service);
         configured.chain(accepted).cloned().collect()
     }
--- a/crates/jobs/tests/fair_order.rs
+++ b/crates/jobs/tests/fair_order.rs
@@ -71,6 +71,7 @@
     ];
     JobSpec {
         queue: "fill".to_owned(),
+        address: None,
         rules: QueueRules {
             priority: 2,
             target_latency_ms: LATENCY_MS,
--- a/crates/jobs/tests/kinds.rs
+++ b/crates/jobs/tests/kinds.rs
@@ -4,7 +4,7 @@
 
 use sandshelf_jobs::{JobSpec, RepeatRule, RunKey, RunOutcome, StepSpec, TakeoverInfo};
 use sandshelf_model::ResourceSize;
-use support::{end_report, job, run_report, step, task, SchedulerRig, WALL_START_MS};
+use support::{end_report, job, lots, run_report, step, task, SchedulerRig, WALL_START_MS};
 
 fn gang_of(count: u32) -> JobSpec {
     job(vec![StepSpec {
@@ -267,7 +267,7 @@
         write(&mut rig);
     }
     assert_eq!(
-        published.and_then(|counts| counts.get("lots").copied()),
+        published.and_then(|counts| counts.get(&lots()).copied()),
         Some(2)
     );
 }
--- a/crates/jobs/tests/listing.rs
+++ b/crates/jobs/tests/listing.rs
@@ -3,11 +3,9 @@
 
 mod support;
 
-use std::collections::BTreeMap;
-
-use sandshelf_jobs::{JobEvent, QueueRules, WorkerListing};
+use sandshelf_jobs::{JobEvent, QueueEntry, QueueTable, WorkerListing};
 use sandshelf_model::WorkerId;
-use support::{job, listing, rules, run_report, step, SchedulerRig};
+use support::{job, listing, lots, rules, run_report, step, SchedulerRig};
 
 fn list_with_unreadable(rig: &mut SchedulerRig, unreadable: &[&str], readable: &[&str]) {
     let names = unreadable.iter().map(|name| WorkerId::from(*name));
@@ -73,8 +71,13 @@
 /// A worker whose service no queue names is not called.
 fn an_entry_of_an_unknown_service_is_not_called() {
     let mut rig = SchedulerRig::with_workers(&["w-1"]);
-    let queues: BTreeMap<String, QueueRules> = [("lots".to_owned(), rules())].into();
-    rig.handle(JobEvent::QueuesChanged(queues));
+    let queue = QueueEntry {
+        name: "lots".to_owned(),
+        address: lots(),
+        rules: rules(),
+    };
+    let table = QueueTable::new(1, 1_000, vec![queue]);
+    rig.handle(JobEvent::QueuesChanged(table.directory()));
     let unknown = WorkerListing {
         service: "unheard-of".to_owned(),
         ..listing("w-2")
--- a/crates/jobs/tests/queues.rs
+++ b/crates/jobs/tests/queues.rs
@@ -1,7 +1,7 @@
 //! The lookup of the queue for a request.
 
 use proptest::prelude::*;
-use sandshelf_jobs::{QueueEntry, QueueRules, QueueTable};
+use sandshelf_jobs::{QueueAddress, QueueEntry, QueueRules, QueueTable};
 
 /// The host name and path of a request.
 type Request<'a> = (&'a str, &'a str);
@@ -9,8 +9,7 @@
 fn queue(name: usize, hostname: &str, path_prefix: &str) -> QueueEntry {
     QueueEntry {
         name: name.to_string(),
-        hostname: hostname.to_owned(),
-        path_prefix: path_prefix.to_owned(),
+        address: QueueAddress::new(hostname, path_prefix),
         rules: QueueRules::default(),
     }
 }
@@ -28,11 +27,12 @@
     path: &'a str,
 ) -> Option<(&'a QueueEntry, &'a str)> {
     let fits = |queue: &&QueueEntry| {
-        queue.hostname.eq_ignore_ascii_case(hostname) && path.starts_with(&queue.path_prefix)
+        queue.address.hostname.eq_ignore_ascii_case(hostname)
+            && path.starts_with(&queue.address.path_prefix)
     };
     let candidates = queues.iter().filter(fits);
-    let longest = candidates.max_by_key(|queue| queue.path_prefix.len())?;
-    Some((longest, &path[longest.path_prefix.len()..]))
+    let longest = candidates.max_by_key(|queue| queue.address.path_prefix.len())?;
+    Some((longest, &path[longest.address.path_prefix.len()..]))
 }
 
 /// Checks that a request finds the queue with this index and this rest of the path, or none.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -23,9 +23,9 @@
 
 use sandshelf_jobs::{
     CommitBatch, EndReport, JobAction, JobEvent, JobNumber, JobScheduler, JobSpec, OrderAnswer,
-    QueueRules, RenewalAnswer, RenewalReport, RunKey, RunOutcome, RunReport, SchedulerLimits,
-    StartCall, StepSpec, TakeoverInfo, TaskKey, WorkerCall, WorkerIncarnation, WorkerListing,
-    WorkerRoster,
+    QueueAddress, QueueRules, RenewalAnswer, RenewalReport, RunKey, RunOutcome, RunReport,
+    SchedulerLimits, StartCall, StepSpec, TakeoverInfo, TaskKey, WorkerCall, WorkerIncarnation,
+    WorkerListing, WorkerRoster,
 };
 use sandshelf_model::{HallId, Millis, ResourceSize, WorkerId};
 
@@ -378,9 +378,15 @@
     }
 }
 
+/// The address of the queue of [`job`].
+pub fn lots() -> QueueAddress {
+    QueueAddress::new("lots.example", "/lots/")
+}
+
 pub fn job(steps: Vec<StepSpec>) -> JobSpec {
     JobSpec {
         queue: "lots".to_owned(),
+        address: Some(lots()),
         rules: rules(),
         payload: "text".to_owned(),
         steps,
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -6,7 +6,7 @@
     JobNumber, JobStage, ProgressRow, RunKey, RunOutcome, TakeoverInfo, WorkerRoster,
 };
 use sandshelf_model::WorkerId;
-use support::{end_report, job, listing, run_report, step, task, SchedulerRig};
+use support::{end_report, job, listing, lots, run_report, step, task, SchedulerRig};
 
 /// An owner of epoch 2 that finds two workers in the roster.
 fn successor() -> SchedulerRig {
@@ -276,7 +276,7 @@
     rig.advance(600);
     let later = rig.commit_all().into_iter().find_map(|batch| batch.pending);
     assert_eq!(
-        later.and_then(|counts| counts.get("lots").copied()),
+        later.and_then(|counts| counts.get(&lots()).copied()),
         Some(2)
     );
 }
--- a/crates/sandshelfd/src/jobs/accept.rs
+++ b/crates/sandshelfd/src/jobs/accept.rs
@@ -273,9 +273,17 @@
         let progress = join_value(&rows, &row.key)
             .as_ref()
             .and_then(decode_progress);
+        // A job is known by its number alone, as it is when it is submitted again or cancelled: its queue may have another name by now.
         if let Some(progress) = &progress {
             if progress.queue != queue.name {
-                return Ok(None);
+                event(
+                    "job_of_other_name",
+                    &[
+                        ("job", &number),
+                        ("queue", &queue.name),
+                        ("job_queue", &progress.queue),
+                    ],
+                );
             }
             if progress.stage.is_final() {
                 return Ok(Some(progress.stage));
@@ -301,7 +309,7 @@
 
     /// Answers with the number of waiting jobs of a queue.
     pub async fn pending(&self, queue: &QueueEntry) -> JobAnswer {
-        if let Some(count) = self.news.pending(clock::now(), &queue.name) {
+        if let Some(count) = self.news.pending(clock::now(), &queue.address) {
             return JobAnswer::plain(StatusCode::OK, pending_body(count));
         }
         if let Some(answer) = self.refuse_while_out() {
@@ -312,7 +320,7 @@
             Ok(rows) => {
                 let counts = join_value(&rows, &row.key);
                 let counts = counts.as_ref().and_then(decode_pending).unwrap_or_default();
-                let count = counts.counts.get(&queue.name).copied().unwrap_or(0);
+                let count = counts.counts.get(&queue.address).copied().unwrap_or(0);
                 JobAnswer::plain(StatusCode::OK, pending_body(count))
             }
             Err(_) => self.store_out(),
--- a/crates/sandshelfd/src/jobs/news.rs
+++ b/crates/sandshelfd/src/jobs/news.rs
@@ -5,6 +5,7 @@
 
 use sandshelf_jobs::admission::{HeardView, LoadView};
 use sandshelf_jobs::relay::OwnerNotice;
+use sandshelf_jobs::QueueAddress;
 use sandshelf_model::Millis;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -24,7 +25,7 @@
     heard_at: Option<Millis>,
     operator_version: u64,
     store_took_ms: Millis,
-    pending: Option<Arc<[(String, u64)]>>,
+    pending: Option<Arc<[(QueueAddress, u64)]>>,
     /// When an owner last told its load or that it publishes none.
     load_heard_at: Option<Millis>,
     load: Option<Arc<LoadView>>,
@@ -75,9 +76,9 @@
     }
 
     /// The number of waiting jobs of a queue; none if the news are old or don't tell it.
-    pub fn pending(&self, now: Millis, queue: &str) -> Option<u64> {
+    pub fn pending(&self, now: Millis, queue: &QueueAddress) -> Option<u64> {
         let counts = self.pending.as_ref().filter(|_| self.are_fresh(now))?;
-        let told = counts.iter().find(|(name, _)| name == queue);
+        let told = counts.iter().find(|(address, _)| address == queue);
         Some(told.map_or(0, |(_, count)| *count))
     }
 
--- a/crates/sandshelfd/src/jobs/owner/notices.rs
+++ b/crates/sandshelfd/src/jobs/owner/notices.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use sandshelf_jobs::relay::{OwnerNotice, RelayMessage, MAX_NOTICE_QUEUES};
+use sandshelf_jobs::QueueAddress;
 use sandshelf_model::{Epoch, Millis};
 
 use super::OwnerLoop;
@@ -67,7 +68,7 @@
 }
 
 /// The counts of waiting jobs as a notice has them.
-fn told_counts(counts: Option<&BTreeMap<String, u64>>) -> Option<Vec<(String, u64)>> {
+fn told_counts(counts: Option<&BTreeMap<QueueAddress, u64>>) -> Option<Vec<(QueueAddress, u64)>> {
     let counts = counts.filter(|counts| counts.len() <= MAX_NOTICE_QUEUES)?;
     let told = counts.iter().map(|(queue, count)| (queue.clone(), *count));
     Some(told.collect())
--- a/crates/sandshelfd/src/jobs/owner/operators.rs
+++ b/crates/sandshelfd/src/jobs/owner/operators.rs
@@ -15,7 +15,7 @@
         };
         if owned.queues_version != table.version {
             owned.queues_version = table.version;
-            self.handle(JobEvent::QueuesChanged(table.rules()));
+            self.handle(JobEvent::QueuesChanged(table.directory()));
         }
     }
 
--- a/crates/sandshelfd/src/jobs/records.rs
+++ b/crates/sandshelfd/src/jobs/records.rs
@@ -4,7 +4,7 @@
 
 use sandshelf_adapter::{RowKey, RowRange};
 use sandshelf_jobs::admission::LoadView;
-use sandshelf_jobs::{JobNumber, PageKey, WorkerPage};
+use sandshelf_jobs::{JobNumber, PageKey, QueueAddress, WorkerPage};
 use sandshelf_model::Millis;
 use serde::{Deserialize, Serialize};
 
@@ -35,8 +35,8 @@
 /// The published counts of waiting jobs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PendingRow {
-    /// The count by queue; a queue without an entry has no waiting jobs.
-    pub counts: BTreeMap<String, u64>,
+    /// The count by the queue's address; a queue without an entry has no waiting jobs.
+    pub counts: BTreeMap<QueueAddress, u64>,
     /// The load of the queues; none while no job is refused.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub load: Option<LoadView>,
