Progress of done tasks and of crash notes: one place each decides what is written

mark_done_dirty covers gangs, and a commit looks for written crash notes only where some wait. The comment on ProgressRow::queue says what it is for now.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -74,6 +74,9 @@
 
     /// The tasks whose crash notes are in the commit that is being built.
     fn take_written_crashes(&mut self, batch: &CommitBatch) -> Vec<TaskKey> {
+        if !self.crashes.has_unwritten() {
+            return Vec::new();
+        }
         let rows = batch.progress.iter();
         let rows = rows.map(|(number, _)| ProgressPart::Row(*number));
         let pages = batch.pages.iter().map(|(key, _)| ProgressPart::Page(*key));
--- a/crates/jobs/src/crash/tracker.rs
+++ b/crates/jobs/src/crash/tracker.rs
@@ -164,6 +164,11 @@
         due.map(|(task, _)| task).collect()
     }
 
+    /// Whether crash notes wait to be written.
+    pub(crate) fn has_unwritten(&self) -> bool {
+        !self.unwritten.is_empty()
+    }
+
     /// Removes and returns the tasks whose crash notes are about to be written.
     pub(crate) fn take_unwritten(&mut self, is_written: impl Fn(&TaskKey) -> bool) -> Vec<TaskKey> {
         let written = self.unwritten.extract_if(.., |task| is_written(task));
--- a/crates/jobs/src/job_progress.rs
+++ b/crates/jobs/src/job_progress.rs
@@ -206,12 +206,15 @@
         self.dirty.add(self.last_tick, part);
     }
 
-    /// Marks the progress of all tasks of a step as changed.
-    pub(crate) fn mark_step_dirty(&mut self, step: &TaskKey) {
-        let state = self.jobs.get(&step.job).and_then(|job| job.step(step));
-        let count = state.map_or(0, |state| state.tasks.len() as u32);
-        for index in (0..count).step_by(TASKS_PER_PAGE as usize) {
-            self.mark_task_dirty(&TaskKey { index, ..*step });
+    /// Marks the progress of a task that is done as changed, with a gang that of all its members.
+    pub(crate) fn mark_done_dirty(&mut self, task: &TaskKey, gang: bool) {
+        if !gang {
+            return self.mark_task_dirty(task);
+        }
+        let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
+        let members = step.map_or(0, |step| step.tasks.len() as u32);
+        for index in (0..members).step_by(TASKS_PER_PAGE as usize) {
+            self.mark_task_dirty(&TaskKey { index, ..*task });
         }
     }
 }
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -12,7 +12,7 @@
 pub struct ProgressRow {
     /// The state of the job, as shown to its caller.
     pub stage: JobStage,
-    /// The queue of the job, so that the job is not shown to callers of another queue.
+    /// The name that the job's queue has; hosts of earlier versions show the job at a queue of this name only.
     pub queue: String,
     /// The number of finished repetitions, counted from the first; their tasks are not listed.
     #[serde(default, skip_serializing_if = "is_zero")]
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -237,10 +237,7 @@
             self.remove_waiting(|wait| wait.task == key);
         }
         self.note_begun(&key);
-        match gang {
-            true => self.mark_step_dirty(&key),
-            false => self.mark_task_dirty(&key),
-        }
+        self.mark_done_dirty(&key, gang);
         self.open_job_steps(now, key.job);
     }
 
--- a/crates/sandshelfd/src/jobs/cancel.rs
+++ b/crates/sandshelfd/src/jobs/cancel.rs
@@ -12,7 +12,7 @@
 use sandshelf_model::Millis;
 
 use crate::clock;
-use crate::jobs::accept::{has_job, is_cancelled, JobAnswer, JobService};
+use crate::jobs::accept::{is_cancelled, JobAnswer, JobService};
 use crate::jobs::meters;
 use crate::jobs::records::{cancel_row, job_range, job_row, CANCEL_SUFFIX};
 use crate::logging::event;
@@ -100,7 +100,7 @@
         if known.cancelled {
             return cancelled_answer(number, known.version);
         }
-        if !has_job(&rows) && !self.cancel_marks.take(clock::now()) {
+        if known.version == 0 && !self.cancel_marks.take(clock::now()) {
             meters::record_refused_mark();
             event(
                 "job_cancel_refused",
