--- a/crates/jobs/tests/large_job/mod.rs
+++ b/crates/jobs/tests/large_job/mod.rs
@@ -293,7 +293,7 @@
     pub fn succeeded(mut self) -> Self {
         self.successions += 1;
         self.unwritten = None;
-        if self.successions % 2 == 0 {
+        if self.successions.is_multiple_of(2) {
             for worker in self.workers.values_mut() {
                 worker.running.clear();
                 worker.ended.clear();
